--- /dev/null
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -0,0 +1,35 @@
+//! What entries agree on, free of I/O: versions in force, once-only requests, membership and seats.
+//!
+//! Nothing here rests on a lease that was looked at before a pause. A version in force only grows; a
+//! once-only request has one home that alone may dispatch it; a member's word that it stops is final;
+//! a seat's holder asks its own clock before each use, and what a pause between asking and using can
+//! cost is paid for beforehand.
+
+mod ledger;
+mod membership;
+mod seat;
+mod version;
+
+pub use ledger::Begin;
+pub use ledger::Claim;
+pub use ledger::Epoch;
+pub use ledger::Fingerprint;
+pub use ledger::Home;
+pub use ledger::Ledger;
+pub use ledger::LedgerLimits;
+pub use ledger::OnceKey;
+pub use ledger::ParseHomeError;
+pub use ledger::StoredAnswer;
+pub use membership::Member;
+pub use membership::MemberRow;
+pub use membership::MemberState;
+pub use membership::Membership;
+pub use seat::SeatAction;
+pub use seat::SeatKeeper;
+pub use seat::SeatRow;
+pub use seat::seat_of;
+pub use version::Offer;
+pub use version::Offered;
+pub use version::OlderVersion;
+pub use version::Verified;
+pub use version::VersionInForce;
--- /dev/null
+++ b/crates/pinhaven-bundle/src/canonical.rs
@@ -0,0 +1,58 @@
+//! The one form of a bundle that is digested, signed and stored.
+
+use crate::Bundle;
+use pinhaven_types::Digest;
+
+/// A bundle with its canonical bytes and their digest.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CanonicalBundle {
+    bundle: Bundle,
+    bytes: Vec<u8>,
+    digest: Digest,
+}
+
+impl CanonicalBundle {
+    /// Brings a bundle into canonical form: services by name, targets by address, no white space.
+    ///
+    /// # Panics
+    ///
+    /// Never: a bundle holds nothing that JSON cannot say.
+    pub fn new(mut bundle: Bundle) -> Self {
+        bundle.services.sort_by(|a, b| a.name.cmp(&b.name));
+        for service in &mut bundle.services {
+            service.targets.sort_by_key(|target| target.address);
+        }
+        let bytes = serde_json::to_vec(&bundle).expect("a bundle can be written as JSON");
+        let digest = Digest::of(&bytes);
+        Self {
+            bundle,
+            bytes,
+            digest,
+        }
+    }
+
+    /// Reads canonical bytes back.
+    ///
+    /// # Errors
+    ///
+    /// The decoder's error when the bytes are not a bundle.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        let bundle = serde_json::from_slice(bytes)?;
+        Ok(Self::new(bundle))
+    }
+
+    /// The bundle.
+    pub fn bundle(&self) -> &Bundle {
+        &self.bundle
+    }
+
+    /// The canonical bytes.
+    pub fn bytes(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    /// Digest of the canonical bytes.
+    pub fn digest(&self) -> Digest {
+        self.digest
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -0,0 +1,176 @@
+//! The difference between two versions.
+//!
+//! A change touches one service of many. Entries send each other only the services that changed; the
+//! receiver puts the whole body together and checks it against the signed digest, so a wrong
+//! difference can delay a version but never falsify it.
+
+use crate::Bundle;
+use crate::CanonicalBundle;
+use crate::Measuring;
+use crate::Service;
+use displaydoc::Display as DisplayDoc;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Digest;
+use pinhaven_types::ServiceName;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// What turns one version into another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BundleDelta {
+    /// Version it starts from.
+    pub from: BundleVersion,
+    /// Version it leads to.
+    pub to: BundleVersion,
+    /// The new `measuring`.
+    pub measuring: Measuring,
+    /// The new `address_keep_ms`.
+    pub address_keep_ms: u64,
+    /// Services that are new or changed.
+    pub changed: Vec<Service>,
+    /// Services that are gone.
+    pub removed: Vec<ServiceName>,
+}
+
+/// Why a difference can't be applied.
+#[derive(Debug, Clone, PartialEq, Eq, DisplayDoc)]
+pub enum DeltaError {
+    /// applying a difference: it starts from version {from}, but version {held} is held
+    WrongStart {
+        /// Version the difference starts from.
+        from: BundleVersion,
+        /// Version that is held.
+        held: BundleVersion,
+    },
+    /// applying a difference: the digest is {found} where {signed} was signed off
+    WrongDigest {
+        /// Digest of what came out.
+        found: Digest,
+        /// Digest that was signed.
+        signed: Digest,
+    },
+}
+
+impl std::error::Error for DeltaError {}
+
+impl BundleDelta {
+    /// The difference between two bundles.
+    pub fn between(from: &Bundle, to: &Bundle) -> Self {
+        let old = by_name(from);
+        let new = by_name(to);
+        let changed = to
+            .services
+            .iter()
+            .filter(|service| old.get(&service.name) != Some(service))
+            .cloned()
+            .collect();
+        let removed = old
+            .keys()
+            .filter(|name| !new.contains_key(*name))
+            .map(|&name| name.clone())
+            .collect();
+        Self {
+            from: from.version,
+            to: to.version,
+            measuring: to.measuring.clone(),
+            address_keep_ms: to.address_keep_ms,
+            changed,
+            removed,
+        }
+    }
+
+    /// Applies the difference and checks what comes out against the signed digest.
+    ///
+    /// # Errors
+    ///
+    /// [`DeltaError`] when the start or the outcome is another one.
+    pub fn apply(self, held: &Bundle, signed: Digest) -> Result<CanonicalBundle, DeltaError> {
+        if held.version != self.from {
+            return Err(DeltaError::WrongStart {
+                from: self.from,
+                held: held.version,
+            });
+        }
+        let mut services: BTreeMap<ServiceName, Service> = held
+            .services
+            .iter()
+            .map(|service| (service.name.clone(), service.clone()))
+            .collect();
+        for name in &self.removed {
+            services.remove(name);
+        }
+        for service in self.changed {
+            services.insert(service.name.clone(), service);
+        }
+        let whole = CanonicalBundle::new(Bundle {
+            version: self.to,
+            measuring: self.measuring,
+            address_keep_ms: self.address_keep_ms,
+            services: services.into_values().collect(),
+        });
+        if whole.digest() != signed {
+            return Err(DeltaError::WrongDigest {
+                found: whole.digest(),
+                signed,
+            });
+        }
+        Ok(whole)
+    }
+}
+
+fn by_name(bundle: &Bundle) -> BTreeMap<&ServiceName, &Service> {
+    bundle
+        .services
+        .iter()
+        .map(|service| (&service.name, service))
+        .collect()
+}
+
+/// The changes between two bundles, a line each, for people.
+pub fn describe_changes(from: &Bundle, to: &Bundle) -> Vec<String> {
+    let old = by_name(from);
+    let delta = BundleDelta::between(from, to);
+    let mut lines = Vec::new();
+    if from.measuring != to.measuring {
+        lines.push("~ measuring".to_owned());
+    }
+    if from.address_keep_ms != to.address_keep_ms {
+        lines.push(format!(
+            "~ address_keep_ms: {} -> {}",
+            from.address_keep_ms, to.address_keep_ms
+        ));
+    }
+    lines.extend(delta.removed.iter().map(|name| format!("- {name}")));
+    for service in &delta.changed {
+        match old.get(&service.name) {
+            None => lines.push(format!("+ {}", service.name)),
+            Some(before) => lines.extend(describe_service(before, service)),
+        }
+    }
+    lines
+}
+
+fn describe_service(before: &Service, after: &Service) -> Vec<String> {
+    let mut lines = Vec::new();
+    for target in &after.targets {
+        match before.targets.iter().find(|t| t.address == target.address) {
+            None => lines.push(format!("+ {} target {}", after.name, target.address)),
+            Some(held) if held != target => {
+                lines.push(format!("~ {} target {}", after.name, target.address));
+            }
+            Some(_) => {}
+        }
+    }
+    for target in &before.targets {
+        if !after.targets.iter().any(|t| t.address == target.address) {
+            lines.push(format!("- {} target {}", after.name, target.address));
+        }
+    }
+    let mut rest = before.clone();
+    rest.targets.clone_from(&after.targets);
+    if rest != *after {
+        lines.push(format!("~ {} settings", after.name));
+    }
+    lines
+}
--- /dev/null
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -0,0 +1,248 @@
+//! The fields of a bundle.
+
+use pinhaven_types::BundleVersion;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::Percent;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One version of the whole configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    /// Version that this bundle becomes, one more than the one in force.
+    pub version: BundleVersion,
+    /// How load is measured.
+    #[serde(default)]
+    pub measuring: Measuring,
+    /// How long callers may keep an address answer, in milliseconds.
+    #[serde(default = "default_address_keep_ms")]
+    pub address_keep_ms: u64,
+    /// The services, each with its targets.
+    pub services: Vec<Service>,
+}
+
+/// How the load of targets is measured.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Measuring {
+    /// How many entries at most probe at a time; each target is probed by one of them.
+    pub seats: u32,
+    /// The span over which the budget is kept, in milliseconds.
+    pub window_ms: u64,
+}
+
+impl Default for Measuring {
+    fn default() -> Self {
+        Self {
+            seats: 4,
+            window_ms: 10_000,
+        }
+    }
+}
+
+/// A service and what its requests may cost.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name, unique in the bundle.
+    pub name: ServiceName,
+    /// Values of the `Host` header that mean this service.
+    pub hosts: Vec<String>,
+    /// Requests that a target works on at a time.
+    pub slots: u32,
+    /// Connections that a target takes from all entries together.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// How many entries at most share the connections of a target.
+    #[serde(default = "default_entries_most")]
+    pub entries_most: u32,
+    /// How many entries an address answer names; fewer make local counts truer.
+    #[serde(default = "default_entries_named")]
+    pub entries_named: u32,
+    /// Deadline of a request that names none, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Typical time of a request, in milliseconds; used until it has been measured.
+    #[serde(default = "default_typical_ms")]
+    pub typical_ms: u64,
+    /// Importance from 0 (refused first) to 3 (refused last).
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// How a target is chosen.
+    #[serde(default)]
+    pub policy: Policy,
+    /// Hedges allowed, in percent of requests.
+    #[serde(default = "default_hedge_budget")]
+    pub hedge_budget_percent: Percent,
+    /// Retries allowed, in percent of requests.
+    #[serde(default = "default_retry_budget")]
+    pub retry_budget_percent: Percent,
+    /// Share of a target's slot time that measuring may cost.
+    #[serde(default = "default_measuring_budget")]
+    pub measuring_budget_percent: Percent,
+    /// Slot time that a probe costs, in milliseconds.
+    #[serde(default = "default_probe_cost_ms")]
+    pub probe_cost_ms: u64,
+    /// Slot time that a new connection costs, in milliseconds.
+    #[serde(default = "default_connection_cost_ms")]
+    pub connection_cost_ms: u64,
+    /// Path of a target's load report; no probes are sent without it.
+    #[serde(default)]
+    pub probe_path: Option<String>,
+    /// Statuses by which targets say that they did not run a request.
+    #[serde(default)]
+    pub not_run_statuses: Vec<u16>,
+    /// Whether an answer must carry the request's `X-Request-Id` back.
+    #[serde(default)]
+    pub require_echo: bool,
+    /// The largest body kept for another attempt, in bytes.
+    #[serde(default = "default_replay_bytes")]
+    pub replay_bytes: u64,
+    /// The largest body taken at all, in bytes.
+    #[serde(default = "default_body_bytes")]
+    pub body_bytes: u64,
+    /// Which requests may be repeated; the first route that matches counts.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// The targets.
+    pub targets: Vec<Target>,
+}
+
+/// Which requests may be repeated.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Method, or `*` for each.
+    pub method: String,
+    /// Start of the path.
+    pub path_prefix: String,
+    /// Whether the request may be run more than once.
+    pub repeatable: bool,
+    /// Whether a request without an `Idempotency-Key` is turned away.
+    #[serde(default)]
+    pub key_required: bool,
+}
+
+/// A target of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Where it listens.
+    pub address: TargetAddress,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub state: TargetState,
+}
+
+/// Whether a target takes new work.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetState {
+    /// It takes new work.
+    #[default]
+    Live,
+    /// It finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// How a target is chosen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Any target, by lot.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// The one with the fewest requests of this entry.
+    LeastInFlight,
+    /// The better of two drawn by lot, by requests of this entry.
+    TwoChoices,
+    /// Counts, aged reports and overdue requests over several draws.
+    #[default]
+    Pinhaven,
+}
+
+impl Service {
+    /// Whether a request may be repeated: the first matching route, else by its method.
+    pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
+        match self.route_for(method, path) {
+            Some(route) => route.repeatable,
+            None => matches!(method, "GET" | "HEAD" | "OPTIONS" | "TRACE"),
+        }
+    }
+
+    /// The first route that matches.
+    pub fn route_for(&self, method: &str, path: &str) -> Option<&Route> {
+        self.routes.iter().find(|route| {
+            (route.method == "*" || route.method == method) && path.starts_with(&route.path_prefix)
+        })
+    }
+}
+
+impl Bundle {
+    /// The service with this name.
+    pub fn service(&self, name: &ServiceName) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == *name)
+    }
+}
+
+const fn default_address_keep_ms() -> u64 {
+    2_000
+}
+
+const fn default_connections() -> u32 {
+    260
+}
+
+const fn default_entries_most() -> u32 {
+    18
+}
+
+const fn default_entries_named() -> u32 {
+    4
+}
+
+const fn default_deadline_ms() -> u64 {
+    1_000
+}
+
+const fn default_typical_ms() -> u64 {
+    20
+}
+
+const fn default_priority() -> u8 {
+    2
+}
+
+const fn default_hedge_budget() -> Percent {
+    Percent::new(4.0)
+}
+
+const fn default_retry_budget() -> Percent {
+    Percent::new(10.0)
+}
+
+const fn default_measuring_budget() -> Percent {
+    Percent::new(0.5)
+}
+
+const fn default_probe_cost_ms() -> u64 {
+    6
+}
+
+const fn default_connection_cost_ms() -> u64 {
+    1
+}
+
+const fn default_replay_bytes() -> u64 {
+    64 * 1024
+}
+
+const fn default_body_bytes() -> u64 {
+    64 * 1024 * 1024
+}
--- /dev/null
+++ b/crates/pinhaven-command/src/bundle/roll.rs
@@ -0,0 +1,134 @@
+//! `pinhaven bundle roll`: makes a signed bundle the newest version.
+//!
+//! The body goes to the object store first, then one conditional write moves the head from the version
+//! before to this one. Of operators who race, one wins and the others are told by whom they lost. An
+//! answer that is lost is settled by reading the head back.
+
+use crate::CommandError;
+use crate::platform::PlatformArguments;
+use crate::platform::run as run_calls;
+use clap::Args;
+use pinhaven_bundle::BundleHead;
+use pinhaven_bundle::CanonicalBundle;
+use pinhaven_bundle::SignedBundle;
+use pinhaven_platform::BUNDLE_HEAD;
+use pinhaven_platform::Condition;
+use pinhaven_platform::ObjectStore;
+use pinhaven_platform::PlatformError;
+use pinhaven_platform::TableService;
+use pinhaven_platform::bundle_history;
+use pinhaven_platform::bundle_object;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::OperationId;
+use std::path::PathBuf;
+
+/// How often a write whose outcome is unknown is looked at and tried again.
+const TRIES: u32 = 5;
+
+#[derive(Debug, Args)]
+pub(crate) struct RollArguments {
+    /// File with the signed bundle.
+    file: PathBuf,
+    #[command(flatten)]
+    platform: PlatformArguments,
+}
+
+pub(crate) fn run(arguments: &RollArguments) -> Result<(), CommandError> {
+    let text = std::fs::read_to_string(&arguments.file).map_err(|error| {
+        CommandError::new(format!("reading {}: {error}", arguments.file.display()))
+    })?;
+    let signed: SignedBundle = serde_json::from_str(&text).map_err(|error| {
+        let file = arguments.file.display();
+        CommandError::new(format!("{file} is no signed bundle: {error}"))
+    })?;
+    let head = signed.head(OperationId::random());
+    let body = CanonicalBundle::new(signed.body);
+    if body.digest() != head.digest {
+        return Err(CommandError::new(
+            "the body was altered after it was signed off; sign it again",
+        ));
+    }
+    run_calls(roll(arguments, &head, &body))?;
+    println!("Version {} is the newest.", head.version);
+    Ok(())
+}
+
+async fn roll(
+    arguments: &RollArguments,
+    head: &BundleHead,
+    body: &CanonicalBundle,
+) -> Result<(), CommandError> {
+    let table = arguments.platform.table();
+    let objects = arguments.platform.objects();
+    objects
+        .write(&bundle_object(head.digest), body.bytes().to_vec())
+        .await?;
+    let value = serde_json::to_string(head).map_err(CommandError::new)?;
+    let mut outcome = Ok(());
+    for _ in 0..TRIES {
+        let held = table.read(BUNDLE_HEAD).await?;
+        let (condition, newest) = match &held {
+            None => (Condition::Absent, None),
+            Some(row) => {
+                let newest: BundleHead =
+                    serde_json::from_str(&row.value).map_err(CommandError::new)?;
+                (Condition::Version(row.version.clone()), Some(newest))
+            }
+        };
+        if newest
+            .as_ref()
+            .is_some_and(|newest| newest.operation == head.operation)
+        {
+            return write_history(&table, head, value).await;
+        }
+        check_follows(newest.as_ref(), head)?;
+        match table.write(BUNDLE_HEAD, condition, value.clone()).await {
+            Ok(_) => return write_history(&table, head, value).await,
+            // The next reading shows who won, or whether this write is there after all.
+            Err(error @ (PlatformError::Conflict { .. } | PlatformError::Unknown { .. })) => {
+                outcome = Err(error.into());
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+    outcome
+}
+
+fn check_follows(newest: Option<&BundleHead>, head: &BundleHead) -> Result<(), CommandError> {
+    let held = newest.map_or(BundleVersion::NONE, |newest| newest.version);
+    if held.next() == head.version {
+        return Ok(());
+    }
+    Err(match newest {
+        Some(newest) if newest.version >= head.version => CommandError::new(format!(
+            "version {} is the newest, signed off by {}; make yours version {} on top of it",
+            newest.version,
+            newest.signer,
+            held.next()
+        )),
+        _ => CommandError::new(format!(
+            "version {held} is the newest; the next one is {}, not {}",
+            held.next(),
+            head.version
+        )),
+    })
+}
+
+/// Notes the version in the history. A row that is there already is the same one.
+async fn write_history(
+    table: &impl TableService,
+    head: &BundleHead,
+    value: String,
+) -> Result<(), CommandError> {
+    let key = bundle_history(head.version);
+    match table.write(&key, Condition::Absent, value).await {
+        Ok(_) | Err(PlatformError::Conflict { .. }) => Ok(()),
+        Err(error) => {
+            eprintln!(
+                "warning: version {} is in the head, not in the history: {error}",
+                head.version
+            );
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-command/src/entry.rs
@@ -0,0 +1,29 @@
+//! `pinhaven entry`: runs an entry instance.
+
+use crate::CommandError;
+use crate::logging;
+use clap::Args;
+use pinhaven_document::Document;
+use pinhaven_settings::read_settings;
+use std::path::PathBuf;
+
+#[derive(Debug, Args)]
+pub(crate) struct EntryArguments {
+    /// File with the settings, JSON with comments.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+pub(crate) fn run(arguments: &EntryArguments) -> Result<(), CommandError> {
+    let document =
+        Document::read(&arguments.settings).map_err(|fault| CommandError::from_lines([fault]))?;
+    let settings = read_settings(&document).map_err(CommandError::from_lines)?;
+    logging::start(&settings.log).map_err(CommandError::new)?;
+    match pinhaven_entry::run_entry(settings) {
+        Ok(true) => Ok(()),
+        Ok(false) => Err(CommandError::new(
+            "the stop was cut short with requests in flight",
+        )),
+        Err(error) => Err(CommandError::with_help(error)),
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-command/src/lib.rs
@@ -0,0 +1,121 @@
+//! The command line: one file a command, named after it.
+//!
+//! Exit codes: 0 done, 1 refused or failed, 2 wrong words on the command line, 3 the outcome of a
+//! write is unknown.
+
+mod bundle;
+mod completions;
+mod entry;
+mod instances;
+mod logging;
+mod output;
+mod platform;
+mod settings;
+mod targets;
+
+use clap::Parser;
+use clap::Subcommand;
+use pinhaven_types::Help;
+use std::ffi::OsString;
+use std::fmt;
+use std::process::ExitCode;
+
+/// A load balancer for targets whose load shifts in milliseconds.
+#[derive(Debug, Parser)]
+#[command(name = "pinhaven", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an entry instance until it is told to stop.
+    Entry(entry::EntryArguments),
+    /// Check, sign off and roll bundles, and see what is in force.
+    #[command(subcommand)]
+    Bundle(bundle::BundleCommand),
+    /// List the entry instances.
+    Instances(instances::InstancesArguments),
+    /// List the targets as the entries see them.
+    Targets(targets::TargetsArguments),
+    /// Check settings.
+    #[command(subcommand)]
+    Settings(settings::SettingsCommand),
+    /// Print shell completions.
+    Completions(completions::CompletionsArguments),
+}
+
+/// Why a command did not do what it was asked.
+#[derive(Debug)]
+pub(crate) struct CommandError {
+    lines: Vec<String>,
+    help: Option<&'static str>,
+    is_outcome_unknown: bool,
+}
+
+impl CommandError {
+    /// An error with a message of its own.
+    fn new(message: impl fmt::Display) -> Self {
+        Self::from_lines([message])
+    }
+
+    /// An error of several lines.
+    fn from_lines(lines: impl IntoIterator<Item = impl fmt::Display>) -> Self {
+        Self {
+            lines: lines.into_iter().map(|line| line.to_string()).collect(),
+            help: None,
+            is_outcome_unknown: false,
+        }
+    }
+
+    /// An error that brings its advice along.
+    fn with_help(error: impl fmt::Display + Help) -> Self {
+        Self {
+            help: Some(error.help()),
+            ..Self::new(error)
+        }
+    }
+}
+
+/// Exit code of an outcome that nobody can tell.
+const EXIT_UNKNOWN: u8 = 3;
+
+/// Runs the command that the words name.
+pub fn run(words: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let cli = match Cli::try_parse_from(words) {
+        Ok(cli) => cli,
+        Err(error) => {
+            // A closed output is no reason to fail.
+            let _ = error.print();
+            return ExitCode::from(u8::try_from(error.exit_code()).unwrap_or(2));
+        }
+    };
+    match run_command(cli.command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            for line in &error.lines {
+                eprintln!("error: {line}");
+            }
+            if let Some(help) = error.help {
+                eprintln!("help: {help}");
+            }
+            if error.is_outcome_unknown {
+                ExitCode::from(EXIT_UNKNOWN)
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
+
+fn run_command(command: Command) -> Result<(), CommandError> {
+    match command {
+        Command::Entry(arguments) => entry::run(&arguments),
+        Command::Bundle(command) => bundle::run(command),
+        Command::Instances(arguments) => instances::run(&arguments),
+        Command::Targets(arguments) => targets::run(&arguments),
+        Command::Settings(command) => settings::run(&command),
+        Command::Completions(arguments) => completions::run(&arguments),
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -0,0 +1,80 @@
+//! The decisions on a request's path: which target, when to refuse, retry, hedge and measure.
+//!
+//! Nothing in here does I/O, reads a clock or starts a thread. Time comes in as [`Microseconds`] on
+//! the driver's monotonic clock, randomness as a seeded generator, and what happened as an [`Event`];
+//! what to do goes out as [`Action`]s in a [`Step`]. The entry program is one driver, the tests are
+//! another, and any harness can be a third.
+//!
+//! What several requests share is in [`ServiceState`] and [`TargetState`], all of it atomics, so that
+//! threads decide at the same time without a lock. A new bundle makes a new [`ServiceState`] that
+//! takes the old one's targets over; requests in flight keep the state they began with.
+//!
+//! # Examples
+//!
+//! A driver hands each request's events in and carries the actions out:
+//!
+//! ```
+//! use pinhaven_decide::Action;
+//! use pinhaven_decide::AttemptOutcome;
+//! use pinhaven_decide::Event;
+//! use pinhaven_decide::RequestFacts;
+//! use pinhaven_decide::RequestState;
+//! use pinhaven_decide::ServiceState;
+//! use pinhaven_types::Microseconds;
+//! use std::sync::Arc;
+//!
+//! let bundle_service = serde_json::from_str(
+//!     r#"{"name": "quote", "hosts": ["quote"], "slots": 6, "targets": [
+//!         {"address": "127.0.0.1:9001", "failure_domain": "vienna-1"},
+//!         {"address": "127.0.0.1:9002", "failure_domain": "vienna-2"}]}"#,
+//! )
+//! .unwrap();
+//! let now = Microseconds::from_ms(1);
+//! let service = Arc::new(ServiceState::new(&bundle_service, None, now));
+//! let mut random = fastrand::Rng::with_seed(7);
+//! let facts = RequestFacts::new(true, now.plus(Microseconds::from_ms(500)));
+//! let mut request = RequestState::new(facts);
+//!
+//! let step = request.handle(&service, now, &mut random, Event::Arrived);
+//! let Some(Action::Send(attempt)) = step.actions.into_iter().next() else {
+//!     panic!("an idle service takes the request");
+//! };
+//! // The driver sends the request to `attempt.target.address()`, and the answer arrives.
+//! let later = Microseconds::from_ms(21);
+//! let outcome = AttemptOutcome::Answered { is_server_error: false, report: None };
+//! let event = Event::AttemptEnded { attempt: attempt.id, outcome };
+//! let step = request.handle(&service, later, &mut random, event);
+//! assert!(matches!(step.actions[0], Action::Deliver(id) if id == attempt.id));
+//! ```
+
+mod admission;
+mod atomic;
+mod budget;
+mod choice;
+mod health;
+mod hedge;
+mod measuring;
+mod report;
+mod request;
+mod service;
+mod target;
+
+pub use budget::TokenBudget;
+pub use measuring::ProbeBudget;
+pub use pinhaven_types::Microseconds;
+pub use report::LoadReport;
+pub use request::Action;
+pub use request::Attempt;
+pub use request::AttemptId;
+pub use request::AttemptOutcome;
+pub use request::Event;
+pub use request::Refusal;
+pub use request::RefusalReason;
+pub use request::RequestFacts;
+pub use request::RequestState;
+pub use request::RunState;
+pub use request::Step;
+pub use service::ServiceCounts;
+pub use service::ServiceState;
+pub use target::TargetState;
+pub use target::TargetView;
--- /dev/null
+++ b/crates/pinhaven-decide/src/measuring.rs
@@ -0,0 +1,113 @@
+//! The budget of measuring one target.
+//!
+//! Only the holder of the target's seat probes it, so no sum over entries has to be kept. What is
+//! left to guard is the change of holders: the old one may have been paused just before it sent, and
+//! the new one may begin at once. Both are paid for beforehand by planning two probes less than the
+//! window could hold.
+
+use pinhaven_bundle::Measuring;
+use pinhaven_bundle::Service;
+use pinhaven_types::Microseconds;
+use pinhaven_types::Promise;
+use pinhaven_types::require_promise;
+use std::collections::VecDeque;
+
+/// Probes of a window that are kept back for a change of holders.
+const PROBES_KEPT_BACK: u64 = 2;
+
+/// When one target may be probed next.
+#[derive(Debug, Clone)]
+pub struct ProbeBudget {
+    window: Microseconds,
+    allowed: Microseconds,
+    cost: Microseconds,
+    spacing: Option<Microseconds>,
+    next_at: Microseconds,
+    spent: VecDeque<(Microseconds, Microseconds)>,
+}
+
+impl ProbeBudget {
+    /// The budget of each target of a service, for a holder who got the seat at `now`.
+    pub fn new(measuring: &Measuring, service: &Service, now: Microseconds) -> Self {
+        let window = Microseconds::from_ms(measuring.window_ms);
+        let share = service.measuring_budget_percent.fraction();
+        let allowed_us = share * f64::from(service.slots) * window.count() as f64;
+        let cost = Microseconds::from_ms(service.probe_cost_ms + service.connection_cost_ms);
+        let probes = allowed_us as u64 / cost.count().max(1);
+        let planned = probes.saturating_sub(PROBES_KEPT_BACK);
+        let spacing = window.count().checked_div(planned).map(Microseconds::new);
+        Self {
+            window,
+            allowed: Microseconds::new(allowed_us as u64),
+            cost,
+            spacing,
+            next_at: now.plus(spacing.unwrap_or(window)),
+            spent: VecDeque::new(),
+        }
+    }
+
+    /// Whether the other budget plans with the same figures.
+    pub fn is_same_plan(&self, other: &Self) -> bool {
+        (self.window, self.allowed, self.cost) == (other.window, other.allowed, other.cost)
+    }
+
+    /// Whether the budget has room for any probe at all.
+    pub fn allows_probes(&self) -> bool {
+        self.spacing.is_some()
+    }
+
+    /// When the next probe may be sent; `None` when never.
+    pub fn next_at(&self) -> Option<Microseconds> {
+        self.spacing.map(|_| self.next_at)
+    }
+
+    /// Takes a probe out of the budget; `false` when it is too early.
+    pub fn take(&mut self, now: Microseconds) -> bool {
+        let Some(spacing) = self.spacing else {
+            return false;
+        };
+        if now < self.next_at {
+            return false;
+        }
+        self.next_at = now.plus(spacing);
+        self.forget_before(now);
+        let after = self.spent_in_window().plus(self.cost);
+        let holds = require_promise(Promise::MeasuringBudget, after <= self.allowed, || {
+            format!("{after} of {} would be spent", self.allowed)
+        });
+        if holds {
+            self.spent.push_back((now, self.cost));
+        }
+        holds
+    }
+
+    /// Takes in that the last probe held the target for `time`. One that took longer than was
+    /// planned puts the next off in proportion.
+    pub fn record(&mut self, time: Microseconds) {
+        let Some(spacing) = self.spacing else {
+            return;
+        };
+        let Some((_, cost)) = self.spent.back_mut() else {
+            return;
+        };
+        if time <= *cost {
+            return;
+        }
+        let extra = time.saturating_sub(*cost);
+        *cost = time;
+        let factor = extra.count() / self.cost.count().max(1) + 1;
+        let delay = spacing.count().saturating_mul(factor);
+        self.next_at = self.next_at.plus(Microseconds::new(delay));
+    }
+
+    fn spent_in_window(&self) -> Microseconds {
+        Microseconds::new(self.spent.iter().map(|(_, cost)| cost.count()).sum())
+    }
+
+    fn forget_before(&mut self, now: Microseconds) {
+        let from = now.saturating_sub(self.window);
+        while self.spent.front().is_some_and(|(at, _)| *at <= from) {
+            self.spent.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-decide/src/request.rs
@@ -0,0 +1,678 @@
+//! The life of one request, from its arrival to its final answer.
+//!
+//! A driver keeps one [`RequestState`] a request and hands it each [`Event`]; the [`Step`] that comes
+//! back says what to do and when to call again if nothing happens before. The rules:
+//!
+//! - An attempt that is proved not to have run may be followed by another, whatever the request.
+//! - An attempt whose fate is unknown is followed by another only if the request may be repeated.
+//! - Added attempts are paid for from budgets, and from what the caller left of its own.
+//! - A request that is given up on is refused in the same step, never later.
+
+use crate::choice::Choice;
+use crate::choice::Wanted;
+use crate::choice::choose;
+use crate::report::LoadReport;
+use crate::service::ServiceState;
+use crate::target::TargetState;
+use pinhaven_types::Microseconds;
+use pinhaven_types::Promise;
+use pinhaven_types::TargetAddress;
+use pinhaven_types::require_promise;
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Attempts that a request may make when its caller names no number.
+pub const ATTEMPTS_DEFAULT: u32 = 3;
+/// The longest wait at this entry, in typical times.
+const WAIT_MAX: f32 = 4.0;
+/// The longest queue at a target that a request joins, in typical times.
+const QUEUE_MAX: f32 = 4.0;
+/// Share of the remaining time that may be spent on waiting.
+const WAIT_SHARE_MAX: f32 = 0.5;
+/// Use of the entry from which the lowest priority is refused.
+const ENTRY_USE_LOWEST: f32 = 0.6;
+/// Highest priority of a service.
+const PRIORITY_MAX: u8 = 3;
+
+/// Number of an attempt within its request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct AttemptId(pub u32);
+
+/// What is known of a request when it arrives.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestFacts {
+    /// Whether it may be run more than once.
+    pub is_repeatable: bool,
+    /// Whether its body is held whole, so that it can be sent again.
+    pub is_replayable: bool,
+    /// When its caller stops waiting.
+    pub deadline: Microseconds,
+    /// Attempts that it may make in all.
+    pub attempts_most: u32,
+    /// Share of what the entry can hold that is in use, from 0 to 1.
+    pub entry_use: f32,
+}
+
+impl RequestFacts {
+    /// The facts of a request with its body at hand.
+    pub fn new(is_repeatable: bool, deadline: Microseconds) -> Self {
+        Self {
+            is_repeatable,
+            is_replayable: true,
+            deadline,
+            attempts_most: ATTEMPTS_DEFAULT,
+            entry_use: 0.0,
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AttemptOutcome {
+    /// It was never sent; it did not run.
+    NotSent,
+    /// The target said that it did not run it.
+    Shed {
+        /// The report on the reply.
+        report: Option<LoadReport>,
+    },
+    /// It broke after it was sent; nobody can tell whether it ran.
+    Broken,
+    /// It was answered.
+    Answered {
+        /// Whether the answer says that the target failed.
+        is_server_error: bool,
+        /// The report on the reply.
+        report: Option<LoadReport>,
+    },
+}
+
+/// Something that happened to a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Event {
+    /// It arrived.
+    Arrived,
+    /// The time that the last step named has come.
+    TimeCame,
+    /// Another request of the service left its place.
+    PlaceFreed,
+    /// An attempt ended.
+    AttemptEnded {
+        /// The attempt.
+        attempt: AttemptId,
+        /// How it ended.
+        outcome: AttemptOutcome,
+    },
+    /// The caller left; nothing more need be answered.
+    CallerLeft,
+}
+
+/// Why a request was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RefusalReason {
+    /// Its deadline had passed on arrival.
+    DeadlinePast,
+    /// It could not be answered before its deadline.
+    NoTimeLeft,
+    /// The service's targets are busy.
+    Overloaded,
+    /// The entry is busy and the service's priority is low.
+    EntryFull,
+    /// No target may take it.
+    NoTarget,
+    /// The targets turned it away, and there is no budget for another attempt.
+    Shed,
+    /// No target could be reached.
+    Unreachable,
+    /// A target took it and did not answer whole.
+    Broken,
+    /// The deadline came while a target had it.
+    DeadlineCame,
+}
+
+impl RefusalReason {
+    /// All reasons, for counters.
+    pub const ALL: [Self; 9] = [
+        Self::DeadlinePast,
+        Self::NoTimeLeft,
+        Self::Overloaded,
+        Self::EntryFull,
+        Self::NoTarget,
+        Self::Shed,
+        Self::Unreachable,
+        Self::Broken,
+        Self::DeadlineCame,
+    ];
+
+    /// Name in answers, logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::DeadlinePast => "deadline_past",
+            Self::NoTimeLeft => "no_time_left",
+            Self::Overloaded => "overloaded",
+            Self::EntryFull => "entry_full",
+            Self::NoTarget => "no_target",
+            Self::Shed => "shed",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::DeadlineCame => "deadline_came",
+        }
+    }
+}
+
+/// What is known of whether a request ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunState {
+    /// It ran.
+    Run,
+    /// It did not run, and nothing under way can run it.
+    NotRun,
+    /// Nobody can tell.
+    Unknown,
+}
+
+impl RunState {
+    /// Name in answers and logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for RunState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// The final answer to a request that is given up on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: RefusalReason,
+    /// Whether it ran.
+    pub run_state: RunState,
+    /// When to come back, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// A request under way to a target; its place is given back when it is dropped.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Number within the request.
+    pub id: AttemptId,
+    /// The target.
+    pub target: Arc<TargetState>,
+    service: Arc<ServiceState>,
+    started: Microseconds,
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.service.end(&self.target, self.started);
+    }
+}
+
+/// Something for the driver to do.
+#[derive(Debug)]
+pub enum Action {
+    /// Send the request to the attempt's target.
+    Send(Attempt),
+    /// Give an attempt up and drop it.
+    Cancel(AttemptId),
+    /// Give the caller this attempt's answer.
+    Deliver(AttemptId),
+    /// Give the caller this refusal.
+    Refuse(Refusal),
+}
+
+/// What to do, and when to call again.
+#[derive(Debug, Default)]
+pub struct Step {
+    /// What to do now, in this order.
+    pub actions: Vec<Action>,
+    /// When to hand [`Event::TimeCame`] in if nothing else happens; `None` once the request is over.
+    pub wake_at: Option<Microseconds>,
+    /// Whether to hand [`Event::PlaceFreed`] in when a request of the service leaves its place.
+    pub wants_place: bool,
+}
+
+/// An attempt as the request remembers it.
+#[derive(Debug)]
+struct Sent {
+    id: AttemptId,
+    target: Arc<TargetState>,
+    at: Microseconds,
+    is_ended: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    New,
+    Waiting { until: Microseconds },
+    UnderWay,
+    Over,
+}
+
+/// A request's own state.
+#[derive(Debug)]
+pub struct RequestState {
+    facts: RequestFacts,
+    phase: Phase,
+    sent: Vec<Sent>,
+    tried: Vec<TargetAddress>,
+    may_have_run: bool,
+    hedge_at: Option<Microseconds>,
+    has_outlasted: bool,
+}
+
+impl RequestState {
+    /// A request that has not arrived yet.
+    pub fn new(facts: RequestFacts) -> Self {
+        Self {
+            facts,
+            phase: Phase::New,
+            sent: Vec::new(),
+            tried: Vec::new(),
+            may_have_run: false,
+            hedge_at: None,
+            has_outlasted: false,
+        }
+    }
+
+    /// Attempts that services further down may make for `attempt`, its own included. Only the first
+    /// attempt hands its extra ones down, so that they don't multiply from level to level.
+    pub fn attempts_to_hand_down(&self, attempt: AttemptId) -> u32 {
+        if attempt.0 > 0 {
+            return 1;
+        }
+        let made = self.sent.len() as u32;
+        self.facts.attempts_most.saturating_sub(made) + 1
+    }
+
+    /// Takes in that a service further down has left only `left` added attempts.
+    pub fn limit_added_attempts(&mut self, left: u32) {
+        let made = self.sent.len() as u32;
+        self.facts.attempts_most = self.facts.attempts_most.min(made + left);
+    }
+
+    /// Takes an event in and says what to do.
+    pub fn handle(
+        &mut self,
+        service: &Arc<ServiceState>,
+        now: Microseconds,
+        random: &mut fastrand::Rng,
+        event: Event,
+    ) -> Step {
+        let mut actions = Vec::new();
+        let mut turn = Turn {
+            request: self,
+            service,
+            now,
+            random,
+            actions: &mut actions,
+        };
+        turn.take(event);
+        Step {
+            actions,
+            wake_at: self.wake_at(),
+            wants_place: matches!(self.phase, Phase::Waiting { .. }),
+        }
+    }
+
+    fn wake_at(&self) -> Option<Microseconds> {
+        match self.phase {
+            Phase::New | Phase::Over => None,
+            Phase::Waiting { until } => Some(until.min(self.facts.deadline)),
+            Phase::UnderWay => {
+                let hedge_at = self.hedge_at.unwrap_or(self.facts.deadline);
+                Some(hedge_at.min(self.facts.deadline))
+            }
+        }
+    }
+
+    fn is_under_way(&self) -> bool {
+        self.sent.iter().any(|sent| !sent.is_ended)
+    }
+
+    fn run_state(&self) -> RunState {
+        if self.may_have_run || self.is_under_way() {
+            RunState::Unknown
+        } else {
+            RunState::NotRun
+        }
+    }
+}
+
+/// One event being taken in.
+struct Turn<'turn> {
+    request: &'turn mut RequestState,
+    service: &'turn Arc<ServiceState>,
+    now: Microseconds,
+    random: &'turn mut fastrand::Rng,
+    actions: &'turn mut Vec<Action>,
+}
+
+impl Turn<'_> {
+    fn take(&mut self, event: Event) {
+        match (self.request.phase, event) {
+            (Phase::Over, _) => {}
+            (_, Event::CallerLeft) => self.caller_left(),
+            (Phase::New, Event::Arrived) => self.arrived(),
+            (Phase::Waiting { until }, Event::TimeCame) if self.now >= until => {
+                self.end_wait();
+                self.refuse(RefusalReason::Overloaded);
+            }
+            (Phase::Waiting { .. }, Event::PlaceFreed) => self.place_freed(),
+            (Phase::UnderWay, Event::TimeCame) => self.time_came(),
+            (_, Event::AttemptEnded { attempt, outcome }) => self.attempt_ended(attempt, outcome),
+            _ => {}
+        }
+    }
+
+    fn arrived(&mut self) {
+        self.service.retry_budget.pay_in();
+        if self.request.facts.is_repeatable {
+            self.service.hedge_budget.pay_in();
+        }
+        if self.now >= self.request.facts.deadline {
+            return self.refuse(RefusalReason::DeadlinePast);
+        }
+        if self.request.facts.entry_use >= entry_use_most(self.service.priority()) {
+            return self.refuse(RefusalReason::EntryFull);
+        }
+        self.admit();
+    }
+
+    /// Sends the request, lets it wait, or refuses it.
+    fn admit(&mut self) {
+        let has_place = (self.service.in_flight() as f32) < self.service.in_flight_limit();
+        if !has_place {
+            return self.wait_or_refuse();
+        }
+        let Some(choice) = self.choose() else {
+            let all_left = self.service.targets().iter().all(|t| t.is_leaving());
+            return if all_left {
+                self.refuse(RefusalReason::NoTarget)
+            } else {
+                self.wait_or_refuse()
+            };
+        };
+        if self.service.predicted_wait_ms(choice.load) > self.wait_allowed_ms(QUEUE_MAX) {
+            return self.refuse(RefusalReason::Overloaded);
+        }
+        self.service.record_admission(false);
+        self.send(choice);
+    }
+
+    fn wait_or_refuse(&mut self) {
+        let allowed_ms = self.wait_allowed_ms(WAIT_MAX);
+        if allowed_ms <= 0.0 {
+            return self.refuse(RefusalReason::NoTimeLeft);
+        }
+        if self.service.predicted_turn_ms() > allowed_ms {
+            return self.refuse(RefusalReason::Overloaded);
+        }
+        let until = self
+            .now
+            .plus(Microseconds::new((allowed_ms * 1_000.0) as u64));
+        self.service.begin_wait();
+        self.request.phase = Phase::Waiting { until };
+    }
+
+    fn place_freed(&mut self) {
+        let has_place = (self.service.in_flight() as f32) < self.service.in_flight_limit();
+        if !has_place {
+            return;
+        }
+        self.end_wait();
+        self.admit();
+    }
+
+    fn end_wait(&mut self) {
+        self.service.end_wait();
+        self.request.phase = Phase::New;
+    }
+
+    /// Time that the request may still wait, in milliseconds.
+    fn wait_allowed_ms(&self, most: f32) -> f32 {
+        let left_ms = self.request.facts.deadline.saturating_sub(self.now).as_ms() as f32;
+        let typical_ms = self.service.typical_ms();
+        (left_ms - typical_ms)
+            .min(left_ms * WAIT_SHARE_MAX)
+            .min(typical_ms * most)
+    }
+
+    fn choose(&mut self) -> Option<Choice> {
+        let wanted = Wanted {
+            is_repeatable: self.request.facts.is_repeatable,
+            tried: &self.request.tried,
+        };
+        choose(self.service, self.now, self.random, &wanted)
+    }
+
+    fn send(&mut self, choice: Choice) {
+        let target = choice.target;
+        let holds = require_promise(Promise::LeavingTarget, !target.is_leaving(), || {
+            format!("{} is leaving and was chosen", target.address())
+        });
+        let once = self.request.facts.is_repeatable || self.request.run_state() == RunState::NotRun;
+        let holds = holds
+            && require_promise(Promise::AtMostOnce, once, || {
+                "a request that may not be repeated would be sent again".to_owned()
+            });
+        if !holds {
+            return self.refuse(RefusalReason::NoTarget);
+        }
+        let id = AttemptId(self.request.sent.len() as u32);
+        self.service.begin(&target, self.now);
+        self.request.tried.push(target.address());
+        self.request.sent.push(Sent {
+            id,
+            target: Arc::clone(&target),
+            at: self.now,
+            is_ended: false,
+        });
+        self.request.phase = Phase::UnderWay;
+        if id.0 == 0 {
+            self.plan_hedge();
+        }
+        self.actions.push(Action::Send(Attempt {
+            id,
+            target,
+            service: Arc::clone(self.service),
+            started: self.now,
+        }));
+    }
+
+    fn plan_hedge(&mut self) {
+        let facts = &self.request.facts;
+        if facts.is_repeatable && facts.is_replayable && facts.attempts_most > 1 {
+            self.request.hedge_at = Some(self.now.plus(self.service.hedge_delay()));
+        }
+    }
+
+    fn time_came(&mut self) {
+        if self.now >= self.request.facts.deadline {
+            return self.refuse(RefusalReason::DeadlineCame);
+        }
+        if self.request.hedge_at.is_some_and(|at| self.now >= at) {
+            self.request.hedge_at = None;
+            self.hedge();
+        }
+    }
+
+    fn hedge(&mut self) {
+        self.request.has_outlasted = true;
+        self.service.hedge_delay.record(true);
+        if !self.has_attempts_left() {
+            return;
+        }
+        let Some(choice) = self.choose() else {
+            return;
+        };
+        if self.service.predicted_wait_ms(choice.load) > 0.0 {
+            // Every target looked at has a queue: a hedge would only lengthen one.
+            return;
+        }
+        if !self.service.hedge_budget.take() {
+            return;
+        }
+        self.service.hedges.fetch_add(1, Ordering::Relaxed);
+        self.send(choice);
+    }
+
+    fn has_attempts_left(&self) -> bool {
+        (self.request.sent.len() as u32) < self.request.facts.attempts_most
+    }
+
+    fn attempt_ended(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
+        let Some(sent) = self.request.sent.get_mut(attempt.0 as usize) else {
+            return;
+        };
+        if sent.is_ended {
+            return;
+        }
+        sent.is_ended = true;
+        let target = Arc::clone(&sent.target);
+        let latency = self.now.saturating_sub(sent.at);
+        match outcome {
+            AttemptOutcome::NotSent => {
+                self.service.record_failure(&target, self.now);
+                self.retry_or_refuse(RefusalReason::Unreachable);
+            }
+            AttemptOutcome::Shed { report } => {
+                self.take_shed(&target, report);
+                self.retry_or_refuse(RefusalReason::Shed);
+            }
+            AttemptOutcome::Broken => {
+                self.request.may_have_run = true;
+                self.service.record_failure(&target, self.now);
+                self.retry_or_refuse(RefusalReason::Broken);
+            }
+            AttemptOutcome::Answered {
+                is_server_error: true,
+                ..
+            } => {
+                self.request.may_have_run = true;
+                self.service.record_failure(&target, self.now);
+                self.retry_or_deliver(attempt);
+            }
+            AttemptOutcome::Answered { report, .. } => {
+                self.service
+                    .record_answer(&target, self.now, latency, report.as_ref());
+                self.deliver(attempt);
+            }
+        }
+    }
+
+    fn take_shed(&mut self, target: &TargetState, report: Option<LoadReport>) {
+        if let Some(report) = &report {
+            self.service.record_report(target, self.now, report);
+            self.service
+                .limit
+                .record(report, self.service.slots(), self.service.in_flight());
+        }
+        target.add_penalty(self.now, self.service.slots());
+    }
+
+    /// Whether another attempt may follow; takes it out of the budget if so.
+    fn may_retry(&self) -> bool {
+        let facts = &self.request.facts;
+        let is_safe = facts.is_repeatable || !self.request.may_have_run;
+        is_safe
+            && facts.is_replayable
+            && self.has_attempts_left()
+            && self.now < facts.deadline
+            && self.service.retry_budget.take()
+    }
+
+    fn retry(&mut self) -> bool {
+        if !self.may_retry() {
+            return false;
+        }
+        let Some(choice) = self.choose() else {
+            return false;
+        };
+        self.service.retries.fetch_add(1, Ordering::Relaxed);
+        self.send(choice);
+        true
+    }
+
+    fn retry_or_refuse(&mut self, reason: RefusalReason) {
+        if self.request.is_under_way() || self.retry() {
+            return;
+        }
+        self.refuse(reason);
+    }
+
+    fn retry_or_deliver(&mut self, attempt: AttemptId) {
+        let is_repeatable = self.request.facts.is_repeatable;
+        if is_repeatable && (self.request.is_under_way() || self.retry()) {
+            return;
+        }
+        self.deliver(attempt);
+    }
+
+    fn deliver(&mut self, attempt: AttemptId) {
+        self.request.may_have_run = true;
+        self.close();
+        self.actions.push(Action::Deliver(attempt));
+    }
+
+    fn refuse(&mut self, reason: RefusalReason) {
+        let run_state = self.request.run_state();
+        let is_load = matches!(reason, RefusalReason::Overloaded | RefusalReason::EntryFull);
+        if is_load {
+            self.service.record_admission(true);
+        }
+        self.close();
+        require_promise(
+            Promise::NotRun,
+            run_state != RunState::NotRun || !self.request.may_have_run,
+            || "a request that may have run was said not to have".to_owned(),
+        );
+        let retry_after_ms = self.service.retry_after_ms(self.random);
+        self.actions.push(Action::Refuse(Refusal {
+            reason,
+            run_state,
+            retry_after_ms,
+        }));
+    }
+
+    fn caller_left(&mut self) {
+        if matches!(self.request.phase, Phase::Waiting { .. }) {
+            self.end_wait();
+        }
+        self.close();
+    }
+
+    /// Gives up whatever is under way and ends the request.
+    fn close(&mut self) {
+        if !self.request.sent.is_empty() && !self.request.has_outlasted {
+            self.service.hedge_delay.record(false);
+        }
+        for sent in &mut self.request.sent {
+            if sent.is_ended {
+                continue;
+            }
+            sent.is_ended = true;
+            self.request.may_have_run = true;
+            let age = self.now.saturating_sub(sent.at);
+            sent.target.record_censored(self.now, age);
+            self.actions.push(Action::Cancel(sent.id));
+        }
+        self.request.hedge_at = None;
+        self.request.phase = Phase::Over;
+    }
+}
+
+/// Use of the entry up to which a priority is served.
+fn entry_use_most(priority: u8) -> f32 {
+    let step = (1.0 - ENTRY_USE_LOWEST) / f32::from(PRIORITY_MAX);
+    ENTRY_USE_LOWEST + step * f32::from(priority.min(PRIORITY_MAX))
+}
--- /dev/null
+++ b/crates/pinhaven-decide/src/service.rs
@@ -0,0 +1,309 @@
+//! What an entry knows of one service, shared by all its requests.
+
+use crate::admission::InFlightLimit;
+use crate::atomic::AtomicF32;
+use crate::budget::TokenBudget;
+use crate::health;
+use crate::hedge::HedgeDelay;
+use crate::report::LoadReport;
+use crate::target::TargetState;
+use pinhaven_bundle::Policy;
+use pinhaven_bundle::Service;
+use pinhaven_bundle::TargetState as BundledTargetState;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// Added attempts that may come at once before the budget's share limits them.
+const BUDGET_CAPACITY: f32 = 20.0;
+/// Weight of one answer in the service's typical time.
+const TYPICAL_WEIGHT: f32 = 0.01;
+/// Weight of one report in the mean load of the others.
+const OTHERS_WEIGHT: f32 = 0.02;
+/// Weight of one request in the share that is refused.
+const REFUSED_WEIGHT: f32 = 0.02;
+/// The shortest time that a refused caller is sent away for, in milliseconds.
+const RETRY_AFTER_LEAST_MS: f32 = 100.0;
+/// The longest, in milliseconds.
+const RETRY_AFTER_MOST_MS: f32 = 60_000.0;
+
+/// A service as one entry sees it.
+#[derive(Debug)]
+pub struct ServiceState {
+    name: ServiceName,
+    policy: Policy,
+    slots: f32,
+    connections_per_target: u32,
+    priority: u8,
+    targets: Vec<Arc<TargetState>>,
+    listed: Vec<BundledTargetState>,
+    in_flight: AtomicU32,
+    waiting: AtomicU32,
+    typical_ms: AtomicF32,
+    mean_others: AtomicF32,
+    refused_share: AtomicF32,
+    pub(crate) limit: InFlightLimit,
+    pub(crate) hedge_delay: HedgeDelay,
+    pub(crate) hedge_budget: TokenBudget,
+    pub(crate) retry_budget: TokenBudget,
+    pub(crate) turn: AtomicU32,
+    pub(crate) ejection_lock: Mutex<()>,
+    pub(crate) hedges: AtomicU64,
+    pub(crate) retries: AtomicU64,
+    pub(crate) ejections: AtomicU64,
+}
+
+/// Added attempts and ejections of a service since the entry began with its bundle version.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServiceCounts {
+    /// Hedges sent.
+    pub hedges: u64,
+    /// Retries sent.
+    pub retries: u64,
+    /// Targets ejected.
+    pub ejections: u64,
+}
+
+impl ServiceState {
+    /// The state of a service in a new bundle version. Targets that `previous` had are taken over
+    /// with all that is known of them; other targets are cold when there was a `previous`.
+    pub fn new(service: &Service, previous: Option<&Self>, now: Microseconds) -> Self {
+        let typical_ms = service.typical_ms as f32;
+        let targets = targets_of(service, previous, now);
+        let connections_per_target = (service.connections / service.entries_most).max(1);
+        let entries = service.entries_named.min(service.entries_most) as f32;
+        let capacity = targets.len() as f32 * service.slots as f32;
+        let most = targets.len() as f32 * connections_per_target as f32;
+        let state = Self {
+            name: service.name.clone(),
+            policy: service.policy,
+            slots: service.slots as f32,
+            connections_per_target,
+            priority: service.priority,
+            targets,
+            listed: service.targets.iter().map(|target| target.state).collect(),
+            in_flight: AtomicU32::new(0),
+            waiting: AtomicU32::new(0),
+            typical_ms: AtomicF32::new(typical_ms),
+            mean_others: AtomicF32::new(0.0),
+            refused_share: AtomicF32::new(0.0),
+            limit: InFlightLimit::new(capacity / entries, most),
+            hedge_delay: HedgeDelay::new(
+                service.hedge_budget_percent.fraction(),
+                typical_ms,
+                service.deadline_ms as f32,
+            ),
+            hedge_budget: TokenBudget::new(
+                service.hedge_budget_percent.fraction(),
+                BUDGET_CAPACITY,
+            ),
+            retry_budget: TokenBudget::new(
+                service.retry_budget_percent.fraction(),
+                BUDGET_CAPACITY,
+            ),
+            turn: AtomicU32::new(0),
+            ejection_lock: Mutex::new(()),
+            hedges: AtomicU64::new(0),
+            retries: AtomicU64::new(0),
+            ejections: AtomicU64::new(0),
+        };
+        if let Some(previous) = previous {
+            state.take_over(previous);
+        }
+        state
+    }
+
+    fn take_over(&self, previous: &Self) {
+        self.typical_ms.set(previous.typical_ms.get());
+        self.mean_others.set(previous.mean_others.get());
+        self.limit.take_over(&previous.limit);
+        self.hedge_delay.take_over(&previous.hedge_delay);
+    }
+
+    /// Name of the service.
+    pub fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    /// The targets, in the bundle's order.
+    pub fn targets(&self) -> &[Arc<TargetState>] {
+        &self.targets
+    }
+
+    /// The target at an address.
+    pub fn target(&self, address: TargetAddress) -> Option<&Arc<TargetState>> {
+        self.targets
+            .iter()
+            .find(|target| target.address() == address)
+    }
+
+    /// Requests of the service that are at targets.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Requests of the service that wait at this entry.
+    pub fn waiting(&self) -> u32 {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
+    /// Requests that this entry keeps in flight at the most.
+    pub fn in_flight_limit(&self) -> f32 {
+        self.limit.get()
+    }
+
+    /// Delay of a hedge.
+    pub fn hedge_delay(&self) -> Microseconds {
+        self.hedge_delay.delay()
+    }
+
+    /// Added attempts and ejections so far.
+    pub fn counts(&self) -> ServiceCounts {
+        ServiceCounts {
+            hedges: self.hedges.load(Ordering::Relaxed),
+            retries: self.retries.load(Ordering::Relaxed),
+            ejections: self.ejections.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Takes in a load report that came by another way than a reply: a probe or another entry.
+    pub fn record_report(&self, target: &TargetState, now: Microseconds, report: &LoadReport) {
+        let others = target.record_report(now, report);
+        self.mean_others.blend(others, OTHERS_WEIGHT);
+    }
+
+    pub(crate) fn policy(&self) -> Policy {
+        self.policy
+    }
+
+    pub(crate) fn slots(&self) -> f32 {
+        self.slots
+    }
+
+    pub(crate) fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    pub(crate) fn connections_per_target(&self) -> u32 {
+        self.connections_per_target
+    }
+
+    pub(crate) fn typical_ms(&self) -> f32 {
+        self.typical_ms.get()
+    }
+
+    pub(crate) fn mean_others(&self) -> f32 {
+        self.mean_others.get()
+    }
+
+    pub(crate) fn begin(&self, target: &TargetState, now: Microseconds) {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        target.begin(now);
+    }
+
+    pub(crate) fn end(&self, target: &TargetState, started: Microseconds) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        target.end(started);
+    }
+
+    pub(crate) fn begin_wait(&self) {
+        self.waiting.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn end_wait(&self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn record_admission(&self, is_refused: bool) {
+        let sample = if is_refused { 1.0 } else { 0.0 };
+        self.refused_share.blend(sample, REFUSED_WEIGHT);
+    }
+
+    /// Takes an answer in: its time, and the report that came with it.
+    pub(crate) fn record_answer(
+        &self,
+        target: &TargetState,
+        now: Microseconds,
+        latency: Microseconds,
+        report: Option<&LoadReport>,
+    ) {
+        target.record_latency(now, latency);
+        health::record_success(target, now);
+        let mut queue_factor = 1.0;
+        if let Some(report) = report {
+            self.record_report(target, now, report);
+            self.limit.record(report, self.slots, self.in_flight());
+            queue_factor = (report.outstanding() as f32 / self.slots).max(1.0);
+        }
+        let service_ms = latency.as_ms() as f32 / queue_factor;
+        self.typical_ms.blend(service_ms.max(0.1), TYPICAL_WEIGHT);
+    }
+
+    /// Takes a failure in.
+    pub(crate) fn record_failure(&self, target: &TargetState, now: Microseconds) {
+        if health::record_failure(self, target, now) {
+            self.ejections.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Time until a target that holds `load` requests begins on another one, in milliseconds.
+    pub(crate) fn predicted_wait_ms(&self, load: f32) -> f32 {
+        (load + 1.0 - self.slots).max(0.0) * self.typical_ms() / self.slots
+    }
+
+    /// Time until a request that begins to wait at this entry is sent, in milliseconds.
+    pub(crate) fn predicted_turn_ms(&self) -> f32 {
+        (self.waiting() + 1) as f32 * self.typical_ms() / self.limit.get()
+    }
+
+    /// When a refused caller should come back, in milliseconds: after the backlog has drained at the
+    /// measured rate, longer the more are refused, and spread so that callers don't return together.
+    pub(crate) fn retry_after_ms(&self, random: &mut fastrand::Rng) -> u64 {
+        let backlog = self.waiting() as f32 + self.in_flight() as f32;
+        let drain_ms = backlog * self.typical_ms() / self.limit.get();
+        let accepted_share = (1.0 - self.refused_share.get()).max(0.02);
+        let least_ms = (drain_ms / accepted_share).max(RETRY_AFTER_LEAST_MS);
+        let spread_ms = least_ms * (1.0 + random.f32());
+        spread_ms.min(RETRY_AFTER_MOST_MS) as u64
+    }
+}
+
+fn targets_of(
+    service: &Service,
+    previous: Option<&ServiceState>,
+    now: Microseconds,
+) -> Vec<Arc<TargetState>> {
+    let known: HashMap<TargetAddress, (&Arc<TargetState>, BundledTargetState)> = previous
+        .into_iter()
+        .flat_map(|previous| previous.targets.iter().zip(&previous.listed))
+        .map(|(target, listed)| (target.address(), (target, *listed)))
+        .collect();
+    let cold_since = previous.map(|_| now);
+    let target_of = |target: &pinhaven_bundle::Target| {
+        let state = match known.get(&target.address) {
+            Some((known, listed)) if !comes_back(*listed, target.state) => Arc::clone(known),
+            _ => Arc::new(TargetState::new(
+                target.address,
+                target.failure_domain.clone(),
+                cold_since,
+            )),
+        };
+        if target.state == BundledTargetState::Leaving {
+            state.leave();
+        }
+        state
+    };
+    service.targets.iter().map(target_of).collect()
+}
+
+/// Whether operators have put a target back that they had listed as leaving. A target that said so
+/// itself stays away, however often later versions repeat that it is live.
+fn comes_back(before: BundledTargetState, after: BundledTargetState) -> bool {
+    before == BundledTargetState::Leaving && after == BundledTargetState::Live
+}
--- /dev/null
+++ b/crates/pinhaven-decide/src/target.rs
@@ -0,0 +1,269 @@
+//! What an entry knows of one target, all of it stale or its own.
+//!
+//! Three things are known: the entry's own requests in flight, exactly; the load of the others, from
+//! the last report and fading towards the service's mean as it ages; and how long the own requests
+//! have been under way, which shows a sudden slowness before any reply does.
+
+use crate::atomic::AtomicF32;
+use crate::report::LoadReport;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetAddress;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// Weight of a new latency in a target's short memory.
+const LATENCY_WEIGHT: f32 = 0.3;
+/// Age at which half of a remembered latency has faded, in milliseconds.
+const LATENCY_HALF_MS: f32 = 200.0;
+/// Age at which half of a failure's penalty has faded, in milliseconds.
+const PENALTY_HALF_MS: f32 = 500.0;
+/// Time that a cold target takes to get its full share.
+const WARM_UP: Microseconds = Microseconds::from_ms(2_000);
+/// Share that a cold target begins with.
+const WARM_SHARE_MIN: f32 = 0.1;
+/// A request counts as overdue past this many typical times.
+const OVERDUE_AFTER: f32 = 2.0;
+
+/// A target as one entry sees it.
+#[derive(Debug)]
+pub struct TargetState {
+    address: TargetAddress,
+    failure_domain: FailureDomain,
+    in_flight: AtomicU32,
+    start_sum_us: AtomicU64,
+    others: AtomicF32,
+    reported_at_us: AtomicU64,
+    latency_ms: AtomicF32,
+    latency_at_us: AtomicU64,
+    heard_at_us: AtomicU64,
+    penalty: AtomicF32,
+    penalty_at_us: AtomicU64,
+    warm_from_us: AtomicU64,
+    pub(crate) failures_in_row: AtomicU32,
+    pub(crate) ejections: AtomicU32,
+    pub(crate) ejected_until_us: AtomicU64,
+    is_leaving: AtomicBool,
+}
+
+/// What is known of a target, for people and metrics.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TargetView {
+    /// Where it listens.
+    pub address: TargetAddress,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Requests of this entry that it holds.
+    pub in_flight: u32,
+    /// Requests of others that it is thought to hold.
+    pub others: f32,
+    /// Its recent latency, in milliseconds.
+    pub latency_ms: f32,
+    /// Whether it is ejected for failing.
+    pub is_ejected: bool,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+}
+
+impl TargetState {
+    /// A target nothing is known of. A cold one gets its share little by little from `now` on.
+    pub fn new(
+        address: TargetAddress,
+        failure_domain: FailureDomain,
+        cold_since: Option<Microseconds>,
+    ) -> Self {
+        Self {
+            address,
+            failure_domain,
+            in_flight: AtomicU32::new(0),
+            start_sum_us: AtomicU64::new(0),
+            others: AtomicF32::new(0.0),
+            reported_at_us: AtomicU64::new(0),
+            latency_ms: AtomicF32::new(0.0),
+            latency_at_us: AtomicU64::new(0),
+            heard_at_us: AtomicU64::new(0),
+            penalty: AtomicF32::new(0.0),
+            penalty_at_us: AtomicU64::new(0),
+            warm_from_us: AtomicU64::new(cold_since.map_or(0, |since| since.count().max(1))),
+            failures_in_row: AtomicU32::new(0),
+            ejections: AtomicU32::new(0),
+            ejected_until_us: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+        }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> TargetAddress {
+        self.address
+    }
+
+    /// Where it stands.
+    pub fn failure_domain(&self) -> &FailureDomain {
+        &self.failure_domain
+    }
+
+    /// Requests of this entry that it holds.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Whether it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    /// Marks the target as leaving. Nothing in its life takes that back: a target that comes back is
+    /// a new one in a new bundle version.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it is ejected at `now`.
+    pub fn is_ejected(&self, now: Microseconds) -> bool {
+        self.ejected_until_us.load(Ordering::Relaxed) > now.count()
+    }
+
+    /// What is known of it at `now`.
+    pub fn view(&self, now: Microseconds) -> TargetView {
+        TargetView {
+            address: self.address,
+            failure_domain: self.failure_domain.clone(),
+            in_flight: self.in_flight(),
+            others: self.others.get(),
+            latency_ms: self.latency_ms.get(),
+            is_ejected: self.is_ejected(now),
+            is_leaving: self.is_leaving(),
+        }
+    }
+
+    /// Counts a request in. The sum of starts is written first and read last, so that a racing
+    /// reader sees requests as younger than they are, never older.
+    pub(crate) fn begin(&self, now: Microseconds) {
+        self.start_sum_us.fetch_add(now.count(), Ordering::Release);
+        self.in_flight.fetch_add(1, Ordering::Release);
+    }
+
+    /// Counts a request out that was counted in at `started`.
+    pub(crate) fn end(&self, started: Microseconds) {
+        self.in_flight.fetch_sub(1, Ordering::Release);
+        self.start_sum_us
+            .fetch_sub(started.count(), Ordering::Release);
+    }
+
+    /// Takes a report in. What the target holds beyond the own requests is the others'.
+    pub(crate) fn record_report(&self, now: Microseconds, report: &LoadReport) -> f32 {
+        let others = report.outstanding().saturating_sub(self.in_flight()) as f32;
+        self.others.set(others);
+        self.reported_at_us.store(now.count(), Ordering::Relaxed);
+        if report.is_draining {
+            self.leave();
+        }
+        others
+    }
+
+    /// Takes the time of an answer in.
+    pub(crate) fn record_latency(&self, now: Microseconds, latency: Microseconds) {
+        let sample = latency.as_ms() as f32;
+        let weight = if self.age_ms(&self.latency_at_us, now) > LATENCY_HALF_MS {
+            1.0
+        } else {
+            LATENCY_WEIGHT
+        };
+        self.latency_ms.blend(sample, weight);
+        self.latency_at_us.store(now.count(), Ordering::Relaxed);
+    }
+
+    /// Takes in that a request had no answer after `age`, when it was given up on.
+    pub(crate) fn record_censored(&self, now: Microseconds, age: Microseconds) {
+        if age.as_ms() as f32 > self.latency_ms.get() {
+            self.record_latency(now, age);
+        }
+    }
+
+    /// Takes in that the target answered well.
+    pub(crate) fn record_heard(&self, now: Microseconds) {
+        self.heard_at_us.store(now.count(), Ordering::Relaxed);
+    }
+
+    /// Adds to the penalty of a failing target, in requests.
+    pub(crate) fn add_penalty(&self, now: Microseconds, requests: f32) {
+        let left = self.penalty_at(now);
+        self.penalty.set(left + requests);
+        self.penalty_at_us.store(now.count(), Ordering::Relaxed);
+    }
+
+    /// Starts the target's share anew from a small one.
+    pub(crate) fn cool(&self, from: Microseconds) {
+        self.warm_from_us
+            .store(from.count().max(1), Ordering::Relaxed);
+    }
+
+    /// Whether the target has its full share at `now`.
+    pub(crate) fn is_warm(&self, now: Microseconds) -> bool {
+        self.warm_share(now) >= 1.0
+    }
+
+    /// Share of its slots that the target should be used at, from 0.1 to 1.
+    pub(crate) fn warm_share(&self, now: Microseconds) -> f32 {
+        let from = self.warm_from_us.load(Ordering::Relaxed);
+        if from == 0 {
+            return 1.0;
+        }
+        let age = now.count().saturating_sub(from) as f32;
+        (age / WARM_UP.count() as f32).clamp(WARM_SHARE_MIN, 1.0)
+    }
+
+    pub(crate) fn penalty_at(&self, now: Microseconds) -> f32 {
+        fade(
+            self.penalty.get(),
+            self.age_ms(&self.penalty_at_us, now),
+            PENALTY_HALF_MS,
+        )
+    }
+
+    /// Requests of others, fading from the last report to the service's mean.
+    pub(crate) fn others_at(&self, now: Microseconds, mean: f32, half_ms: f32) -> f32 {
+        let apart = self.others.get() - mean;
+        mean + fade(apart, self.age_ms(&self.reported_at_us, now), half_ms)
+    }
+
+    /// How much the recent latency exceeds the typical one, as a multiple of it.
+    pub(crate) fn latency_excess(&self, now: Microseconds, typical_ms: f32) -> f32 {
+        let excess = (self.latency_ms.get() / typical_ms - 1.0).max(0.0);
+        fade(
+            excess,
+            self.age_ms(&self.latency_at_us, now),
+            LATENCY_HALF_MS,
+        )
+    }
+
+    /// Own requests that are overdue, counted in typical times past the first two.
+    pub(crate) fn overdue(&self, now: Microseconds, typical_ms: f32) -> f32 {
+        let in_flight = self.in_flight.load(Ordering::Acquire);
+        if in_flight == 0 {
+            return 0.0;
+        }
+        let start_sum = self.start_sum_us.load(Ordering::Acquire);
+        let now_sum = now.count().wrapping_mul(u64::from(in_flight));
+        // A sum that another thread has already added to gives a negative age; it counts as none.
+        let age_sum_us = now_sum.wrapping_sub(start_sum) as i64;
+        let age_sum = age_sum_us.max(0) as f32 / (typical_ms * 1_000.0);
+        (age_sum - OVERDUE_AFTER * in_flight as f32).max(0.0)
+    }
+
+    /// Time since the target answered well, in milliseconds.
+    pub(crate) fn silence_ms(&self, now: Microseconds) -> f32 {
+        self.age_ms(&self.heard_at_us, now)
+    }
+
+    fn age_ms(&self, at_us: &AtomicU64, now: Microseconds) -> f32 {
+        now.count().saturating_sub(at_us.load(Ordering::Relaxed)) as f32 / 1_000.0
+    }
+}
+
+/// What is left of `value` at an age; half of it at `half_ms`.
+fn fade(value: f32, age_ms: f32, half_ms: f32) -> f32 {
+    value * half_ms / (half_ms + age_ms)
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/address.rs
@@ -0,0 +1,139 @@
+//! The answer to callers who ask which entries to use.
+//!
+//! `GET /.well-known/pinhaven/entries?service=NAME&domain=NAME` names the entries of a service, the
+//! nearest first, each with the home that once-only requests sent to it carry. `Cache-Control` says how
+//! long the answer may be kept.
+
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::problem::Problem;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use pinhaven_agree::Epoch;
+use pinhaven_agree::Home;
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::ServiceName;
+use serde::Serialize;
+use std::sync::Arc;
+
+/// Where the question is asked.
+pub(crate) const PATH: &str = "/.well-known/pinhaven/entries";
+
+#[derive(Serialize)]
+struct AddressAnswer {
+    service: String,
+    version: u64,
+    keep_ms: u64,
+    entries: Vec<NamedEntry>,
+}
+
+#[derive(Serialize)]
+struct NamedEntry {
+    address: String,
+    failure_domain: String,
+    home: String,
+}
+
+/// Answers the question.
+pub(crate) fn answer<B>(entry: &Arc<Entry>, request: &Request<B>) -> Response<AnyBody> {
+    entry.counters.add(Count::Addresses);
+    match find(entry, request) {
+        Ok(answer) => to_response(&answer),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+fn find<B>(entry: &Entry, request: &Request<B>) -> Result<AddressAnswer, Problem> {
+    if request.method() != Method::GET {
+        return Err(Problem::not_run(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "bad_method",
+            "ask for entries with GET",
+        ));
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let service: Option<ServiceName> = parameter(query, "service");
+    let domain: Option<FailureDomain> = parameter(query, "domain");
+    let snapshot = entry.snapshot.load();
+    let config = service
+        .as_ref()
+        .and_then(|name| snapshot.services.get(name));
+    let Some(config) = config else {
+        return Err(Problem::not_run(
+            StatusCode::NOT_FOUND,
+            "unknown_service",
+            "name a service of the bundle in the query: ?service=NAME",
+        ));
+    };
+    let config = &config.config;
+    let now = entry.now();
+    let members = entry.members.lock();
+    let named = config.entries_named as usize;
+    let rows = members.entries_for(&config.name, domain.as_ref(), named, now);
+    if rows.is_empty() {
+        return Err(Problem::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_entry",
+            "no entry is ready",
+        ));
+    }
+    Ok(AddressAnswer {
+        service: config.name.to_string(),
+        version: snapshot.version.number(),
+        keep_ms: snapshot.bundle.address_keep_ms,
+        entries: rows.into_iter().map(named_entry).collect(),
+    })
+}
+
+fn named_entry(row: &MemberRow) -> NamedEntry {
+    debug_assert_eq!(row.state, MemberState::Ready);
+    let home = Home {
+        incarnation: row.incarnation,
+        epoch: Epoch(row.epoch),
+    };
+    NamedEntry {
+        address: row.caller_address.to_string(),
+        failure_domain: row.failure_domain.to_string(),
+        home: home.to_string(),
+    }
+}
+
+fn to_response(answer: &AddressAnswer) -> Response<AnyBody> {
+    let body = match serde_json::to_vec(answer) {
+        Ok(body) => body,
+        Err(error) => {
+            return Problem::not_run(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "not_written",
+                error.to_string(),
+            )
+            .into_response();
+        }
+    };
+    let mut response = Response::new(whole_body(body));
+    let headers = response.headers_mut();
+    headers.insert(
+        http::header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    let keep = format!("max-age={}", answer.keep_ms / 1_000);
+    if let Ok(keep) = HeaderValue::from_str(&keep) {
+        headers.insert(http::header::CACHE_CONTROL, keep);
+    }
+    response
+}
+
+fn parameter<T: std::str::FromStr>(query: &str, name: &str) -> Option<T> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/body.rs
@@ -0,0 +1,292 @@
+//! Bodies of requests and answers.
+
+use crate::counters::Count;
+use crate::entry::BodyMemory;
+use crate::entry::Entry;
+use crate::pool::ReturnSender;
+use crate::problem::Problem;
+use crate::proxy::CallerHold;
+use bytes::Bytes;
+use bytes::BytesMut;
+use event_listener::Event;
+use http::HeaderMap;
+use http::StatusCode;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use pinhaven_decide::Attempt;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::BoxError;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::Promise;
+use pinhaven_types::require_promise;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+/// A request's body.
+pub(crate) enum RequestBody {
+    /// Held whole; it can be sent any number of times.
+    Whole(Bytes),
+    /// The first part is held, the rest still comes; it can be sent once.
+    Stream(Mutex<Option<StreamedBody>>),
+}
+
+impl RequestBody {
+    /// Whether it can be sent again.
+    pub(crate) fn is_replayable(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
+    /// The body to send; `None` when it has been sent and can't be again.
+    pub(crate) fn to_send(&self) -> Option<AnyBody> {
+        match self {
+            Self::Whole(bytes) => Some(whole_body(bytes.clone())),
+            Self::Stream(body) => body.lock().take().map(BodyExt::boxed_unsync),
+        }
+    }
+}
+
+/// A body being passed on while it comes.
+pub(crate) struct StreamedBody {
+    first: Option<Bytes>,
+    rest: Incoming,
+    left: u64,
+}
+
+impl Body for StreamedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(context) else {
+            return Poll::Pending;
+        };
+        let Some(frame) = frame.transpose()? else {
+            return Poll::Ready(None);
+        };
+        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+        if bytes > self.left {
+            return Poll::Ready(Some(
+                Err("the body is larger than the service takes".into()),
+            ));
+        }
+        self.left -= bytes;
+        Poll::Ready(Some(Ok(frame)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first = self.first.as_ref().map_or(0, |first| first.len() as u64);
+        match self.rest.size_hint().exact() {
+            Some(rest) => SizeHint::with_exact(first + rest),
+            None => SizeHint::default(),
+        }
+    }
+}
+
+/// How much of a body is held and taken.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BodyLimits {
+    /// The largest body held whole, in bytes.
+    pub(crate) held_bytes: u64,
+    /// The largest body taken at all, in bytes.
+    pub(crate) taken_bytes: u64,
+}
+
+/// Takes a request's body in: whole if it is small enough, else its beginning.
+pub(crate) async fn take_body(
+    entry: &Arc<Entry>,
+    mut body: Incoming,
+    limits: BodyLimits,
+) -> Result<(RequestBody, Option<BodyMemory>), Problem> {
+    if body.is_end_stream() {
+        return Ok((RequestBody::Whole(Bytes::new()), None));
+    }
+    let declared = body.size_hint().exact();
+    if declared.is_some_and(|bytes| bytes > limits.taken_bytes) {
+        return Err(too_large(entry, limits.taken_bytes));
+    }
+    let reserved = declared.unwrap_or(limits.held_bytes).min(limits.held_bytes);
+    let Some(memory) = entry.reserve_body(reserved) else {
+        entry.counters.add(Count::BodyMemory);
+        return Err(Problem::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "body_memory",
+            "bodies fill the memory that they may",
+        ));
+    };
+    let streams = declared.is_some_and(|bytes| bytes > limits.held_bytes);
+    let mut held = BytesMut::new();
+    while !streams && held.len() as u64 <= limits.held_bytes {
+        let Some(frame) = body.frame().await else {
+            return Ok((RequestBody::Whole(held.freeze()), Some(memory)));
+        };
+        let Ok(frame) = frame else {
+            return Err(body_cut(entry));
+        };
+        if let Some(data) = frame.data_ref() {
+            held.extend_from_slice(data);
+        }
+    }
+    let left = limits.taken_bytes.saturating_sub(held.len() as u64);
+    let streamed = StreamedBody {
+        first: Some(held.freeze()).filter(|first| !first.is_empty()),
+        rest: body,
+        left,
+    };
+    let body = RequestBody::Stream(Mutex::new(Some(streamed)));
+    Ok((body, Some(memory)))
+}
+
+pub(crate) fn too_large(entry: &Entry, limit_bytes: u64) -> Problem {
+    entry.counters.add(Count::BodyTooLarge);
+    Problem::not_run(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "body_too_large",
+        format!("the body may have {limit_bytes} bytes"),
+    )
+}
+
+pub(crate) fn body_cut(entry: &Entry) -> Problem {
+    entry.counters.add(Count::BodyCut);
+    Problem::not_run(
+        StatusCode::BAD_REQUEST,
+        "body_cut",
+        "the body ended before its declared end",
+    )
+}
+
+/// Collects an answer's body; `None` when it is cut or larger than `most` bytes.
+pub(crate) async fn collect_answer(mut body: AnyBody, most: usize) -> Option<Bytes> {
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.ok()?;
+        if let Some(data) = frame.data_ref() {
+            if collected.len() + data.len() > most {
+                return None;
+            }
+            collected.extend_from_slice(data);
+        }
+    }
+    Some(collected.freeze())
+}
+
+/// Whether the end of an answer's body can be told from a cut.
+pub(crate) fn is_bounded(headers: &HeaderMap, body: &Incoming) -> bool {
+    body.is_end_stream()
+        || body.size_hint().exact().is_some()
+        || headers.contains_key(http::header::TRANSFER_ENCODING)
+}
+
+/// What is held while an answer's body is passed on.
+pub(crate) struct Held {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) attempt: Option<Attempt>,
+    pub(crate) place_freed: Arc<Event>,
+    pub(crate) sender: ReturnSender,
+    /// Kept only to be dropped with the rest.
+    pub(crate) _hold: CallerHold,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        // The place is given back before the next request is told of it.
+        self.attempt = None;
+        self.place_freed.notify(1);
+    }
+}
+
+/// An answer's body, passed on as it comes. It ends well only if the target's did.
+pub(crate) struct AnswerBody {
+    body: Incoming,
+    declared: Option<u64>,
+    passed: u64,
+    held: Option<Held>,
+}
+
+impl AnswerBody {
+    pub(crate) fn new(body: Incoming, held: Held) -> Self {
+        let declared = body.size_hint().exact();
+        let mut answer = Self {
+            body,
+            declared,
+            passed: 0,
+            held: Some(held),
+        };
+        if answer.body.is_end_stream() {
+            answer.finish();
+        }
+        answer
+    }
+
+    /// The target's answer has ended. Returns whether it was whole.
+    fn finish(&mut self) -> bool {
+        let passed = self.passed;
+        let is_whole = self.declared.is_none_or(|declared| declared == passed);
+        let holds = require_promise(Promise::WholeOwnAnswer, is_whole, || {
+            format!("an answer ended after {passed} bytes")
+        });
+        if let Some(mut held) = self.held.take()
+            && holds
+        {
+            held.sender.finished();
+        }
+        holds
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) else {
+            return Poll::Pending;
+        };
+        match frame {
+            Some(Ok(frame)) => {
+                self.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
+                if self.body.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Some(Err(error)) => {
+                if let Some(held) = self.held.take() {
+                    held.entry.counters.add(Count::AnswerCut);
+                }
+                // The error makes the server break the caller's connection, so that the caller
+                // can't take what it has for the whole.
+                Poll::Ready(Some(Err(error.into())))
+            }
+            None => {
+                if self.held.is_none() || self.finish() {
+                    Poll::Ready(None)
+                } else {
+                    Poll::Ready(Some(Err("the answer was cut".into())))
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/claims.rs
@@ -0,0 +1,116 @@
+//! Claims: homes of once-only requests whose callers name none.
+//!
+//! The first entry to insert the key's row becomes its home; the row says so for good. A write whose
+//! answer is lost is settled by reading back. Claims cost a write each, so they are limited in rate
+//! and refused as "not run" past that.
+
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::problem::Problem;
+use displaydoc::Display as DisplayDoc;
+use http::StatusCode;
+use parking_lot::Mutex;
+use pinhaven_agree::Home;
+use pinhaven_platform::CLAIM_PREFIX;
+use pinhaven_platform::Condition;
+use pinhaven_platform::PlatformError;
+use pinhaven_platform::TableService;
+use pinhaven_types::Digest;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+
+/// When a caller may come back after its claim failed, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Limits how many claims are written a second.
+pub(crate) struct ClaimRate {
+    spacing: Microseconds,
+    next_at: Mutex<Microseconds>,
+    burst: Microseconds,
+}
+
+impl ClaimRate {
+    pub(crate) fn new(per_second: u32) -> Self {
+        let spacing = Microseconds::new(1_000_000 / u64::from(per_second.max(1)));
+        Self {
+            spacing,
+            next_at: Mutex::new(Microseconds::ZERO),
+            burst: Microseconds::from_ms(1_000),
+        }
+    }
+
+    /// Takes the right to one write; `false` when there is none now.
+    fn take(&self, now: Microseconds) -> bool {
+        let mut next_at = self.next_at.lock();
+        let from = (*next_at).max(now.saturating_sub(self.burst));
+        if from > now {
+            return false;
+        }
+        *next_at = from.plus(self.spacing);
+        true
+    }
+}
+
+/// a claim failed: {0}
+#[derive(Debug, DisplayDoc)]
+struct ClaimFailed(String);
+
+/// Finds the home of a key, making this entry its home if it has none.
+pub(crate) async fn home_of(
+    entry: &Entry,
+    service: &ServiceName,
+    key: Digest,
+) -> Result<Home, Problem> {
+    if !entry.claim_slots.take(entry.now()) {
+        entry.counters.add(Count::ClaimRate);
+        return Err(Problem::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "claim_rate",
+            "too many once-only requests name no home; ask for entries and name one",
+        )
+        .with_retry_after_ms(RETRY_AFTER_MS));
+    }
+    match claim(entry, service, key).await {
+        Ok(home) => Ok(home),
+        Err(ClaimFailed(message)) => {
+            entry.counters.add(Count::ClaimFailed);
+            // This attempt will never be dispatched, whatever became of the write.
+            Err(
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "claim_failed", message)
+                    .with_retry_after_ms(RETRY_AFTER_MS),
+            )
+        }
+    }
+}
+
+async fn claim(entry: &Entry, service: &ServiceName, key: Digest) -> Result<Home, ClaimFailed> {
+    let row_key = format!("{CLAIM_PREFIX}{service}/{key}");
+    let own = entry.home();
+    let written = entry
+        .table
+        .write(&row_key, Condition::Absent, own.to_string())
+        .await;
+    match entry.count_platform(written) {
+        Ok(_) => {
+            entry.counters.add(Count::ClaimWritten);
+            Ok(own)
+        }
+        Err(PlatformError::NoEffect { message, .. }) => Err(ClaimFailed(message)),
+        // Another claim may be there, or this one whose answer was lost: the row tells.
+        Err(PlatformError::Conflict { .. } | PlatformError::Unknown { .. }) => {
+            read_home(entry, &row_key).await
+        }
+    }
+}
+
+async fn read_home(entry: &Entry, row_key: &str) -> Result<Home, ClaimFailed> {
+    let read = entry.table.read(row_key).await;
+    match entry.count_platform(read) {
+        Ok(Some(row)) => row
+            .value
+            .parse()
+            .map_err(|_| ClaimFailed(format!("row {row_key} names no home"))),
+        Ok(None) => Err(ClaimFailed("the claim could not be settled".to_owned())),
+        Err(error) => Err(ClaimFailed(error.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -0,0 +1,196 @@
+//! What all parts of an entry share.
+
+use crate::bundles::RecentBodies;
+use crate::clock::Clock;
+use crate::counters::Count;
+use crate::counters::Counters;
+use crate::leaving::LeavingNews;
+use crate::snapshot::Snapshot;
+use arc_swap::ArcSwap;
+use parking_lot::Mutex;
+use pinhaven_agree::Home;
+use pinhaven_agree::Ledger;
+use pinhaven_agree::LedgerLimits;
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::Membership;
+use pinhaven_agree::SeatKeeper;
+use pinhaven_agree::VersionInForce;
+use pinhaven_peer::PeerClients;
+use pinhaven_platform::HttpObjectStore;
+use pinhaven_platform::HttpTableService;
+use pinhaven_platform::PlatformError;
+use pinhaven_settings::Settings;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// The largest answer that is kept for a repeated key, in bytes.
+const STORED_ANSWER_BYTES_MAX: usize = 64 * 1024;
+/// All kept answers together, in bytes.
+const STORED_ANSWERS_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// A member is silent after this many exchanges' time.
+const SILENT_AFTER_EXCHANGES: u64 = 8;
+
+/// An entry instance.
+pub(crate) struct Entry {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) snapshot: ArcSwap<Snapshot>,
+    pub(crate) version: Mutex<VersionInForce>,
+    pub(crate) recent_bodies: Mutex<RecentBodies>,
+    pub(crate) ledger: Mutex<Ledger>,
+    pub(crate) members: Mutex<Membership>,
+    pub(crate) seats: Mutex<SeatKeeper>,
+    pub(crate) leaving: Mutex<LeavingNews>,
+    pub(crate) unknown_members: Mutex<BTreeSet<Incarnation>>,
+    pub(crate) news: event_listener::Event,
+    pub(crate) table: HttpTableService,
+    pub(crate) objects: HttpObjectStore,
+    pub(crate) peers: PeerClients,
+    pub(crate) counters: Counters,
+    pub(crate) claim_slots: crate::claims::ClaimRate,
+    in_flight: AtomicU32,
+    body_bytes: AtomicU64,
+    next_request: AtomicU64,
+}
+
+impl Entry {
+    /// An entry that listens at these addresses and knows nothing yet.
+    pub(crate) fn new(
+        settings: Settings,
+        caller_address: SocketAddr,
+        peer_address: SocketAddr,
+    ) -> Arc<Self> {
+        let incarnation = Incarnation::random();
+        let limits = LedgerLimits {
+            records_most: settings.ledger_records,
+            answer_bytes_most: STORED_ANSWER_BYTES_MAX,
+            all_answer_bytes_most: STORED_ANSWERS_BYTES_MAX,
+        };
+        let row = MemberRow {
+            incarnation,
+            instance_id: settings.instance_id.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            caller_address,
+            peer_address,
+            state: MemberState::Starting,
+            heartbeat: 1,
+            version: BundleVersion::NONE,
+            epoch: 1,
+        };
+        let silent_after = Microseconds::from_ms(settings.gossip_ms * SILENT_AFTER_EXCHANGES);
+        let timeout_ms = settings.platform_timeout_ms;
+        Arc::new(Self {
+            incarnation,
+            clock: Clock::new(),
+            snapshot: ArcSwap::from_pointee(Snapshot::empty()),
+            version: Mutex::new(VersionInForce::new()),
+            recent_bodies: Mutex::new(RecentBodies::default()),
+            ledger: Mutex::new(Ledger::new(limits)),
+            members: Mutex::new(Membership::new(row, silent_after)),
+            seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
+            leaving: Mutex::new(LeavingNews::default()),
+            unknown_members: Mutex::new(BTreeSet::new()),
+            news: event_listener::Event::new(),
+            table: HttpTableService::new(settings.table_address, timeout_ms),
+            objects: HttpObjectStore::new(settings.object_address, timeout_ms),
+            peers: PeerClients::new(),
+            counters: Counters::new(),
+            claim_slots: crate::claims::ClaimRate::new(settings.claim_writes_per_second),
+            in_flight: AtomicU32::new(0),
+            body_bytes: AtomicU64::new(0),
+            next_request: AtomicU64::new(0),
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Microseconds {
+        self.clock.now()
+    }
+
+    pub(crate) fn state(&self) -> MemberState {
+        self.members.lock().own().state
+    }
+
+    /// This entry as the home of requests that begin now.
+    pub(crate) fn home(&self) -> Home {
+        Home {
+            incarnation: self.incarnation,
+            epoch: self.ledger.lock().epoch(),
+        }
+    }
+
+    /// Requests under way.
+    pub(crate) fn in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Share of the requests that the entry can hold that are under way.
+    pub(crate) fn use_share(&self) -> f32 {
+        self.in_flight() as f32 / self.settings.requests_most as f32
+    }
+
+    /// A number for a request, different from all others of this incarnation.
+    pub(crate) fn request_number(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Counts a request in until the guard is dropped.
+    pub(crate) fn enter(self: &Arc<Self>) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        InFlight(Arc::clone(self))
+    }
+
+    /// Reserves memory for a body; `None` when bodies fill what they may.
+    pub(crate) fn reserve_body(self: &Arc<Self>, bytes: u64) -> Option<BodyMemory> {
+        let before = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        let memory = BodyMemory {
+            entry: Arc::clone(self),
+            bytes,
+        };
+        (before + bytes <= self.settings.body_memory_bytes).then_some(memory)
+    }
+
+    /// Counts a call to the platform and its failure.
+    pub(crate) fn count_platform<T>(
+        &self,
+        outcome: Result<T, PlatformError>,
+    ) -> Result<T, PlatformError> {
+        self.counters.add(Count::PlatformCalls);
+        if outcome.is_err() {
+            self.counters.add(Count::PlatformFailed);
+        }
+        outcome
+    }
+}
+
+/// A request under way.
+pub(crate) struct InFlight(Arc<Entry>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Memory reserved for a body.
+pub(crate) struct BodyMemory {
+    entry: Arc<Entry>,
+    bytes: u64,
+}
+
+impl Drop for BodyMemory {
+    fn drop(&mut self) {
+        self.entry
+            .body_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/error.rs
@@ -0,0 +1,47 @@
+//! What can keep an entry from running.
+
+use displaydoc::Display as DisplayDoc;
+use pinhaven_types::Help;
+
+/// The step of an entry's life at which it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+pub enum EntryStep {
+    /// listening for callers
+    ListenForCallers,
+    /// listening for peers
+    ListenForPeers,
+    /// preparing metrics
+    PrepareMetrics,
+    /// listening for signals
+    ListenForSignals,
+}
+
+/// Why an entry does not run.
+#[derive(Debug, DisplayDoc)]
+pub enum EntryError {
+    /// {step} at {peer}: {message}
+    System {
+        /// The step.
+        step: EntryStep,
+        /// The address or signal.
+        peer: String,
+        /// What the system said.
+        message: String,
+    },
+}
+
+impl std::error::Error for EntryError {}
+
+impl Help for EntryError {
+    fn help(&self) -> &'static str {
+        let Self::System { step, .. } = self;
+        match step {
+            EntryStep::ListenForCallers => "set caller_address to a free address of this instance",
+            EntryStep::ListenForPeers => "set peer_address to a free address of this instance",
+            EntryStep::PrepareMetrics => {
+                "set metrics_address to an IP address and port, or leave it out"
+            }
+            EntryStep::ListenForSignals => "run the entry where it may handle SIGTERM",
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -0,0 +1,377 @@
+//! Talking to the other entries: membership, versions and leaving targets.
+//!
+//! Each round an entry talks to one peer, drawn by lot; news goes to several at once. A message names
+//! a bounded number of members, so that its size does not grow with the number of entries.
+
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::relay;
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_peer::Beat;
+use pinhaven_peer::ExchangeRequest;
+use pinhaven_peer::ExchangeResponse;
+use pinhaven_peer::FetchBundleRequest;
+use pinhaven_peer::FetchBundleResponse;
+use pinhaven_peer::Identity;
+use pinhaven_peer::Peer;
+use pinhaven_peer::RelayOnceRequest;
+use pinhaven_peer::RelayOnceResponse;
+use pinhaven_peer::Request;
+use pinhaven_peer::Response;
+use pinhaven_peer::Status;
+use pinhaven_peer::async_trait;
+use pinhaven_platform::Condition;
+use pinhaven_platform::ENTRY_PREFIX;
+use pinhaven_platform::PlatformError;
+use pinhaven_platform::TableService;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::within;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Members named in one message.
+const BEATS_MAX: usize = 40;
+/// Members asked about in one message.
+const WANTED_MAX: usize = 20;
+/// Peers that are told news at once.
+const NEWS_FAN_OUT: usize = 4;
+/// How long a peer may take for an exchange.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Rounds between two looks at the platform's list of entries.
+const ROUNDS_PER_LISTING: u64 = 20;
+/// Time between two tries to write this entry's row, in milliseconds.
+const ROW_RETRY_MS: u64 = 1_000;
+
+impl Entry {
+    /// Talks to peers for ever.
+    pub(crate) async fn gossip(self: Arc<Self>) {
+        let mut random = fastrand::Rng::new();
+        let mut rounds: u64 = 0;
+        loop {
+            if rounds.is_multiple_of(ROUNDS_PER_LISTING) {
+                self.list_entries().await;
+            }
+            self.beat();
+            let mut peers = self.known_peer_addresses();
+            random.shuffle(&mut peers);
+            if let Some(peer) = peers.first() {
+                self.exchange_with(*peer).await;
+            }
+            rounds += 1;
+            let news = self.news.listen();
+            let round = Duration::from_millis(self.settings.gossip_ms);
+            if within(round, news).await.is_some() {
+                self.beat();
+                for peer in peers.iter().take(NEWS_FAN_OUT) {
+                    let entry = Arc::clone(&self);
+                    let peer = *peer;
+                    pinhaven_runtime::spawn(async move { entry.exchange_with(peer).await })
+                        .detach();
+                }
+            }
+        }
+    }
+
+    fn beat(&self) {
+        let snapshot = self.snapshot.load();
+        let now = self.now();
+        self.leaving.lock().gather(&snapshot, now);
+        let epoch = self.ledger.lock().epoch().0;
+        let mut members = self.members.lock();
+        members.beat(snapshot.version, epoch);
+        members.forget_silent(now);
+    }
+
+    /// Exchanges with one peer, and takes its newer version if it has one.
+    pub(crate) async fn exchange_with(&self, peer: SocketAddr) {
+        use prost::Message as _;
+        let request = self.exchange_request();
+        self.counters.add(Count::Exchanges);
+        let sent = request.encoded_len() as u64;
+        self.counters.add_many(Count::PeerBytes, sent);
+        let response = self.peers.exchange(peer, EXCHANGE_TIMEOUT, request).await;
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                self.counters.add(Count::ExchangeFailed);
+                log::debug!(target: "gossip", "{error}.");
+                return;
+            }
+        };
+        let received = response.encoded_len() as u64;
+        self.counters.add_many(Count::PeerBytes, received);
+        let newest = self.take_response(response);
+        if newest > self.version.lock().version() {
+            self.fetch_from(peer).await;
+        }
+    }
+
+    fn exchange_request(&self) -> ExchangeRequest {
+        let snapshot = self.snapshot.load();
+        let members = self.members.lock();
+        let wanted = self.unknown_members.lock();
+        ExchangeRequest {
+            sender: Some(identity_of(members.own())),
+            beats: some_beats(members.rows()),
+            wanted: wanted.iter().take(WANTED_MAX).map(to_bytes).collect(),
+            leaving: self
+                .leaving
+                .lock()
+                .fresh(snapshot.version.number(), self.now()),
+        }
+    }
+
+    /// Takes a peer's answer in; returns the version that the peer itself has in force.
+    fn take_response(&self, response: ExchangeResponse) -> BundleVersion {
+        self.hear_leaving(&response.leaving);
+        let newest = self.hear_sender(response.sender, &response.beats);
+        for identity in response.identities {
+            self.hear_identity(identity, &response.beats);
+        }
+        self.hear_beats(&response.beats);
+        newest
+    }
+
+    /// Takes in what a peer says of itself; returns its version in force.
+    fn hear_sender(&self, sender: Option<Identity>, beats: &[Beat]) -> BundleVersion {
+        let row = sender.and_then(|sender| row_of(sender, beats));
+        let Some(row) = row else {
+            return BundleVersion::NONE;
+        };
+        let version = row.version;
+        self.unknown_members.lock().remove(&row.incarnation);
+        self.members.lock().hear(row, self.now());
+        version
+    }
+
+    fn hear_identity(&self, identity: Identity, beats: &[Beat]) {
+        if let Some(row) = row_of(identity, beats) {
+            self.unknown_members.lock().remove(&row.incarnation);
+            self.members.lock().hear_of(row, self.now());
+        }
+    }
+
+    fn hear_beats(&self, beats: &[Beat]) {
+        let now = self.now();
+        let mut members = self.members.lock();
+        for beat in beats {
+            let Some(incarnation) = to_incarnation(&beat.incarnation) else {
+                continue;
+            };
+            if incarnation == self.incarnation {
+                continue;
+            }
+            match members.member(incarnation) {
+                None => {
+                    self.unknown_members.lock().insert(incarnation);
+                }
+                Some(member) => {
+                    let row = with_beat(member.row.clone(), beat);
+                    members.hear_of(row, now);
+                }
+            }
+        }
+        let mut unknown = self.unknown_members.lock();
+        while unknown.len() > BEATS_MAX {
+            unknown.pop_first();
+        }
+    }
+
+    /// Reads the platform's list of entries.
+    async fn list_entries(&self) {
+        let listed = self.table.list(ENTRY_PREFIX).await;
+        let Ok(rows) = self.count_platform(listed) else {
+            return;
+        };
+        let now = self.now();
+        let mut members = self.members.lock();
+        for row in rows {
+            if let Ok(row) = serde_json::from_str::<MemberRow>(&row.value) {
+                members.hear_of(row, now);
+            }
+        }
+    }
+
+    /// Writes this entry's own row, trying until the platform takes it.
+    pub(crate) async fn write_own_row(&self) {
+        loop {
+            match self.try_write_own_row().await {
+                Ok(()) => return,
+                Err(error) => log::warn!(target: "gossip", "The own row is not written: {error}."),
+            }
+            sleep_ms(ROW_RETRY_MS).await;
+        }
+    }
+
+    async fn try_write_own_row(&self) -> Result<(), PlatformError> {
+        let row = self.members.lock().own().clone();
+        let key = format!("{ENTRY_PREFIX}{}", row.instance_id);
+        let value = serde_json::to_string(&row).unwrap_or_default();
+        let listed = self.count_platform(self.table.read(&key).await)?;
+        let condition = match listed {
+            None => Condition::Absent,
+            Some(listed) => Condition::Version(listed.version),
+        };
+        let written = self.table.write(&key, condition, value).await;
+        self.count_platform(written).map(|_| ())
+    }
+}
+
+/// Answers to peers.
+pub(crate) struct PeerAnswers(pub(crate) Arc<Entry>);
+
+#[async_trait]
+impl Peer for PeerAnswers {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeResponse>, Status> {
+        use prost::Message as _;
+        let entry = &self.0;
+        let request = request.into_inner();
+        let received = request.encoded_len() as u64;
+        entry.hear_leaving(&request.leaving);
+        let sender = request.sender.as_ref().and_then(peer_address_of);
+        let newest = entry.hear_sender(request.sender, &request.beats);
+        entry.hear_beats(&request.beats);
+        if newest > entry.version.lock().version()
+            && let Some(peer) = sender
+        {
+            let entry = Arc::clone(entry);
+            pinhaven_runtime::spawn(async move { entry.fetch_from(peer).await }).detach();
+        }
+        let response = answer_exchange(entry, &request.wanted);
+        let bytes = received + response.encoded_len() as u64;
+        entry.counters.add_many(Count::PeerBytes, bytes);
+        Ok(Response::new(response))
+    }
+
+    async fn fetch_bundle(
+        &self,
+        request: Request<FetchBundleRequest>,
+    ) -> Result<Response<FetchBundleResponse>, Status> {
+        let held = BundleVersion::new(request.into_inner().held_version);
+        Ok(Response::new(self.0.bundle_for_peer(held)))
+    }
+
+    async fn relay_once(
+        &self,
+        request: Request<RelayOnceRequest>,
+    ) -> Result<Response<RelayOnceResponse>, Status> {
+        let answer = relay::answer_relayed(&self.0, request.into_inner()).await;
+        Ok(Response::new(answer))
+    }
+}
+
+fn answer_exchange(entry: &Entry, wanted: &[Vec<u8>]) -> ExchangeResponse {
+    let snapshot = entry.snapshot.load();
+    let members = entry.members.lock();
+    let rows = members.rows();
+    let wanted: Vec<Incarnation> = wanted
+        .iter()
+        .take(WANTED_MAX)
+        .filter_map(|bytes| to_incarnation(bytes))
+        .collect();
+    let asked_for: Vec<&MemberRow> = rows
+        .iter()
+        .filter(|row| wanted.contains(&row.incarnation))
+        .collect();
+    let identities = asked_for.iter().map(|row| identity_of(row)).collect();
+    let mut beats: Vec<Beat> = asked_for.iter().map(|row| beat_of(row)).collect();
+    let sender = Some(identity_of(members.own()));
+    drop(asked_for);
+    beats.extend(some_beats(rows));
+    ExchangeResponse {
+        sender,
+        beats,
+        identities,
+        leaving: entry
+            .leaving
+            .lock()
+            .fresh(snapshot.version.number(), entry.now()),
+    }
+}
+
+/// Beats of the first row, which is the sender's, and of others drawn by lot.
+fn some_beats(mut rows: Vec<MemberRow>) -> Vec<Beat> {
+    if rows.len() > BEATS_MAX {
+        fastrand::shuffle(&mut rows[1..]);
+    }
+    rows.iter().take(BEATS_MAX).map(beat_of).collect()
+}
+
+fn beat_of(row: &MemberRow) -> Beat {
+    Beat {
+        incarnation: to_bytes(&row.incarnation),
+        heartbeat: row.heartbeat,
+        state: row.state as u32,
+        version: row.version.number(),
+        epoch: row.epoch,
+    }
+}
+
+fn identity_of(row: &MemberRow) -> Identity {
+    Identity {
+        incarnation: to_bytes(&row.incarnation),
+        instance_id: row.instance_id.to_string(),
+        failure_domain: row.failure_domain.to_string(),
+        caller_address: row.caller_address.to_string(),
+        peer_address: row.peer_address.to_string(),
+    }
+}
+
+fn row_of(identity: Identity, beats: &[Beat]) -> Option<MemberRow> {
+    let beat = beats
+        .iter()
+        .find(|beat| beat.incarnation == identity.incarnation)?;
+    let row = MemberRow {
+        incarnation: to_incarnation(&identity.incarnation)?,
+        instance_id: identity.instance_id.parse().ok()?,
+        failure_domain: identity.failure_domain.parse().ok()?,
+        caller_address: identity.caller_address.parse().ok()?,
+        peer_address: identity.peer_address.parse().ok()?,
+        state: MemberState::Starting,
+        heartbeat: 0,
+        version: BundleVersion::NONE,
+        epoch: 0,
+    };
+    Some(with_beat(row, beat))
+}
+
+fn with_beat(row: MemberRow, beat: &Beat) -> MemberRow {
+    MemberRow {
+        state: to_state(beat.state),
+        heartbeat: beat.heartbeat,
+        version: BundleVersion::new(beat.version),
+        epoch: beat.epoch,
+        ..row
+    }
+}
+
+/// A state that this version does not know is taken for the last one, so that nobody is sent there.
+fn to_state(number: u32) -> MemberState {
+    [
+        MemberState::Starting,
+        MemberState::Ready,
+        MemberState::Stopping,
+    ]
+    .into_iter()
+    .find(|state| *state as u32 == number)
+    .unwrap_or(MemberState::Gone)
+}
+
+fn peer_address_of(identity: &Identity) -> Option<SocketAddr> {
+    identity.peer_address.parse().ok()
+}
+
+fn to_bytes(incarnation: &Incarnation) -> Vec<u8> {
+    incarnation.to_bytes().to_vec()
+}
+
+fn to_incarnation(bytes: &[u8]) -> Option<Incarnation> {
+    Some(Incarnation::from_bytes(bytes.try_into().ok()?))
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/leaving.rs
@@ -0,0 +1,78 @@
+//! News of leaving targets, passed on to the other entries.
+//!
+//! An entry that learns from a reply or a probe that a target drains tells every peer in its next
+//! exchanges. News only ever says "leaving"; nothing that comes late can bring a target back.
+
+use crate::entry::Entry;
+use crate::snapshot::Snapshot;
+use pinhaven_peer::Leaving;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use std::collections::BTreeMap;
+
+/// How long news is passed on.
+const PASS_ON_FOR: Microseconds = Microseconds::from_ms(10_000);
+
+/// Targets known to be leaving, and since when.
+#[derive(Default)]
+pub(crate) struct LeavingNews {
+    since: BTreeMap<(ServiceName, TargetAddress), Microseconds>,
+}
+
+impl LeavingNews {
+    /// Takes in all targets that are marked as leaving.
+    pub(crate) fn gather(&mut self, snapshot: &Snapshot, now: Microseconds) {
+        for (name, service) in &snapshot.services {
+            for target in service.state.targets() {
+                if target.is_leaving() {
+                    let key = (name.clone(), target.address());
+                    self.since.entry(key).or_insert(now);
+                }
+            }
+        }
+    }
+
+    /// News that is still worth passing on.
+    pub(crate) fn fresh(&self, version: u64, now: Microseconds) -> Vec<Leaving> {
+        self.since
+            .iter()
+            .filter(|(_, since)| now.saturating_sub(**since) < PASS_ON_FOR)
+            .map(|((service, target), _)| Leaving {
+                service: service.to_string(),
+                target: target.to_string(),
+                version,
+            })
+            .collect()
+    }
+
+    /// Forgets what was learned before another version came in force.
+    pub(crate) fn clear(&mut self) {
+        self.since.clear();
+    }
+}
+
+impl Entry {
+    /// Takes news of leaving targets in. News from another version is left out: the target may have
+    /// been put back since.
+    pub(crate) fn hear_leaving(&self, news: &[Leaving]) {
+        let snapshot = self.snapshot.load();
+        for leaving in news {
+            if leaving.version != snapshot.version.number() {
+                continue;
+            }
+            let (Ok(service), Ok(target)) = (leaving.service.parse(), leaving.target.parse())
+            else {
+                continue;
+            };
+            let service: ServiceName = service;
+            let state = snapshot.services.get(&service);
+            if let Some(target) = state.and_then(|entry| entry.state.target(target))
+                && !target.is_leaving()
+            {
+                log::info!(target: "leaving", "Target {} of {service} is leaving.", target.address());
+                target.leave();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -0,0 +1,39 @@
+//! The entry instance: the driver that joins decisions, callers, targets, peers and the platform.
+//!
+//! The decisions are made in `pinhaven-decide` and `pinhaven-agree`; this crate carries them out. A
+//! request's path reads one snapshot and atomics. Everything else runs beside it in tasks of its own:
+//! following the bundle history, talking to peers, renewing a seat, probing, reporting metrics.
+
+mod address;
+mod body;
+mod bundles;
+mod claims;
+mod clock;
+mod counters;
+mod entry;
+mod error;
+mod gossip;
+mod header;
+mod leaving;
+mod load_report;
+mod metrics;
+mod once;
+mod pool;
+mod probes;
+mod problem;
+mod proxy;
+mod relay;
+mod seats;
+mod snapshot;
+mod start;
+mod status;
+mod stop;
+
+pub use error::EntryError;
+pub use error::EntryStep;
+pub use start::run_entry;
+pub use status::InstanceStatus;
+pub use status::MemberStatus;
+pub use status::PromiseStatus;
+pub use status::ServiceStatus;
+pub use status::TargetStatus;
--- /dev/null
+++ b/crates/pinhaven-entry/src/once.rs
@@ -0,0 +1,265 @@
+//! Once-only requests: those that may not be repeated and carry an `Idempotency-Key`.
+//!
+//! The request's home dispatches it, whichever entry the caller sent it to. The work goes on when the
+//! caller leaves, so that a repeated key finds the answer.
+
+use crate::body::RequestBody;
+use crate::body::collect_answer;
+use crate::body::too_large;
+use crate::claims;
+use crate::counters::Count;
+use crate::header;
+use crate::problem::Problem;
+use crate::proxy::CallerHold;
+use crate::proxy::Job;
+use crate::proxy::dispatch;
+use crate::relay;
+use bytes::Bytes;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use pinhaven_agree::Begin;
+use pinhaven_agree::Claim;
+use pinhaven_agree::Epoch;
+use pinhaven_agree::Fingerprint;
+use pinhaven_agree::Home;
+use pinhaven_agree::OnceKey;
+use pinhaven_agree::StoredAnswer;
+use pinhaven_bundle::Service;
+use pinhaven_decide::RunState;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::spawn;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::Digest;
+use pinhaven_types::Promise;
+use pinhaven_types::require_promise;
+
+/// The largest body of a once-only request, in bytes; it is held whole.
+const BODY_BYTES_MAX: u64 = 1024 * 1024;
+/// The largest answer to a once-only request, in bytes.
+const ANSWER_BYTES_MAX: usize = 4 * 1024 * 1024;
+/// When a caller may ask again for a request in flight, in milliseconds.
+const IN_FLIGHT_RETRY_MS: u64 = 200;
+
+/// The largest body that a once-only request of a service may have, in bytes.
+pub(crate) fn body_bytes_most(service: &Service) -> u64 {
+    service.body_bytes.min(BODY_BYTES_MAX)
+}
+
+/// Answers a once-only request, here or at its home.
+pub(crate) async fn answer(job: Job, hold: CallerHold) -> Response<AnyBody> {
+    match find_home(&job).await {
+        Err(problem) => problem.into_response(),
+        Ok((home, key, bytes)) => {
+            if home.incarnation == job.entry.incarnation {
+                run_at_home(job, hold, home.epoch, key, bytes).await
+            } else {
+                relay::to_home(&job, home, key, bytes).await
+            }
+        }
+    }
+}
+
+async fn find_home(job: &Job) -> Result<(Home, Digest, Bytes), Problem> {
+    let RequestBody::Whole(bytes) = &job.body else {
+        return Err(too_large(&job.entry, body_bytes_most(&job.service.config)));
+    };
+    let key = key_digest(job)?;
+    let home = match job.headers.get(header::HOME) {
+        None => claims::home_of(&job.entry, &job.service.config.name, key).await?,
+        Some(value) => parse_home(job, value)?,
+    };
+    Ok((home, key, bytes.clone()))
+}
+
+fn key_digest(job: &Job) -> Result<Digest, Problem> {
+    let Some(key) = job.headers.get(header::IDEMPOTENCY_KEY) else {
+        return Err(Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "key_missing",
+            "the request has no Idempotency-Key",
+        ));
+    };
+    Ok(Digest::of(key.as_bytes()))
+}
+
+fn parse_home(job: &Job, value: &HeaderValue) -> Result<Home, Problem> {
+    let home = value.to_str().ok().and_then(|text| text.parse().ok());
+    home.ok_or_else(|| {
+        job.entry.counters.add(Count::BadRequest);
+        Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "bad_home",
+            "Pinhaven-Home is the `home` of an address answer",
+        )
+    })
+}
+
+/// Runs a request whose home is this entry. The work does not stop when the caller leaves.
+pub(crate) async fn run_at_home(
+    job: Job,
+    hold: CallerHold,
+    epoch: Epoch,
+    key: Digest,
+    bytes: Bytes,
+) -> Response<AnyBody> {
+    let fingerprint = fingerprint(&job, &bytes);
+    let once_key = OnceKey {
+        epoch,
+        service: job.service.config.name.clone(),
+        key,
+    };
+    let begin = job.entry.ledger.lock().begin(once_key, fingerprint);
+    let claim = match begin {
+        Begin::Dispatch(claim) => claim,
+        other => return answer_without_dispatch(&job, other),
+    };
+    let (sender, receiver) = async_channel::bounded(1);
+    spawn(async move {
+        let response = dispatch_once(job, hold, claim).await;
+        // The caller may have left; the ledger has the answer.
+        let _ = sender.send(response).await;
+    })
+    .detach();
+    match receiver.recv().await {
+        Ok(response) => response,
+        Err(_) => {
+            Problem::unknown(StatusCode::BAD_GATEWAY, "broken", "the work ended").into_response()
+        }
+    }
+}
+
+async fn dispatch_once(job: Job, hold: CallerHold, claim: Claim) -> Response<AnyBody> {
+    job.entry.counters.add(Count::OnceDispatched);
+    let (head, body) = dispatch(&job, hold).await.into_parts();
+    let run_state = head.headers.get(header::RUN).cloned();
+    let body = collect_answer(body, ANSWER_BYTES_MAX).await;
+    let mut ledger = job.entry.ledger.lock();
+    let Some(body) = body else {
+        ledger.settle_unknown(claim);
+        return Problem::unknown(
+            StatusCode::BAD_GATEWAY,
+            "broken",
+            "the target's answer did not come whole",
+        )
+        .into_response();
+    };
+    let is = |state: RunState| run_state.as_ref().is_some_and(|run| run == state.name());
+    if is(RunState::Run) {
+        let headers = head.headers.iter();
+        ledger.settle_answered(
+            claim,
+            StoredAnswer {
+                status: head.status.as_u16(),
+                headers: headers
+                    .map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()))
+                    .collect(),
+                body: body.to_vec(),
+            },
+        );
+    } else if is(RunState::NotRun) {
+        ledger.settle_not_run(claim);
+    } else {
+        ledger.settle_unknown(claim);
+    }
+    Response::from_parts(head, whole_body(body))
+}
+
+fn answer_without_dispatch(job: &Job, begin: Begin) -> Response<AnyBody> {
+    let counters = &job.entry.counters;
+    match begin {
+        Begin::Answered(answer) => {
+            counters.add(Count::OnceReplayed);
+            stored_response(answer)
+        }
+        Begin::InFlight => {
+            counters.add(Count::OnceInFlight);
+            Problem::unknown(
+                StatusCode::CONFLICT,
+                "in_flight",
+                "a request with this key is being worked on",
+            )
+            .with_retry_after_ms(IN_FLIGHT_RETRY_MS)
+            .into_response()
+        }
+        Begin::AnsweredBefore => {
+            counters.add(Count::OnceReplayed);
+            Problem::unknown(
+                StatusCode::CONFLICT,
+                "answered_before",
+                "the request with this key ran; its answer is no longer held",
+            )
+            .with_run_state(RunState::Run)
+            .into_response()
+        }
+        Begin::OtherRequest => {
+            counters.add(Count::OnceOtherRequest);
+            Problem::not_run(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "key_reused",
+                "this key belongs to another request",
+            )
+            .into_response()
+        }
+        Begin::Full => {
+            counters.add(Count::OnceFull);
+            Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "ledger_full",
+                "this entry can't remember more keys now",
+            )
+            .into_response()
+        }
+        Begin::NeverIssued => {
+            counters.add(Count::BadRequest);
+            Problem::not_run(
+                StatusCode::BAD_REQUEST,
+                "bad_home",
+                "this home was never given out",
+            )
+            .into_response()
+        }
+        Begin::Unknown | Begin::Forgotten => {
+            counters.add(Count::OnceUnknown);
+            Problem::unknown(
+                StatusCode::BAD_GATEWAY,
+                "outcome_unknown",
+                "nobody can tell whether the request with this key ran",
+            )
+            .into_response()
+        }
+        Begin::Dispatch(_) => {
+            require_promise(Promise::AtMostOnce, false, || {
+                "a dispatch was taken for an answer".to_owned()
+            });
+            Problem::unknown(StatusCode::BAD_GATEWAY, "broken", "").into_response()
+        }
+    }
+}
+
+fn stored_response(answer: StoredAnswer) -> Response<AnyBody> {
+    let mut response = Response::new(whole_body(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    for (name, value) in answer.headers {
+        let name = HeaderName::try_from(name);
+        let value = HeaderValue::from_bytes(&value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
+
+/// Digest of what makes the request what it is. The caller's credentials belong to it, so that one
+/// caller's key never gets another caller's answer.
+fn fingerprint(job: &Job, body: &Bytes) -> Fingerprint {
+    let path = job.uri.path_and_query().map_or("/", |path| path.as_str());
+    let credentials = job.headers.get(http::header::AUTHORIZATION);
+    Fingerprint(Digest::of_parts(&[
+        job.method.as_str().as_bytes(),
+        path.as_bytes(),
+        credentials.map_or(&[][..], HeaderValue::as_bytes),
+        body,
+    ]))
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/probes.rs
@@ -0,0 +1,133 @@
+//! Probing the targets of this entry's seat, within the budget.
+//!
+//! Probes find what replies can't: that an idle target has begun to drain, or to answer again. They
+//! are sent one after another, each after the seat and the budget were asked.
+
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::load_report;
+use crate::pool::no_bytes;
+use crate::snapshot::ServiceEntry;
+use http::Request;
+use pinhaven_agree::seat_of;
+use pinhaven_decide::ProbeBudget;
+use pinhaven_runtime::HttpClient;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How often due probes are looked for, in milliseconds.
+const TICK_MS: u64 = 20;
+/// How long a target may take to answer a probe, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 1_000;
+
+type Budgets = BTreeMap<(ServiceName, TargetAddress), ProbeBudget>;
+
+/// The budgets of the targets of one seat in one version.
+struct Round {
+    version: BundleVersion,
+    seat: u32,
+    budgets: Budgets,
+}
+
+impl Entry {
+    /// Sends probes for ever.
+    pub(crate) async fn probe(self: Arc<Self>) {
+        let mut round: Option<Round> = None;
+        loop {
+            sleep_ms(TICK_MS).await;
+            let Some(seat) = self.seats.lock().seat(self.now()) else {
+                round = None;
+                continue;
+            };
+            let snapshot = self.snapshot.load_full();
+            let is_current = round
+                .as_ref()
+                .is_some_and(|round| round.version == snapshot.version && round.seat == seat);
+            if !is_current {
+                let kept = round.take().filter(|round| round.seat == seat);
+                round = Some(self.begin_round(seat, kept));
+            }
+            let Some(round) = &mut round else {
+                continue;
+            };
+            for ((name, target), budget) in &mut round.budgets {
+                let Some(service) = snapshot.services.get(name) else {
+                    continue;
+                };
+                self.probe_if_due(seat, service, *target, budget).await;
+            }
+        }
+    }
+
+    /// The budgets for a new version or seat. What a target's budget has spent is kept, unless the
+    /// service changed: then it begins anew with a pause, as after a change of holders.
+    fn begin_round(&self, seat: u32, kept: Option<Round>) -> Round {
+        let snapshot = self.snapshot.load();
+        let measuring = &snapshot.bundle.measuring;
+        let now = self.now();
+        let mut kept = kept.map(|round| round.budgets).unwrap_or_default();
+        let mut budgets = Budgets::new();
+        for (name, service) in &snapshot.services {
+            for target in &service.config.targets {
+                if seat_of(target.address, measuring.seats) != seat {
+                    continue;
+                }
+                let key = (name.clone(), target.address);
+                let fresh = ProbeBudget::new(measuring, &service.config, now);
+                let budget = match kept.remove(&key) {
+                    Some(kept) if kept.is_same_plan(&fresh) => kept,
+                    _ => fresh,
+                };
+                budgets.insert(key, budget);
+            }
+        }
+        Round {
+            version: snapshot.version,
+            seat,
+            budgets,
+        }
+    }
+
+    async fn probe_if_due(
+        &self,
+        seat: u32,
+        service: &ServiceEntry,
+        target: TargetAddress,
+        budget: &mut ProbeBudget,
+    ) {
+        let Some(path) = &service.config.probe_path else {
+            return;
+        };
+        let Some(state) = service.state.target(target) else {
+            return;
+        };
+        let now = self.now();
+        if state.is_leaving() || budget.next_at().is_none_or(|at| at > now) {
+            return;
+        }
+        // The seat is asked last, so that a pause before this line costs no probe.
+        let holds_seat = self.seats.lock().seat(self.now()) == Some(seat);
+        if !holds_seat || !budget.take(now) {
+            return;
+        }
+        self.counters.add(Count::Probes);
+        let client = HttpClient::new(target.socket_address(), PROBE_TIMEOUT_MS);
+        let Ok(request) = Request::get(path).body(no_bytes()) else {
+            return;
+        };
+        let answer = client.call(request).await;
+        let answered_at = self.now();
+        budget.record(answered_at.saturating_sub(now));
+        let report = answer
+            .ok()
+            .and_then(|answer| load_report::from_json(answer.body()));
+        match report {
+            Some(report) => service.state.record_report(state, answered_at, &report),
+            None => self.counters.add(Count::ProbeFailed),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/seats.rs
@@ -0,0 +1,77 @@
+//! Carrying out what the seat keeper says.
+
+use crate::entry::Entry;
+use pinhaven_agree::SeatAction;
+use pinhaven_agree::SeatRow;
+use pinhaven_platform::Condition;
+use pinhaven_platform::Row;
+use pinhaven_platform::RowVersion;
+use pinhaven_platform::SEAT_PREFIX;
+use pinhaven_platform::TableService;
+use pinhaven_runtime::sleep_ms;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How often the keeper is asked, in milliseconds.
+const TICK_MS: u64 = 500;
+
+impl Entry {
+    /// Renews this entry's seat, or tries to get one, for ever.
+    pub(crate) async fn keep_seat(self: Arc<Self>) {
+        loop {
+            sleep_ms(TICK_MS).await;
+            if !self.measures_anything() {
+                continue;
+            }
+            let now = self.now();
+            let action = self.seats.lock().tick(now);
+            if action == Some(SeatAction::List) {
+                self.list_seats().await;
+            }
+        }
+    }
+
+    /// Whether any service wants probes.
+    fn measures_anything(&self) -> bool {
+        let snapshot = self.snapshot.load();
+        snapshot.bundle.services.iter().any(|service| {
+            service.probe_path.is_some() && service.measuring_budget_percent.fraction() > 0.0
+        })
+    }
+
+    async fn list_seats(&self) {
+        let listed = self.table.list(SEAT_PREFIX).await;
+        let Ok(rows) = self.count_platform(listed) else {
+            return;
+        };
+        let mut seats = BTreeMap::new();
+        let mut versions = BTreeMap::new();
+        for row in rows {
+            if let Some((seat, parsed)) = parse_row(&row) {
+                seats.insert(seat, parsed);
+                versions.insert(seat, row.version);
+            }
+        }
+        let now = self.now();
+        let action = self.seats.lock().take_rows(&seats, now);
+        if let Some(SeatAction::Write { seat, row, .. }) = action {
+            self.write_seat(seat, &row, versions.remove(&seat)).await;
+        }
+    }
+
+    async fn write_seat(&self, seat: u32, row: &SeatRow, listed: Option<RowVersion>) {
+        let asked_at = self.now();
+        let key = format!("{SEAT_PREFIX}{seat}");
+        let value = serde_json::to_string(row).unwrap_or_default();
+        let condition = listed.map_or(Condition::Absent, Condition::Version);
+        let written = self.table.write(&key, condition, value).await;
+        // A write that nobody can tell the outcome of counts as none: the next listing shows it.
+        let took_effect = self.count_platform(written).is_ok();
+        self.seats.lock().take_written(seat, took_effect, asked_at);
+    }
+}
+
+fn parse_row(row: &Row) -> Option<(u32, SeatRow)> {
+    let seat = row.key.strip_prefix(SEAT_PREFIX)?.parse().ok()?;
+    Some((seat, serde_json::from_str(&row.value).ok()?))
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/start.rs
@@ -0,0 +1,171 @@
+//! Starting an entry and running it until it is told to stop.
+
+use crate::entry::Entry;
+use crate::error::EntryError;
+use crate::error::EntryStep;
+use crate::gossip::PeerAnswers;
+use crate::metrics;
+use crate::proxy::answer_caller;
+use crate::status;
+use crate::stop::stop;
+use async_signal::Signal;
+use async_signal::Signals;
+use futures_lite::StreamExt as _;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use pinhaven_agree::MemberState;
+use pinhaven_peer::answer_peer;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::HttpServer;
+use pinhaven_runtime::HttpServerSettings;
+use pinhaven_runtime::run_with_threads;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Connections from peers and operators at a time.
+const PEER_CONNECTIONS_MAX: usize = 1_000;
+/// How long a peer's connection may be idle, in milliseconds.
+const PEER_IDLE_MS: u64 = 60_000;
+/// How often the start looks whether a version is in force, in milliseconds.
+const READY_LOOK_MS: u64 = 20;
+
+/// Runs an entry until it gets SIGTERM or SIGINT, then stops it as planned. Returns whether the stop
+/// finished everything in flight.
+///
+/// # Errors
+///
+/// [`EntryError`] when it can't listen.
+pub fn run_entry(settings: Settings) -> Result<bool, EntryError> {
+    let threads = settings.worker_threads;
+    run_with_threads(threads, run(settings))
+}
+
+async fn run(settings: Settings) -> Result<bool, EntryError> {
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let mut signals = signals.map_err(|error| EntryError::System {
+        step: EntryStep::ListenForSignals,
+        peer: "SIGTERM and SIGINT".to_owned(),
+        message: error.to_string(),
+    })?;
+    let callers = listen(
+        EntryStep::ListenForCallers,
+        settings.caller_address,
+        HttpServerSettings {
+            idle_ms: settings.caller_idle_ms,
+            connections_most: settings.requests_most as usize,
+        },
+    )?;
+    let peers = listen(
+        EntryStep::ListenForPeers,
+        settings.peer_address,
+        HttpServerSettings {
+            idle_ms: PEER_IDLE_MS,
+            connections_most: PEER_CONNECTIONS_MAX,
+        },
+    )?;
+    let metrics_client = match settings.metrics_address {
+        Some(address) => Some(metrics::connect(address)?),
+        None => None,
+    };
+    let entry = Entry::new(settings, address_of(&callers), address_of(&peers));
+    log::info!(
+        target: "entry",
+        "Instance {} listens at {} for callers and at {} for peers.",
+        entry.settings.instance_id, address_of(&callers), address_of(&peers)
+    );
+    let callers = Arc::new(callers);
+    serve(&entry, &callers, peers);
+    run_beside(&entry);
+    if let Some(client) = metrics_client {
+        spawn(Arc::clone(&entry).report_metrics(client)).detach();
+    }
+    // An error among the signals would be the system's; either way the entry stops as planned.
+    let _ = signals.next().await;
+    Ok(stop(&entry, &callers).await)
+}
+
+fn listen(
+    step: EntryStep,
+    address: SocketAddr,
+    settings: HttpServerSettings,
+) -> Result<HttpServer, EntryError> {
+    HttpServer::bind(address, settings).map_err(|error| EntryError::System {
+        step,
+        peer: address.to_string(),
+        message: error.to_string(),
+    })
+}
+
+fn address_of(server: &HttpServer) -> SocketAddr {
+    server
+        .local_address()
+        .unwrap_or_else(|_| (std::net::Ipv4Addr::UNSPECIFIED, 0).into())
+}
+
+fn serve(entry: &Arc<Entry>, callers: &Arc<HttpServer>, peers: HttpServer) {
+    let server = Arc::clone(callers);
+    let for_callers = Arc::clone(entry);
+    spawn(async move {
+        let handler = move |request| answer_caller(Arc::clone(&for_callers), request);
+        server.serve(handler).await;
+    })
+    .detach();
+    let for_peers = Arc::clone(entry);
+    spawn(async move {
+        let answers = Arc::new(PeerAnswers(Arc::clone(&for_peers)));
+        let handler = move |request| {
+            let entry = Arc::clone(&for_peers);
+            let answers = Arc::clone(&answers);
+            async move { answer_peer_or_operator(&entry, answers, request).await }
+        };
+        peers.serve(handler).await;
+    })
+    .detach();
+}
+
+async fn answer_peer_or_operator(
+    entry: &Entry,
+    answers: Arc<PeerAnswers>,
+    request: Request<Incoming>,
+) -> Response<AnyBody> {
+    if request.uri().path() == status::PATH {
+        return status::answer(entry);
+    }
+    answer_peer(answers, request).await
+}
+
+/// Starts what runs beside the requests.
+fn run_beside(entry: &Arc<Entry>) {
+    spawn(Arc::clone(entry).follow_bundles()).detach();
+    spawn(Arc::clone(entry).gossip()).detach();
+    spawn(Arc::clone(entry).keep_seat()).detach();
+    spawn(Arc::clone(entry).probe()).detach();
+    spawn(Arc::clone(entry).count_epochs()).detach();
+    spawn(Arc::clone(entry).announce_start()).detach();
+}
+
+impl Entry {
+    /// Begins epochs of once-only requests for ever.
+    async fn count_epochs(self: Arc<Self>) {
+        loop {
+            sleep_ms(self.settings.ledger_epoch_ms).await;
+            self.ledger.lock().advance_epoch();
+        }
+    }
+
+    /// Writes the own row, and again once this entry is ready.
+    async fn announce_start(self: Arc<Self>) {
+        self.write_own_row().await;
+        while self.state() == MemberState::Starting {
+            sleep_ms(READY_LOOK_MS).await;
+        }
+        if self.state() == MemberState::Ready {
+            log::info!(target: "entry", "Ready.");
+            self.write_own_row().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/status.rs
@@ -0,0 +1,191 @@
+//! What an entry tells operators, as JSON on its peer address.
+//!
+//! `GET /status` is answered there; the `instances`, `targets` and `bundle status` commands read it.
+
+use crate::entry::Entry;
+use http::Response;
+use http::StatusCode;
+use pinhaven_agree::MemberRow;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::Promise;
+use pinhaven_types::promise_check_count;
+use pinhaven_types::promise_violation_count;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Where the status is asked for.
+pub(crate) const PATH: &str = "/status";
+
+/// All that an entry tells.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// What it says of itself.
+    pub own: MemberRow,
+    /// Requests under way.
+    pub in_flight: u32,
+    /// Records of once-only requests.
+    pub ledger_records: usize,
+    /// The measuring seat it holds.
+    pub seat: Option<u32>,
+    /// All counters by name.
+    pub counters: BTreeMap<String, u64>,
+    /// The promises and how often they were looked at.
+    pub promises: BTreeMap<String, PromiseStatus>,
+    /// The other entries as it sees them.
+    pub members: Vec<MemberStatus>,
+    /// The services and their targets as it sees them.
+    pub services: Vec<ServiceStatus>,
+}
+
+/// How a promise fares.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct PromiseStatus {
+    /// How often it was looked at.
+    pub checks: u64,
+    /// How often it did not hold.
+    pub broken: u64,
+}
+
+/// Another entry.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// What was last heard of it.
+    pub row: MemberRow,
+    /// Whether its heart beats.
+    pub is_live: bool,
+}
+
+/// A service.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ServiceStatus {
+    /// Its name.
+    pub name: String,
+    /// Requests at its targets.
+    pub in_flight: u32,
+    /// Requests that wait for a place.
+    pub waiting: u32,
+    /// Requests kept in flight at the most.
+    pub limit: f32,
+    /// Delay of a hedge, in milliseconds.
+    pub hedge_delay_ms: f64,
+    /// Hedges sent.
+    pub hedges: u64,
+    /// Retries sent.
+    pub retries: u64,
+    /// Targets ejected so far.
+    pub ejections: u64,
+    /// Its targets.
+    pub targets: Vec<TargetStatus>,
+}
+
+/// A target.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// Where it listens.
+    pub address: String,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// Requests of this entry at it.
+    pub in_flight: u32,
+    /// Requests of others that it is thought to hold.
+    pub others: f32,
+    /// Its recent latency, in milliseconds.
+    pub latency_ms: f32,
+    /// `live`, `ejected` or `leaving`.
+    pub state: String,
+}
+
+/// Answers the question for the status.
+pub(crate) fn answer(entry: &Entry) -> Response<AnyBody> {
+    match serde_json::to_vec(&status_of(entry)) {
+        Ok(bytes) => Response::new(whole_body(bytes)),
+        Err(error) => {
+            let mut response = Response::new(whole_body(error.to_string()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
+fn status_of(entry: &Entry) -> InstanceStatus {
+    let now = entry.now();
+    let members = entry.members.lock();
+    let own = members.own().clone();
+    let others = members.others().map(|member| MemberStatus {
+        row: member.row.clone(),
+        is_live: members.is_live(member, now),
+    });
+    let others = others.collect();
+    drop(members);
+    InstanceStatus {
+        own,
+        in_flight: entry.in_flight(),
+        ledger_records: entry.ledger.lock().record_count(),
+        seat: entry.seats.lock().seat(now),
+        counters: entry.counters.all(),
+        promises: promises(),
+        members: others,
+        services: services_of(entry),
+    }
+}
+
+fn promises() -> BTreeMap<String, PromiseStatus> {
+    let status = |promise: Promise| PromiseStatus {
+        checks: promise_check_count(promise),
+        broken: promise_violation_count(promise),
+    };
+    Promise::ALL
+        .into_iter()
+        .map(|promise| (promise.name().to_owned(), status(promise)))
+        .collect()
+}
+
+fn services_of(entry: &Entry) -> Vec<ServiceStatus> {
+    let now = entry.now();
+    let snapshot = entry.snapshot.load();
+    let mut services: Vec<ServiceStatus> = snapshot
+        .services
+        .iter()
+        .map(|(name, service)| {
+            let state = &service.state;
+            let counts = state.counts();
+            ServiceStatus {
+                name: name.to_string(),
+                in_flight: state.in_flight(),
+                waiting: state.waiting(),
+                limit: state.in_flight_limit(),
+                hedge_delay_ms: state.hedge_delay().as_ms(),
+                hedges: counts.hedges,
+                retries: counts.retries,
+                ejections: counts.ejections,
+                targets: state
+                    .targets()
+                    .iter()
+                    .map(|target| target_of(&target.view(now)))
+                    .collect(),
+            }
+        })
+        .collect();
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    services
+}
+
+fn target_of(view: &pinhaven_decide::TargetView) -> TargetStatus {
+    let state = if view.is_leaving {
+        "leaving"
+    } else if view.is_ejected {
+        "ejected"
+    } else {
+        "live"
+    };
+    TargetStatus {
+        address: view.address.to_string(),
+        failure_domain: view.failure_domain.to_string(),
+        in_flight: view.in_flight,
+        others: view.others,
+        latency_ms: view.latency_ms,
+        state: state.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -0,0 +1,53 @@
+//! The planned stop.
+//!
+//! In this order: the entry tells everyone that it stops, so that no new address answer names it; it
+//! serves on for as long as callers keep older answers; it takes no more connections and lets each
+//! open one finish; and it exits once nothing is in flight.
+
+use crate::entry::Entry;
+use pinhaven_agree::MemberState;
+use pinhaven_runtime::HttpServer;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_types::Promise;
+use pinhaven_types::require_promise;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Exchanges that the word may take to all entries.
+const EXCHANGES_TO_SPREAD: u64 = 4;
+/// How often the requests in flight are counted, in milliseconds.
+const COUNT_MS: u64 = 10;
+
+/// Stops an entry without cutting a request. Returns whether everything was finished in time.
+pub(crate) async fn stop(entry: &Arc<Entry>, server: &Arc<HttpServer>) -> bool {
+    log::info!(target: "stop", "Stopping; callers are told to use other entries.");
+    entry.members.lock().advance(MemberState::Stopping);
+    entry.news.notify(usize::MAX);
+    let writer = Arc::clone(entry);
+    let row_written = spawn(async move { writer.write_own_row().await });
+    let keep_ms = entry.snapshot.load().bundle.address_keep_ms;
+    sleep_ms(keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD).await;
+    log::info!(target: "stop", "Finishing {} requests in flight.", entry.in_flight());
+    server.close_gracefully();
+    let is_finished = wait_until_idle(entry, server).await;
+    row_written.cancel().await;
+    let holds = require_promise(Promise::PlannedStop, is_finished, || {
+        format!("{} requests were still in flight", entry.in_flight())
+    });
+    log::info!(target: "stop", "Stopped.");
+    holds
+}
+
+async fn wait_until_idle(entry: &Entry, server: &HttpServer) -> bool {
+    let most = Duration::from_millis(entry.settings.stop_most_ms);
+    let began = Instant::now();
+    while began.elapsed() < most {
+        if entry.in_flight() == 0 && server.open_connections() == 0 {
+            return true;
+        }
+        sleep_ms(COUNT_MS).await;
+    }
+    entry.in_flight() == 0
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/measure.rs
@@ -0,0 +1,1 @@
+//! Measurements.
--- /dev/null
+++ b/crates/pinhaven-lab/src/process.rs
@@ -0,0 +1,141 @@
+//! One process that a lab started.
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Clock ticks a second in `/proc`.
+const TICKS_PER_S: f64 = 100.0;
+/// Bytes of a memory page.
+const PAGE_BYTES: u64 = 4096;
+
+/// A process that ends with its owner.
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program and gives its first line of output, if `reads_line`.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the program can't be started.
+    pub fn start(
+        program: &Path,
+        arguments: &[String],
+        log: &Path,
+        reads_line: bool,
+    ) -> std::io::Result<(Self, String)> {
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(log)?;
+        let mut command = Command::new(program);
+        command.args(arguments).stderr(log).stdin(Stdio::null());
+        command.stdout(if reads_line {
+            Stdio::piped()
+        } else {
+            Stdio::null()
+        });
+        let mut process = Self {
+            child: command.spawn()?,
+        };
+        let mut line = String::new();
+        if let Some(output) = process.child.stdout.take() {
+            BufReader::new(output).read_line(&mut line)?;
+        }
+        Ok((process, line))
+    }
+
+    /// Kills the process without warning.
+    pub fn kill(&mut self) {
+        // A process that has ended already needs no killing.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop as planned.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits for the process to end by itself; whether it did, and well.
+    pub fn wait(&mut self, most: Duration) -> Option<bool> {
+        let began = Instant::now();
+        while began.elapsed() < most {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
+    /// Processor time so far.
+    pub fn cpu_time(&self) -> Duration {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let after_name = text.rsplit_once(')').map_or("", |(_, rest)| rest);
+        let ticks: u64 = after_name
+            .split_whitespace()
+            .skip(11)
+            .take(2)
+            .filter_map(|field| field.parse::<u64>().ok())
+            .sum();
+        Duration::from_secs_f64(ticks as f64 / TICKS_PER_S)
+    }
+
+    /// Memory that the process holds, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/statm", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let pages: Option<u64> = text
+            .split_whitespace()
+            .nth(1)
+            .and_then(|pages| pages.parse().ok());
+        pages.unwrap_or_default() * PAGE_BYTES
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // A process that has ended already can't be signalled.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A program that was built beside this one.
+pub(crate) fn sibling(name: &str) -> PathBuf {
+    let own = std::env::current_exe().unwrap_or_default();
+    let mut folder = own.parent().map(Path::to_path_buf).unwrap_or_default();
+    if folder.ends_with("deps") {
+        folder.pop();
+    }
+    folder.join(name)
+}
--- /dev/null
+++ b/crates/pinhaven-peer/src/lib.rs
@@ -0,0 +1,35 @@
+//! The protocol that entries speak to each other.
+//!
+//! `proto/peer.proto` describes it; the generated code is committed and made again with
+//! `cargo run -p pinhaven-peer --example generate`. Calls go over HTTP/2, one connection a peer, and
+//! each has a deadline.
+
+mod channel;
+mod client;
+mod server;
+
+#[allow(missing_docs, rust_2018_idioms, clippy::all)]
+mod generated {
+    include!("generated/pinhaven.peer.rs");
+}
+
+pub use client::PeerClients;
+pub use client::PeerError;
+pub use client::PeerStep;
+pub use generated::Beat;
+pub use generated::ExchangeRequest;
+pub use generated::ExchangeResponse;
+pub use generated::FetchBundleRequest;
+pub use generated::FetchBundleResponse;
+pub use generated::Header;
+pub use generated::Identity;
+pub use generated::Leaving;
+pub use generated::RelayOnceRequest;
+pub use generated::RelayOnceResponse;
+pub use generated::fetch_bundle_response::Body as FetchedBody;
+pub use generated::peer_server::Peer;
+pub use server::answer_peer;
+pub use tonic::Request;
+pub use tonic::Response;
+pub use tonic::Status;
+pub use tonic::async_trait;
--- /dev/null
+++ b/crates/pinhaven-platform/src/http.rs
@@ -0,0 +1,221 @@
+//! Both interfaces over HTTP conditional requests.
+
+use crate::Condition;
+use crate::ObjectStore;
+use crate::PlatformError;
+use crate::PlatformStep;
+use crate::Row;
+use crate::RowVersion;
+use crate::TableService;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::ETAG;
+use http::header::IF_MATCH;
+use http::header::IF_NONE_MATCH;
+use pinhaven_runtime::CallError;
+use pinhaven_runtime::HttpClient;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// The table service over HTTP.
+pub struct HttpTableService(Caller);
+
+/// The object store over HTTP.
+pub struct HttpObjectStore(Caller);
+
+impl HttpTableService {
+    /// A client of the service at `peer`, each call with a deadline.
+    pub fn new(peer: SocketAddr, timeout_ms: u64) -> Self {
+        Self(Caller(HttpClient::new(peer, timeout_ms)))
+    }
+}
+
+impl HttpObjectStore {
+    /// A client of the store at `peer`, each call with a deadline.
+    pub fn new(peer: SocketAddr, timeout_ms: u64) -> Self {
+        Self(Caller(HttpClient::new(peer, timeout_ms)))
+    }
+}
+
+/// A row as a listing spells it.
+#[derive(Deserialize)]
+struct ListedRow {
+    key: String,
+    version: String,
+    value: String,
+}
+
+impl TableService for HttpTableService {
+    async fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
+        let call = Call::new(PlatformStep::ReadRow, Method::GET, "table", key);
+        let response = self.0.call(&call, Bytes::new()).await?;
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(Some(Row {
+                key: key.to_owned(),
+                version: self.0.row_version(&call, &response)?,
+                value: String::from_utf8_lossy(response.body()).into_owned(),
+            })),
+            status => Err(self.0.no_effect(&call, status)),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
+        let call = Call::new(PlatformStep::ListRows, Method::GET, "list", prefix);
+        let response = self.0.call(&call, Bytes::new()).await?;
+        if response.status() != StatusCode::OK {
+            return Err(self.0.no_effect(&call, response.status()));
+        }
+        let rows: Vec<ListedRow> = match serde_json::from_slice(response.body()) {
+            Ok(rows) => rows,
+            Err(error) => return Err(self.0.no_effect(&call, error)),
+        };
+        let rows = rows.into_iter().map(|row| Row {
+            key: row.key,
+            version: RowVersion::new(row.version),
+            value: row.value,
+        });
+        Ok(rows.collect())
+    }
+
+    async fn write(
+        &self,
+        key: &str,
+        condition: Condition,
+        value: String,
+    ) -> Result<RowVersion, PlatformError> {
+        let mut call = Call::new(PlatformStep::WriteRow, Method::PUT, "table", key);
+        call.condition = Some(condition);
+        let response = self.0.call(&call, Bytes::from(value)).await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::CREATED => self.0.row_version(&call, &response),
+            status => Err(self.0.write_error(&call, status)),
+        }
+    }
+}
+
+impl ObjectStore for HttpObjectStore {
+    async fn read(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let call = Call::new(PlatformStep::ReadObject, Method::GET, "objects", key);
+        let response = self.0.call(&call, Bytes::new()).await?;
+        match response.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            StatusCode::OK => Ok(Some(response.into_body().to_vec())),
+            status => Err(self.0.no_effect(&call, status)),
+        }
+    }
+
+    async fn write(&self, key: &str, bytes: Vec<u8>) -> Result<(), PlatformError> {
+        let mut call = Call::new(PlatformStep::WriteObject, Method::PUT, "objects", key);
+        call.condition = Some(Condition::Absent);
+        let response = self.0.call(&call, Bytes::from(bytes)).await?;
+        match response.status() {
+            // An object is named by its digest, so one that is there already is the same one.
+            StatusCode::OK | StatusCode::CREATED | StatusCode::PRECONDITION_FAILED => Ok(()),
+            status => Err(self.0.write_error(&call, status)),
+        }
+    }
+}
+
+/// One call, as far as errors must name it.
+struct Call<'key> {
+    step: PlatformStep,
+    method: Method,
+    root: &'static str,
+    key: &'key str,
+    condition: Option<Condition>,
+}
+
+impl<'key> Call<'key> {
+    fn new(step: PlatformStep, method: Method, root: &'static str, key: &'key str) -> Self {
+        Self {
+            step,
+            method,
+            root,
+            key,
+            condition: None,
+        }
+    }
+}
+
+struct Caller(HttpClient);
+
+impl Caller {
+    async fn call(&self, call: &Call<'_>, body: Bytes) -> Result<Response<Bytes>, PlatformError> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(format!("/{}/{}", call.root, call.key));
+        request = match &call.condition {
+            None => request,
+            Some(Condition::Absent) => request.header(IF_NONE_MATCH, "*"),
+            Some(Condition::Version(version)) => request.header(IF_MATCH, version.as_str()),
+        };
+        let request = match request.body(body) {
+            Ok(request) => request,
+            Err(error) => return Err(self.no_effect(call, error)),
+        };
+        self.0
+            .call(request)
+            .await
+            .map_err(|error| self.call_error(call, error))
+    }
+
+    fn call_error(&self, call: &Call<'_>, error: CallError) -> PlatformError {
+        if call.method == Method::GET || error.is_not_sent() {
+            self.no_effect(call, error)
+        } else {
+            self.unknown(call, error)
+        }
+    }
+
+    /// What a refused write means: below 500 it was refused, above nobody can tell.
+    fn write_error(&self, call: &Call<'_>, status: StatusCode) -> PlatformError {
+        if status == StatusCode::PRECONDITION_FAILED {
+            PlatformError::Conflict {
+                step: call.step,
+                key: call.key.to_owned(),
+                peer: self.0.peer(),
+            }
+        } else if status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE {
+            self.unknown(call, status)
+        } else {
+            self.no_effect(call, status)
+        }
+    }
+
+    fn row_version(
+        &self,
+        call: &Call<'_>,
+        response: &Response<Bytes>,
+    ) -> Result<RowVersion, PlatformError> {
+        let tag = response
+            .headers()
+            .get(ETAG)
+            .and_then(|tag| tag.to_str().ok());
+        match tag {
+            Some(tag) => Ok(RowVersion::new(tag)),
+            None => Err(self.unknown(call, "the answer has no ETag")),
+        }
+    }
+
+    fn no_effect(&self, call: &Call<'_>, message: impl ToString) -> PlatformError {
+        PlatformError::NoEffect {
+            step: call.step,
+            key: call.key.to_owned(),
+            peer: self.0.peer(),
+            message: message.to_string(),
+        }
+    }
+
+    fn unknown(&self, call: &Call<'_>, message: impl ToString) -> PlatformError {
+        PlatformError::Unknown {
+            step: call.step,
+            key: call.key.to_owned(),
+            peer: self.0.peer(),
+            message: message.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-runtime/src/client.rs
@@ -0,0 +1,209 @@
+//! HTTP clients.
+//!
+//! [`HttpClient`] is for control traffic: small bodies, held whole, each call with a deadline. The
+//! path of a caller's request uses [`http1_sender`] and keeps its own connections.
+
+use crate::AnyBody;
+use crate::spawn;
+use crate::whole_body;
+use crate::within;
+use async_io::Async;
+use bytes::Bytes;
+use displaydoc::Display as DisplayDoc;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use smol_hyper::rt::FuturesIo;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// The largest answer to a control call, in bytes.
+const CONTROL_ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// Idle connections that a client keeps unless told otherwise.
+const IDLE_CONNECTIONS_DEFAULT: usize = 4;
+
+/// The step of a call at which it failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+pub enum CallStep {
+    /// connecting
+    Connect,
+    /// sending the request
+    Send,
+    /// waiting for the answer
+    Receive,
+    /// waiting for the answer until the deadline
+    Deadline,
+}
+
+/// A control call that got no answer: {step} at {peer}: {message}
+#[derive(Debug, DisplayDoc)]
+pub struct CallError {
+    /// Where it failed.
+    pub step: CallStep,
+    /// Who was called.
+    pub peer: SocketAddr,
+    /// What the system or the library said.
+    pub message: String,
+}
+
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// Whether the peer can't have seen the request.
+    pub fn is_not_sent(&self) -> bool {
+        self.step == CallStep::Connect
+    }
+}
+
+/// Connects a stream with `TCP_NODELAY`.
+///
+/// # Errors
+///
+/// The system's error when the peer can't be reached.
+pub async fn connect_stream(peer: SocketAddr) -> std::io::Result<Async<TcpStream>> {
+    let stream = Async::<TcpStream>::connect(peer).await?;
+    stream.get_ref().set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Connects to a peer that speaks HTTP/1.1.
+///
+/// # Errors
+///
+/// The system's or hyper's error when the peer can't be reached.
+pub async fn http1_sender<B>(peer: SocketAddr) -> Result<http1::SendRequest<B>, crate::BoxError>
+where
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<crate::BoxError>,
+{
+    let stream = connect_stream(peer).await?;
+    let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+    spawn(async move {
+        // The sender's side reports what goes wrong here.
+        let _ = connection.await;
+    })
+    .detach();
+    Ok(sender)
+}
+
+/// A client for small control calls to one peer.
+pub struct HttpClient {
+    peer: SocketAddr,
+    timeout: Duration,
+    idle_most: usize,
+    idle: Mutex<Vec<http1::SendRequest<AnyBody>>>,
+}
+
+impl HttpClient {
+    /// A client of `peer` whose calls take at most `timeout_ms`.
+    pub fn new(peer: SocketAddr, timeout_ms: u64) -> Self {
+        Self {
+            peer,
+            timeout: Duration::from_millis(timeout_ms),
+            idle_most: IDLE_CONNECTIONS_DEFAULT,
+            idle: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Keeps up to `idle_most` idle connections.
+    pub fn with_idle_connections(mut self, idle_most: usize) -> Self {
+        self.idle_most = idle_most;
+        self
+    }
+
+    /// The peer.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Makes one call.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`] when no whole answer came; [`CallError::is_not_sent`] tells whether the peer can
+    /// have seen the request.
+    pub async fn call(&self, request: Request<Bytes>) -> Result<Response<Bytes>, CallError> {
+        match within(self.timeout, self.call_without_deadline(request)).await {
+            Some(outcome) => outcome,
+            None => Err(self.error(CallStep::Deadline, "no answer in time")),
+        }
+    }
+
+    async fn call_without_deadline(
+        &self,
+        request: Request<Bytes>,
+    ) -> Result<Response<Bytes>, CallError> {
+        let mut request = request.map(whole_body);
+        let host = http::HeaderValue::from_str(&self.peer.to_string());
+        if let Ok(host) = host {
+            request
+                .headers_mut()
+                .entry(http::header::HOST)
+                .or_insert(host);
+        }
+        let (sender, response) = self.send(request).await?;
+        let (head, body) = response.into_parts();
+        let body = match Limited::new(body, CONTROL_ANSWER_BYTES_MAX).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return Err(self.error(CallStep::Receive, error)),
+        };
+        self.keep(sender);
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Sends over a connection that is open. One that closed before anything was written to it gives
+    /// the request back, and another is taken.
+    async fn send(
+        &self,
+        mut request: Request<AnyBody>,
+    ) -> Result<(http1::SendRequest<AnyBody>, Response<Incoming>), CallError> {
+        loop {
+            let mut sender = self.sender().await?;
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((sender, response)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(self.error(CallStep::Send, error.into_error())),
+                },
+            }
+        }
+    }
+
+    async fn sender(&self) -> Result<http1::SendRequest<AnyBody>, CallError> {
+        while let Some(mut sender) = self.take_idle() {
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        match http1_sender(self.peer).await {
+            Ok(sender) => Ok(sender),
+            Err(error) => Err(self.error(CallStep::Connect, error)),
+        }
+    }
+
+    fn take_idle(&self) -> Option<http1::SendRequest<AnyBody>> {
+        self.idle.lock().ok()?.pop()
+    }
+
+    fn keep(&self, sender: http1::SendRequest<AnyBody>) {
+        if let Ok(mut idle) = self.idle.lock()
+            && idle.len() < self.idle_most
+        {
+            idle.push(sender);
+        }
+    }
+
+    fn error(&self, step: CallStep, message: impl ToString) -> CallError {
+        CallError {
+            step,
+            peer: self.peer,
+            message: message.to_string(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -0,0 +1,164 @@
+//! An HTTP/1.1 and HTTP/2 server.
+
+use crate::AnyBody;
+use crate::HyperExecutor;
+use crate::sleep_ms;
+use crate::spawn;
+use async_io::Async;
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// The largest request head, in bytes.
+const HEAD_BYTES_MAX: usize = 16 * 1024;
+/// The most header fields in a request.
+const HEADERS_MAX: usize = 100;
+/// The most HTTP/2 requests at a time on one connection.
+const STREAMS_MAX: u32 = 1_000;
+/// How long the server waits after a failed accept, in milliseconds.
+const ACCEPT_RETRY_MS: u64 = 10;
+
+/// How a server treats connections.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpServerSettings {
+    /// How long a connection may be idle or take for a head, in milliseconds.
+    pub idle_ms: u64,
+    /// The most connections at a time.
+    pub connections_most: usize,
+}
+
+/// A listening server; it serves while [`HttpServer::serve`] runs.
+pub struct HttpServer {
+    listener: Async<TcpListener>,
+    settings: HttpServerSettings,
+    stop_sender: async_channel::Sender<()>,
+    stop_receiver: async_channel::Receiver<()>,
+    open: Arc<AtomicUsize>,
+}
+
+impl HttpServer {
+    /// Listens at an address.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when the address can't be had.
+    pub fn bind(address: SocketAddr, settings: HttpServerSettings) -> std::io::Result<Self> {
+        let (stop_sender, stop_receiver) = async_channel::bounded(1);
+        Ok(Self {
+            listener: Async::<TcpListener>::bind(address)?,
+            settings,
+            stop_sender,
+            stop_receiver,
+            open: Arc::new(AtomicUsize::new(0)),
+        })
+    }
+
+    /// The address the server listens at, with the port that the system picked.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when it can't tell.
+    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
+        self.listener.get_ref().local_addr()
+    }
+
+    /// How many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Closes idle connections and takes no further requests on the others.
+    pub fn close_gracefully(&self) {
+        self.stop_sender.close();
+    }
+
+    /// Accepts connections and answers requests with `handler`, for ever.
+    pub async fn serve<H, F>(&self, handler: H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnyBody>> + Send + 'static,
+    {
+        loop {
+            let Ok((stream, _peer)) = self.listener.accept().await else {
+                sleep_ms(ACCEPT_RETRY_MS).await;
+                continue;
+            };
+            if self.open.load(Ordering::Relaxed) >= self.settings.connections_most {
+                continue;
+            }
+            self.open.fetch_add(1, Ordering::Relaxed);
+            let open = Arc::clone(&self.open);
+            let stop = self.stop_receiver.clone();
+            let settings = self.settings;
+            let handler = handler.clone();
+            spawn(async move {
+                serve_connection(stream, settings, stop, handler).await;
+                open.fetch_sub(1, Ordering::Relaxed);
+            })
+            .detach();
+        }
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: Async<TcpStream>,
+    settings: HttpServerSettings,
+    stop: async_channel::Receiver<()>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<AnyBody>> + Send + 'static,
+{
+    if stream.get_ref().set_nodelay(true).is_err() {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let idle = Duration::from_millis(settings.idle_ms);
+    let mut builder = hyper_util::server::conn::auto::Builder::new(HyperExecutor);
+    builder
+        .http1()
+        .timer(SmolTimer::new())
+        .header_read_timeout(idle)
+        .max_headers(HEADERS_MAX)
+        .max_buf_size(HEAD_BYTES_MAX)
+        .pipeline_flush(true);
+    builder
+        .http2()
+        .timer(SmolTimer::new())
+        .keep_alive_interval(idle)
+        .max_header_list_size(HEAD_BYTES_MAX as u32)
+        .max_concurrent_streams(STREAMS_MAX);
+    let connection = builder.serve_connection(FuturesIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let stopped = futures_lite::future::or(
+        async {
+            // An error here is the caller's connection breaking; there is nobody left to tell.
+            let _ = connection.as_mut().await;
+            false
+        },
+        async {
+            let _ = stop.recv().await;
+            true
+        },
+    )
+    .await;
+    if stopped {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -0,0 +1,209 @@
+//! The settings of an entry instance.
+//!
+//! They are read once, at the start, and checked whole: [`read_settings`] returns every fault, and
+//! nothing is started while there is one.
+
+use pinhaven_bundle::TrustedSigner;
+use pinhaven_document::Document;
+use pinhaven_document::Fault;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::InstanceId;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// The most threads that an entry may be given.
+const WORKER_THREADS_MAX: usize = 64;
+
+/// Settings of one entry instance.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance_id: InstanceId,
+    /// Where the instance stands.
+    pub failure_domain: FailureDomain,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where other entries connect.
+    pub peer_address: SocketAddr,
+    /// The platform's table service.
+    pub table_address: SocketAddr,
+    /// The platform's object store.
+    pub object_address: SocketAddr,
+    /// Where metrics are sent as StatsD datagrams; none are sent without it.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Persons whose sign-off counts.
+    pub trusted_signers: Vec<TrustedSigner>,
+    /// Peer addresses of other entries to ask when the platform is down.
+    #[serde(default)]
+    pub peer_seeds: Vec<SocketAddr>,
+    /// Threads that serve requests.
+    #[serde(default = "default_worker_threads")]
+    pub worker_threads: usize,
+    /// Bodies held in memory at a time, in bytes.
+    #[serde(default = "default_body_memory_bytes")]
+    pub body_memory_bytes: u64,
+    /// Requests in flight at a time.
+    #[serde(default = "default_requests_most")]
+    pub requests_most: u32,
+    /// Records of once-only requests held at a time.
+    #[serde(default = "default_ledger_records")]
+    pub ledger_records: usize,
+    /// How long an epoch of once-only records lasts, in milliseconds.
+    #[serde(default = "default_ledger_epoch_ms")]
+    pub ledger_epoch_ms: u64,
+    /// Claims of once-only requests without a home that this entry writes a second.
+    #[serde(default = "default_claim_writes_per_second")]
+    pub claim_writes_per_second: u32,
+    /// Deadline of one call to the platform, in milliseconds.
+    #[serde(default = "default_platform_timeout_ms")]
+    pub platform_timeout_ms: u64,
+    /// How often the head of the bundle history is looked at, in milliseconds.
+    #[serde(default = "default_head_poll_ms")]
+    pub head_poll_ms: u64,
+    /// How often an entry talks to one peer, in milliseconds.
+    #[serde(default = "default_gossip_ms")]
+    pub gossip_ms: u64,
+    /// How long an idle or half-sent caller connection is kept, in milliseconds.
+    #[serde(default = "default_caller_idle_ms")]
+    pub caller_idle_ms: u64,
+    /// The longest that a planned stop waits for requests in flight, in milliseconds.
+    #[serde(default = "default_stop_most_ms")]
+    pub stop_most_ms: u64,
+    /// How logs are written.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// How logs are written.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Text or JSON.
+    pub format: LogFormat,
+    /// Level of each part, by its prefix.
+    pub levels: BTreeMap<String, String>,
+}
+
+/// Form of a log line.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// For programs, an object a line.
+    Json,
+}
+
+/// Reads settings and checks them.
+///
+/// # Errors
+///
+/// All faults that were found; at least one.
+pub fn read_settings(document: &Document) -> Result<Settings, Vec<Fault>> {
+    let settings: Settings = document.decode().map_err(|fault| vec![fault])?;
+    let faults = check(&settings, document);
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(faults)
+    }
+}
+
+fn check(settings: &Settings, document: &Document) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut require = |holds: bool, field: &str, message: &str, help: &str| {
+        if !holds {
+            faults.push(document.fault(field, message, help));
+        }
+    };
+    require(
+        !settings.trusted_signers.is_empty(),
+        "trusted_signers",
+        "no bundle could ever be accepted",
+        "name one signer or more with a public key",
+    );
+    require(
+        (1..=WORKER_THREADS_MAX).contains(&settings.worker_threads),
+        "worker_threads",
+        "there can't be this many threads",
+        "write 1 to 64",
+    );
+    require(
+        settings.caller_address.port() == 0 || settings.caller_address != settings.peer_address,
+        "peer_address",
+        "callers and peers can't share an address",
+        "write another port, or 0 for one that the system picks",
+    );
+    let counts = [
+        ("requests_most", u64::from(settings.requests_most)),
+        ("body_memory_bytes", settings.body_memory_bytes),
+        ("ledger_records", settings.ledger_records as u64),
+        ("ledger_epoch_ms", settings.ledger_epoch_ms),
+        ("platform_timeout_ms", settings.platform_timeout_ms),
+        ("head_poll_ms", settings.head_poll_ms),
+        ("gossip_ms", settings.gossip_ms),
+        ("caller_idle_ms", settings.caller_idle_ms),
+        ("stop_most_ms", settings.stop_most_ms),
+    ];
+    for (field, count) in counts {
+        require(count > 0, field, "it must be above zero", "write 1 or more");
+    }
+    for (part, level) in &settings.log.levels {
+        require(
+            ["off", "error", "warn", "info", "debug", "trace"].contains(&level.as_str()),
+            &format!("log.levels.{part}"),
+            "there is no such level",
+            "write off, error, warn, info, debug or trace",
+        );
+    }
+    faults
+}
+
+const fn default_worker_threads() -> usize {
+    2
+}
+
+const fn default_body_memory_bytes() -> u64 {
+    64 * 1024 * 1024
+}
+
+const fn default_requests_most() -> u32 {
+    10_000
+}
+
+const fn default_ledger_records() -> usize {
+    100_000
+}
+
+const fn default_ledger_epoch_ms() -> u64 {
+    60_000
+}
+
+const fn default_claim_writes_per_second() -> u32 {
+    16
+}
+
+const fn default_platform_timeout_ms() -> u64 {
+    1_000
+}
+
+const fn default_head_poll_ms() -> u64 {
+    1_000
+}
+
+const fn default_gossip_ms() -> u64 {
+    500
+}
+
+const fn default_caller_idle_ms() -> u64 {
+    30_000
+}
+
+const fn default_stop_most_ms() -> u64 {
+    60_000
+}
