--- /dev/null
+++ b/crates/pinhaven-stand-in/src/caller.rs
@@ -0,0 +1,556 @@
+//! A stand-in caller: asks which entries to use, keeps the answer, connects and sends requests.
+//!
+//! Requests leave at the times of a Poisson process whether or not earlier ones were answered, and
+//! each is timed from the moment it was due. Every answer is checked to be whole and the caller's own.
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use parking_lot::Mutex;
+use pinhaven_runtime::CallError;
+use pinhaven_runtime::CallStep;
+use pinhaven_runtime::HttpClient;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Idle connections kept to each entry.
+const IDLE_CONNECTIONS: usize = 512;
+/// Time past the deadline that a caller waits before it gives up, in milliseconds.
+const PATIENCE_MS: u64 = 2_000;
+/// Entries that a request is tried at while it is proved not to have been sent.
+const ENTRIES_TRIED: usize = 6;
+/// Pause before a once-only request is asked about again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 100;
+/// Times that a once-only request is asked about.
+const ASK_AGAIN_TIMES: usize = 20;
+/// The longest latency that is told apart, in microseconds.
+const LATENCY_US_MAX: u64 = 60_000_000;
+
+/// What a caller does.
+#[derive(Debug, Clone)]
+pub struct CallerSettings {
+    /// Entries to ask first.
+    pub seeds: Vec<SocketAddr>,
+    /// Targets to call without an entry; entries are used when it is empty.
+    pub direct: Vec<SocketAddr>,
+    /// Name of the service.
+    pub service: String,
+    /// Value of the `Host` header.
+    pub host: String,
+    /// Failure domain of the caller.
+    pub domain: String,
+    /// Requests a second.
+    pub rate_per_s: f64,
+    /// Time during which requests are sent, in milliseconds.
+    pub duration_ms: u64,
+    /// Time at the start whose requests are not counted, in milliseconds.
+    pub warm_up_ms: u64,
+    /// Share of requests that may not be repeated, in percent.
+    pub once_percent: u8,
+    /// Whether once-only requests name a home.
+    pub names_home: bool,
+    /// Deadline of each request, in milliseconds.
+    pub deadline_ms: u64,
+    /// Bytes in the body of a once-only request.
+    pub body_bytes: usize,
+    /// Seed of its randomness.
+    pub seed: u64,
+}
+
+impl CallerSettings {
+    /// A caller of a service that sends `rate_per_s` for `duration_ms`.
+    pub fn new(seeds: Vec<SocketAddr>, service: &str, rate_per_s: f64, duration_ms: u64) -> Self {
+        Self {
+            seeds,
+            direct: Vec::new(),
+            service: service.to_owned(),
+            host: service.to_owned(),
+            domain: "none".to_owned(),
+            rate_per_s,
+            duration_ms,
+            warm_up_ms: 0,
+            once_percent: 0,
+            names_home: true,
+            deadline_ms: 1_000,
+            body_bytes: 64,
+            seed: 1,
+        }
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer of its own.
+    Answered,
+    /// Refused, with the reason and whether it ran.
+    Refused {
+        /// The reason's name.
+        reason: String,
+        /// `run`, `not-run` or `unknown`.
+        run: String,
+        /// Whether it was told when to come back.
+        has_retry_after: bool,
+    },
+    /// An answer that was cut, seen to be cut.
+    Cut,
+    /// An answer that belonged to another request, or was not whole but looked so.
+    Wrong,
+    /// No entry could be reached.
+    Unreachable,
+    /// No answer at all.
+    Silent,
+}
+
+/// What became of the requests of one kind.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct ClassReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub answered: u64,
+    /// Whole answers before the deadline.
+    pub in_time: u64,
+    /// Refusals by reason and run state.
+    pub refused: BTreeMap<String, u64>,
+    /// Refusals that did not say when to come back.
+    pub without_retry_after: u64,
+    /// Answers seen to be cut.
+    pub cut: u64,
+    /// Answers that were another's, or cut without a sign.
+    pub wrong: u64,
+    /// Requests that found no entry.
+    pub unreachable: u64,
+    /// Requests that got no answer at all.
+    pub silent: u64,
+    /// Median latency of answers, in milliseconds.
+    pub p50_ms: f64,
+    /// 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// 99.9th percentile, in milliseconds.
+    pub p999_ms: f64,
+    /// The longest time to a refusal, in milliseconds.
+    pub refusal_most_ms: f64,
+}
+
+/// What became of all requests.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct CallerReport {
+    /// Those that may be repeated.
+    pub repeatable: ClassReport,
+    /// Those that may not.
+    pub once: ClassReport,
+    /// What was said of each once-only request, by key: `run`, `not-run` or `unknown`.
+    pub once_said: BTreeMap<String, String>,
+}
+
+impl CallerReport {
+    /// Whether every answer was whole and its caller's own.
+    pub fn is_clean(&self) -> bool {
+        [&self.repeatable, &self.once]
+            .iter()
+            .all(|class| class.wrong == 0)
+    }
+}
+
+struct Class {
+    report: ClassReport,
+    latency: Histogram<u64>,
+    refusal_most: Duration,
+}
+
+impl Class {
+    fn new() -> Self {
+        let latency = Histogram::new_with_max(LATENCY_US_MAX, 3);
+        Self {
+            report: ClassReport::default(),
+            latency: latency.unwrap_or_else(|_| unreachable!("the bounds are constants")),
+            refusal_most: Duration::ZERO,
+        }
+    }
+
+    fn record(&mut self, outcome: &Outcome, latency: Duration, deadline: Duration) {
+        let report = &mut self.report;
+        report.sent += 1;
+        match outcome {
+            Outcome::Answered => {
+                report.answered += 1;
+                report.in_time += u64::from(latency <= deadline);
+                let latency_us = latency.as_micros() as u64;
+                self.latency.saturating_record(latency_us.max(1));
+            }
+            Outcome::Refused {
+                reason,
+                run,
+                has_retry_after,
+            } => {
+                *report.refused.entry(format!("{reason}/{run}")).or_default() += 1;
+                report.without_retry_after += u64::from(!has_retry_after);
+                self.refusal_most = self.refusal_most.max(latency);
+            }
+            Outcome::Cut => report.cut += 1,
+            Outcome::Wrong => report.wrong += 1,
+            Outcome::Unreachable => report.unreachable += 1,
+            Outcome::Silent => report.silent += 1,
+        }
+    }
+
+    fn into_report(self) -> ClassReport {
+        let at = |quantile| self.latency.value_at_quantile(quantile) as f64 / 1_000.0;
+        ClassReport {
+            p50_ms: at(0.5),
+            p99_ms: at(0.99),
+            p999_ms: at(0.999),
+            refusal_most_ms: self.refusal_most.as_secs_f64() * 1_000.0,
+            ..self.report
+        }
+    }
+}
+
+/// An entry as an address answer names it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct NamedEntry {
+    /// Where to connect.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub failure_domain: String,
+    /// What once-only requests sent to it name as their home.
+    pub home: String,
+}
+
+/// An address answer.
+#[derive(Debug, Clone, Deserialize)]
+pub struct AddressAnswer {
+    /// How long it may be kept, in milliseconds.
+    pub keep_ms: u64,
+    /// The entries, nearest first.
+    pub entries: Vec<NamedEntry>,
+}
+
+struct Kept {
+    entries: Vec<NamedEntry>,
+    until: Instant,
+}
+
+/// A caller.
+pub struct Caller {
+    settings: CallerSettings,
+    kept: Mutex<Kept>,
+    clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
+    repeatable: Mutex<Class>,
+    once: Mutex<Class>,
+    once_said: Mutex<BTreeMap<String, String>>,
+}
+
+impl Caller {
+    /// A caller that has asked nothing yet.
+    pub fn new(settings: CallerSettings) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            kept: Mutex::new(Kept {
+                entries: Vec::new(),
+                until: Instant::now(),
+            }),
+            clients: Mutex::new(HashMap::new()),
+            repeatable: Mutex::new(Class::new()),
+            once: Mutex::new(Class::new()),
+            once_said: Mutex::new(BTreeMap::new()),
+        })
+    }
+
+    /// Sends all requests, waits for their ends and reports.
+    pub async fn run(self: Arc<Self>) -> CallerReport {
+        let mut random = fastrand::Rng::with_seed(self.settings.seed);
+        let began = Instant::now();
+        let duration = Duration::from_millis(self.settings.duration_ms);
+        let warm_up = Duration::from_millis(self.settings.warm_up_ms);
+        let mut due = Duration::ZERO;
+        let mut number: u64 = 0;
+        let mut under_way = Vec::new();
+        while due < duration {
+            let gap_s = -(1.0 - random.f64()).ln() / self.settings.rate_per_s;
+            due += Duration::from_secs_f64(gap_s);
+            let due_at = began + due;
+            if due_at > Instant::now() {
+                async_io::Timer::at(due_at).await;
+            }
+            number += 1;
+            let is_once = random.u8(0..100) < self.settings.once_percent;
+            let caller = Arc::clone(&self);
+            let request_seed = random.u64(..);
+            let is_counted = due >= warm_up;
+            under_way.push(spawn(async move {
+                caller
+                    .one_request(number, is_once, due_at, request_seed, is_counted)
+                    .await;
+            }));
+        }
+        for request in under_way {
+            request.await;
+        }
+        self.report()
+    }
+
+    fn report(&self) -> CallerReport {
+        let take = |class: &Mutex<Class>| std::mem::replace(&mut *class.lock(), Class::new());
+        CallerReport {
+            repeatable: take(&self.repeatable).into_report(),
+            once: take(&self.once).into_report(),
+            once_said: self.once_said.lock().clone(),
+        }
+    }
+
+    async fn one_request(
+        &self,
+        number: u64,
+        is_once: bool,
+        due_at: Instant,
+        seed: u64,
+        is_counted: bool,
+    ) {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let outcome = if is_once {
+            self.once_request(number, &mut random).await
+        } else {
+            self.repeatable_request(number, &mut random).await
+        };
+        if !is_counted {
+            return;
+        }
+        let latency = due_at.elapsed();
+        let deadline = Duration::from_millis(self.settings.deadline_ms);
+        let class = if is_once {
+            &self.once
+        } else {
+            &self.repeatable
+        };
+        class.lock().record(&outcome, latency, deadline);
+    }
+
+    async fn repeatable_request(&self, number: u64, random: &mut fastrand::Rng) -> Outcome {
+        let marker = format!("r{}-{number}", self.settings.seed);
+        let request = self.request(Method::GET, "/quote", &marker, Bytes::new(), None);
+        let mut outcome = Outcome::Unreachable;
+        for _ in 0..ENTRIES_TRIED {
+            let Some(address) = self.pick(random).await.map(|entry| entry.address) else {
+                return Outcome::Unreachable;
+            };
+            match self.client(address).call(request.clone()).await {
+                Ok(response) => return judge(&response, &marker, &Bytes::new()),
+                Err(error) => {
+                    self.forget(address);
+                    outcome = outcome_of(&error);
+                }
+            }
+        }
+        outcome
+    }
+
+    /// Sends a once-only request, and asks about it elsewhere while its outcome is open.
+    async fn once_request(&self, number: u64, random: &mut fastrand::Rng) -> Outcome {
+        let marker = format!("o{}-{number}", self.settings.seed);
+        let body: Vec<u8> = (0..self.settings.body_bytes)
+            .map(|_| random.u8(b'a'..=b'z'))
+            .collect();
+        let body = Bytes::from(body);
+        let mut home: Option<String> = None;
+        let mut outcome = Outcome::Unreachable;
+        for attempt in 0..ASK_AGAIN_TIMES {
+            let Some(entry) = self.pick(random).await else {
+                sleep_ms(ASK_AGAIN_MS).await;
+                continue;
+            };
+            // A home is chosen once and kept; another one would make it another request.
+            let home = home.get_or_insert(entry.home.clone());
+            let named = self.settings.names_home.then_some(home.as_str());
+            let request = self.request(Method::POST, "/orders", &marker, body.clone(), named);
+            match self.client(entry.address).call(request).await {
+                Ok(response) => {
+                    outcome = judge(&response, &marker, &body);
+                    let is_in_flight = response.status() == StatusCode::CONFLICT
+                        && text_of(response.headers(), "pinhaven-run") == "unknown";
+                    if !is_in_flight {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    self.forget(entry.address);
+                    let is_first = attempt == 0 && error.is_not_sent();
+                    if is_first {
+                        // Nothing was sent to that home, so another may be chosen.
+                        home.clear();
+                    }
+                    outcome = outcome_of(&error);
+                }
+            }
+            if home.is_empty() {
+                return Box::pin(self.once_request(number, random)).await;
+            }
+            sleep_ms(ASK_AGAIN_MS).await;
+        }
+        self.note_once(&marker, &outcome);
+        outcome
+    }
+
+    fn note_once(&self, key: &str, outcome: &Outcome) {
+        let said = match outcome {
+            Outcome::Answered | Outcome::Wrong => "run",
+            Outcome::Refused { run, .. } => run,
+            Outcome::Unreachable | Outcome::Cut | Outcome::Silent => "unknown",
+        };
+        self.once_said
+            .lock()
+            .insert(key.to_owned(), said.to_owned());
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        marker: &str,
+        body: Bytes,
+        home: Option<&str>,
+    ) -> Request<Bytes> {
+        let mut builder = Request::builder()
+            .method(&method)
+            .uri(path)
+            .header(http::header::HOST, &self.settings.host)
+            .header("x-marker", marker)
+            .header("pinhaven-deadline-ms", self.settings.deadline_ms);
+        if method == Method::POST {
+            builder = builder.header("idempotency-key", marker);
+        }
+        if let Some(home) = home {
+            builder = builder.header("pinhaven-home", home);
+        }
+        builder
+            .body(body)
+            .unwrap_or_else(|_| unreachable!("the parts are valid"))
+    }
+
+    /// An entry to use: any of those that the kept answer names.
+    async fn pick(&self, random: &mut fastrand::Rng) -> Option<NamedEntry> {
+        if !self.settings.direct.is_empty() {
+            let index = random.usize(..self.settings.direct.len());
+            return Some(NamedEntry {
+                address: self.settings.direct[index],
+                failure_domain: String::new(),
+                home: String::new(),
+            });
+        }
+        self.renew_answer(random).await;
+        let kept = self.kept.lock();
+        if kept.entries.is_empty() {
+            return None;
+        }
+        let index = random.usize(..kept.entries.len());
+        Some(kept.entries[index].clone())
+    }
+
+    async fn renew_answer(&self, random: &mut fastrand::Rng) {
+        {
+            let mut kept = self.kept.lock();
+            if Instant::now() < kept.until && !kept.entries.is_empty() {
+                return;
+            }
+            // Others use the old answer while this one asks.
+            kept.until = Instant::now() + Duration::from_millis(PATIENCE_MS);
+        }
+        let mut seeds = self.settings.seeds.clone();
+        random.shuffle(&mut seeds);
+        for seed in seeds {
+            if let Some(answer) = self.ask(seed).await {
+                let keep = Duration::from_millis(answer.keep_ms);
+                *self.kept.lock() = Kept {
+                    entries: answer.entries,
+                    until: Instant::now() + keep,
+                };
+                return;
+            }
+        }
+    }
+
+    /// Asks an entry which entries to use.
+    pub async fn ask(&self, entry: SocketAddr) -> Option<AddressAnswer> {
+        let uri = format!(
+            "/.well-known/pinhaven/entries?service={}&domain={}",
+            self.settings.service, self.settings.domain
+        );
+        let request = Request::get(uri).body(Bytes::new()).ok()?;
+        let response = self.client(entry).call(request).await.ok()?;
+        serde_json::from_slice(response.body()).ok()
+    }
+
+    /// Stops using an entry that could not be reached, until the next answer.
+    fn forget(&self, address: SocketAddr) {
+        let mut kept = self.kept.lock();
+        kept.entries.retain(|entry| entry.address != address);
+        if kept.entries.is_empty() {
+            kept.until = Instant::now();
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Arc<HttpClient> {
+        let mut clients = self.clients.lock();
+        let client = clients.entry(address).or_insert_with(|| {
+            let client = HttpClient::new(address, self.settings.deadline_ms + PATIENCE_MS);
+            Arc::new(client.with_idle_connections(IDLE_CONNECTIONS))
+        });
+        Arc::clone(client)
+    }
+}
+
+fn text_of<'head>(headers: &'head HeaderMap, name: &str) -> &'head str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default()
+}
+
+/// Whether an answer is whole and belongs to the request, or what refusal it is.
+fn judge(response: &Response<Bytes>, marker: &str, body: &Bytes) -> Outcome {
+    use sha2::Digest as _;
+    let headers = response.headers();
+    if text_of(headers, "content-type") == "application/problem+json" {
+        let problem: serde_json::Value =
+            serde_json::from_slice(response.body()).unwrap_or_default();
+        return Outcome::Refused {
+            reason: problem["title"].as_str().unwrap_or("none").to_owned(),
+            run: text_of(headers, "pinhaven-run").to_owned(),
+            has_retry_after: headers.contains_key("retry-after"),
+        };
+    }
+    if response.status() != StatusCode::OK {
+        let status = response.status().as_u16();
+        return Outcome::Refused {
+            reason: format!("target_{status}"),
+            run: text_of(headers, "pinhaven-run").to_owned(),
+            has_retry_after: true,
+        };
+    }
+    let digest = hex::encode(sha2::Sha256::digest(body));
+    let expected = format!("{marker} {} {digest}\n", body.len());
+    if response.body() == expected.as_bytes() {
+        Outcome::Answered
+    } else {
+        Outcome::Wrong
+    }
+}
+
+fn outcome_of(error: &CallError) -> Outcome {
+    match error.step {
+        CallStep::Connect => Outcome::Unreachable,
+        CallStep::Receive => Outcome::Cut,
+        CallStep::Send | CallStep::Deadline => Outcome::Silent,
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-types/src/name.rs
@@ -0,0 +1,111 @@
+//! Names that people write: services, failure domains, instances and signers.
+
+use displaydoc::Display as DisplayDoc;
+use serde::Deserialize;
+use serde::Serialize;
+use std::fmt;
+use std::str::FromStr;
+
+/// The most characters a name may have.
+const NAME_LENGTH_MAX: usize = 128;
+
+/// Why a text is not a name.
+#[derive(Debug, Clone, PartialEq, Eq, DisplayDoc)]
+pub enum ParseNameError {
+    /// a name may not be empty
+    Empty,
+    /// a name has at most 128 characters, this one has {0}
+    TooLong(usize),
+    /// {0:?} may not stand in a name; use letters, digits, '-', '_' and '.'
+    BadCharacter(char),
+}
+
+impl std::error::Error for ParseNameError {}
+
+fn check_name(text: &str) -> Result<(), ParseNameError> {
+    if text.is_empty() {
+        return Err(ParseNameError::Empty);
+    }
+    if text.len() > NAME_LENGTH_MAX {
+        return Err(ParseNameError::TooLong(text.len()));
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(c) => Err(ParseNameError::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseNameError;
+
+            fn from_str(text: &str) -> Result<Self, ParseNameError> {
+                check_name(text)?;
+                Ok(Self(text.to_owned()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseNameError;
+
+            fn try_from(text: String) -> Result<Self, ParseNameError> {
+                check_name(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> String {
+                name.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// Name of a service.
+    ServiceName
+}
+name_type! {
+    /// Name of a failure domain.
+    FailureDomain
+}
+name_type! {
+    /// Name that the settings give an entry instance.
+    InstanceId
+}
+name_type! {
+    /// Name of the person who signs off a bundle.
+    SignerName
+}
+name_type! {
+    /// Id of one write, by which its writer knows its own work again.
+    OperationId
+}
+
+impl OperationId {
+    /// A new random id.
+    pub fn random() -> Self {
+        Self(crate::Incarnation::random().to_string())
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-types/src/quantity.rs
@@ -0,0 +1,212 @@
+//! Sizes, rates and versions.
+
+use displaydoc::Display as DisplayDoc;
+use serde::Deserialize;
+use serde::Serialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// Why a text is not a quantity.
+#[derive(Debug, Clone, PartialEq, Eq, DisplayDoc)]
+pub enum ParseQuantityError {
+    /// {0:?} is not a percentage from 0 to 100, such as "0.5%"
+    Percent(String),
+    /// {0:?} is not an IP address and port, such as "127.0.0.1:8080"
+    Address(String),
+    /// {0:?} is not a whole number from 1 up
+    Version(String),
+}
+
+impl std::error::Error for ParseQuantityError {}
+
+/// Version of a bundle, counted from 1.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct BundleVersion(u64);
+
+impl BundleVersion {
+    /// The state before the first bundle.
+    pub const NONE: Self = Self(0);
+
+    /// The version with this number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// The number of the version.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+
+    /// The version that follows.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for BundleVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for BundleVersion {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        let Ok(number) = text.parse() else {
+            return Err(ParseQuantityError::Version(text.to_owned()));
+        };
+        Ok(Self(number))
+    }
+}
+
+/// A span of time or a point on a monotonic clock, in microseconds.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Microseconds(u64);
+
+impl Microseconds {
+    /// No time at all.
+    pub const ZERO: Self = Self(0);
+
+    /// A number of microseconds.
+    pub const fn new(count: u64) -> Self {
+        Self(count)
+    }
+
+    /// A number of milliseconds.
+    pub const fn from_ms(count: u64) -> Self {
+        Self(count * 1_000)
+    }
+
+    /// The count of microseconds.
+    pub const fn count(self) -> u64 {
+        self.0
+    }
+
+    /// The time in milliseconds.
+    pub fn as_ms(self) -> f64 {
+        self.0 as f64 / 1_000.0
+    }
+
+    /// What is left after taking `other` away, never below zero.
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
+    /// The sum of both.
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl fmt::Display for Microseconds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} us", self.0)
+    }
+}
+
+/// A share in percent, from 0 to 100.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Percent(f64);
+
+impl Percent {
+    /// A share that is known to be in range.
+    pub const fn new(percent: f64) -> Self {
+        Self(percent.clamp(0.0, 100.0))
+    }
+
+    /// The share as a fraction of 1.
+    pub fn fraction(self) -> f64 {
+        self.0 / 100.0
+    }
+}
+
+impl TryFrom<f64> for Percent {
+    type Error = ParseQuantityError;
+
+    fn try_from(percent: f64) -> Result<Self, ParseQuantityError> {
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(ParseQuantityError::Percent(percent.to_string()));
+        }
+        Ok(Self(percent))
+    }
+}
+
+impl From<Percent> for f64 {
+    fn from(percent: Percent) -> f64 {
+        percent.0
+    }
+}
+
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.0)
+    }
+}
+
+impl FromStr for Percent {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        let Ok(percent) = text.trim_end_matches('%').trim().parse::<f64>() else {
+            return Err(ParseQuantityError::Percent(text.to_owned()));
+        };
+        Self::try_from(percent)
+    }
+}
+
+/// IP address and port of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct TargetAddress(SocketAddr);
+
+impl TargetAddress {
+    /// The target at a socket address.
+    pub const fn new(address: SocketAddr) -> Self {
+        Self(address)
+    }
+
+    /// The socket address.
+    pub const fn socket_address(self) -> SocketAddr {
+        self.0
+    }
+}
+
+impl fmt::Display for TargetAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for TargetAddress {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        let Ok(address) = text.parse() else {
+            return Err(ParseQuantityError::Address(text.to_owned()));
+        };
+        Ok(Self(address))
+    }
+}
+
+impl TryFrom<String> for TargetAddress {
+    type Error = ParseQuantityError;
+
+    fn try_from(text: String) -> Result<Self, ParseQuantityError> {
+        text.parse()
+    }
+}
+
+impl From<TargetAddress> for String {
+    fn from(address: TargetAddress) -> String {
+        address.to_string()
+    }
+}
