Measure the choice of target, overload, one pick and the added time

Ruled out: a caller that repeats its keys between runs; its once-only requests were answered from the ledger in 0.5 ms and made the first table worthless. Each caller now has a name of its own in its keys.

--- a/crates/pinhaven-lab/src/measure.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Measurements.
--- /dev/null
+++ b/crates/pinhaven-lab/src/measure/idle.rs
@@ -0,0 +1,85 @@
+//! Memory and processor time of an idle entry, with its control traffic.
+
+use super::MeasureSettings;
+use super::publish;
+use crate::lab::Lab;
+use crate::lab::LabError;
+use crate::plan::LabPlan;
+use crate::plan::ServicePlan;
+use pinhaven_runtime::connect_stream;
+use pinhaven_runtime::sleep_ms;
+use serde_json::json;
+
+/// Entries that talk to each other.
+const ENTRIES: [usize; 3] = [3, 9, 18];
+/// Caller connections held open at one entry.
+const CONNECTIONS: usize = 2_000;
+
+pub(super) async fn run(settings: &MeasureSettings) -> Result<(), LabError> {
+    let mut rows = Vec::new();
+    for entries in ENTRIES {
+        let service = ServicePlan::new("quote", 30, 6, 20.0);
+        let plan = LabPlan::new(entries, vec![service]);
+        // The times that the settings have by default.
+        let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 500}));
+        let lab = Lab::start(plan).await?;
+        let cpu_before = cpu_s(&lab);
+        let bytes_before = peer_bytes(&lab).await;
+        sleep_ms(settings.run_ms).await;
+        let seconds = settings.run_ms as f64 / 1_000.0;
+        let cpu = (cpu_s(&lab) - cpu_before) / seconds / entries as f64;
+        // Each message is counted by both sides.
+        let bytes = (peer_bytes(&lab).await - bytes_before) / seconds / entries as f64;
+        let idle_mb = memory_mb(&lab);
+        let full_mb = memory_with_connections_mb(&lab).await;
+        rows.push(vec![
+            entries.to_string(),
+            format!("{:.2}", cpu * 100.0),
+            format!("{:.2}", bytes / 1_000.0),
+            format!("{idle_mb:.1}"),
+            format!("{full_mb:.1}"),
+        ]);
+    }
+    publish(
+        &settings.folder,
+        "idle",
+        &[
+            "entries",
+            "CPU % of a core",
+            "peer messages KB/s, both ways",
+            "memory MB, most",
+            "memory MB with 2000 connections",
+        ],
+        &rows,
+    )
+}
+
+fn cpu_s(lab: &Lab) -> f64 {
+    lab.entry_processes()
+        .map(|process| process.cpu_time().as_secs_f64())
+        .sum()
+}
+
+async fn peer_bytes(lab: &Lab) -> f64 {
+    let statuses = lab.statuses().await;
+    let counts = statuses.iter().filter_map(|s| s.counters.get("peer.bytes"));
+    counts.sum::<u64>() as f64
+}
+
+fn memory_mb(lab: &Lab) -> f64 {
+    let most = lab.entry_processes().map(|process| process.memory_bytes());
+    most.max().unwrap_or_default() as f64 / 1e6
+}
+
+async fn memory_with_connections_mb(lab: &Lab) -> f64 {
+    let addresses = lab.caller_addresses().await;
+    let Some(address) = addresses.first() else {
+        return 0.0;
+    };
+    let mut held = Vec::new();
+    for _ in 0..CONNECTIONS {
+        held.extend(connect_stream(*address).await.ok());
+    }
+    sleep_ms(500).await;
+    memory_mb(lab)
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/measure/overload.rs
@@ -0,0 +1,73 @@
+//! Goodput at and past capacity.
+
+use super::MeasureSettings;
+use super::median;
+use super::publish;
+use super::with_spread;
+use crate::lab::Lab;
+use crate::lab::LabError;
+use crate::plan::LabPlan;
+use crate::plan::ServicePlan;
+use pinhaven_stand_in::caller::Caller;
+use pinhaven_stand_in::caller::CallerSettings;
+
+/// Entries.
+const ENTRIES: usize = 6;
+/// Targets of the service.
+const TARGETS: u64 = 15;
+/// Requests that a target works on at a time.
+const SLOTS: usize = 6;
+/// Mean time of a request, in milliseconds; long, so that the machine carries five times the load.
+const MEAN_MS: f64 = 60.0;
+/// Load against capacity, and last the load after the overload has ended.
+const LOADS: [f64; 7] = [0.7, 0.9, 1.0, 1.2, 2.0, 5.0, 0.7];
+/// Time at the start of a run whose requests are not counted, in milliseconds.
+const WARM_UP_MS: u64 = 1_500;
+
+pub(super) async fn run(settings: &MeasureSettings) -> Result<(), LabError> {
+    let service = ServicePlan::new("quote", TARGETS, SLOTS, MEAN_MS);
+    let lab = Lab::start(LabPlan::new(ENTRIES, vec![service])).await?;
+    let capacity_per_s = TARGETS as f64 * SLOTS as f64 * 1_000.0 / MEAN_MS;
+    let mut rows = Vec::new();
+    for load in LOADS {
+        let (mut goodput, mut p99, mut p999, mut refusal) = (vec![], vec![], vec![], vec![]);
+        let mut late = Vec::new();
+        for seed in 1..=settings.runs {
+            let seeds = lab.caller_addresses().await;
+            let run_ms = settings.run_ms + WARM_UP_MS;
+            let mut caller = CallerSettings::new(seeds, "quote", capacity_per_s * load, run_ms);
+            caller.warm_up_ms = WARM_UP_MS;
+            caller.seed = seed;
+            let report = Caller::new(caller).run().await.repeatable;
+            let seconds = settings.run_ms as f64 / 1_000.0;
+            goodput.push(report.in_time as f64 / seconds);
+            p99.push(report.p99_ms);
+            p999.push(report.p999_ms);
+            refusal.push(report.refusal_most_ms);
+            late.push((report.sent - report.in_time) as f64 * 100.0 / report.sent.max(1) as f64);
+        }
+        rows.push(vec![
+            format!("{load}"),
+            format!("{:.0}", capacity_per_s * load),
+            with_spread(&goodput),
+            format!("{:.1}", median(&late)),
+            with_spread(&p99),
+            with_spread(&p999),
+            with_spread(&refusal),
+        ]);
+    }
+    publish(
+        &settings.folder,
+        "overload",
+        &[
+            "load",
+            "requests/s",
+            "answers in time/s",
+            "not answered in time %",
+            "p99 ms",
+            "p99.9 ms",
+            "slowest refusal ms",
+        ],
+        &rows,
+    )
+}
--- a/crates/pinhaven-stand-in/src/caller.rs
+++ b/crates/pinhaven-stand-in/src/caller.rs
@@ -22,6 +22,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -244,9 +246,13 @@
     until: Instant,
 }
 
+/// Number of the next caller of this process, so that no two use the same keys.
+static NEXT_CALLER: AtomicU64 = AtomicU64::new(0);
+
 /// A caller.
 pub struct Caller {
     settings: CallerSettings,
+    name: String,
     kept: Mutex<Kept>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
     repeatable: Mutex<Class>,
@@ -257,8 +263,10 @@
 impl Caller {
     /// A caller that has asked nothing yet.
     pub fn new(settings: CallerSettings) -> Arc<Self> {
+        let number = NEXT_CALLER.fetch_add(1, Ordering::Relaxed);
         Arc::new(Self {
             settings,
+            name: format!("{}-{number}", std::process::id()),
             kept: Mutex::new(Kept {
                 entries: Vec::new(),
                 until: Instant::now(),
@@ -340,7 +348,7 @@
     }
 
     async fn repeatable_request(&self, number: u64, random: &mut fastrand::Rng) -> Outcome {
-        let marker = format!("r{}-{number}", self.settings.seed);
+        let marker = format!("r{}-{number}", self.name);
         let request = self.request(Method::GET, "/quote", &marker, Bytes::new(), None);
         let mut outcome = Outcome::Unreachable;
         for _ in 0..ENTRIES_TRIED {
@@ -360,7 +368,7 @@
 
     /// Sends a once-only request, and asks about it elsewhere while its outcome is open.
     async fn once_request(&self, number: u64, random: &mut fastrand::Rng) -> Outcome {
-        let marker = format!("o{}-{number}", self.settings.seed);
+        let marker = format!("o{}-{number}", self.name);
         let body: Vec<u8> = (0..self.settings.body_bytes)
             .map(|_| random.u8(b'a'..=b'z'))
             .collect();
