--- a/crates/pinhaven-agree/src/ledger.rs
+++ b/crates/pinhaven-agree/src/ledger.rs
@@ -83,6 +83,18 @@
     pub key: Digest,
 }
 
+/// Number that the caller gives to its sending of a request, counted from 1.
+///
+/// Messages can be late. A request that was said not to have run must stay so, also when an earlier
+/// sending of it arrives after that; only a later sending begins it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Sending(pub u32);
+
+impl Sending {
+    /// The first sending, which an unnumbered one is taken for.
+    pub const FIRST: Self = Self(1);
+}
+
 /// Digest of all that makes a request what it is; a repeated one must have the same.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Fingerprint(pub Digest);
@@ -121,6 +133,7 @@
 #[must_use = "a claim that is not settled leaves its request unknown for ever"]
 pub struct Claim {
     key: OnceKey,
+    sending: Sending,
 }
 
 /// What to do with a once-only request.
@@ -128,6 +141,8 @@
 pub enum Begin {
     /// Dispatch it, and settle the claim.
     Dispatch(Claim),
+    /// This sending, or a later one, was said not to have run; it did not and will not.
+    RefusedBefore,
     /// It is being worked on.
     InFlight,
     /// It was answered; this is the answer.
@@ -150,8 +165,8 @@
 enum Fate {
     /// It may be at a target now.
     InFlight,
-    /// It is proved not to have run.
-    NotRun,
+    /// It is proved not to have run, and sendings up to this one never will.
+    NotRun(Sending),
     /// It ran, and this was the answer, if it is held.
     Answered(Option<StoredAnswer>),
     /// It may have run.
@@ -216,7 +231,7 @@
     }
 
     /// Takes a request in and says what to do with it.
-    pub fn begin(&mut self, key: OnceKey, fingerprint: Fingerprint) -> Begin {
+    pub fn begin(&mut self, key: OnceKey, sending: Sending, fingerprint: Fingerprint) -> Begin {
         if key.epoch > self.epoch || key.epoch < Epoch(1) {
             return Begin::NeverIssued;
         }
@@ -232,7 +247,7 @@
             let fate = Fate::InFlight;
             records.insert(key.clone(), Record { fingerprint, fate });
             self.record_count += 1;
-            return Begin::Dispatch(Claim { key });
+            return Begin::Dispatch(Claim { key, sending });
         };
         if record.fingerprint != fingerprint {
             return Begin::OtherRequest;
@@ -242,9 +257,10 @@
             Fate::Answered(Some(answer)) => Begin::Answered(answer.clone()),
             Fate::Answered(None) => Begin::AnsweredBefore,
             Fate::Unknown => Begin::Unknown,
-            Fate::NotRun => {
+            Fate::NotRun(refused) if sending <= *refused => Begin::RefusedBefore,
+            Fate::NotRun(_) => {
                 record.fate = Fate::InFlight;
-                Begin::Dispatch(Claim { key })
+                Begin::Dispatch(Claim { key, sending })
             }
         }
     }
@@ -260,9 +276,10 @@
         }
     }
 
-    /// Settles a claim: the request is proved not to have run, and may be begun again.
+    /// Settles a claim: the request is proved not to have run. A later sending may begin it again.
     pub fn settle_not_run(&mut self, claim: Claim) {
-        self.settle(claim, Fate::NotRun);
+        let refused = claim.sending;
+        self.settle(claim, Fate::NotRun(refused));
     }
 
     /// Settles a claim: nobody can tell whether the request ran.
--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -19,6 +19,7 @@
 pub use ledger::LedgerLimits;
 pub use ledger::OnceKey;
 pub use ledger::ParseHomeError;
+pub use ledger::Sending;
 pub use ledger::StoredAnswer;
 pub use membership::Member;
 pub use membership::MemberRow;
--- /dev/null
+++ b/crates/pinhaven-agree/tests/ledger.rs
@@ -0,0 +1,218 @@
+//! Once-only requests: what a ledger lets through, and how much it remembers.
+
+use pinhaven_agree::Begin;
+use pinhaven_agree::Claim;
+use pinhaven_agree::Epoch;
+use pinhaven_agree::Fingerprint;
+use pinhaven_agree::Home;
+use pinhaven_agree::Ledger;
+use pinhaven_agree::LedgerLimits;
+use pinhaven_agree::OnceKey;
+use pinhaven_agree::Sending;
+use pinhaven_agree::StoredAnswer;
+use pinhaven_types::Digest;
+use pinhaven_types::Incarnation;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use std::collections::HashMap;
+
+const FIRST: Sending = Sending::FIRST;
+
+const LIMITS: LedgerLimits = LedgerLimits {
+    records_most: 100,
+    answer_bytes_most: 50,
+    all_answer_bytes_most: 200,
+};
+
+fn key(epoch: u64, name: &str) -> OnceKey {
+    OnceKey {
+        epoch: Epoch(epoch),
+        service: "booking".parse().unwrap(),
+        key: Digest::of(name.as_bytes()),
+    }
+}
+
+fn body(text: &str) -> Fingerprint {
+    Fingerprint(Digest::of(text.as_bytes()))
+}
+
+fn answer(bytes: usize) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; bytes],
+    }
+}
+
+fn dispatched(begin: Begin) -> Claim {
+    match begin {
+        Begin::Dispatch(claim) => claim,
+        other => panic!("not dispatched: {other:?}"),
+    }
+}
+
+#[test]
+fn a_key_is_dispatched_once_and_answered_from_memory_after_that() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::InFlight);
+    ledger.settle_answered(claim, answer(10));
+    let again = ledger.begin(key(1, "a"), FIRST, body("x"));
+    assert_eq!(again, Begin::Answered(answer(10)));
+}
+
+#[test]
+fn a_key_with_another_body_is_not_run() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("y")), Begin::OtherRequest);
+    ledger.settle_answered(claim, answer(1));
+    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("y")), Begin::OtherRequest);
+}
+
+#[test]
+fn a_request_that_is_proved_not_to_have_run_may_be_begun_again() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    ledger.settle_not_run(claim);
+    let claim = dispatched(ledger.begin(key(1, "a"), Sending(2), body("x")));
+    ledger.settle_unknown(claim);
+}
+
+#[test]
+fn a_late_message_does_not_run_what_was_said_not_to_have_run() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), Sending(3), body("x")));
+    ledger.settle_not_run(claim);
+    for late in 1..=3 {
+        let begin = ledger.begin(key(1, "a"), Sending(late), body("x"));
+        assert_eq!(begin, Begin::RefusedBefore, "sending {late}");
+    }
+    let claim = dispatched(ledger.begin(key(1, "a"), Sending(4), body("x")));
+    ledger.settle_answered(claim, answer(1));
+}
+
+#[test]
+fn a_request_whose_outcome_is_unknown_stays_unknown() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    ledger.settle_unknown(claim);
+    for _ in 0..3 {
+        assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::Unknown);
+    }
+}
+
+#[test]
+fn a_forgotten_epoch_is_unknown_and_one_to_come_was_never_given_out() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    ledger.settle_answered(claim, answer(1));
+    for _ in 0..3 {
+        ledger.advance_epoch();
+    }
+    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::Forgotten);
+    assert_eq!(ledger.begin(key(1, "new"), FIRST, body("x")), Begin::Forgotten);
+    assert_eq!(ledger.begin(key(5, "a"), FIRST, body("x")), Begin::NeverIssued);
+    assert_eq!(ledger.begin(key(0, "a"), FIRST, body("x")), Begin::NeverIssued);
+    assert_eq!(ledger.record_count(), 0);
+    assert_eq!(ledger.answer_bytes(), 0);
+}
+
+#[test]
+fn a_claim_that_outlives_its_epoch_can_be_settled_and_leaves_nothing() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
+    for _ in 0..3 {
+        ledger.advance_epoch();
+    }
+    ledger.settle_answered(claim, answer(10));
+    assert_eq!(ledger.answer_bytes(), 0);
+    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::Forgotten);
+}
+
+#[test]
+fn a_full_ledger_refuses_new_keys_and_still_knows_the_old_ones() {
+    let mut ledger = Ledger::new(LIMITS);
+    let mut claims = Vec::new();
+    for number in 0..LIMITS.records_most {
+        claims.push(dispatched(ledger.begin(key(1, &number.to_string()), FIRST, body("x"))));
+    }
+    assert_eq!(ledger.begin(key(1, "one more"), FIRST, body("x")), Begin::Full);
+    assert_eq!(ledger.begin(key(1, "0"), FIRST, body("x")), Begin::InFlight);
+}
+
+#[test]
+fn answers_that_do_not_fit_are_known_to_have_been_given() {
+    let mut ledger = Ledger::new(LIMITS);
+    let claim = dispatched(ledger.begin(key(1, "large"), FIRST, body("x")));
+    ledger.settle_answered(claim, answer(LIMITS.answer_bytes_most + 1));
+    let again = ledger.begin(key(1, "large"), FIRST, body("x"));
+    assert_eq!(again, Begin::AnsweredBefore);
+    for number in 0..10 {
+        let claim = dispatched(ledger.begin(key(1, &number.to_string()), FIRST, body("x")));
+        ledger.settle_answered(claim, answer(50));
+        assert!(ledger.answer_bytes() <= LIMITS.all_answer_bytes_most);
+    }
+}
+
+#[test]
+fn a_home_is_read_back_as_it_was_written() {
+    let home = Home {
+        incarnation: Incarnation::new(77),
+        epoch: Epoch(3),
+    };
+    assert_eq!(home.to_string().parse(), Ok(home));
+    for bad in ["", "1", "x.1", "1.x", "1.2.3"] {
+        assert!(bad.parse::<Home>().is_err(), "{bad:?}");
+    }
+}
+
+/// Random begins, settlements and epochs; no key may be dispatched again after it may have run.
+fn never_twice(steps: Vec<(u8, u8)>) -> bool {
+    let mut ledger = Ledger::new(LIMITS);
+    let mut sending = 0;
+    let mut open: Vec<(OnceKey, Claim)> = Vec::new();
+    let mut may_have_run: HashMap<OnceKey, bool> = HashMap::new();
+    for (kind, draw) in steps {
+        match kind % 8 {
+            0 => ledger.advance_epoch(),
+            1..=4 => {
+                let epoch = ledger.epoch().0.saturating_sub(u64::from(draw % 5));
+                let key = key(epoch, &(draw % 16).to_string());
+                sending += 1;
+                if let Begin::Dispatch(claim) = ledger.begin(key.clone(), Sending(sending), body("x")) {
+                    if may_have_run.insert(key.clone(), true) == Some(true) {
+                        return false;
+                    }
+                    open.push((key, claim));
+                }
+            }
+            _ if open.is_empty() => {}
+            settle => {
+                let (key, claim) = open.swap_remove(usize::from(draw) % open.len());
+                match settle {
+                    5 => {
+                        ledger.settle_not_run(claim);
+                        may_have_run.insert(key, false);
+                    }
+                    6 => ledger.settle_unknown(claim),
+                    _ => ledger.settle_answered(claim, answer(usize::from(draw))),
+                }
+            }
+        }
+        if ledger.record_count() > LIMITS.records_most
+            || ledger.answer_bytes() > LIMITS.all_answer_bytes_most
+        {
+            return false;
+        }
+    }
+    true
+}
+
+#[test]
+fn no_key_is_dispatched_again_after_it_may_have_run() {
+    QuickCheck::new()
+        .tests(3_000)
+        .rng(Gen::from_size_and_seed(300, 31))
+        .quickcheck(never_twice as fn(Vec<(u8, u8)>) -> bool);
+}
--- /dev/null
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -0,0 +1,179 @@
+//! Who is an entry, and which ones callers are told.
+
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::Membership;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use std::collections::BTreeMap;
+
+const SILENT_AFTER: Microseconds = Microseconds::from_ms(2_000);
+
+fn row(number: u16, state: MemberState) -> MemberRow {
+    MemberRow {
+        incarnation: Incarnation::new(u128::from(number)),
+        instance_id: format!("entry-{number:02}").parse().unwrap(),
+        failure_domain: format!("domain-{}", number % 3).parse().unwrap(),
+        caller_address: format!("127.0.0.1:{}", 7_000 + number).parse().unwrap(),
+        peer_address: format!("127.0.0.1:{}", 8_000 + number).parse().unwrap(),
+        state,
+        heartbeat: 1,
+        version: BundleVersion::new(1),
+        epoch: 1,
+    }
+}
+
+fn at_ms(time_ms: u64) -> Microseconds {
+    Microseconds::from_ms(100_000 + time_ms)
+}
+
+/// A membership of entry 0 with `count` others, all heard at the start.
+fn members(count: u16) -> Membership {
+    let mut members = Membership::new(row(0, MemberState::Ready), SILENT_AFTER);
+    for number in 1..=count {
+        members.hear(row(number, MemberState::Ready), at_ms(0));
+    }
+    members
+}
+
+fn service(name: &str) -> ServiceName {
+    name.parse().unwrap()
+}
+
+fn named(members: &Membership, name: &str, count: usize, time_ms: u64) -> Vec<String> {
+    members
+        .entries_for(&service(name), None, count, at_ms(time_ms))
+        .into_iter()
+        .map(|row| row.instance_id.to_string())
+        .collect()
+}
+
+#[test]
+fn a_stopping_entry_is_not_named_and_a_late_message_does_not_bring_it_back() {
+    let mut members = members(3);
+    let mut stopping = row(2, MemberState::Stopping);
+    stopping.heartbeat = 5;
+    members.hear(stopping, at_ms(10));
+    let mut late = row(2, MemberState::Ready);
+    late.heartbeat = 4;
+    members.hear_of(late.clone(), at_ms(20));
+    late.heartbeat = 9;
+    members.hear(late, at_ms(30));
+    let names = named(&members, "quote", 10, 40);
+    assert!(!names.contains(&"entry-02".to_owned()), "{names:?}");
+    assert_eq!(names.len(), 3);
+}
+
+#[test]
+fn an_entry_whose_heart_stands_still_is_not_named() {
+    let mut members = members(2);
+    let mut beating = row(1, MemberState::Ready);
+    beating.heartbeat = 2;
+    members.hear_of(beating, at_ms(1_500));
+    assert_eq!(named(&members, "quote", 10, 2_100), ["entry-00", "entry-01"]);
+}
+
+#[test]
+fn a_repeated_old_heartbeat_does_not_keep_an_entry_alive() {
+    let mut members = members(1);
+    for time_ms in (0..4_000).step_by(100) {
+        members.hear_of(row(1, MemberState::Ready), at_ms(time_ms));
+    }
+    assert_eq!(named(&members, "quote", 10, 4_000), ["entry-00"]);
+}
+
+#[test]
+fn an_entry_known_only_from_a_list_is_not_named_before_its_heart_was_seen_to_beat() {
+    let mut members = members(0);
+    members.hear_of(row(1, MemberState::Ready), at_ms(0));
+    assert_eq!(named(&members, "quote", 10, 1), ["entry-00"]);
+    let mut next = row(1, MemberState::Ready);
+    next.heartbeat = 2;
+    members.hear_of(next, at_ms(10));
+    assert_eq!(named(&members, "quote", 10, 11).len(), 2);
+}
+
+#[test]
+fn an_entry_that_is_starting_is_not_named() {
+    let mut members = Membership::new(row(0, MemberState::Starting), SILENT_AFTER);
+    assert!(named(&members, "quote", 10, 0).is_empty());
+    members.advance(MemberState::Ready);
+    assert_eq!(named(&members, "quote", 10, 0), ["entry-00"]);
+    members.advance(MemberState::Stopping);
+    members.advance(MemberState::Ready);
+    assert!(named(&members, "quote", 10, 0).is_empty(), "no life goes back");
+}
+
+#[test]
+fn all_entries_name_the_same_few_for_a_service() {
+    let mut all = Vec::new();
+    for own in 0..6 {
+        let mut members = Membership::new(row(own, MemberState::Ready), SILENT_AFTER);
+        for number in (0..6).filter(|number| *number != own) {
+            members.hear(row(number, MemberState::Ready), at_ms(0));
+        }
+        all.push(named(&members, "quote", 3, 0));
+    }
+    assert_eq!(all[0].len(), 3);
+    assert!(all.iter().all(|names| *names == all[0]), "{all:?}");
+}
+
+#[test]
+fn many_services_spread_evenly_over_the_entries() {
+    let members = members(17);
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for number in 0..1_900 {
+        for name in named(&members, &format!("service-{number}"), 4, 0) {
+            *counts.entry(name).or_default() += 1;
+        }
+    }
+    // 1900 services name 4 of 18 entries each: 422 on average.
+    assert_eq!(counts.len(), 18);
+    assert!(counts.values().all(|count| (340..510).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn the_loss_of_an_entry_moves_only_what_it_served() {
+    let whole = members(17);
+    let mut without = members(17);
+    without.lose(Incarnation::new(5));
+    for number in 0..200 {
+        let name = format!("service-{number}");
+        let before = named(&whole, &name, 4, 0);
+        let after = named(&without, &name, 4, 0);
+        let kept = before.iter().filter(|entry| after.contains(entry)).count();
+        let lost = usize::from(before.contains(&"entry-05".to_owned()));
+        assert_eq!(kept, 4 - lost, "{before:?} {after:?}");
+    }
+}
+
+#[test]
+fn the_callers_own_domain_comes_first() {
+    let members = members(17);
+    let domain = "domain-1".parse().unwrap();
+    for number in 0..50 {
+        let name = service(&format!("service-{number}"));
+        let rows = members.entries_for(&name, Some(&domain), 6, at_ms(0));
+        let own: Vec<bool> = rows.iter().map(|row| row.failure_domain == domain).collect();
+        let mut sorted = own.clone();
+        sorted.sort_by_key(|own| !own);
+        assert_eq!(own, sorted);
+    }
+}
+
+#[test]
+fn two_entries_of_each_domain_read_the_head() {
+    let mut readers: BTreeMap<u16, u32> = BTreeMap::new();
+    for own in 0..18 {
+        let mut members = Membership::new(row(own, MemberState::Ready), SILENT_AFTER);
+        for number in (0..18).filter(|number| *number != own) {
+            members.hear(row(number, MemberState::Ready), at_ms(0));
+        }
+        if members.is_head_reader(2, at_ms(0)) {
+            *readers.entry(own % 3).or_default() += 1;
+        }
+    }
+    assert_eq!(readers, BTreeMap::from([(0, 2), (1, 2), (2, 2)]));
+}
--- a/crates/pinhaven-decide/src/choice.rs
+++ b/crates/pinhaven-decide/src/choice.rs
@@ -28,6 +28,9 @@
 const SILENCE_WEIGHT_ONCE: f32 = 0.2;
 /// Silence that counts half of that, in typical times.
 const SILENCE_HALF: f32 = 10.0;
+/// Scores that differ by less than this are taken as equal, so that entries with the same stale view
+/// don't all go to the target that is ahead by a hair.
+const SCORE_STEP: f32 = 0.05;
 /// Age at which half of a report has faded, in typical times.
 const REPORT_HALF: f32 = 2.0;
 
@@ -171,5 +174,5 @@
         let silence = target.silence_ms(now) / typical_ms;
         score += SILENCE_WEIGHT_ONCE * silence / (silence + SILENCE_HALF);
     }
-    (score, load)
+    ((score / SCORE_STEP).floor(), load)
 }
--- /dev/null
+++ b/crates/pinhaven-decide/tests/measuring.rs
@@ -0,0 +1,96 @@
+//! The budget of measuring, over a change of holders and at any moment.
+
+mod common;
+
+use common::at_ms;
+use common::service_with;
+use pinhaven_bundle::Measuring;
+use pinhaven_decide::Microseconds;
+use pinhaven_decide::ProbeBudget;
+use pinhaven_types::promise_violations;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use serde_json::json;
+
+const PROBE_MS: u64 = 7;
+
+fn budget(percent: f64, slots: u32, now: Microseconds) -> ProbeBudget {
+    let fields = json!({"measuring_budget_percent": percent, "slots": slots});
+    ProbeBudget::new(&Measuring::default(), &service_with(1, fields), now)
+}
+
+/// The most slot time spent in any window, in milliseconds.
+fn most_in_window_ms(probes_ms: &[u64]) -> u64 {
+    let window_ms = Measuring::default().window_ms;
+    probes_ms
+        .iter()
+        .map(|from| {
+            let inside = probes_ms.iter().filter(|at| (*from..from + window_ms).contains(at));
+            inside.count() as u64 * PROBE_MS
+        })
+        .max()
+        .unwrap_or_default()
+}
+
+#[test]
+fn no_probe_is_allowed_where_the_budget_is_nothing_or_too_small() {
+    for (percent, slots) in [(0.0, 6), (0.02, 1), (0.1, 1)] {
+        let mut budget = budget(percent, slots, at_ms(0));
+        assert!(!budget.allows_probes(), "{percent}% of {slots}");
+        assert!(!budget.take(at_ms(1_000_000)));
+    }
+}
+
+#[test]
+fn a_new_holder_waits_before_its_first_probe() {
+    let mut budget = budget(0.5, 6, at_ms(0));
+    assert!(!budget.take(at_ms(0)));
+    assert!(budget.next_at().unwrap() > at_ms(0));
+}
+
+#[test]
+fn a_slow_probe_puts_the_next_ones_off() {
+    let mut budget = budget(0.5, 6, at_ms(0));
+    let first = budget.next_at().unwrap();
+    assert!(budget.take(first));
+    let usual = budget.next_at().unwrap();
+    budget.record(Microseconds::from_ms(PROBE_MS * 10));
+    assert!(budget.next_at().unwrap() > usual);
+}
+
+/// Holders follow each other at random times; each may send one probe that it had asked for just
+/// before it was paused.
+fn windows_hold(percent_tenths: u8, slots: u8, moves: Vec<u8>) -> bool {
+    let percent = f64::from(percent_tenths % 40) / 10.0;
+    let slots = u32::from(slots % 8) + 1;
+    let allowed_ms = percent / 100.0 * f64::from(slots) * Measuring::default().window_ms as f64;
+    let mut time_ms = 0;
+    let mut probes_ms = Vec::new();
+    let mut holder = budget(percent, slots, at_ms(0));
+    let mut last_change_ms = 0;
+    for step in moves {
+        time_ms += u64::from(step) * 20;
+        let has_changed = step % 16 == 0 && time_ms - last_change_ms > 20_000;
+        if has_changed {
+            if holder.allows_probes() {
+                probes_ms.push(time_ms);
+            }
+            holder = budget(percent, slots, at_ms(time_ms));
+            last_change_ms = time_ms;
+        }
+        if holder.take(at_ms(time_ms)) {
+            probes_ms.push(time_ms);
+        }
+    }
+    most_in_window_ms(&probes_ms) as f64 <= allowed_ms
+}
+
+#[test]
+fn no_window_ever_costs_more_than_the_budget() {
+    let before = promise_violations();
+    QuickCheck::new()
+        .tests(3_000)
+        .rng(Gen::from_size_and_seed(400, 23))
+        .quickcheck(windows_hold as fn(u8, u8, Vec<u8>) -> bool);
+    assert_eq!(promise_violations(), before);
+}
--- a/crates/pinhaven-entry/src/header.rs
+++ b/crates/pinhaven-entry/src/header.rs
@@ -10,6 +10,8 @@
 pub(crate) const ATTEMPTS_LEFT: HeaderName = HeaderName::from_static("pinhaven-attempts-left");
 /// Home of a once-only request.
 pub(crate) const HOME: HeaderName = HeaderName::from_static("pinhaven-home");
+/// Number of the caller's sending of a once-only request, counted from 1.
+pub(crate) const SENDING: HeaderName = HeaderName::from_static("pinhaven-sending");
 /// Whether a request ran: `run`, `not-run` or `unknown`.
 pub(crate) const RUN: HeaderName = HeaderName::from_static("pinhaven-run");
 /// When to come back, in milliseconds; `Retry-After` says the same in seconds.
--- a/crates/pinhaven-entry/src/once.rs
+++ b/crates/pinhaven-entry/src/once.rs
@@ -15,6 +15,7 @@
 use crate::proxy::dispatch;
 use crate::relay;
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
@@ -25,6 +26,7 @@
 use pinhaven_agree::Fingerprint;
 use pinhaven_agree::Home;
 use pinhaven_agree::OnceKey;
+use pinhaven_agree::Sending;
 use pinhaven_agree::StoredAnswer;
 use pinhaven_bundle::Service;
 use pinhaven_decide::RunState;
@@ -50,7 +52,7 @@
 /// Answers a once-only request, here or at its home.
 pub(crate) async fn answer(job: Job, hold: CallerHold) -> Response<AnyBody> {
     match find_home(&job).await {
-        Err(problem) => problem.into_response(),
+        Err(problem) => without_proof(&job.headers, problem).into_response(),
         Ok((home, key, bytes)) => {
             if home.incarnation == job.entry.incarnation {
                 run_at_home(job, hold, home.epoch, key, bytes).await
@@ -96,6 +98,23 @@
     })
 }
 
+/// What may be said of a once-only request that was refused without its home's ledger. An earlier
+/// sending of it may still arrive somewhere, so "not run" is proved only for a first sending.
+pub(crate) fn without_proof(headers: &HeaderMap, problem: Problem) -> Problem {
+    let is_first = sending_of(headers) == Some(Sending::FIRST);
+    if problem.run_state == RunState::NotRun && !is_first {
+        problem.with_run_state(RunState::Unknown)
+    } else {
+        problem
+    }
+}
+
+/// The number of this sending; `None` when the caller gives none.
+fn sending_of(headers: &HeaderMap) -> Option<Sending> {
+    let number = header::number(headers, &header::SENDING).ok()??;
+    u32::try_from(number).ok().map(Sending)
+}
+
 /// Runs a request whose home is this entry. The work does not stop when the caller leaves.
 pub(crate) async fn run_at_home(
     job: Job,
@@ -110,7 +129,8 @@
         service: job.service.config.name.clone(),
         key,
     };
-    let begin = job.entry.ledger.lock().begin(once_key, fingerprint);
+    let sending = sending_of(&job.headers).unwrap_or(Sending::FIRST);
+    let begin = job.entry.ledger.lock().begin(once_key, sending, fingerprint);
     let claim = match begin {
         Begin::Dispatch(claim) => claim,
         other => return answer_without_dispatch(&job, other),
@@ -202,23 +222,32 @@
             )
             .into_response()
         }
+        Begin::RefusedBefore => {
+            counters.add(Count::OnceReplayed);
+            Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "refused_before",
+                "this sending was refused and did not run; raise Pinhaven-Sending to try again",
+            )
+            .into_response()
+        }
         Begin::Full => {
             counters.add(Count::OnceFull);
-            Problem::not_run(
+            let problem = Problem::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "ledger_full",
                 "this entry can't remember more keys now",
-            )
-            .into_response()
+            );
+            without_proof(&job.headers, problem).into_response()
         }
         Begin::NeverIssued => {
             counters.add(Count::BadRequest);
-            Problem::not_run(
+            let problem = Problem::not_run(
                 StatusCode::BAD_REQUEST,
                 "bad_home",
                 "this home was never given out",
-            )
-            .into_response()
+            );
+            without_proof(&job.headers, problem).into_response()
         }
         Begin::Unknown | Begin::Forgotten => {
             counters.add(Count::OnceUnknown);
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/proxy.rs
@@ -47,6 +47,7 @@
 use pinhaven_runtime::AnyBody;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
+use pinhaven_types::TargetAddress;
 use pinhaven_types::require_promise;
 use std::future::Future;
 use std::future::poll_fn;
@@ -91,8 +92,13 @@
     }
     let in_flight = entry.enter();
     entry.counters.add(Count::Requests);
+    let is_keyed = request.headers().contains_key(header::IDEMPOTENCY_KEY);
+    let keyed_headers = is_keyed.then(|| request.headers().clone());
     match take_request(&entry, request).await {
-        Err(problem) => problem.into_response(),
+        Err(problem) => match keyed_headers {
+            Some(headers) => once::without_proof(&headers, problem).into_response(),
+            None => problem.into_response(),
+        },
         Ok((job, memory)) => {
             let hold = CallerHold {
                 _in_flight: Some(in_flight),
@@ -505,7 +511,7 @@
 async fn run_attempt(
     entry: Arc<Entry>,
     service: Arc<ServiceEntry>,
-    target: pinhaven_types::TargetAddress,
+    target: TargetAddress,
     prepared: Prepared,
 ) -> AttemptEnd {
     let pool = service.pools.get(&target).cloned().unwrap_or_default();
@@ -519,7 +525,7 @@
         }
         match pool::send(connected.sender, request).await {
             Sent::Answer(response, sender) => {
-                return check_answer(&entry, &service, response, sender, &id);
+                return check_answer(&entry, &service, target, response, sender, &id);
             }
             Sent::Unsent(unsent) => request = *unsent,
             Sent::Broken(error) => {
@@ -535,10 +541,12 @@
 fn check_answer(
     entry: &Entry,
     service: &ServiceEntry,
+    target: TargetAddress,
     response: Response<Incoming>,
     sender: Sender,
     id: &HeaderValue,
 ) -> AttemptEnd {
+    let report = load_report::from_headers(response.headers());
     let echoed = response.headers().get(header::REQUEST_ID);
     let is_own = match echoed {
         Some(echoed) => echoed == id,
@@ -546,6 +554,10 @@
     };
     if !is_own {
         entry.counters.add(Count::AttemptCrossed);
+        // Whosever answer it is, the report on it is the target's.
+        if let (Some(report), Some(state)) = (&report, service.state.target(target)) {
+            service.state.record_report(state, entry.now(), report);
+        }
         log::warn!(target: "proxy", "An answer belonged to another request; it was dropped.");
         return AttemptEnd::Broken;
     }
@@ -553,7 +565,6 @@
         entry.counters.add(Count::AttemptUnbounded);
         return AttemptEnd::Broken;
     }
-    let report = load_report::from_headers(response.headers());
     AttemptEnd::Answer(Answer {
         response,
         sender,
--- a/crates/pinhaven-lab/src/lab.rs
+++ b/crates/pinhaven-lab/src/lab.rs
@@ -21,7 +21,9 @@
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::fmt;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
@@ -67,6 +69,8 @@
     targets: Vec<Vec<SocketAddr>>,
     target_processes: Vec<Process>,
     entries: BTreeMap<String, Process>,
+    peer_addresses: BTreeMap<String, SocketAddr>,
+    first_caller_addresses: Vec<SocketAddr>,
     public_key: String,
     version: u64,
 }
@@ -97,6 +101,8 @@
             targets: Vec::new(),
             target_processes: Vec::new(),
             entries: BTreeMap::new(),
+            peer_addresses: BTreeMap::new(),
+            first_caller_addresses: Vec::new(),
             public_key: String::new(),
             version: 0,
         };
@@ -107,6 +113,11 @@
             lab.start_entry(index)?;
         }
         lab.wait_until_ready().await?;
+        for row in lab.rows().await {
+            let name = row.instance_id.to_string();
+            lab.peer_addresses.insert(name, row.peer_address);
+            lab.first_caller_addresses.push(row.caller_address);
+        }
         Ok(lab)
     }
 
@@ -162,6 +173,11 @@
         self.version
     }
 
+    /// Takes over that another version is the newest.
+    pub fn set_version(&mut self, version: u64) {
+        self.version = version;
+    }
+
     /// A bundle of the next version with all services of the plan.
     pub fn bundle(&self) -> Value {
         let services: Vec<Value> = self
@@ -250,6 +266,40 @@
     ///
     /// [`LabError`] when the process can't be started.
     pub fn start_entry(&mut self, index: usize) -> Result<(), LabError> {
+        self.start_entry_process(index, &json!({}))
+    }
+
+    /// Starts an entry with more settings at a peer address that is known beforehand, so that it can
+    /// be asked while the platform is down.
+    ///
+    /// # Errors
+    ///
+    /// [`LabError`] when the process can't be started.
+    pub fn start_entry_with(
+        &mut self,
+        index: usize,
+        settings: Value,
+    ) -> Result<SocketAddr, LabError> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(LabError::new)?;
+        let address = listener.local_addr().map_err(LabError::new)?;
+        drop(listener);
+        let mut settings = settings;
+        settings["peer_address"] = json!(address);
+        self.start_entry_process(index, &settings)?;
+        self.peer_addresses.insert(Self::entry_name(index), address);
+        Ok(address)
+    }
+
+    /// Where the entry with an index listened for peers when the lab last looked.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it was never ready.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.peer_addresses[&Self::entry_name(index)]
+    }
+
+    fn start_entry_process(&mut self, index: usize, more: &Value) -> Result<(), LabError> {
         let name = Self::entry_name(index);
         let domain = &self.plan.domains[index % self.plan.domains.len()];
         let mut settings = json!({
@@ -263,9 +313,10 @@
             "head_poll_ms": 200,
             "gossip_ms": 200,
         });
-        if let (Some(all), Some(more)) = (settings.as_object_mut(), self.plan.settings.as_object())
-        {
-            all.extend(more.clone());
+        for fields in [&self.plan.settings, more] {
+            if let (Some(all), Some(fields)) = (settings.as_object_mut(), fields.as_object()) {
+                all.extend(fields.clone());
+            }
         }
         let file = self.folder.join(format!("{name}.json"));
         std::fs::write(&file, settings.to_string()).map_err(LabError::new)?;
@@ -324,9 +375,12 @@
             .find(|row| row.instance_id.as_str() == name)
     }
 
-    /// Where callers reach the entries that run.
+    /// Where callers reach the entries that run; as they were at the start while the platform is down.
     pub async fn caller_addresses(&self) -> Vec<SocketAddr> {
         let rows = self.rows().await;
+        if rows.is_empty() {
+            return self.first_caller_addresses.clone();
+        }
         rows.iter()
             .filter(|row| self.entries.contains_key(row.instance_id.as_str()))
             .map(|row| row.caller_address)
@@ -339,6 +393,18 @@
         get(row.peer_address, "/status").await
     }
 
+    /// The version in force at the entry that listens for peers at an address.
+    pub async fn version_at(&self, peer: SocketAddr) -> Option<u64> {
+        let status: InstanceStatus = get(peer, "/status").await?;
+        Some(status.own.version.number())
+    }
+
+    /// The state of the entry that listens for peers at an address.
+    pub async fn state_at(&self, peer: SocketAddr) -> Option<MemberState> {
+        let status: InstanceStatus = get(peer, "/status").await?;
+        Some(status.own.state)
+    }
+
     /// The statuses of all entries that answer.
     pub async fn statuses(&self) -> Vec<InstanceStatus> {
         let mut statuses = Vec::new();
--- a/crates/pinhaven-lab/src/lib.rs
+++ b/crates/pinhaven-lab/src/lib.rs
@@ -3,11 +3,13 @@
 //! A [`Lab`] has a platform, targets and entries, each a process of its own on the loopback interface
 //! with ports that the kernel picks. Everything it started ends with it.
 
+pub mod check;
 pub mod demo;
 mod lab;
 pub mod measure;
 mod plan;
 mod process;
+pub mod soak;
 mod table;
 
 pub use lab::Lab;
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -6,6 +6,8 @@
 use pinhaven_lab::measure;
 use pinhaven_lab::measure::MeasureSettings;
 use pinhaven_lab::measure::Part;
+use pinhaven_lab::soak;
+use pinhaven_lab::soak::SoakReport;
 use pinhaven_runtime::run_with_threads;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -24,6 +26,15 @@
 enum Command {
     /// Serve requests from end to end and print what came of them.
     Demo,
+    /// Run random faults for a while and say whether anything that must hold did not.
+    Soak {
+        /// Seed of the faults.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Minutes.
+        #[arg(long, default_value_t = 1.0)]
+        minutes: f64,
+    },
     /// Measure, and write the results to a folder.
     Measure {
         /// Only this part.
@@ -44,11 +55,34 @@
     },
 }
 
+/// Prints what a soak found; whether it found nothing.
+fn print_soak(seed: u64, report: &SoakReport) -> bool {
+    println!("Seed {seed}, {} steps:", report.steps.len());
+    for step in &report.steps {
+        println!("  {step}");
+    }
+    for (name, told) in [
+        ("with a home", &report.with_home),
+        ("without a home", &report.without_home),
+    ] {
+        println!("Callers {name}: {:?} {:?}", told.repeatable, told.once);
+    }
+    for fault in &report.faults {
+        println!("FAULT: {fault}");
+    }
+    println!("{} faults found.", report.faults.len());
+    report.faults.is_empty()
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = run_with_threads(THREADS, async {
         match cli.command {
             Command::Demo => demo::run().await,
+            Command::Soak { seed, minutes } => {
+                let report = soak::run(seed, (minutes * 60_000.0) as u64).await?;
+                Ok(print_soak(seed, &report))
+            }
             Command::Measure {
                 part,
                 only,
--- a/crates/pinhaven-lab/src/process.rs
+++ b/crates/pinhaven-lab/src/process.rs
@@ -1,5 +1,6 @@
 //! One process that a lab started.
 
+use pinhaven_runtime::sleep_ms;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -15,6 +16,8 @@
 
 /// Clock ticks a second in `/proc`.
 const TICKS_PER_S: f64 = 100.0;
+/// How often an ending process is looked at, in milliseconds.
+const LOOK_MS: u64 = 10;
 /// Bytes of a memory page.
 const PAGE_BYTES: u64 = 4096;
 
@@ -79,13 +82,13 @@
     }
 
     /// Waits for the process to end by itself; whether it did, and well.
-    pub fn wait(&mut self, most: Duration) -> Option<bool> {
+    pub async fn wait(&mut self, most: Duration) -> Option<bool> {
         let began = Instant::now();
         while began.elapsed() < most {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return Some(status.success());
             }
-            std::thread::sleep(Duration::from_millis(10));
+            sleep_ms(LOOK_MS).await;
         }
         None
     }
--- /dev/null
+++ b/crates/pinhaven-lab/src/soak.rs
@@ -0,0 +1,329 @@
+//! A long randomised run of real processes: kills, pauses, planned stops, platform outages, lost
+//! answers, operator races and misbehaving targets, together and again and again.
+//!
+//! The seed decides which faults come and in what order; a run prints it, and the same seed gives the
+//! same schedule again.
+
+use crate::check::broken_promises;
+use crate::check::faults_of_report;
+use crate::lab::Lab;
+use crate::lab::LabError;
+use crate::plan::LabPlan;
+use crate::plan::ServicePlan;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_stand_in::caller::Caller;
+use pinhaven_stand_in::caller::CallerReport;
+use pinhaven_stand_in::caller::CallerSettings;
+use pinhaven_stand_in::platform::PlatformFaults;
+use pinhaven_stand_in::target::TargetFaults;
+use serde_json::json;
+use std::time::Duration;
+
+/// Entries of the deployment.
+const ENTRIES: usize = 5;
+/// Targets of the service.
+const TARGETS: u64 = 8;
+/// Time between two faults, in milliseconds.
+const STEP_MS: u64 = 700;
+/// Requests a second.
+const RATE_PER_S: f64 = 150.0;
+/// Share of requests that may not be repeated, in percent.
+const ONCE_PERCENT: u8 = 50;
+/// How long a planned stop may take.
+const STOP_MOST: Duration = Duration::from_secs(20);
+/// Time of the last, quiet part, in milliseconds.
+const QUIET_MS: u64 = 2_000;
+
+/// What a soak found.
+#[derive(Debug, Default)]
+pub struct SoakReport {
+    /// What was done, a line a step.
+    pub steps: Vec<String>,
+    /// What must not have happened and did.
+    pub faults: Vec<String>,
+    /// What callers with a home were told.
+    pub with_home: CallerReport,
+    /// What callers without a home were told.
+    pub without_home: CallerReport,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// [`LabError`] when the deployment can't be started.
+pub async fn run(seed: u64, duration_ms: u64) -> Result<SoakReport, LabError> {
+    let service = ServicePlan::new("quote", TARGETS, 3, 20.0);
+    let settings = json!({"platform_timeout_ms": 500, "ledger_epoch_ms": 20_000});
+    let plan = LabPlan::new(ENTRIES, vec![service]).with_seed(seed);
+    let lab = Lab::start(plan.with_settings(settings)).await?;
+    let seeds = lab.caller_addresses().await;
+    let callers = [true, false].map(|names_home| {
+        let mut settings = CallerSettings::new(seeds.clone(), "quote", RATE_PER_S, duration_ms);
+        settings.once_percent = ONCE_PERCENT;
+        settings.names_home = names_home;
+        settings.seed = seed;
+        spawn(Caller::new(settings).run())
+    });
+    let mut soak = Soak {
+        lab,
+        random: fastrand::Rng::with_seed(seed),
+        entries: [EntryState::Running; ENTRIES],
+        versions_seen: [0; ENTRIES],
+        report: SoakReport::default(),
+    };
+    for _ in 0..duration_ms / STEP_MS {
+        soak.step().await;
+        soak.look_at_versions().await;
+        sleep_ms(STEP_MS).await;
+    }
+    let [with_home, without_home] = callers;
+    soak.put_right().await;
+    soak.report.with_home = with_home.await;
+    soak.report.without_home = without_home.await;
+    soak.finish().await;
+    Ok(soak.report)
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryState {
+    Running,
+    Paused,
+    Dead,
+}
+
+struct Soak {
+    lab: Lab,
+    random: fastrand::Rng,
+    entries: [EntryState; ENTRIES],
+    /// The highest version seen in force at each entry's present run.
+    versions_seen: [u64; ENTRIES],
+    report: SoakReport,
+}
+
+impl Soak {
+    async fn step(&mut self) {
+        let index = self.random.usize(..ENTRIES);
+        match self.random.u8(0..12) {
+            0 => self.kill(index),
+            1 => self.pause(index),
+            2 => self.stop(index).await,
+            3..=5 => self.bring_back(index),
+            6 => self.break_platform().await,
+            7 => self.mend_platform().await,
+            8 => self.roll(),
+            9 => self.race(),
+            10 => self.break_target().await,
+            _ => self.mend_targets().await,
+        }
+    }
+
+    fn note(&mut self, what: String) {
+        self.report.steps.push(what);
+    }
+
+    /// One entry at least is left running.
+    fn may_lose_one(&self) -> bool {
+        let running = self.entries.iter().filter(|e| **e == EntryState::Running);
+        running.count() > 1
+    }
+
+    fn kill(&mut self, index: usize) {
+        if self.may_lose_one() {
+            self.note(format!("kill entry {index}"));
+            self.lab.kill_entry(index);
+            self.entries[index] = EntryState::Dead;
+        }
+    }
+
+    fn pause(&mut self, index: usize) {
+        if self.entries[index] == EntryState::Running && self.may_lose_one() {
+            self.note(format!("pause entry {index}"));
+            self.lab.entry(index).pause();
+            self.entries[index] = EntryState::Paused;
+        }
+    }
+
+    async fn stop(&mut self, index: usize) {
+        if self.entries[index] == EntryState::Running && self.may_lose_one() {
+            self.note(format!("stop entry {index} as planned"));
+            self.lab.entry(index).terminate();
+            let ended = self.lab.entry(index).wait(STOP_MOST).await;
+            if ended != Some(true) {
+                let fault = format!("the planned stop of entry {index} ended as {ended:?}");
+                self.report.faults.push(fault);
+            }
+            self.lab.kill_entry(index);
+            self.entries[index] = EntryState::Dead;
+        }
+    }
+
+    fn bring_back(&mut self, index: usize) {
+        match self.entries[index] {
+            EntryState::Running => return,
+            EntryState::Paused => self.lab.entry(index).resume(),
+            EntryState::Dead => {
+                if let Err(error) = self.lab.start_entry(index) {
+                    self.report.faults.push(error.to_string());
+                }
+                self.versions_seen[index] = 0;
+            }
+        }
+        self.note(format!("bring entry {index} back"));
+        self.entries[index] = EntryState::Running;
+    }
+
+    async fn break_platform(&mut self) {
+        let faults = match self.random.u8(0..5) {
+            0 => PlatformFaults {
+                table_down: true,
+                ..PlatformFaults::default()
+            },
+            1 => PlatformFaults {
+                object_down: true,
+                ..PlatformFaults::default()
+            },
+            2 => PlatformFaults {
+                table_down: true,
+                object_down: true,
+                ..PlatformFaults::default()
+            },
+            3 => PlatformFaults {
+                delay_ms: 300,
+                ..PlatformFaults::default()
+            },
+            _ => PlatformFaults {
+                lost_answer_percent: 50,
+                hang_percent: 20,
+                ..PlatformFaults::default()
+            },
+        };
+        self.note(format!("platform: {faults:?}"));
+        self.lab.set_platform_faults(&faults).await;
+    }
+
+    async fn mend_platform(&mut self) {
+        self.note("platform: well".to_owned());
+        self.lab
+            .set_platform_faults(&PlatformFaults::default())
+            .await;
+    }
+
+    fn roll(&mut self) {
+        let bundle = self.changed_bundle();
+        let outcome = self.lab.roll(&bundle);
+        self.note(format!("roll version {}: {outcome:?}", bundle["version"]));
+        self.follow_head();
+    }
+
+    /// Two operators roll the same version; one at the most may win.
+    fn race(&mut self) {
+        let mut won = 0;
+        for _ in 0..2 {
+            let bundle = self.changed_bundle();
+            let signed = self.lab.sign(&bundle, "operator");
+            won += u32::from(signed.is_ok_and(|file| self.lab.roll_signed(&file).is_ok()));
+        }
+        if won > 1 {
+            self.report.faults.push("both operators won".to_owned());
+        }
+        self.note(format!("race: {won} won"));
+        self.follow_head();
+    }
+
+    fn changed_bundle(&mut self) -> serde_json::Value {
+        let mut bundle = self.lab.bundle();
+        let deadline_ms = self.random.u64(900..1_100);
+        bundle["services"][0]["deadline_ms"] = json!(deadline_ms);
+        bundle
+    }
+
+    /// Takes the version over that the platform has, as a roll may have taken effect unseen.
+    fn follow_head(&mut self) {
+        let history = self.lab.command(&["bundle", "status", "--format", "json"]);
+        let rows: serde_json::Value =
+            serde_json::from_str(&history.unwrap_or_default()).unwrap_or_default();
+        if let Some(newest) = rows[0]["newest"].as_u64() {
+            self.lab.set_version(newest);
+        }
+    }
+
+    async fn break_target(&mut self) {
+        let target = self.lab.targets(0)[self.random.usize(..TARGETS as usize)];
+        let mut faults = TargetFaults::default();
+        match self.random.u8(0..6) {
+            0 => faults.slow_factor = 10.0,
+            1 => faults.fail_percent = 100,
+            2 => faults.cut_percent = 30,
+            3 => faults.crossed_percent = 30,
+            4 => faults.queue_most = 1,
+            _ => faults.lying = true,
+        }
+        self.note(format!("target {target}: {faults:?}"));
+        self.lab.set_target_faults(target, &faults).await;
+    }
+
+    async fn mend_targets(&mut self) {
+        self.note("targets: well".to_owned());
+        for target in self.lab.targets(0).to_vec() {
+            self.lab
+                .set_target_faults(target, &TargetFaults::default())
+                .await;
+        }
+    }
+
+    /// No run of an entry may go back to an older version.
+    async fn look_at_versions(&mut self) {
+        for index in 0..ENTRIES {
+            if self.entries[index] != EntryState::Running {
+                continue;
+            }
+            let Some(status) = self.lab.status(index).await else {
+                continue;
+            };
+            let version = status.own.version.number();
+            if version < self.versions_seen[index] {
+                let seen = self.versions_seen[index];
+                let fault = format!("entry {index} went from version {seen} to {version}");
+                self.report.faults.push(fault);
+            }
+            self.versions_seen[index] = version;
+        }
+    }
+
+    async fn put_right(&mut self) {
+        self.mend_platform().await;
+        self.mend_targets().await;
+        for index in 0..ENTRIES {
+            self.bring_back(index);
+        }
+    }
+
+    /// After the faults everything serves again, and nothing that was said was wrong.
+    async fn finish(&mut self) {
+        self.follow_head();
+        let outcomes = [
+            self.lab.wait_until_ready().await,
+            self.lab.wait_until_in_force().await,
+        ];
+        for outcome in outcomes {
+            if let Err(error) = outcome {
+                self.report.faults.push(error.to_string());
+            }
+        }
+        let seeds = self.lab.caller_addresses().await;
+        let quiet = CallerSettings::new(seeds, "quote", RATE_PER_S, QUIET_MS);
+        let quiet = Caller::new(quiet).run().await.repeatable;
+        if quiet.answered * 100 < quiet.sent * 99 {
+            let fault = format!("{} of {} answered after it all", quiet.answered, quiet.sent);
+            self.report.faults.push(fault);
+        }
+        let mut faults = Vec::new();
+        for report in [&self.report.with_home, &self.report.without_home] {
+            faults.extend(faults_of_report(&self.lab, 0, report).await);
+        }
+        faults.extend(broken_promises(&self.lab).await);
+        self.report.faults.extend(faults);
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-lab/tests/measuring.rs
@@ -0,0 +1,61 @@
+//! The budget of measuring with real processes: kills, pauses, more entries than seats, outages.
+
+mod common;
+
+use common::in_turn;
+use common::start;
+use pinhaven_lab::LabPlan;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_stand_in::platform::PlatformFaults;
+use serde_json::json;
+
+/// Window of the budget, in milliseconds.
+const WINDOW_MS: u64 = 2_000;
+/// Slots of a target.
+const SLOTS: u64 = 3;
+/// Budget, in percent.
+const BUDGET_PERCENT: u64 = 2;
+/// Slot time that a probe is counted with, in milliseconds: the probe and its connection.
+const PROBE_COST_MS: u64 = 7;
+
+#[test]
+fn probes_stay_within_the_budget_whatever_happens_to_the_entries() {
+    in_turn(async {
+        let fields = json!({"measuring_budget_percent": BUDGET_PERCENT});
+        let service = common::quote().with_bundle(fields);
+        let mut lab = start(LabPlan::new(4, vec![service])).await;
+        let mut bundle = lab.bundle();
+        bundle["measuring"] = json!({"seats": 2, "window_ms": WINDOW_MS});
+        lab.roll(&bundle).unwrap();
+        lab.wait_until_in_force().await.unwrap();
+        let probed = async || {
+            let statuses = lab.statuses().await;
+            statuses.iter().map(|s| s.counters["probes"]).sum::<u64>() > 20
+        };
+        lab.wait_for("probes to be sent", probed).await.unwrap();
+        lab.entry(0).pause();
+        lab.kill_entry(1);
+        sleep_ms(1_000).await;
+        lab.start_entry(1).unwrap();
+        sleep_ms(1_000).await;
+        lab.entry(0).resume();
+        let lossy = PlatformFaults {
+            lost_answer_percent: 50,
+            ..PlatformFaults::default()
+        };
+        lab.set_platform_faults(&lossy).await;
+        sleep_ms(4_000).await;
+        let allowed_ms = BUDGET_PERCENT * SLOTS * WINDOW_MS / 100;
+        let mut all = 0;
+        for target in lab.targets(0) {
+            let times = lab.target_counts(*target).await.probe_times_ms;
+            all += times.len();
+            for from in &times {
+                let inside = times.iter().filter(|at| (*from..from + WINDOW_MS).contains(at));
+                let cost_ms = inside.count() as u64 * PROBE_COST_MS;
+                assert!(cost_ms <= allowed_ms, "{cost_ms} of {allowed_ms} ms: {times:?}");
+            }
+        }
+        assert!(all > 0);
+    });
+}
--- /dev/null
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -0,0 +1,123 @@
+//! Planned stops of entries and targets.
+
+mod common;
+
+use common::call;
+use common::in_turn;
+use common::lab;
+use common::require_right;
+use common::start;
+use pinhaven_lab::LabPlan;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_stand_in::target::TargetFaults;
+use serde_json::json;
+use std::time::Duration;
+
+/// "A few seconds", after which a leaving target gets no new work.
+const LEAVING_MOST_MS: u64 = 3_000;
+
+#[test]
+fn a_rolling_replacement_of_every_entry_loses_no_request() {
+    in_turn(async {
+        let mut lab = lab().await;
+        let calls = call(&lab, 9_000, |settings| settings.rate_per_s = 100.0).await;
+        sleep_ms(300).await;
+        for index in 0..3 {
+            lab.entry(index).terminate();
+            let ended = lab.entry(index).wait(Duration::from_secs(20)).await;
+            assert_eq!(ended, Some(true), "entry {index} stops without cutting anything");
+            lab.start_entry(index).unwrap();
+            lab.wait_until_ready().await.unwrap();
+        }
+        let report = calls.await;
+        let once = &report.once;
+        let repeatable = &report.repeatable;
+        assert_eq!(repeatable.answered, repeatable.sent, "{repeatable:?}");
+        assert_eq!(once.cut + once.silent + once.unreachable, 0, "{once:?}");
+        require_right(&lab, &report).await;
+    });
+}
+
+#[test]
+fn a_stop_waits_for_a_long_request() {
+    in_turn(async {
+        let mut slow = common::quote();
+        slow.mean_ms = 2_500.0;
+        slow.sigma = 0.0;
+        let mut lab = start(LabPlan::new(2, vec![slow])).await;
+        let calls = call(&lab, 200, |settings| {
+            settings.rate_per_s = 20.0;
+            settings.deadline_ms = 20_000;
+        });
+        let calls = calls.await;
+        sleep_ms(300).await;
+        for index in 0..2 {
+            lab.entry(index).terminate();
+        }
+        let report = calls.await;
+        assert!(report.repeatable.sent + report.once.sent > 0);
+        assert_eq!(report.repeatable.answered, report.repeatable.sent);
+        assert_eq!(report.once.answered, report.once.sent);
+        for index in 0..2 {
+            let ended = lab.entry(index).wait(Duration::from_secs(20)).await;
+            assert_eq!(ended, Some(true));
+        }
+    });
+}
+
+#[test]
+fn a_draining_target_gets_no_new_work_from_any_entry_after_a_few_seconds() {
+    in_turn(async {
+        // Entry 2 gets no requests for the service: it can learn of the drain only from the others.
+        let service = common::quote().with_bundle(json!({"measuring_budget_percent": 0}));
+        let lab = start(LabPlan::new(3, vec![service])).await;
+        let leaving = lab.targets(0)[2];
+        let calls = call(&lab, 6_000, |settings| settings.rate_per_s = 200.0).await;
+        sleep_ms(500).await;
+        let faults = TargetFaults {
+            draining: true,
+            ..TargetFaults::default()
+        };
+        lab.set_target_faults(leaving, &faults).await;
+        let report = calls.await;
+        let counts = lab.target_counts(leaving).await;
+        assert!(counts.last_arrival_draining_ms < LEAVING_MOST_MS, "{counts:?}");
+        for index in 0..3 {
+            let status = lab.status(index).await.unwrap();
+            let targets = &status.services[0].targets;
+            let target = targets.iter().find(|t| t.address == leaving.to_string());
+            assert_eq!(target.unwrap().state, "leaving", "entry {index}");
+        }
+        assert_eq!(report.repeatable.answered, report.repeatable.sent);
+        require_right(&lab, &report).await;
+    });
+}
+
+#[test]
+fn a_target_listed_as_leaving_finishes_what_it_has_and_gets_nothing_new() {
+    in_turn(async {
+        let mut slow = common::quote();
+        slow.mean_ms = 800.0;
+        slow.sigma = 0.0;
+        let mut lab = start(LabPlan::new(2, vec![slow])).await;
+        let calls = call(&lab, 400, |settings| {
+            settings.rate_per_s = 40.0;
+            settings.deadline_ms = 20_000;
+        });
+        let calls = calls.await;
+        sleep_ms(200).await;
+        let mut bundle = lab.bundle();
+        bundle["services"][0]["targets"][0]["state"] = json!("leaving");
+        lab.roll(&bundle).unwrap();
+        lab.wait_until_in_force().await.unwrap();
+        let before = lab.target_counts(lab.targets(0)[0]).await;
+        let report = calls.await;
+        assert_eq!(report.repeatable.answered, report.repeatable.sent);
+        assert_eq!(report.once.answered, report.once.sent);
+        let more = call(&lab, 400, |_| {}).await.await;
+        assert!(more.repeatable.answered > 0);
+        let after = lab.target_counts(lab.targets(0)[0]).await;
+        assert_eq!(after.started, before.started);
+        assert_eq!(after.cancelled, 0);
+    });
+}
--- a/crates/pinhaven-runtime/src/executor.rs
+++ b/crates/pinhaven-runtime/src/executor.rs
@@ -20,7 +20,8 @@
 /// Runs a future on this thread with `thread_count` threads in all running tasks.
 pub fn run_with_threads<T>(thread_count: usize, future: impl Future<Output = T>) -> T {
     let (stop_sender, stop_receiver) = async_channel::bounded::<()>(1);
-    std::thread::scope(|scope| {
+    // The sender moves into the closure, so that a panic there also ends the other threads.
+    std::thread::scope(move |scope| {
         for _ in 1..thread_count {
             let stop = stop_receiver.clone();
             scope.spawn(move || {
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod executor;
 mod server;
 
+pub use async_executor::Task;
 pub use client::CallError;
 pub use client::CallStep;
 pub use client::HttpClient;
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
+use futures_lite::future::or;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
 use std::convert::Infallible;
@@ -17,6 +18,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -27,6 +29,9 @@
 const HEADERS_MAX: usize = 100;
 /// The most HTTP/2 requests at a time on one connection.
 const STREAMS_MAX: u32 = 1_000;
+/// How long a new connection may still bring its first request once the server stops, in
+/// milliseconds.
+const LAST_REQUEST_MS: u64 = 200;
 /// How long the server waits after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 10;
 
@@ -124,7 +129,10 @@
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
+    let has_asked = Arc::new(AtomicBool::new(false));
+    let asks = Arc::clone(&has_asked);
     let service = service_fn(move |request| {
+        asks.store(true, Ordering::Relaxed);
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
@@ -135,8 +143,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(idle)
         .max_headers(HEADERS_MAX)
-        .max_buf_size(HEAD_BYTES_MAX)
-        .pipeline_flush(true);
+        .max_buf_size(HEAD_BYTES_MAX);
     builder
         .http2()
         .timer(SmolTimer::new())
@@ -145,20 +152,47 @@
         .max_concurrent_streams(STREAMS_MAX);
     let connection = builder.serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let stopped = futures_lite::future::or(
-        async {
-            // An error here is the caller's connection breaking; there is nobody left to tell.
+    let served = async {
+        // An error here is the caller's connection breaking; there is nobody left to tell.
+        let _ = connection.as_mut().await;
+        End::Closed
+    };
+    let stopped = async {
+        let _ = stop.recv().await;
+        End::Stopped
+    };
+    // Before the first request hyper still waits to learn the protocol and keeps no time.
+    let silent = async {
+        sleep_ms(settings.idle_ms).await;
+        if has_asked.load(Ordering::Relaxed) {
+            std::future::pending::<()>().await;
+        }
+        End::Silent
+    };
+    let ended = or(served, or(stopped, silent)).await;
+    if ended != End::Stopped {
+        return;
+    }
+    if !has_asked.load(Ordering::Relaxed) {
+        // Its first request may be on its way.
+        let served = async {
             let _ = connection.as_mut().await;
-            false
-        },
-        async {
-            let _ = stop.recv().await;
-            true
-        },
-    )
-    .await;
-    if stopped {
+        };
+        or(served, sleep_ms(LAST_REQUEST_MS)).await;
+    }
+    if has_asked.load(Ordering::Relaxed) {
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
 }
+
+/// Why a connection is no longer served as usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It was closed.
+    Closed,
+    /// The server takes no more requests.
+    Stopped,
+    /// It brought no request in time.
+    Silent,
+}
--- a/crates/pinhaven-stand-in/src/caller.rs
+++ b/crates/pinhaven-stand-in/src/caller.rs
@@ -37,6 +37,8 @@
 const ASK_AGAIN_MS: u64 = 100;
 /// Times that a once-only request is asked about.
 const ASK_AGAIN_TIMES: usize = 20;
+/// Entries that a caller remembers.
+const KNOWN_MAX: usize = 32;
 /// The longest latency that is told apart, in microseconds.
 const LATENCY_US_MAX: u64 = 60_000_000;
 
@@ -254,6 +256,8 @@
     settings: CallerSettings,
     name: String,
     kept: Mutex<Kept>,
+    /// Entries to ask: the first ones and those that answers have named.
+    known: Mutex<Vec<SocketAddr>>,
     clients: Mutex<HashMap<SocketAddr, Arc<HttpClient>>>,
     repeatable: Mutex<Class>,
     once: Mutex<Class>,
@@ -265,6 +269,7 @@
     pub fn new(settings: CallerSettings) -> Arc<Self> {
         let number = NEXT_CALLER.fetch_add(1, Ordering::Relaxed);
         Arc::new(Self {
+            known: Mutex::new(settings.seeds.clone()),
             settings,
             name: format!("{}-{number}", std::process::id()),
             kept: Mutex::new(Kept {
@@ -383,7 +388,10 @@
             // A home is chosen once and kept; another one would make it another request.
             let home = home.get_or_insert(entry.home.clone());
             let named = self.settings.names_home.then_some(home.as_str());
-            let request = self.request(Method::POST, "/orders", &marker, body.clone(), named);
+            let mut request = self.request(Method::POST, "/orders", &marker, body.clone(), named);
+            request
+                .headers_mut()
+                .insert("pinhaven-sending", (attempt as u32 + 1).into());
             match self.client(entry.address).call(request).await {
                 Ok(response) => {
                     outcome = judge(&response, &marker, &body);
@@ -476,10 +484,11 @@
             // Others use the old answer while this one asks.
             kept.until = Instant::now() + Duration::from_millis(PATIENCE_MS);
         }
-        let mut seeds = self.settings.seeds.clone();
-        random.shuffle(&mut seeds);
-        for seed in seeds {
-            if let Some(answer) = self.ask(seed).await {
+        let mut known = self.known.lock().clone();
+        random.shuffle(&mut known);
+        for entry in known {
+            if let Some(answer) = self.ask(entry).await {
+                self.learn(&answer);
                 let keep = Duration::from_millis(answer.keep_ms);
                 *self.kept.lock() = Kept {
                     entries: answer.entries,
@@ -490,6 +499,16 @@
         }
     }
 
+    /// Remembers entries for later questions, the newest first and not too many.
+    fn learn(&self, answer: &AddressAnswer) {
+        let mut known = self.known.lock();
+        for entry in &answer.entries {
+            known.retain(|address| *address != entry.address);
+            known.insert(0, entry.address);
+        }
+        known.truncate(KNOWN_MAX);
+    }
+
     /// Asks an entry which entries to use.
     pub async fn ask(&self, entry: SocketAddr) -> Option<AddressAnswer> {
         let uri = format!(
--- a/crates/pinhaven-stand-in/src/target.rs
+++ b/crates/pinhaven-stand-in/src/target.rs
@@ -97,8 +97,8 @@
     pub probes: u64,
     /// Connections taken.
     pub connections: u64,
-    /// The most probe time in any one second, in milliseconds.
-    pub probe_ms_most: f64,
+    /// When probes arrived, in milliseconds since the target started.
+    pub probe_times_ms: Vec<u64>,
     /// Requests begun since the target was told to drain.
     pub arrived_draining: u64,
     /// Time of the last request that arrived while draining, after the drain began, in milliseconds.
@@ -120,6 +120,7 @@
     settings: TargetSettings,
     work: Mutex<Work>,
     slot_freed: Event,
+    started: Instant,
 }
 
 /// A running stand-in target.
@@ -147,6 +148,7 @@
                 ..Work::default()
             }),
             slot_freed: Event::new(),
+            started: Instant::now(),
         });
         spawn(async move {
             let handler = move |request| {
@@ -201,10 +203,19 @@
             (&Method::GET, "/load") => return self.probe().await,
             _ => {}
         }
+        let id = head.headers.get("x-request-id").cloned();
+        let mut response = self.work_on(&head.headers, body).await;
+        if let Some(id) = id {
+            response.headers_mut().entry("x-request-id").or_insert(id);
+        }
+        response
+    }
+
+    async fn work_on(&self, headers: &HeaderMap, body: Incoming) -> Response<AnyBody> {
         if let Some(response) = self.refuse_if_full() {
             return response;
         }
-        let Some(mut place) = self.take_slot(&head.headers).await else {
+        let Some(mut place) = self.take_slot(headers).await else {
             return self.reported(answer(
                 StatusCode::GATEWAY_TIMEOUT,
                 "deadline passed in queue",
@@ -213,7 +224,7 @@
         let Some(body) = read_body(body).await else {
             return answer(StatusCode::BAD_REQUEST, "the body was cut");
         };
-        let fate = self.begin_run(&head.headers);
+        let fate = self.begin_run(headers);
         if fate.fails {
             place.is_finished = true;
             drop(place);
@@ -222,7 +233,7 @@
         async_io::Timer::after(fate.time).await;
         place.is_finished = true;
         drop(place);
-        self.reported(respond(&head.headers, &body, &fate))
+        self.reported(respond(headers, &body, &fate))
     }
 
     async fn set_faults(&self, body: Incoming) -> Response<AnyBody> {
@@ -315,7 +326,12 @@
     }
 
     async fn probe(&self) -> Response<AnyBody> {
-        self.work.lock().waiting += 1;
+        {
+            let mut work = self.work.lock();
+            work.waiting += 1;
+            let time_ms = self.started.elapsed().as_millis() as u64;
+            work.counts.probe_times_ms.push(time_ms);
+        }
         let Some(mut place) = self.take_slot(&HeaderMap::new()).await else {
             return answer(StatusCode::GATEWAY_TIMEOUT, "");
         };
@@ -384,12 +400,8 @@
     } else {
         answer(StatusCode::OK, text)
     };
-    if let Some(id) = headers.get("x-request-id") {
-        let id = if fate.crossed {
-            HeaderValue::from_static("another-request")
-        } else {
-            id.clone()
-        };
+    if fate.crossed {
+        let id = HeaderValue::from_static("another-request");
         response.headers_mut().insert("x-request-id", id);
     }
     response
