--- a/crates/pinhaven-agree/tests/ledger.rs
+++ b/crates/pinhaven-agree/tests/ledger.rs
@@ -65,9 +65,15 @@
 fn a_key_with_another_body_is_not_run() {
     let mut ledger = Ledger::new(LIMITS);
     let claim = dispatched(ledger.begin(key(1, "a"), FIRST, body("x")));
-    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("y")), Begin::OtherRequest);
+    assert_eq!(
+        ledger.begin(key(1, "a"), FIRST, body("y")),
+        Begin::OtherRequest
+    );
     ledger.settle_answered(claim, answer(1));
-    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("y")), Begin::OtherRequest);
+    assert_eq!(
+        ledger.begin(key(1, "a"), FIRST, body("y")),
+        Begin::OtherRequest
+    );
 }
 
 #[test]
@@ -110,10 +116,22 @@
     for _ in 0..3 {
         ledger.advance_epoch();
     }
-    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::Forgotten);
-    assert_eq!(ledger.begin(key(1, "new"), FIRST, body("x")), Begin::Forgotten);
-    assert_eq!(ledger.begin(key(5, "a"), FIRST, body("x")), Begin::NeverIssued);
-    assert_eq!(ledger.begin(key(0, "a"), FIRST, body("x")), Begin::NeverIssued);
+    assert_eq!(
+        ledger.begin(key(1, "a"), FIRST, body("x")),
+        Begin::Forgotten
+    );
+    assert_eq!(
+        ledger.begin(key(1, "new"), FIRST, body("x")),
+        Begin::Forgotten
+    );
+    assert_eq!(
+        ledger.begin(key(5, "a"), FIRST, body("x")),
+        Begin::NeverIssued
+    );
+    assert_eq!(
+        ledger.begin(key(0, "a"), FIRST, body("x")),
+        Begin::NeverIssued
+    );
     assert_eq!(ledger.record_count(), 0);
     assert_eq!(ledger.answer_bytes(), 0);
 }
@@ -127,7 +145,10 @@
     }
     ledger.settle_answered(claim, answer(10));
     assert_eq!(ledger.answer_bytes(), 0);
-    assert_eq!(ledger.begin(key(1, "a"), FIRST, body("x")), Begin::Forgotten);
+    assert_eq!(
+        ledger.begin(key(1, "a"), FIRST, body("x")),
+        Begin::Forgotten
+    );
 }
 
 #[test]
@@ -135,9 +156,16 @@
     let mut ledger = Ledger::new(LIMITS);
     let mut claims = Vec::new();
     for number in 0..LIMITS.records_most {
-        claims.push(dispatched(ledger.begin(key(1, &number.to_string()), FIRST, body("x"))));
+        claims.push(dispatched(ledger.begin(
+            key(1, &number.to_string()),
+            FIRST,
+            body("x"),
+        )));
     }
-    assert_eq!(ledger.begin(key(1, "one more"), FIRST, body("x")), Begin::Full);
+    assert_eq!(
+        ledger.begin(key(1, "one more"), FIRST, body("x")),
+        Begin::Full
+    );
     assert_eq!(ledger.begin(key(1, "0"), FIRST, body("x")), Begin::InFlight);
 }
 
@@ -180,7 +208,9 @@
                 let epoch = ledger.epoch().0.saturating_sub(u64::from(draw % 5));
                 let key = key(epoch, &(draw % 16).to_string());
                 sending += 1;
-                if let Begin::Dispatch(claim) = ledger.begin(key.clone(), Sending(sending), body("x")) {
+                if let Begin::Dispatch(claim) =
+                    ledger.begin(key.clone(), Sending(sending), body("x"))
+                {
                     if may_have_run.insert(key.clone(), true) == Some(true) {
                         return false;
                     }
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -72,7 +72,10 @@
     let mut beating = row(1, MemberState::Ready);
     beating.heartbeat = 2;
     members.hear_of(beating, at_ms(1_500));
-    assert_eq!(named(&members, "quote", 10, 2_100), ["entry-00", "entry-01"]);
+    assert_eq!(
+        named(&members, "quote", 10, 2_100),
+        ["entry-00", "entry-01"]
+    );
 }
 
 #[test]
@@ -103,7 +106,10 @@
     assert_eq!(named(&members, "quote", 10, 0), ["entry-00"]);
     members.advance(MemberState::Stopping);
     members.advance(MemberState::Ready);
-    assert!(named(&members, "quote", 10, 0).is_empty(), "no life goes back");
+    assert!(
+        named(&members, "quote", 10, 0).is_empty(),
+        "no life goes back"
+    );
 }
 
 #[test]
@@ -131,7 +137,10 @@
     }
     // 1900 services name 4 of 18 entries each: 422 on average.
     assert_eq!(counts.len(), 18);
-    assert!(counts.values().all(|count| (340..510).contains(count)), "{counts:?}");
+    assert!(
+        counts.values().all(|count| (340..510).contains(count)),
+        "{counts:?}"
+    );
 }
 
 #[test]
@@ -156,7 +165,10 @@
     for number in 0..50 {
         let name = service(&format!("service-{number}"));
         let rows = members.entries_for(&name, Some(&domain), 6, at_ms(0));
-        let own: Vec<bool> = rows.iter().map(|row| row.failure_domain == domain).collect();
+        let own: Vec<bool> = rows
+            .iter()
+            .map(|row| row.failure_domain == domain)
+            .collect();
         let mut sorted = own.clone();
         sorted.sort_by_key(|own| !own);
         assert_eq!(own, sorted);
--- a/crates/pinhaven-agree/tests/seat.rs
+++ b/crates/pinhaven-agree/tests/seat.rs
@@ -115,7 +115,12 @@
             paused_until[index] = time_ms + u64::from(step) * 500;
         }
         if time_ms >= paused_until[index] {
-            act(&mut keepers[index], &mut table, at_ms(time_ms), draw % 16 == 0);
+            act(
+                &mut keepers[index],
+                &mut table,
+                at_ms(time_ms),
+                draw % 16 == 0,
+            );
         }
         let mut seats: Vec<u32> = keepers
             .iter()
--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -86,29 +86,49 @@
     ///
     /// [`DeltaError`] when the start or the outcome is another one.
     pub fn apply(self, held: &Bundle, signed: Digest) -> Result<CanonicalBundle, DeltaError> {
-        if held.version != self.from {
-            return Err(DeltaError::WrongStart {
-                from: self.from,
-                held: held.version,
-            });
-        }
+        Self::apply_all(vec![self], held, signed)
+    }
+
+    /// Applies differences that follow each other, and checks what comes out in the end.
+    ///
+    /// # Errors
+    ///
+    /// [`DeltaError`] when a start or the outcome is another one.
+    pub fn apply_all(
+        deltas: Vec<Self>,
+        held: &Bundle,
+        signed: Digest,
+    ) -> Result<CanonicalBundle, DeltaError> {
         let mut services: BTreeMap<ServiceName, Service> = held
             .services
             .iter()
             .map(|service| (service.name.clone(), service.clone()))
             .collect();
-        for name in &self.removed {
-            services.remove(name);
-        }
-        for service in self.changed {
-            services.insert(service.name.clone(), service);
+        let mut bundle = Bundle {
+            version: held.version,
+            measuring: held.measuring.clone(),
+            address_keep_ms: held.address_keep_ms,
+            services: Vec::new(),
+        };
+        for delta in deltas {
+            if bundle.version != delta.from {
+                return Err(DeltaError::WrongStart {
+                    from: delta.from,
+                    held: bundle.version,
+                });
+            }
+            bundle.version = delta.to;
+            bundle.measuring = delta.measuring;
+            bundle.address_keep_ms = delta.address_keep_ms;
+            for name in &delta.removed {
+                services.remove(name);
+            }
+            for service in delta.changed {
+                services.insert(service.name.clone(), service);
+            }
         }
-        let whole = CanonicalBundle::new(Bundle {
-            version: self.to,
-            measuring: self.measuring,
-            address_keep_ms: self.address_keep_ms,
-            services: services.into_values().collect(),
-        });
+        bundle.services = services.into_values().collect();
+        let whole = CanonicalBundle::new(bundle);
         if whole.digest() != signed {
             return Err(DeltaError::WrongDigest {
                 found: whole.digest(),
--- a/crates/pinhaven-bundle/tests/check.rs
+++ b/crates/pinhaven-bundle/tests/check.rs
@@ -54,12 +54,7 @@
             11,
             "services[0].targets[1].address",
         ),
-        (
-            "[\"quote.example\"]",
-            "[]",
-            7,
-            "services[0].hosts",
-        ),
+        ("[\"quote.example\"]", "[]", 7, "services[0].hosts"),
         (
             "\"slots\": 6",
             "\"slots\": 6, \"priority\": 9",
--- a/crates/pinhaven-bundle/tests/difference.rs
+++ b/crates/pinhaven-bundle/tests/difference.rs
@@ -75,5 +75,29 @@
 #[test]
 fn changes_are_described_a_line_each() {
     let lines = describe_changes(&bundle(1, &[1, 2, 3]), &bundle(2, &[1, 9, 0, 4]));
-    assert_eq!(lines, ["- service-2", "~ service-1 settings", "+ service-3"]);
+    assert_eq!(
+        lines,
+        ["- service-2", "~ service-1 settings", "+ service-3"]
+    );
+}
+
+#[test]
+fn differences_that_follow_each_other_are_applied_together() {
+    let bundles = [
+        bundle(1, &[1, 1]),
+        bundle(2, &[1, 2]),
+        bundle(3, &[3, 2, 1]),
+    ];
+    let deltas = || {
+        let pairs = bundles.windows(2);
+        let between = pairs.map(|pair| BundleDelta::between(&pair[0], &pair[1]));
+        between.collect::<Vec<BundleDelta>>()
+    };
+    let last = CanonicalBundle::new(bundles[2].clone());
+    let applied = BundleDelta::apply_all(deltas(), &bundles[0], last.digest());
+    assert_eq!(applied, Ok(last.clone()));
+    let mut gap = deltas();
+    gap.remove(0);
+    let error = BundleDelta::apply_all(gap, &bundles[0], last.digest()).unwrap_err();
+    assert!(matches!(error, DeltaError::WrongStart { .. }));
 }
--- a/crates/pinhaven-bundle/tests/sign.rs
+++ b/crates/pinhaven-bundle/tests/sign.rs
@@ -38,7 +38,10 @@
 
 #[test]
 fn what_ada_signed_is_accepted() {
-    assert_eq!(verify_head(&head("ada", ADA), &bundle(7, 500), &trusted()), Ok(()));
+    assert_eq!(
+        verify_head(&head("ada", ADA), &bundle(7, 500), &trusted()),
+        Ok(())
+    );
 }
 
 #[test]
--- a/crates/pinhaven-command/src/bundle/roll.rs
+++ b/crates/pinhaven-command/src/bundle/roll.rs
@@ -8,6 +8,7 @@
 use crate::platform::PlatformArguments;
 use crate::platform::run as run_calls;
 use clap::Args;
+use pinhaven_bundle::BundleDelta;
 use pinhaven_bundle::BundleHead;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_bundle::SignedBundle;
@@ -16,6 +17,7 @@
 use pinhaven_platform::ObjectStore;
 use pinhaven_platform::PlatformError;
 use pinhaven_platform::TableService;
+use pinhaven_platform::bundle_delta_object;
 use pinhaven_platform::bundle_history;
 use pinhaven_platform::bundle_object;
 use pinhaven_types::BundleVersion;
@@ -63,6 +65,7 @@
     objects
         .write(&bundle_object(head.digest), body.bytes().to_vec())
         .await?;
+    write_delta(&objects, &table, head, body).await;
     let value = serde_json::to_string(head).map_err(CommandError::new)?;
     let mut outcome = Ok(());
     for _ in 0..TRIES {
@@ -94,6 +97,31 @@
     outcome
 }
 
+/// Writes the difference from the newest version. Without it entries read the whole body.
+async fn write_delta(
+    objects: &impl ObjectStore,
+    table: &impl TableService,
+    head: &BundleHead,
+    body: &CanonicalBundle,
+) {
+    let written = async {
+        let row = table.read(BUNDLE_HEAD).await.ok()??;
+        let newest: BundleHead = serde_json::from_str(&row.value).ok()?;
+        if newest.version.next() != head.version {
+            return None;
+        }
+        let before = objects.read(&bundle_object(newest.digest)).await.ok()??;
+        let before = CanonicalBundle::from_bytes(&before).ok()?;
+        let delta = BundleDelta::between(before.bundle(), body.bundle());
+        let key = bundle_delta_object(head.version, head.digest);
+        let bytes = serde_json::to_vec(&delta).ok()?;
+        objects.write(&key, bytes).await.ok()
+    };
+    if written.await.is_none() && head.version.number() > 1 {
+        eprintln!("note: no difference was written; entries will read the whole body");
+    }
+}
+
 fn check_follows(newest: Option<&BundleHead>, head: &BundleHead) -> Result<(), CommandError> {
     let held = newest.map_or(BundleVersion::NONE, |newest| newest.version);
     if held.next() == head.version {
--- a/crates/pinhaven-decide/tests/choice.rs
+++ b/crates/pinhaven-decide/tests/choice.rs
@@ -41,7 +41,9 @@
     let mut picks = BTreeMap::new();
     for seed in 0..count {
         if let Some(attempt) = send_one(service, time_ms, seed) {
-            *picks.entry(attempt.target.address().to_string()).or_default() += 1;
+            *picks
+                .entry(attempt.target.address().to_string())
+                .or_default() += 1;
         }
     }
     picks
@@ -111,7 +113,11 @@
             held.extend(send_one(&service, 0, seed));
         }
         for target in service.targets() {
-            assert!((3..=5).contains(&target.in_flight()), "{policy}: {}", target.in_flight());
+            assert!(
+                (3..=5).contains(&target.in_flight()),
+                "{policy}: {}",
+                target.in_flight()
+            );
         }
     }
 }
@@ -119,7 +125,9 @@
 #[test]
 fn a_target_whose_requests_are_overdue_is_left_alone_before_any_reply() {
     let service = state_with(10, json!({}));
-    let mut held: Vec<Attempt> = (0..10).filter_map(|seed| send_one(&service, 0, seed)).collect();
+    let mut held: Vec<Attempt> = (0..10)
+        .filter_map(|seed| send_one(&service, 0, seed))
+        .collect();
     let stuck = held.pop().unwrap();
     held.clear();
     let picks = picks(&service, 200, 200);
@@ -141,7 +149,11 @@
     assert_eq!(fresh.get(&busy.address().to_string()), None);
     service.record_report(&busy, at_ms(0), &report(1));
     let later = picks(&service, 60_000, 400);
-    assert!(later.get(&busy.address().to_string()).is_some_and(|&picks| picks > 100));
+    assert!(
+        later
+            .get(&busy.address().to_string())
+            .is_some_and(|&picks| picks > 100)
+    );
 }
 
 #[test]
@@ -166,7 +178,10 @@
                 driven.end(time_ms + 1, attempt, ended);
             }
         }
-        assert!(at_bad <= 30, "{policy}: {at_bad} of 1000 went to the failing target");
+        assert!(
+            at_bad <= 30,
+            "{policy}: {at_bad} of 1000 went to the failing target"
+        );
     }
 }
 
@@ -182,7 +197,10 @@
         let mut driven = Driven::new(&service, facts);
         driven.handle(round, Event::Arrived);
         driven.end(round, id.0, FAILED);
-        let out = service.targets().iter().filter(|t| t.is_ejected(at_ms(round)));
+        let out = service
+            .targets()
+            .iter()
+            .filter(|t| t.is_ejected(at_ms(round)));
         assert!(out.count() <= 3);
     }
 }
@@ -232,7 +250,10 @@
 
 #[test]
 fn a_target_takes_no_more_connections_than_its_share() {
-    let service = state_with(1, json!({"connections": 36, "entries_most": 18, "slots": 60}));
+    let service = state_with(
+        1,
+        json!({"connections": 36, "entries_most": 18, "slots": 60}),
+    );
     let mut held = Vec::new();
     for seed in 0..10 {
         held.extend(send_one(&service, 0, seed));
@@ -251,7 +272,11 @@
             driven.random = fastrand::Rng::with_seed(seed);
             driven.handle(seed, Event::Arrived);
             chosen.push(driven.under_way[0].target.address());
-            let ended = if seed % 7 == 0 { AttemptOutcome::Broken } else { good(2, 1) };
+            let ended = if seed % 7 == 0 {
+                AttemptOutcome::Broken
+            } else {
+                good(2, 1)
+            };
             driven.end(seed + 1, 0, ended);
         }
         chosen
--- a/crates/pinhaven-decide/tests/hedges.rs
+++ b/crates/pinhaven-decide/tests/hedges.rs
@@ -84,7 +84,10 @@
         driven.end(time_ms + takes_ms, 0, good(1, 0));
     }
     let share = outlasted as f64 / 10_000.0;
-    assert!((0.01..0.045).contains(&share), "{share} outlasted the delay");
+    assert!(
+        (0.01..0.045).contains(&share),
+        "{share} outlasted the delay"
+    );
 }
 
 #[test]
--- a/crates/pinhaven-decide/tests/measuring.rs
+++ b/crates/pinhaven-decide/tests/measuring.rs
@@ -25,7 +25,9 @@
     probes_ms
         .iter()
         .map(|from| {
-            let inside = probes_ms.iter().filter(|at| (*from..from + window_ms).contains(at));
+            let inside = probes_ms
+                .iter()
+                .filter(|at| (*from..from + window_ms).contains(at));
             inside.count() as u64 * PROBE_MS
         })
         .max()
--- a/crates/pinhaven-decide/tests/retries.rs
+++ b/crates/pinhaven-decide/tests/retries.rs
@@ -109,7 +109,10 @@
 
 #[test]
 fn retries_stay_within_their_share_of_requests() {
-    let service = state_with(30, json!({"retry_budget_percent": 10, "hedge_budget_percent": 0}));
+    let service = state_with(
+        30,
+        json!({"retry_budget_percent": 10, "hedge_budget_percent": 0}),
+    );
     let mut added = 0;
     let requests = 5_000;
     for number in 0..requests {
@@ -225,8 +228,6 @@
     QuickCheck::new()
         .tests(5_000)
         .rng(Gen::from_size_and_seed(60, 17))
-        .quickcheck(
-            one_random_request as fn(u64, bool, Vec<u8>) -> bool,
-        );
+        .quickcheck(one_random_request as fn(u64, bool, Vec<u8>) -> bool);
     assert_eq!(promise_violations(), before);
 }
--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/address.rs
@@ -87,7 +87,7 @@
     Ok(AddressAnswer {
         service: config.name.to_string(),
         version: snapshot.version.number(),
-        keep_ms: snapshot.bundle.address_keep_ms,
+        keep_ms: snapshot.bundle().address_keep_ms,
         entries: rows.into_iter().map(named_entry).collect(),
     })
 }
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -18,9 +18,11 @@
 use pinhaven_platform::BUNDLE_HEAD;
 use pinhaven_platform::ObjectStore;
 use pinhaven_platform::TableService;
+use pinhaven_platform::bundle_delta_object;
 use pinhaven_platform::bundle_object;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_types::BundleVersion;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,25 +31,30 @@
 const HEAD_READERS: usize = 2;
 /// The others look this many times less often.
 const HEAD_POLL_SLOW_FACTOR: u64 = 10;
-/// Versions whose bodies are kept, so that peers can be given differences.
-const BODIES_KEPT: usize = 8;
+/// Differences that are kept for peers.
+const DELTAS_KEPT: usize = 64;
 /// How long a peer may take to give a bundle.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Bodies of the last versions.
+/// The last differences, each leading to the start of the next, the last to the version in force.
 #[derive(Default)]
-pub(crate) struct RecentBodies(Vec<Arc<CanonicalBundle>>);
+pub(crate) struct RecentDeltas(VecDeque<BundleDelta>);
 
-impl RecentBodies {
-    fn push(&mut self, body: Arc<CanonicalBundle>) {
-        self.0.push(body);
-        if self.0.len() > BODIES_KEPT {
-            self.0.remove(0);
+impl RecentDeltas {
+    fn push(&mut self, delta: BundleDelta) {
+        if self.0.back().is_some_and(|last| last.to != delta.from) {
+            self.0.clear();
+        }
+        self.0.push_back(delta);
+        if self.0.len() > DELTAS_KEPT {
+            self.0.pop_front();
         }
     }
 
-    fn get(&self, version: BundleVersion) -> Option<&Arc<CanonicalBundle>> {
-        self.0.iter().find(|body| body.bundle().version == version)
+    /// The differences that lead from a version to the one in force.
+    fn since(&self, version: BundleVersion) -> Option<Vec<&BundleDelta>> {
+        let first = self.0.iter().position(|delta| delta.from == version)?;
+        Some(self.0.iter().skip(first).collect())
     }
 }
 
@@ -91,6 +98,9 @@
     }
 
     async fn fetch_body(&self, head: BundleHead) -> bool {
+        if let Some(body) = self.fetch_delta(&head).await {
+            return self.take_offer(Offer::new(head, body));
+        }
         let read = self.objects.read(&bundle_object(head.digest)).await;
         let bytes = match self.count_platform(read) {
             Ok(Some(bytes)) => bytes,
@@ -105,6 +115,18 @@
         }
     }
 
+    /// The body of the version that follows the one in force, by its difference.
+    async fn fetch_delta(&self, head: &BundleHead) -> Option<CanonicalBundle> {
+        if self.version.lock().version().next() != head.version {
+            return None;
+        }
+        let key = bundle_delta_object(head.version, head.digest);
+        let read = self.objects.read(&key).await;
+        let bytes = self.count_platform(read).ok()??;
+        let delta: BundleDelta = serde_json::from_slice(&bytes).ok()?;
+        self.apply_deltas(head, vec![delta])
+    }
+
     /// Asks all known peers and seeds; returns the version in force after that.
     async fn ask_all_peers(&self) -> BundleVersion {
         for peer in self.known_peer_addresses() {
@@ -163,9 +185,10 @@
                 self.counters.add_many(Count::PeerBytes, bytes.len() as u64);
                 CanonicalBundle::from_bytes(&bytes).ok()
             }
-            Some(FetchedBody::Delta(bytes)) => {
+            Some(FetchedBody::Deltas(bytes)) => {
                 self.counters.add_many(Count::PeerBytes, bytes.len() as u64);
-                self.apply_delta(&head, &bytes)
+                let deltas = serde_json::from_slice(&bytes).ok();
+                deltas.and_then(|deltas| self.apply_deltas(&head, deltas))
             }
             None => None,
         };
@@ -174,10 +197,9 @@
         }
     }
 
-    fn apply_delta(&self, head: &BundleHead, bytes: &[u8]) -> Option<CanonicalBundle> {
-        let delta: BundleDelta = serde_json::from_slice(bytes).ok()?;
+    fn apply_deltas(&self, head: &BundleHead, deltas: Vec<BundleDelta>) -> Option<CanonicalBundle> {
         let snapshot = self.snapshot.load();
-        match delta.apply(&snapshot.bundle, head.digest) {
+        match BundleDelta::apply_all(deltas, snapshot.bundle(), head.digest) {
             Ok(body) => Some(body),
             Err(error) => {
                 log::warn!(target: "bundle", "A difference can't be used: {error}.");
@@ -206,9 +228,12 @@
                 return true;
             }
             let previous = self.snapshot.load_full();
-            let next = Snapshot::new(body.bundle(), &previous, self.now());
+            let next = Snapshot::new(Arc::clone(&body), &previous, self.now());
             self.snapshot.store(Arc::new(next));
-            self.recent_bodies.lock().push(Arc::clone(&body));
+            if previous.version > BundleVersion::NONE {
+                let delta = BundleDelta::between(previous.bundle(), body.bundle());
+                self.recent_deltas.lock().push(delta);
+            }
         }
         self.leaving.lock().clear();
         self.seats.lock().set_seats(body.bundle().measuring.seats);
@@ -230,12 +255,10 @@
         let Some(offer) = version.held().filter(|offer| offer.head().version > held) else {
             return FetchBundleResponse::default();
         };
-        let delta = self.recent_bodies.lock().get(held).and_then(|from| {
-            let delta = BundleDelta::between(from.bundle(), offer.body().bundle());
-            serde_json::to_vec(&delta).ok()
-        });
-        let body = match delta {
-            Some(delta) => FetchedBody::Delta(delta),
+        let deltas = self.recent_deltas.lock();
+        let deltas = deltas.since(held).and_then(|d| serde_json::to_vec(&d).ok());
+        let body = match deltas {
+            Some(deltas) => FetchedBody::Deltas(deltas),
             None => FetchedBody::Whole(offer.body().bytes().to_vec()),
         };
         FetchBundleResponse {
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -1,6 +1,6 @@
 //! What all parts of an entry share.
 
-use crate::bundles::RecentBodies;
+use crate::bundles::RecentDeltas;
 use crate::clock::Clock;
 use crate::counters::Count;
 use crate::counters::Counters;
@@ -45,7 +45,7 @@
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) version: Mutex<VersionInForce>,
-    pub(crate) recent_bodies: Mutex<RecentBodies>,
+    pub(crate) recent_deltas: Mutex<RecentDeltas>,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) members: Mutex<Membership>,
     pub(crate) seats: Mutex<SeatKeeper>,
@@ -93,7 +93,7 @@
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
             version: Mutex::new(VersionInForce::new()),
-            recent_bodies: Mutex::new(RecentBodies::default()),
+            recent_deltas: Mutex::new(RecentDeltas::default()),
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
--- a/crates/pinhaven-entry/src/once.rs
+++ b/crates/pinhaven-entry/src/once.rs
@@ -130,7 +130,11 @@
         key,
     };
     let sending = sending_of(&job.headers).unwrap_or(Sending::FIRST);
-    let begin = job.entry.ledger.lock().begin(once_key, sending, fingerprint);
+    let begin = job
+        .entry
+        .ledger
+        .lock()
+        .begin(once_key, sending, fingerprint);
     let claim = match begin {
         Begin::Dispatch(claim) => claim,
         other => return answer_without_dispatch(&job, other),
--- a/crates/pinhaven-entry/src/probes.rs
+++ b/crates/pinhaven-entry/src/probes.rs
@@ -67,7 +67,7 @@
     /// service changed: then it begins anew with a pause, as after a change of holders.
     fn begin_round(&self, seat: u32, kept: Option<Round>) -> Round {
         let snapshot = self.snapshot.load();
-        let measuring = &snapshot.bundle.measuring;
+        let measuring = &snapshot.bundle().measuring;
         let now = self.now();
         let mut kept = kept.map(|round| round.budgets).unwrap_or_default();
         let mut budgets = Budgets::new();
--- a/crates/pinhaven-entry/src/seats.rs
+++ b/crates/pinhaven-entry/src/seats.rs
@@ -34,7 +34,7 @@
     /// Whether any service wants probes.
     fn measures_anything(&self) -> bool {
         let snapshot = self.snapshot.load();
-        snapshot.bundle.services.iter().any(|service| {
+        snapshot.bundle().services.iter().any(|service| {
             service.probe_path.is_some() && service.measuring_budget_percent.fraction() > 0.0
         })
     }
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/snapshot.rs
@@ -3,6 +3,7 @@
 use crate::pool::TargetPool;
 use event_listener::Event;
 use pinhaven_bundle::Bundle;
+use pinhaven_bundle::CanonicalBundle;
 use pinhaven_bundle::Service;
 use pinhaven_decide::ServiceState;
 use pinhaven_types::BundleVersion;
@@ -11,6 +12,18 @@
 use pinhaven_types::TargetAddress;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::LazyLock;
+
+/// How long address answers would be kept before any version is known, in milliseconds.
+const NO_BUNDLE_KEEP_MS: u64 = 1_000;
+
+/// The bundle before any version is known.
+static NO_BUNDLE: LazyLock<Bundle> = LazyLock::new(|| Bundle {
+    version: BundleVersion::NONE,
+    measuring: Default::default(),
+    address_keep_ms: NO_BUNDLE_KEEP_MS,
+    services: Vec::new(),
+});
 
 /// A service in one version.
 pub(crate) struct ServiceEntry {
@@ -24,7 +37,7 @@
 /// All services in one version.
 pub(crate) struct Snapshot {
     pub(crate) version: BundleVersion,
-    pub(crate) bundle: Bundle,
+    body: Option<Arc<CanonicalBundle>>,
     pub(crate) services: HashMap<ServiceName, Arc<ServiceEntry>>,
     hosts: HashMap<String, Arc<ServiceEntry>>,
 }
@@ -34,19 +47,15 @@
     pub(crate) fn empty() -> Self {
         Self {
             version: BundleVersion::NONE,
-            bundle: Bundle {
-                version: BundleVersion::NONE,
-                measuring: Default::default(),
-                address_keep_ms: 1_000,
-                services: Vec::new(),
-            },
+            body: None,
             services: HashMap::new(),
             hosts: HashMap::new(),
         }
     }
 
     /// The snapshot of a bundle. Services that are the same as before are taken over as they are.
-    pub(crate) fn new(bundle: &Bundle, previous: &Self, now: Microseconds) -> Self {
+    pub(crate) fn new(body: Arc<CanonicalBundle>, previous: &Self, now: Microseconds) -> Self {
+        let bundle = body.bundle();
         let mut services = HashMap::new();
         let mut hosts = HashMap::new();
         for service in &bundle.services {
@@ -58,12 +67,20 @@
         }
         Self {
             version: bundle.version,
-            bundle: bundle.clone(),
+            body: Some(body),
             services,
             hosts,
         }
     }
 
+    /// The bundle; an empty one before any version is known.
+    pub(crate) fn bundle(&self) -> &Bundle {
+        match &self.body {
+            Some(body) => body.bundle(),
+            None => &NO_BUNDLE,
+        }
+    }
+
     /// The service with this `Host`, with or without its port.
     pub(crate) fn service_for_host(&self, host: &str) -> Option<&Arc<ServiceEntry>> {
         if let Some(entry) = self.hosts.get(host) {
--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -27,7 +27,7 @@
     entry.news.notify(usize::MAX);
     let writer = Arc::clone(entry);
     let row_written = spawn(async move { writer.write_own_row().await });
-    let keep_ms = entry.snapshot.load().bundle.address_keep_ms;
+    let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
     sleep_ms(keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD).await;
     log::info!(target: "stop", "Finishing {} requests in flight.", entry.in_flight());
     server.close_gracefully();
--- a/crates/pinhaven-lab/src/check.rs
+++ b/crates/pinhaven-lab/src/check.rs
@@ -15,7 +15,9 @@
         }
         if class.without_retry_after > 0 {
             let count = class.without_retry_after;
-            faults.push(format!("{count} {kind} refusals did not say when to come back"));
+            faults.push(format!(
+                "{count} {kind} refusals did not say when to come back"
+            ));
         }
     }
     let runs = lab.runs(service).await;
--- a/crates/pinhaven-lab/src/lab.rs
+++ b/crates/pinhaven-lab/src/lab.rs
@@ -353,6 +353,24 @@
         &mut self.target_processes[service]
     }
 
+    /// Processor time of all entries so far, in seconds.
+    pub fn entries_cpu_s(&self) -> f64 {
+        let times = self.entry_processes().map(Process::cpu_time);
+        times.map(|time| time.as_secs_f64()).sum()
+    }
+
+    /// Memory of the entry that holds most, in millions of bytes.
+    pub fn entry_memory_mb(&self) -> f64 {
+        let most = self.entry_processes().map(Process::memory_bytes).max();
+        most.unwrap_or_default() as f64 / 1e6
+    }
+
+    /// A counter, summed over all entries that answer.
+    pub async fn counter(&self, name: &str) -> u64 {
+        let statuses = self.statuses().await;
+        statuses.iter().filter_map(|s| s.counters.get(name)).sum()
+    }
+
     /// Kills the entry with an index and forgets it.
     pub fn kill_entry(&mut self, index: usize) {
         self.entries.remove(&Self::entry_name(index));
@@ -455,6 +473,27 @@
         .await
     }
 
+    /// Waits until the entries of the start have a version, without asking the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`LabError`] when that takes too long.
+    pub async fn wait_until_all_have(&self, version: u64) -> Result<(), LabError> {
+        self.wait_for("the version to be in force", async || {
+            for peer in self.peer_addresses.values() {
+                if self
+                    .version_at(*peer)
+                    .await
+                    .is_none_or(|held| held < version)
+                {
+                    return false;
+                }
+            }
+            true
+        })
+        .await
+    }
+
     /// Waits until something holds.
     ///
     /// # Errors
--- a/crates/pinhaven-lab/src/measure/added.rs
+++ b/crates/pinhaven-lab/src/measure/added.rs
@@ -33,7 +33,7 @@
         let turns = (settings.run_ms / TURN_MS).max(2) * settings.runs;
         let mut direct = Vec::new();
         let mut through = Vec::new();
-        let cpu_before = cpu_s(&lab);
+        let cpu_before = lab.entries_cpu_s();
         let mut answered = 0;
         for turn in 0..turns {
             direct.push(one_turn(&lab, rate, turn, true).await);
@@ -41,7 +41,7 @@
             answered += report.repeatable.answered;
             through.push(report);
         }
-        let cpu_us = (cpu_s(&lab) - cpu_before) * 1_000_000.0 / answered.max(1) as f64;
+        let cpu_us = (lab.entries_cpu_s() - cpu_before) * 1_000_000.0 / answered.max(1) as f64;
         rows.push(row(rate, &direct, &through, cpu_us));
     }
     publish(
@@ -71,12 +71,6 @@
     Caller::new(caller).run().await
 }
 
-fn cpu_s(lab: &Lab) -> f64 {
-    lab.entry_processes()
-        .map(|process| process.cpu_time().as_secs_f64())
-        .sum()
-}
-
 fn row(rate: f64, direct: &[CallerReport], through: &[CallerReport], cpu_us: f64) -> Vec<String> {
     let figures = |reports: &[CallerReport]| {
         let of = |pick: fn(&CallerReport) -> f64| {
--- a/crates/pinhaven-lab/src/measure/choice.rs
+++ b/crates/pinhaven-lab/src/measure/choice.rs
@@ -32,7 +32,7 @@
 
 /// What goes wrong during a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Trouble {
+pub(super) enum Trouble {
     Nothing,
     OneSlow,
     MovingSlow,
@@ -41,8 +41,8 @@
     DomainGone,
 }
 
-struct Scenario {
-    name: &'static str,
+pub(super) struct Scenario {
+    pub(super) name: &'static str,
     load: f64,
     trouble: Trouble,
 }
@@ -60,7 +60,7 @@
     scenario("domain gone 50%", 0.5, Trouble::DomainGone),
 ];
 
-const fn scenario(name: &'static str, load: f64, trouble: Trouble) -> Scenario {
+pub(super) const fn scenario(name: &'static str, load: f64, trouble: Trouble) -> Scenario {
     Scenario {
         name,
         load,
@@ -85,6 +85,17 @@
     policy("pinhaven", "pinhaven", 4.0, 3),
 ];
 
+impl PolicyCase {
+    /// The fields of the service that make up the policy.
+    fn fields(&self) -> Value {
+        json!({
+            "policy": self.policy,
+            "hedge_budget_percent": self.hedges,
+            "entries_named": self.entries_named,
+        })
+    }
+}
+
 const fn policy(
     name: &'static str,
     policy: &'static str,
@@ -100,9 +111,9 @@
 }
 
 /// A deployment's size.
-struct Size {
-    name: &'static str,
-    slots: usize,
+pub(super) struct Size {
+    pub(super) name: &'static str,
+    pub(super) slots: usize,
 }
 
 const SIZES: [Size; 2] = [
@@ -117,19 +128,19 @@
 ];
 
 /// Targets of the service.
-const TARGETS: u64 = 30;
+pub(super) const TARGETS: u64 = 30;
 
 /// The figures of one case over its runs.
 #[derive(Default)]
-struct Figures {
+pub(super) struct Figures {
     p50: Vec<f64>,
-    p99: Vec<f64>,
-    p999: Vec<f64>,
+    pub(super) p99: Vec<f64>,
+    pub(super) p999: Vec<f64>,
     once_p99: Vec<f64>,
-    once_p999: Vec<f64>,
+    pub(super) once_p999: Vec<f64>,
     in_time: Vec<f64>,
     added_attempts: Vec<f64>,
-    probes: Vec<f64>,
+    pub(super) probes: Vec<f64>,
     connections: Vec<f64>,
 }
 
@@ -152,7 +163,7 @@
             }
             let mut figures = Figures::default();
             for seed in 1..=settings.runs {
-                prepare(&mut lab, case).await?;
+                prepare(&mut lab, &case.fields()).await?;
                 one_run(&lab, settings, size, scenario, seed, &mut figures).await;
             }
             eprintln!("{name}: 99.9th {}", with_spread(&figures.p999));
@@ -181,7 +192,7 @@
 }
 
 /// Puts a policy in force and all targets right again.
-async fn prepare(lab: &mut Lab, case: &PolicyCase) -> Result<(), LabError> {
+pub(super) async fn prepare(lab: &mut Lab, fields: &Value) -> Result<(), LabError> {
     for target in lab.targets(0) {
         lab.set_target_faults(*target, &TargetFaults::default())
             .await;
@@ -201,9 +212,11 @@
     lab.wait_until_in_force().await?;
     let mut bundle = lab.bundle();
     bundle["services"][0]["targets"] = targets;
-    bundle["services"][0]["policy"] = json!(case.policy);
-    bundle["services"][0]["hedge_budget_percent"] = json!(case.hedges);
-    bundle["services"][0]["entries_named"] = json!(case.entries_named);
+    if let Some(fields) = fields.as_object() {
+        for (name, value) in fields {
+            bundle["services"][0][name] = value.clone();
+        }
+    }
     lab.roll(&bundle)?;
     lab.wait_until_in_force().await
 }
@@ -214,7 +227,7 @@
     target
 }
 
-async fn one_run(
+pub(super) async fn one_run(
     lab: &Lab,
     settings: &MeasureSettings,
     size: &Size,
--- a/crates/pinhaven-lab/src/measure/idle.rs
+++ b/crates/pinhaven-lab/src/measure/idle.rs
@@ -23,14 +23,15 @@
         // The times that the settings have by default.
         let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 500}));
         let lab = Lab::start(plan).await?;
-        let cpu_before = cpu_s(&lab);
-        let bytes_before = peer_bytes(&lab).await;
+        let cpu_before = lab.entries_cpu_s();
+        let bytes_before = lab.counter("peer.bytes").await as f64;
         sleep_ms(settings.run_ms).await;
         let seconds = settings.run_ms as f64 / 1_000.0;
-        let cpu = (cpu_s(&lab) - cpu_before) / seconds / entries as f64;
+        let cpu = (lab.entries_cpu_s() - cpu_before) / seconds / entries as f64;
         // Each message is counted by both sides.
-        let bytes = (peer_bytes(&lab).await - bytes_before) / seconds / entries as f64;
-        let idle_mb = memory_mb(&lab);
+        let bytes =
+            (lab.counter("peer.bytes").await as f64 - bytes_before) / seconds / entries as f64;
+        let idle_mb = lab.entry_memory_mb();
         let full_mb = memory_with_connections_mb(&lab).await;
         rows.push(vec![
             entries.to_string(),
@@ -54,23 +55,6 @@
     )
 }
 
-fn cpu_s(lab: &Lab) -> f64 {
-    lab.entry_processes()
-        .map(|process| process.cpu_time().as_secs_f64())
-        .sum()
-}
-
-async fn peer_bytes(lab: &Lab) -> f64 {
-    let statuses = lab.statuses().await;
-    let counts = statuses.iter().filter_map(|s| s.counters.get("peer.bytes"));
-    counts.sum::<u64>() as f64
-}
-
-fn memory_mb(lab: &Lab) -> f64 {
-    let most = lab.entry_processes().map(|process| process.memory_bytes());
-    most.max().unwrap_or_default() as f64 / 1e6
-}
-
 async fn memory_with_connections_mb(lab: &Lab) -> f64 {
     let addresses = lab.caller_addresses().await;
     let Some(address) = addresses.first() else {
@@ -81,5 +65,5 @@
         held.extend(connect_stream(*address).await.ok());
     }
     sleep_ms(500).await;
-    memory_mb(lab)
+    lab.entry_memory_mb()
 }
--- a/crates/pinhaven-lab/src/measure/slopes.rs
+++ b/crates/pinhaven-lab/src/measure/slopes.rs
@@ -1,8 +1,139 @@
-//! Not yet.
+//! Slopes for the capacity page: what grows with targets, with changes and with once-only records.
 
 use super::MeasureSettings;
+use super::publish;
+use crate::lab::Lab;
 use crate::lab::LabError;
+use crate::plan::LabPlan;
+use crate::plan::ServicePlan;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_stand_in::caller::Caller;
+use pinhaven_stand_in::caller::CallerSettings;
+use serde_json::Value;
+use serde_json::json;
 
-pub(super) async fn run(_settings: &MeasureSettings) -> Result<(), LabError> {
-    Ok(())
+/// Services of the bundle, each with eight targets.
+const SERVICES: [usize; 4] = [19, 190, 950, 1_900];
+/// Targets of each.
+const TARGETS_PER_SERVICE: usize = 8;
+/// Changes of one target each.
+const CHANGES: usize = 10;
+/// Once-only requests a second for the ledger's slope.
+const ONCE_RATE_PER_S: f64 = 1_500.0;
+/// Time that memory gets to settle, in milliseconds.
+const SETTLE_MS: u64 = 500;
+
+pub(super) async fn run(settings: &MeasureSettings) -> Result<(), LabError> {
+    bundle_slopes(settings).await?;
+    ledger_slope(settings).await
+}
+
+async fn bundle_slopes(settings: &MeasureSettings) -> Result<(), LabError> {
+    let mut rows = Vec::new();
+    for services in SERVICES {
+        let plan = LabPlan::new(2, vec![ServicePlan::new("quote", 1, 6, 5.0)]);
+        let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 500}));
+        let mut lab = Lab::start(plan).await?;
+        let bundle = large_bundle(&lab, services, 0);
+        let whole_bytes = bundle.to_string().len();
+        lab.roll(&bundle)?;
+        lab.wait_until_in_force().await?;
+        sleep_ms(SETTLE_MS).await;
+        let idle_cpu_s = cpu_in(&lab, settings.run_ms).await;
+        let before = (lab.entries_cpu_s(), lab.counter("peer.bytes").await as f64);
+        let began = std::time::Instant::now();
+        for change in 1..=CHANGES {
+            lab.roll(&large_bundle(&lab, services, change))?;
+            lab.wait_until_in_force().await?;
+        }
+        let seconds = began.elapsed().as_secs_f64();
+        let after = (lab.entries_cpu_s(), lab.counter("peer.bytes").await as f64);
+        // Both entries take each change; what they use when idle is taken off.
+        let idle_s = idle_cpu_s * seconds * 1_000.0 / settings.run_ms as f64;
+        let cpu_ms = (after.0 - before.0 - idle_s) * 1_000.0 / (2 * CHANGES) as f64;
+        let idle_percent = idle_cpu_s * 100_000.0 / (2 * settings.run_ms) as f64;
+        rows.push(vec![
+            services.to_string(),
+            (services * TARGETS_PER_SERVICE).to_string(),
+            format!("{:.0}", whole_bytes as f64 / 1_000.0),
+            format!("{:.1}", lab.entry_memory_mb()),
+            format!("{idle_percent:.2}"),
+            format!("{cpu_ms:.1}"),
+            format!("{:.0}", (after.1 - before.1) / CHANGES as f64),
+        ]);
+    }
+    publish(
+        &settings.folder,
+        "slopes-bundle",
+        &[
+            "services",
+            "targets",
+            "bundle KB",
+            "entry memory MB",
+            "idle CPU % of a core",
+            "CPU ms a change and entry",
+            "peer bytes a change",
+        ],
+        &rows,
+    )
+}
+
+fn large_bundle(lab: &Lab, services: usize, change: usize) -> Value {
+    let mut bundle = lab.bundle();
+    let Some(all) = bundle["services"].as_array_mut() else {
+        return bundle;
+    };
+    for service in 0..services {
+        let targets: Vec<Value> = (0..TARGETS_PER_SERVICE)
+            .map(|target| {
+                let number = service * TARGETS_PER_SERVICE + target;
+                let address = format!("10.{}.{}.1:80", number / 250, number % 250);
+                json!({"address": address, "failure_domain": format!("domain-{}", target % 3)})
+            })
+            .collect();
+        // Each change moves one field of one service.
+        let deadline_ms = if service == change { 900 } else { 1_000 };
+        all.push(json!({
+            "name": format!("service-{service}"),
+            "hosts": [format!("service-{service}")],
+            "slots": 6,
+            "deadline_ms": deadline_ms,
+            "targets": targets,
+        }));
+    }
+    bundle
+}
+
+async fn ledger_slope(settings: &MeasureSettings) -> Result<(), LabError> {
+    let mut service = ServicePlan::new("booking", 12, 6, 2.0);
+    service.sigma = 0.0;
+    let lab = Lab::start(LabPlan::new(1, vec![service])).await?;
+    let mut rows = Vec::new();
+    let first_mb = lab.entry_memory_mb();
+    for _ in 0..3 {
+        let seeds = lab.caller_addresses().await;
+        let mut caller = CallerSettings::new(seeds, "booking", ONCE_RATE_PER_S, settings.run_ms);
+        caller.once_percent = 100;
+        Caller::new(caller).run().await;
+        let statuses = lab.statuses().await;
+        let records: usize = statuses.iter().map(|status| status.ledger_records).sum();
+        let grown_mb = lab.entry_memory_mb() - first_mb;
+        rows.push(vec![
+            records.to_string(),
+            format!("{grown_mb:.1}"),
+            format!("{:.0}", grown_mb * 1e6 / records.max(1) as f64),
+        ]);
+    }
+    publish(
+        &settings.folder,
+        "slopes-ledger",
+        &["records", "memory grown MB", "bytes a record"],
+        &rows,
+    )
+}
+
+async fn cpu_in(lab: &Lab, time_ms: u64) -> f64 {
+    let before = lab.entries_cpu_s();
+    sleep_ms(time_ms).await;
+    lab.entries_cpu_s() - before
 }
--- a/crates/pinhaven-lab/tests/bad_input.rs
+++ b/crates/pinhaven-lab/tests/bad_input.rs
@@ -84,25 +84,37 @@
             ),
             (
                 "a deadline that is no number",
-                request("GET / HTTP/1.1\r\nHost: quote\r\nPinhaven-Deadline-Ms: soon", ""),
+                request(
+                    "GET / HTTP/1.1\r\nHost: quote\r\nPinhaven-Deadline-Ms: soon",
+                    "",
+                ),
                 400,
                 "bad_deadline",
             ),
             (
                 "a deadline that has passed",
-                request("GET / HTTP/1.1\r\nHost: quote\r\nPinhaven-Deadline-Ms: 0", ""),
+                request(
+                    "GET / HTTP/1.1\r\nHost: quote\r\nPinhaven-Deadline-Ms: 0",
+                    "",
+                ),
                 504,
                 "deadline_past",
             ),
             (
                 "a body that is too large",
-                request("POST / HTTP/1.1\r\nHost: quote\r\nContent-Length: 100001", ""),
+                request(
+                    "POST / HTTP/1.1\r\nHost: quote\r\nContent-Length: 100001",
+                    "",
+                ),
                 413,
                 "body_too_large",
             ),
             (
                 "a missing key",
-                request("POST /keyed HTTP/1.1\r\nHost: quote\r\nContent-Length: 1", "x"),
+                request(
+                    "POST /keyed HTTP/1.1\r\nHost: quote\r\nContent-Length: 1",
+                    "x",
+                ),
                 400,
                 "key_missing",
             ),
@@ -122,7 +134,10 @@
             assert!(answer.contains(&format!(" {status} ")), "{what}: {answer}");
             if !reason.is_empty() {
                 let lower = answer.to_lowercase();
-                assert!(lower.contains(&format!("\"title\":\"{reason}\"")), "{what}: {answer}");
+                assert!(
+                    lower.contains(&format!("\"title\":\"{reason}\"")),
+                    "{what}: {answer}"
+                );
                 assert!(lower.contains("pinhaven-run: not-run"), "{what}: {answer}");
                 assert!(lower.contains("retry-after: "), "{what}: {answer}");
             }
@@ -197,7 +212,10 @@
         assert_eq!(body_of(&first), body_of(&repeated));
         for refused in [other, stranger] {
             assert!(refused.contains(" 422 "), "{refused}");
-            assert!(refused.to_lowercase().contains("pinhaven-run: not-run"), "{refused}");
+            assert!(
+                refused.to_lowercase().contains("pinhaven-run: not-run"),
+                "{refused}"
+            );
         }
         assert_eq!(lab.runs(0).await.get("k1"), Some(&1));
     });
--- a/crates/pinhaven-lab/tests/bundles.rs
+++ b/crates/pinhaven-lab/tests/bundles.rs
@@ -42,10 +42,15 @@
         }
         lab.wait_until_in_force().await.unwrap();
         assert_eq!(versions(&lab).await, [4, 4, 4]);
-        let status = lab.command(&["bundle", "status", "--format", "json"]).unwrap();
+        let status = lab
+            .command(&["bundle", "status", "--format", "json"])
+            .unwrap();
         let rows: serde_json::Value = serde_json::from_str(&status).unwrap();
         for domain in rows.as_array().unwrap() {
-            assert_eq!((&domain["newest"], &domain["in_force"]), (&json!(4), &json!(4)));
+            assert_eq!(
+                (&domain["newest"], &domain["in_force"]),
+                (&json!(4), &json!(4))
+            );
             assert_eq!(domain["lagging"], json!([]));
         }
         let history = lab.command(&["bundle", "history"]).unwrap();
@@ -63,7 +68,10 @@
         let second = lab.sign(&other, "operator").unwrap();
         lab.roll_signed(&first).unwrap();
         let error = lab.roll_signed(&second).unwrap_err().to_string();
-        assert!(error.contains("version 2 is the newest, signed off by operator"), "{error}");
+        assert!(
+            error.contains("version 2 is the newest, signed off by operator"),
+            "{error}"
+        );
         let again = lab.roll_signed(&first);
         assert!(again.is_err(), "a version is rolled once");
     });
@@ -112,8 +120,7 @@
         let signed = lab.sign(&lab.bundle(), "operator").unwrap();
         let signed: serde_json::Value =
             serde_json::from_str(&std::fs::read_to_string(signed).unwrap()).unwrap();
-        let body: pinhaven_bundle::Bundle =
-            serde_json::from_value(signed["body"].clone()).unwrap();
+        let body: pinhaven_bundle::Bundle = serde_json::from_value(signed["body"].clone()).unwrap();
         let body = pinhaven_bundle::CanonicalBundle::new(body);
         let key = bundle_object(body.digest());
         let written = objects.write(&key, body.bytes().to_vec());
@@ -140,7 +147,9 @@
                 let statuses = lab.statuses().await;
                 statuses.iter().all(|s| s.counters["bundle.refused"] > 0)
             };
-            lab.wait_for("every entry to refuse", refused).await.unwrap();
+            lab.wait_for("every entry to refuse", refused)
+                .await
+                .unwrap();
             assert_eq!(versions(&lab).await, [1, 1, 1], "{head}");
         }
     });
@@ -157,7 +166,10 @@
         lab.wait_until_in_force().await.unwrap();
         let now = table.read(BUNDLE_HEAD).await.unwrap().unwrap();
         let condition = Condition::Version(now.version);
-        table.write(BUNDLE_HEAD, condition, first.value).await.unwrap();
+        table
+            .write(BUNDLE_HEAD, condition, first.value)
+            .await
+            .unwrap();
         sleep_ms(1_000).await;
         assert_eq!(versions(&lab).await, [2, 2, 2]);
     });
@@ -172,8 +184,14 @@
         lab.entry(1).pause();
         lab.entry(2).pause();
         lab.roll(&bundle).unwrap();
-        let has_it = async || lab.status(0).await.is_some_and(|s| s.own.version.number() == 2);
-        lab.wait_for("entry 0 to have version 2", has_it).await.unwrap();
+        let has_it = async || {
+            lab.status(0)
+                .await
+                .is_some_and(|s| s.own.version.number() == 2)
+        };
+        lab.wait_for("entry 0 to have version 2", has_it)
+            .await
+            .unwrap();
         lab.set_platform_faults(&DOWN).await;
         lab.entry(1).resume();
         lab.entry(2).resume();
@@ -185,7 +203,9 @@
             }
             versions == [2, 2, 2]
         };
-        lab.wait_for("all entries to have version 2", all).await.unwrap();
+        lab.wait_for("all entries to have version 2", all)
+            .await
+            .unwrap();
     });
 }
 
@@ -199,9 +219,13 @@
         lab.set_platform_faults(&DOWN).await;
         lab.kill_entry(2);
         let seeds = [lab.peer_address(0), lab.peer_address(1)];
-        let address = lab.start_entry_with(2, json!({"peer_seeds": seeds})).unwrap();
+        let address = lab
+            .start_entry_with(2, json!({"peer_seeds": seeds}))
+            .unwrap();
         let has_it = async || lab.version_at(address).await == Some(2);
-        lab.wait_for("the new entry to have version 2", has_it).await.unwrap();
+        lab.wait_for("the new entry to have version 2", has_it)
+            .await
+            .unwrap();
     });
 }
 
--- a/crates/pinhaven-lab/tests/common/mod.rs
+++ b/crates/pinhaven-lab/tests/common/mod.rs
@@ -40,7 +40,9 @@
 }
 
 pub async fn start(plan: LabPlan) -> Lab {
-    Lab::start(plan).await.unwrap_or_else(|error| panic!("{error}"))
+    Lab::start(plan)
+        .await
+        .unwrap_or_else(|error| panic!("{error}"))
 }
 
 /// A caller in the background: half of its requests may not be repeated.
--- a/crates/pinhaven-lab/tests/measuring.rs
+++ b/crates/pinhaven-lab/tests/measuring.rs
@@ -51,9 +51,14 @@
             let times = lab.target_counts(*target).await.probe_times_ms;
             all += times.len();
             for from in &times {
-                let inside = times.iter().filter(|at| (*from..from + WINDOW_MS).contains(at));
+                let inside = times
+                    .iter()
+                    .filter(|at| (*from..from + WINDOW_MS).contains(at));
                 let cost_ms = inside.count() as u64 * PROBE_COST_MS;
-                assert!(cost_ms <= allowed_ms, "{cost_ms} of {allowed_ms} ms: {times:?}");
+                assert!(
+                    cost_ms <= allowed_ms,
+                    "{cost_ms} of {allowed_ms} ms: {times:?}"
+                );
             }
         }
         assert!(all > 0);
--- a/crates/pinhaven-lab/tests/stopping.rs
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -25,7 +25,11 @@
         for index in 0..3 {
             lab.entry(index).terminate();
             let ended = lab.entry(index).wait(Duration::from_secs(20)).await;
-            assert_eq!(ended, Some(true), "entry {index} stops without cutting anything");
+            assert_eq!(
+                ended,
+                Some(true),
+                "entry {index} stops without cutting anything"
+            );
             lab.start_entry(index).unwrap();
             lab.wait_until_ready().await.unwrap();
         }
@@ -68,8 +72,9 @@
 #[test]
 fn a_draining_target_gets_no_new_work_from_any_entry_after_a_few_seconds() {
     in_turn(async {
-        // Entry 2 gets no requests for the service: it can learn of the drain only from the others.
-        let service = common::quote().with_bundle(json!({"measuring_budget_percent": 0}));
+        // One entry gets no requests for the service and can learn of the drain only from the others.
+        let fields = json!({"measuring_budget_percent": 0, "entries_named": 2});
+        let service = common::quote().with_bundle(fields);
         let lab = start(LabPlan::new(3, vec![service])).await;
         let leaving = lab.targets(0)[2];
         let calls = call(&lab, 6_000, |settings| settings.rate_per_s = 200.0).await;
@@ -81,7 +86,10 @@
         lab.set_target_faults(leaving, &faults).await;
         let report = calls.await;
         let counts = lab.target_counts(leaving).await;
-        assert!(counts.last_arrival_draining_ms < LEAVING_MOST_MS, "{counts:?}");
+        assert!(
+            counts.last_arrival_draining_ms < LEAVING_MOST_MS,
+            "{counts:?}"
+        );
         for index in 0..3 {
             let status = lab.status(index).await.unwrap();
             let targets = &status.services[0].targets;
--- a/crates/pinhaven-platform/src/key.rs
+++ b/crates/pinhaven-platform/src/key.rs
@@ -23,3 +23,9 @@
 pub fn bundle_object(digest: Digest) -> String {
     format!("pinhaven/bundle/{digest}")
 }
+
+/// Object of the difference that leads from the version before to this one. It is named by the body's
+/// digest too, so that operators who race for a version don't write the same object.
+pub fn bundle_delta_object(version: BundleVersion, digest: Digest) -> String {
+    format!("pinhaven/bundle/delta/{version}-{digest}")
+}
--- a/crates/pinhaven-platform/src/lib.rs
+++ b/crates/pinhaven-platform/src/lib.rs
@@ -18,6 +18,7 @@
 pub use key::ENTRY_PREFIX;
 pub use key::SEAT_PREFIX;
 pub use key::TARGET_PREFIX;
+pub use key::bundle_delta_object;
 pub use key::bundle_history;
 pub use key::bundle_object;
 pub use store::Condition;
--- a/crates/pinhaven-settings/tests/check.rs
+++ b/crates/pinhaven-settings/tests/check.rs
@@ -37,10 +37,22 @@
         (more("\"worker_threads\": 0,"), 8, "worker_threads"),
         (more("\"worker_threads\": 65,"), 8, "worker_threads"),
         (more("\"gossip_ms\": 0,"), 8, "gossip_ms"),
-        (more("\"log\": {\"levels\": {\"proxy\": \"loud\"}},"), 8, "log.levels.proxy"),
+        (
+            more("\"log\": {\"levels\": {\"proxy\": \"loud\"}},"),
+            8,
+            "log.levels.proxy",
+        ),
         (GOOD.replacen("8081", "8080", 1), 5, "peer_address"),
-        (GOOD.replacen("127.0.0.1:7000", "table", 1), 6, "table_address"),
-        (GOOD.replacen("2152f8", "xyz", 1), 11, "trusted_signers[0].public_key"),
+        (
+            GOOD.replacen("127.0.0.1:7000", "table", 1),
+            6,
+            "table_address",
+        ),
+        (
+            GOOD.replacen("2152f8", "xyz", 1),
+            11,
+            "trusted_signers[0].public_key",
+        ),
     ];
     for (text, line, field) in table {
         assert_eq!(faults(&text), [(line, field.to_owned())]);
--- a/crates/pinhaven-types/tests/types.rs
+++ b/crates/pinhaven-types/tests/types.rs
@@ -52,7 +52,10 @@
 
 #[test]
 fn parts_of_a_digest_do_not_run_together() {
-    assert_ne!(Digest::of_parts(&[b"ab", b"c"]), Digest::of_parts(&[b"a", b"bc"]));
+    assert_ne!(
+        Digest::of_parts(&[b"ab", b"c"]),
+        Digest::of_parts(&[b"a", b"bc"])
+    );
 }
 
 #[test]
