Spread news of leaving targets at once, and pace idle work

Cause: an idle entry used 1.3 to 2.3% of a core, most of it a probe loop that woke 50 times a second, and a new connection for each probe; its peer messages took 4.6 KB/s at 18 entries and would have passed 5 KB/s at 20. Probes now wait for the next one due and keep their connection. Exchanges go once a second and name 30 members at most; a newly leaving target, like a new version, is told to four peers at once instead of waiting for the rounds.

--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -34,7 +34,7 @@
 use std::time::Duration;
 
 /// Members named in one message.
-const BEATS_MAX: usize = 40;
+const BEATS_MAX: usize = 30;
 /// Members asked about in one message.
 const WANTED_MAX: usize = 20;
 /// Peers that are told news at once.
@@ -55,35 +55,45 @@
             if rounds.is_multiple_of(ROUNDS_PER_LISTING) {
                 self.list_entries().await;
             }
-            self.beat();
+            let has_news = self.beat();
             let mut peers = self.known_peer_addresses();
             random.shuffle(&mut peers);
-            if let Some(peer) = peers.first() {
+            let fan_out = if has_news { NEWS_FAN_OUT } else { 1 };
+            let (first, rest) = peers.split_at(peers.len().min(1));
+            self.tell(&rest[..rest.len().min(fan_out - 1)]);
+            // Listening begins before the exchange, so that what it brings is not missed.
+            let news = self.news.listen();
+            if let Some(peer) = first.first() {
                 self.exchange_with(*peer).await;
             }
             rounds += 1;
-            let news = self.news.listen();
             let round = Duration::from_millis(self.settings.gossip_ms);
             if within(round, news).await.is_some() {
                 self.beat();
-                for peer in peers.iter().take(NEWS_FAN_OUT) {
-                    let entry = Arc::clone(&self);
-                    let peer = *peer;
-                    pinhaven_runtime::spawn(async move { entry.exchange_with(peer).await })
-                        .detach();
-                }
+                self.tell(&peers[..peers.len().min(NEWS_FAN_OUT)]);
             }
         }
     }
 
-    fn beat(&self) {
+    /// Exchanges with several peers at once.
+    fn tell(self: &Arc<Self>, peers: &[SocketAddr]) {
+        for peer in peers {
+            let entry = Arc::clone(self);
+            let peer = *peer;
+            pinhaven_runtime::spawn(async move { entry.exchange_with(peer).await }).detach();
+        }
+    }
+
+    /// Beats the heart once. Returns whether there is news of leaving targets.
+    fn beat(&self) -> bool {
         let snapshot = self.snapshot.load();
         let now = self.now();
-        self.leaving.lock().gather(&snapshot, now);
+        let has_news = self.leaving.lock().gather(&snapshot, now);
         let epoch = self.ledger.lock().epoch().0;
         let mut members = self.members.lock();
         members.beat(snapshot.version, epoch);
         members.forget_silent(now);
+        has_news
     }
 
     /// Exchanges with one peer, and takes its newer version if it has one.
--- a/crates/pinhaven-entry/src/leaving.rs
+++ b/crates/pinhaven-entry/src/leaving.rs
@@ -21,8 +21,9 @@
 }
 
 impl LeavingNews {
-    /// Takes in all targets that are marked as leaving.
-    pub(crate) fn gather(&mut self, snapshot: &Snapshot, now: Microseconds) {
+    /// Takes in all targets that are marked as leaving. Returns whether any was new.
+    pub(crate) fn gather(&mut self, snapshot: &Snapshot, now: Microseconds) -> bool {
+        let known = self.since.len();
         for (name, service) in &snapshot.services {
             for target in service.state.targets() {
                 if target.is_leaving() {
@@ -31,6 +32,7 @@
                 }
             }
         }
+        self.since.len() > known
     }
 
     /// News that is still worth passing on.
@@ -57,6 +59,7 @@
     /// been put back since.
     pub(crate) fn hear_leaving(&self, news: &[Leaving]) {
         let snapshot = self.snapshot.load();
+        let mut is_news = false;
         for leaving in news {
             if leaving.version != snapshot.version.number() {
                 continue;
@@ -72,7 +75,11 @@
             {
                 log::info!(target: "leaving", "Target {} of {service} is leaving.", target.address());
                 target.leave();
+                is_news = true;
             }
         }
+        if is_news {
+            self.news.notify(usize::MAX);
+        }
     }
 }
--- a/crates/pinhaven-entry/src/probes.rs
+++ b/crates/pinhaven-entry/src/probes.rs
@@ -14,23 +14,44 @@
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// How often due probes are looked for, in milliseconds.
-const TICK_MS: u64 = 20;
+/// How often an entry without a seat looks whether it has one, in milliseconds.
+const SEAT_LOOK_MS: u64 = 500;
+/// The shortest and the longest pause between two looks for due probes, in milliseconds.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 5..=500;
 /// How long a target may take to answer a probe, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 1_000;
 
-type Budgets = BTreeMap<(ServiceName, TargetAddress), ProbeBudget>;
+type Probed = BTreeMap<(ServiceName, TargetAddress), ProbedTarget>;
+
+/// A target of the seat, with its budget and the connection that its probes use.
+struct ProbedTarget {
+    budget: ProbeBudget,
+    client: HttpClient,
+}
 
 /// The budgets of the targets of one seat in one version.
 struct Round {
     version: BundleVersion,
     seat: u32,
-    budgets: Budgets,
+    targets: Probed,
+}
+
+impl Round {
+    /// The time until the next probe is due, in milliseconds.
+    fn pause_ms(&self, now: Microseconds) -> u64 {
+        let dues = self.targets.values().filter_map(|t| t.budget.next_at());
+        let next_at = dues
+            .min()
+            .unwrap_or(now.plus(Microseconds::from_ms(*PAUSE_MS.end())));
+        let pause_ms = next_at.saturating_sub(now).count() / 1_000;
+        pause_ms.clamp(*PAUSE_MS.start(), *PAUSE_MS.end())
+    }
 }
 
 impl Entry {
@@ -38,9 +59,10 @@
     pub(crate) async fn probe(self: Arc<Self>) {
         let mut round: Option<Round> = None;
         loop {
-            sleep_ms(TICK_MS).await;
-            let Some(seat) = self.seats.lock().seat(self.now()) else {
+            let seat = self.seats.lock().seat(self.now());
+            let Some(seat) = seat else {
                 round = None;
+                sleep_ms(SEAT_LOOK_MS).await;
                 continue;
             };
             let snapshot = self.snapshot.load_full();
@@ -54,12 +76,12 @@
             let Some(round) = &mut round else {
                 continue;
             };
-            for ((name, target), budget) in &mut round.budgets {
-                let Some(service) = snapshot.services.get(name) else {
-                    continue;
-                };
-                self.probe_if_due(seat, service, *target, budget).await;
+            for ((name, target), probed) in &mut round.targets {
+                if let Some(service) = snapshot.services.get(name) {
+                    self.probe_if_due(seat, service, *target, probed).await;
+                }
             }
+            sleep_ms(round.pause_ms(self.now())).await;
         }
     }
 
@@ -69,26 +91,32 @@
         let snapshot = self.snapshot.load();
         let measuring = &snapshot.bundle().measuring;
         let now = self.now();
-        let mut kept = kept.map(|round| round.budgets).unwrap_or_default();
-        let mut budgets = Budgets::new();
+        let mut kept = kept.map(|round| round.targets).unwrap_or_default();
+        let mut targets = Probed::new();
         for (name, service) in &snapshot.services {
+            if service.config.probe_path.is_none() {
+                continue;
+            }
             for target in &service.config.targets {
                 if seat_of(target.address, measuring.seats) != seat {
                     continue;
                 }
                 let key = (name.clone(), target.address);
-                let fresh = ProbeBudget::new(measuring, &service.config, now);
-                let budget = match kept.remove(&key) {
-                    Some(kept) if kept.is_same_plan(&fresh) => kept,
-                    _ => fresh,
+                let budget = ProbeBudget::new(measuring, &service.config, now);
+                let probed = match kept.remove(&key) {
+                    Some(kept) if kept.budget.is_same_plan(&budget) => kept,
+                    _ => ProbedTarget {
+                        budget,
+                        client: HttpClient::new(target.address.socket_address(), PROBE_TIMEOUT_MS),
+                    },
                 };
-                budgets.insert(key, budget);
+                targets.insert(key, probed);
             }
         }
         Round {
             version: snapshot.version,
             seat,
-            budgets,
+            targets,
         }
     }
 
@@ -97,8 +125,9 @@
         seat: u32,
         service: &ServiceEntry,
         target: TargetAddress,
-        budget: &mut ProbeBudget,
+        probed: &mut ProbedTarget,
     ) {
+        let ProbedTarget { budget, client } = probed;
         let Some(path) = &service.config.probe_path else {
             return;
         };
@@ -115,7 +144,6 @@
             return;
         }
         self.counters.add(Count::Probes);
-        let client = HttpClient::new(target.socket_address(), PROBE_TIMEOUT_MS);
         let Ok(request) = Request::get(path).body(no_bytes()) else {
             return;
         };
--- a/crates/pinhaven-lab/src/measure/added.rs
+++ b/crates/pinhaven-lab/src/measure/added.rs
@@ -17,6 +17,8 @@
 
 /// Requests a second, about half of what one entry thread carries.
 const RATES_PER_S: [f64; 3] = [500.0, 2_000.0, 4_000.0];
+/// Threads of the entry.
+const THREADS: [usize; 3] = [1, 2, 4];
 /// Length of one turn, in milliseconds.
 const TURN_MS: u64 = 1_000;
 /// Time of a request at a target, in milliseconds.
@@ -27,27 +29,18 @@
         .with_bundle(json!({"hedge_budget_percent": 0, "entries_named": 1}));
     let mut service = service;
     service.sigma = 0.0;
-    let lab = Lab::start(LabPlan::new(1, vec![service])).await?;
     let mut rows = Vec::new();
-    for rate in RATES_PER_S {
-        let turns = (settings.run_ms / TURN_MS).max(2) * settings.runs;
-        let mut direct = Vec::new();
-        let mut through = Vec::new();
-        let cpu_before = lab.entries_cpu_s();
-        let mut answered = 0;
-        for turn in 0..turns {
-            direct.push(one_turn(&lab, rate, turn, true).await);
-            let report = one_turn(&lab, rate, turn, false).await;
-            answered += report.repeatable.answered;
-            through.push(report);
-        }
-        let cpu_us = (lab.entries_cpu_s() - cpu_before) * 1_000_000.0 / answered.max(1) as f64;
-        rows.push(row(rate, &direct, &through, cpu_us));
+    for threads in THREADS {
+        let plan = LabPlan::new(1, vec![service.clone()]);
+        let plan = plan.with_settings(json!({"worker_threads": threads}));
+        let lab = Lab::start(plan).await?;
+        run_threads(settings, &lab, threads, &mut rows).await;
     }
     publish(
         &settings.folder,
         "added",
         &[
+            "entry threads",
             "requests/s",
             "added p50 ms",
             "added p99 ms",
@@ -60,6 +53,31 @@
     )
 }
 
+async fn run_threads(
+    settings: &MeasureSettings,
+    lab: &Lab,
+    threads: usize,
+    rows: &mut Vec<Vec<String>>,
+) {
+    for rate in RATES_PER_S {
+        let turns = (settings.run_ms / TURN_MS).max(2) * settings.runs;
+        let mut direct = Vec::new();
+        let mut through = Vec::new();
+        let cpu_before = lab.entries_cpu_s();
+        let mut answered = 0;
+        for turn in 0..turns {
+            direct.push(one_turn(lab, rate, turn, true).await);
+            let report = one_turn(lab, rate, turn, false).await;
+            answered += report.repeatable.answered;
+            through.push(report);
+        }
+        let cpu_us = (lab.entries_cpu_s() - cpu_before) * 1_000_000.0 / answered.max(1) as f64;
+        let mut cells = vec![threads.to_string()];
+        cells.extend(row(rate, &direct, &through, cpu_us));
+        rows.push(cells);
+    }
+}
+
 async fn one_turn(lab: &Lab, rate: f64, seed: u64, is_direct: bool) -> CallerReport {
     let seeds = lab.caller_addresses().await;
     let mut caller = CallerSettings::new(seeds, "echo", rate, TURN_MS);
--- a/crates/pinhaven-lab/src/measure/slopes.rs
+++ b/crates/pinhaven-lab/src/measure/slopes.rs
@@ -32,7 +32,7 @@
     let mut rows = Vec::new();
     for services in SERVICES {
         let plan = LabPlan::new(2, vec![ServicePlan::new("quote", 1, 6, 5.0)]);
-        let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 500}));
+        let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 1_000}));
         let mut lab = Lab::start(plan).await?;
         let bundle = large_bundle(&lab, services, 0);
         let whole_bytes = bundle.to_string().len();
--- a/crates/pinhaven-lab/src/measure/spread.rs
+++ b/crates/pinhaven-lab/src/measure/spread.rs
@@ -18,7 +18,7 @@
     let service = ServicePlan::new("quote", 30, 6, 20.0);
     let plan = LabPlan::new(ENTRIES, vec![service]);
     // The times that the settings have by default.
-    let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 500}));
+    let plan = plan.with_settings(json!({"head_poll_ms": 1_000, "gossip_ms": 1_000}));
     let mut lab = Lab::start(plan).await?;
     let states = [
         ("well", PlatformFaults::default()),
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -197,7 +197,7 @@
 }
 
 const fn default_gossip_ms() -> u64 {
-    500
+    1_000
 }
 
 const fn default_caller_idle_ms() -> u64 {
