Split what had grown: the request's events and refusals, the driver, gossip's messages

Behaviour is the same; nothing but places and imports changed.

Seen: linter clean, the decision crate's tests pass.

--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -11,6 +11,15 @@
 use crate::choice::Choice;
 use crate::choice::Wanted;
 use crate::choice::choose;
+use crate::event::Action;
+use crate::event::Attempt;
+use crate::event::AttemptId;
+use crate::event::AttemptOutcome;
+use crate::event::Event;
+use crate::event::Step;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalReason;
+use crate::refusal::RunState;
 use crate::report::LoadReport;
 use crate::service::ServiceState;
 use crate::target::TargetState;
@@ -18,7 +27,6 @@
 use pinhaven_types::Promise;
 use pinhaven_types::TargetAddress;
 use pinhaven_types::require_promise;
-use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -35,10 +43,6 @@
 /// Highest priority of a service.
 const PRIORITY_MAX: u8 = 3;
 
-/// Number of an attempt within its request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct AttemptId(pub u32);
-
 /// What is known of a request when it arrives.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestFacts {
@@ -67,180 +71,6 @@
     }
 }
 
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum AttemptOutcome {
-    /// It was never sent; it did not run.
-    NotSent,
-    /// The target said that it did not run it.
-    Shed {
-        /// The report on the reply.
-        report: Option<LoadReport>,
-    },
-    /// It broke after it was sent; nobody can tell whether it ran.
-    Broken,
-    /// It was answered.
-    Answered {
-        /// Whether the answer says that the target failed.
-        is_server_error: bool,
-        /// The report on the reply.
-        report: Option<LoadReport>,
-    },
-}
-
-/// Something that happened to a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Event {
-    /// It arrived.
-    Arrived,
-    /// The time that the last step named has come.
-    TimeCame,
-    /// Another request of the service left its place.
-    PlaceFreed,
-    /// An attempt ended.
-    AttemptEnded {
-        /// The attempt.
-        attempt: AttemptId,
-        /// How it ended.
-        outcome: AttemptOutcome,
-    },
-    /// The caller left; nothing more need be answered.
-    CallerLeft,
-}
-
-/// Why a request was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum RefusalReason {
-    /// Its deadline had passed on arrival.
-    DeadlinePast,
-    /// It could not be answered before its deadline.
-    NoTimeLeft,
-    /// The service's targets are busy.
-    Overloaded,
-    /// The entry is busy and the service's priority is low.
-    EntryFull,
-    /// No target may take it.
-    NoTarget,
-    /// The targets turned it away, and there is no budget for another attempt.
-    Shed,
-    /// No target could be reached.
-    Unreachable,
-    /// A target took it and did not answer whole.
-    Broken,
-    /// The deadline came while a target had it.
-    DeadlineCame,
-}
-
-impl RefusalReason {
-    /// All reasons, for counters.
-    pub const ALL: [Self; 9] = [
-        Self::DeadlinePast,
-        Self::NoTimeLeft,
-        Self::Overloaded,
-        Self::EntryFull,
-        Self::NoTarget,
-        Self::Shed,
-        Self::Unreachable,
-        Self::Broken,
-        Self::DeadlineCame,
-    ];
-
-    /// Name in answers, logs and metrics.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::DeadlinePast => "deadline_past",
-            Self::NoTimeLeft => "no_time_left",
-            Self::Overloaded => "overloaded",
-            Self::EntryFull => "entry_full",
-            Self::NoTarget => "no_target",
-            Self::Shed => "shed",
-            Self::Unreachable => "unreachable",
-            Self::Broken => "broken",
-            Self::DeadlineCame => "deadline_came",
-        }
-    }
-}
-
-/// What is known of whether a request ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RunState {
-    /// It ran.
-    Run,
-    /// It did not run, and nothing under way can run it.
-    NotRun,
-    /// Nobody can tell.
-    Unknown,
-}
-
-impl RunState {
-    /// Name in answers and logs.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Run => "run",
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-impl fmt::Display for RunState {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
-/// The final answer to a request that is given up on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// Whether it ran.
-    pub run_state: RunState,
-    /// When to come back, in milliseconds.
-    pub retry_after_ms: u64,
-}
-
-/// A request under way to a target; its place is given back when it is dropped.
-#[derive(Debug)]
-pub struct Attempt {
-    /// Number within the request.
-    pub id: AttemptId,
-    /// The target.
-    pub target: Arc<TargetState>,
-    service: Arc<ServiceState>,
-    started: Microseconds,
-}
-
-impl Drop for Attempt {
-    fn drop(&mut self) {
-        self.service.end(&self.target, self.started);
-    }
-}
-
-/// Something for the driver to do.
-#[derive(Debug)]
-pub enum Action {
-    /// Send the request to the attempt's target.
-    Send(Attempt),
-    /// Give an attempt up and drop it.
-    Cancel(AttemptId),
-    /// Give the caller this attempt's answer.
-    Deliver(AttemptId),
-    /// Give the caller this refusal.
-    Refuse(Refusal),
-}
-
-/// What to do, and when to call again.
-#[derive(Debug, Default)]
-pub struct Step {
-    /// What to do now, in this order.
-    pub actions: Vec<Action>,
-    /// When to hand [`Event::TimeCame`] in if nothing else happens; `None` once the request is over.
-    pub wake_at: Option<Microseconds>,
-    /// Whether to hand [`Event::PlaceFreed`] in when a request of the service leaves its place.
-    pub wants_place: bool,
-}
-
 /// An attempt as the request remembers it.
 #[derive(Debug)]
 struct Sent {
--- /dev/null
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -0,0 +1,263 @@
+//! Driving a request to its final answer.
+//!
+//! Events go to a [`RequestState`], and the actions that come back are carried out.
+
+use crate::attempt::Answer;
+use crate::attempt::AttemptEnd;
+use crate::attempt::request_for;
+use crate::attempt::run_attempt;
+use crate::body::AnswerBody;
+use crate::body::Held;
+use crate::counters::Count;
+use crate::header;
+use crate::pool::ReturnSender;
+use crate::problem::Problem;
+use crate::proxy::CallerHold;
+use crate::proxy::Job;
+use event_listener::EventListener;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use pinhaven_decide::Action;
+use pinhaven_decide::Attempt;
+use pinhaven_decide::AttemptId;
+use pinhaven_decide::AttemptOutcome;
+use pinhaven_decide::Event;
+use pinhaven_decide::RequestFacts;
+use pinhaven_decide::RequestState;
+use pinhaven_decide::RunState;
+use pinhaven_decide::Step;
+use pinhaven_runtime::AnyBody;
+use pinhaven_types::Promise;
+use pinhaven_types::require_promise;
+use std::future::Future;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+
+/// Drives a request to its final answer.
+pub(crate) async fn dispatch(job: &Job, hold: CallerHold) -> Response<AnyBody> {
+    let facts = RequestFacts {
+        is_repeatable: job.is_repeatable,
+        is_replayable: job.body.is_replayable(),
+        deadline: job.deadline,
+        attempts_most: job
+            .attempts_most
+            .unwrap_or(RequestFacts::new(true, job.deadline).attempts_most),
+        entry_use: job.entry.use_share(),
+    };
+    let mut run = Run {
+        job,
+        request: RequestState::new(facts),
+        random: fastrand::Rng::new(),
+        under_way: Vec::new(),
+        answers: Vec::new(),
+        hold,
+    };
+    run.drive().await
+}
+
+/// An attempt's future, with the place that it holds.
+struct UnderWay {
+    attempt: Attempt,
+    outcome: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
+}
+
+struct Run<'job> {
+    job: &'job Job,
+    request: RequestState,
+    random: fastrand::Rng,
+    under_way: Vec<UnderWay>,
+    answers: Vec<(Attempt, Answer)>,
+    hold: CallerHold,
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        // A caller that leaves drops this future: its place at the entry and at the targets is free.
+        let event = Event::CallerLeft;
+        self.handle(event);
+        let places = self.under_way.len() + self.answers.len();
+        self.under_way.clear();
+        self.answers.clear();
+        self.job.service.place_freed.notify(places.max(1));
+    }
+}
+
+impl Run<'_> {
+    async fn drive(&mut self) -> Response<AnyBody> {
+        let mut step = self.handle(Event::Arrived);
+        loop {
+            // Listening begins before the actions, so that no freed place is missed.
+            let place = step
+                .wants_place
+                .then(|| self.job.service.place_freed.listen());
+            for action in std::mem::take(&mut step.actions) {
+                match action {
+                    Action::Send(attempt) => self.send(attempt),
+                    Action::Cancel(id) => self.cancel(id),
+                    Action::Deliver(id) => return self.deliver(id),
+                    Action::Refuse(refusal) => {
+                        self.job.entry.counters.add_refusal(refusal.reason);
+                        return Problem::from(refusal).into_response();
+                    }
+                }
+            }
+            self.drop_answers();
+            let event = self.next_event(&step, place).await;
+            step = self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) -> Step {
+        let now = self.job.entry.now();
+        let service = &self.job.service.state;
+        self.request.handle(service, now, &mut self.random, event)
+    }
+
+    fn send(&mut self, attempt: Attempt) {
+        self.job.entry.counters.add(Count::Attempts);
+        let attempts = self.request.attempts_to_hand_down(attempt.id);
+        let outcome = match request_for(self.job, attempt.id, attempts) {
+            Some(prepared) => {
+                let future = run_attempt(
+                    Arc::clone(&self.job.entry),
+                    Arc::clone(&self.job.service),
+                    attempt.target.address(),
+                    prepared,
+                );
+                Box::pin(future) as Pin<Box<dyn Future<Output = AttemptEnd> + Send>>
+            }
+            None => Box::pin(std::future::ready(AttemptEnd::Broken)),
+        };
+        self.under_way.push(UnderWay { attempt, outcome });
+    }
+
+    fn cancel(&mut self, id: AttemptId) {
+        self.under_way
+            .retain(|under_way| under_way.attempt.id != id);
+        self.job.service.place_freed.notify(1);
+    }
+
+    /// Drops answers that the step did not deliver, and with them their places.
+    fn drop_answers(&mut self) {
+        if !self.answers.is_empty() {
+            self.answers.clear();
+            self.job.service.place_freed.notify(1);
+        }
+    }
+
+    /// Waits for the next thing to happen.
+    async fn next_event(&mut self, step: &Step, mut place: Option<EventListener>) -> Event {
+        let wake_at = step.wake_at.unwrap_or(self.job.deadline);
+        let mut timer = async_io::Timer::at(self.job.entry.clock.instant_of(wake_at));
+        let ended = poll_fn(|context| {
+            for (index, under_way) in self.under_way.iter_mut().enumerate() {
+                if let Poll::Ready(end) = under_way.outcome.as_mut().poll(context) {
+                    return Poll::Ready(Ok((index, end)));
+                }
+            }
+            if let Some(place) = &mut place
+                && Pin::new(place).poll(context).is_ready()
+            {
+                return Poll::Ready(Err(Event::PlaceFreed));
+            }
+            match Pin::new(&mut timer).poll(context) {
+                Poll::Ready(_) => Poll::Ready(Err(Event::TimeCame)),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await;
+        match ended {
+            Ok((index, end)) => self.ended(index, end),
+            Err(event) => event,
+        }
+    }
+
+    fn ended(&mut self, index: usize, end: AttemptEnd) -> Event {
+        let UnderWay { attempt, .. } = self.under_way.swap_remove(index);
+        let id = attempt.id;
+        let outcome = match end {
+            AttemptEnd::NotSent => {
+                self.free_place(attempt, Count::AttemptNotSent);
+                AttemptOutcome::NotSent
+            }
+            AttemptEnd::Broken => {
+                self.free_place(attempt, Count::AttemptBroken);
+                AttemptOutcome::Broken
+            }
+            AttemptEnd::Answer(answer) => {
+                let outcome = self.outcome_of(&answer);
+                self.answers.push((attempt, answer));
+                outcome
+            }
+        };
+        Event::AttemptEnded {
+            attempt: id,
+            outcome,
+        }
+    }
+
+    fn free_place(&self, attempt: Attempt, count: Count) {
+        drop(attempt);
+        self.job.entry.counters.add(count);
+        self.job.service.place_freed.notify(1);
+    }
+
+    fn outcome_of(&mut self, answer: &Answer) -> AttemptOutcome {
+        let headers = answer.response.headers();
+        if let Ok(Some(left)) = header::number(headers, &header::ATTEMPTS_LEFT) {
+            self.request.limit_added_attempts(left as u32);
+        }
+        let status = answer.response.status().as_u16();
+        let report = answer.report;
+        if self.job.service.config.not_run_statuses.contains(&status) {
+            self.job.entry.counters.add(Count::AttemptShed);
+            return AttemptOutcome::Shed { report };
+        }
+        AttemptOutcome::Answered {
+            is_server_error: answer.response.status().is_server_error(),
+            report,
+        }
+    }
+
+    fn deliver(&mut self, id: AttemptId) -> Response<AnyBody> {
+        let position = self.answers.iter().position(|(a, _)| a.id == id);
+        let own = require_promise(Promise::WholeOwnAnswer, position.is_some(), || {
+            format!("attempt {} has no answer", id.0)
+        });
+        let Some(position) = position.filter(|_| own) else {
+            return Problem::unknown(StatusCode::BAD_GATEWAY, "broken", "the answer was lost")
+                .into_response();
+        };
+        let (attempt, answer) = self.answers.swap_remove(position);
+        self.job.entry.counters.add(Count::Answered);
+        let pool = self.job.service.pools.get(&attempt.target.address());
+        let held = Held {
+            entry: Arc::clone(&self.job.entry),
+            place_freed: Arc::clone(&self.job.service.place_freed),
+            sender: ReturnSender::new(pool.cloned().unwrap_or_default(), answer.sender),
+            attempt: Some(attempt),
+            _hold: std::mem::take(&mut self.hold),
+        };
+        let (mut head, body) = answer.response.into_parts();
+        header::remove_connection_fields(&mut head.headers);
+        head.headers.remove(header::LOAD_REPORT);
+        restore_request_id(&self.job.headers, &mut head.headers);
+        let run = HeaderValue::from_static(RunState::Run.name());
+        head.headers.insert(header::RUN, run);
+        head.version = http::Version::default();
+        Response::from_parts(head, AnswerBody::new(body, held).boxed_unsync())
+    }
+}
+
+/// Gives the caller the request id back that it had sent, and none of ours.
+fn restore_request_id(request: &HeaderMap, response: &mut HeaderMap) {
+    match request.get(header::REQUEST_ID) {
+        Some(id) => response.insert(header::REQUEST_ID, id.clone()),
+        None => response.remove(header::REQUEST_ID),
+    };
+}
--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -5,9 +5,17 @@
 
 use crate::counters::Count;
 use crate::entry::Entry;
+use crate::gossip_message::BEATS_MAX;
+use crate::gossip_message::beat_of;
+use crate::gossip_message::identity_of;
+use crate::gossip_message::peer_address_of;
+use crate::gossip_message::row_of;
+use crate::gossip_message::some_beats;
+use crate::gossip_message::to_bytes;
+use crate::gossip_message::to_incarnation;
+use crate::gossip_message::with_beat;
 use crate::relay;
 use pinhaven_agree::MemberRow;
-use pinhaven_agree::MemberState;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ExchangeRequest;
 use pinhaven_peer::ExchangeResponse;
@@ -33,8 +41,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Members named in one message.
-const BEATS_MAX: usize = 30;
 /// Members asked about in one message.
 const WANTED_MAX: usize = 20;
 /// Peers that are told news at once.
@@ -305,83 +311,3 @@
             .fresh(snapshot.version.number(), entry.now()),
     }
 }
-
-/// Beats of the first row, which is the sender's, and of others drawn by lot.
-fn some_beats(mut rows: Vec<MemberRow>) -> Vec<Beat> {
-    if rows.len() > BEATS_MAX {
-        fastrand::shuffle(&mut rows[1..]);
-    }
-    rows.iter().take(BEATS_MAX).map(beat_of).collect()
-}
-
-fn beat_of(row: &MemberRow) -> Beat {
-    Beat {
-        incarnation: to_bytes(&row.incarnation),
-        heartbeat: row.heartbeat,
-        state: row.state as u32,
-        version: row.version.number(),
-        epoch: row.epoch,
-    }
-}
-
-fn identity_of(row: &MemberRow) -> Identity {
-    Identity {
-        incarnation: to_bytes(&row.incarnation),
-        instance_id: row.instance_id.to_string(),
-        failure_domain: row.failure_domain.to_string(),
-        caller_address: row.caller_address.to_string(),
-        peer_address: row.peer_address.to_string(),
-    }
-}
-
-fn row_of(identity: Identity, beats: &[Beat]) -> Option<MemberRow> {
-    let beat = beats
-        .iter()
-        .find(|beat| beat.incarnation == identity.incarnation)?;
-    let row = MemberRow {
-        incarnation: to_incarnation(&identity.incarnation)?,
-        instance_id: identity.instance_id.parse().ok()?,
-        failure_domain: identity.failure_domain.parse().ok()?,
-        caller_address: identity.caller_address.parse().ok()?,
-        peer_address: identity.peer_address.parse().ok()?,
-        state: MemberState::Starting,
-        heartbeat: 0,
-        version: BundleVersion::NONE,
-        epoch: 0,
-    };
-    Some(with_beat(row, beat))
-}
-
-fn with_beat(row: MemberRow, beat: &Beat) -> MemberRow {
-    MemberRow {
-        state: to_state(beat.state),
-        heartbeat: beat.heartbeat,
-        version: BundleVersion::new(beat.version),
-        epoch: beat.epoch,
-        ..row
-    }
-}
-
-/// A state that this version does not know is taken for the last one, so that nobody is sent there.
-fn to_state(number: u32) -> MemberState {
-    [
-        MemberState::Starting,
-        MemberState::Ready,
-        MemberState::Stopping,
-    ]
-    .into_iter()
-    .find(|state| *state as u32 == number)
-    .unwrap_or(MemberState::Gone)
-}
-
-fn peer_address_of(identity: &Identity) -> Option<SocketAddr> {
-    identity.peer_address.parse().ok()
-}
-
-fn to_bytes(incarnation: &Incarnation) -> Vec<u8> {
-    incarnation.to_bytes().to_vec()
-}
-
-fn to_incarnation(bytes: &[u8]) -> Option<Incarnation> {
-    Some(Incarnation::from_bytes(bytes.try_into().ok()?))
-}
--- /dev/null
+++ b/crates/pinhaven-entry/src/gossip_message.rs
@@ -0,0 +1,92 @@
+//! What entries tell each other, as messages and as rows.
+
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_peer::Beat;
+use pinhaven_peer::Identity;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use std::net::SocketAddr;
+
+/// Members named in one message.
+pub(crate) const BEATS_MAX: usize = 30;
+
+/// Beats of the first row, which is the sender's, and of others drawn by lot.
+pub(crate) fn some_beats(mut rows: Vec<MemberRow>) -> Vec<Beat> {
+    if rows.len() > BEATS_MAX {
+        fastrand::shuffle(&mut rows[1..]);
+    }
+    rows.iter().take(BEATS_MAX).map(beat_of).collect()
+}
+
+pub(crate) fn beat_of(row: &MemberRow) -> Beat {
+    Beat {
+        incarnation: to_bytes(&row.incarnation),
+        heartbeat: row.heartbeat,
+        state: row.state as u32,
+        version: row.version.number(),
+        epoch: row.epoch,
+    }
+}
+
+pub(crate) fn identity_of(row: &MemberRow) -> Identity {
+    Identity {
+        incarnation: to_bytes(&row.incarnation),
+        instance_id: row.instance_id.to_string(),
+        failure_domain: row.failure_domain.to_string(),
+        caller_address: row.caller_address.to_string(),
+        peer_address: row.peer_address.to_string(),
+    }
+}
+
+pub(crate) fn row_of(identity: Identity, beats: &[Beat]) -> Option<MemberRow> {
+    let beat = beats
+        .iter()
+        .find(|beat| beat.incarnation == identity.incarnation)?;
+    let row = MemberRow {
+        incarnation: to_incarnation(&identity.incarnation)?,
+        instance_id: identity.instance_id.parse().ok()?,
+        failure_domain: identity.failure_domain.parse().ok()?,
+        caller_address: identity.caller_address.parse().ok()?,
+        peer_address: identity.peer_address.parse().ok()?,
+        state: MemberState::Starting,
+        heartbeat: 0,
+        version: BundleVersion::NONE,
+        epoch: 0,
+    };
+    Some(with_beat(row, beat))
+}
+
+pub(crate) fn with_beat(row: MemberRow, beat: &Beat) -> MemberRow {
+    MemberRow {
+        state: to_state(beat.state),
+        heartbeat: beat.heartbeat,
+        version: BundleVersion::new(beat.version),
+        epoch: beat.epoch,
+        ..row
+    }
+}
+
+/// A state that this version does not know is taken for the last one, so that nobody is sent there.
+pub(crate) fn to_state(number: u32) -> MemberState {
+    [
+        MemberState::Starting,
+        MemberState::Ready,
+        MemberState::Stopping,
+    ]
+    .into_iter()
+    .find(|state| *state as u32 == number)
+    .unwrap_or(MemberState::Gone)
+}
+
+pub(crate) fn peer_address_of(identity: &Identity) -> Option<SocketAddr> {
+    identity.peer_address.parse().ok()
+}
+
+pub(crate) fn to_bytes(incarnation: &Incarnation) -> Vec<u8> {
+    incarnation.to_bytes().to_vec()
+}
+
+pub(crate) fn to_incarnation(bytes: &[u8]) -> Option<Incarnation> {
+    Some(Incarnation::from_bytes(bytes.try_into().ok()?))
+}
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -5,14 +5,17 @@
 //! following the bundle history, talking to peers, renewing a seat, probing, reporting metrics.
 
 mod address;
+mod attempt;
 mod body;
 mod bundles;
 mod claims;
 mod clock;
 mod counters;
+mod dispatch;
 mod entry;
 mod error;
 mod gossip;
+mod gossip_message;
 mod header;
 mod leaving;
 mod load_report;
