Let a crossed answer carry another request's body, and pick measurements by name

Cause: the mutant that takes crossed answers survived; the stand-in sent the right body under a wrong id, so no caller could see the difference.

--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -40,9 +40,9 @@
         /// Only this part.
         #[arg(long, value_enum)]
         part: Option<Part>,
-        /// Only cases whose names contain this.
-        #[arg(long)]
-        only: Option<String>,
+        /// Only cases whose names contain one of these, or end with one that ends in `$`.
+        #[arg(long, value_delimiter = ',')]
+        only: Vec<String>,
         /// Runs of each case.
         #[arg(long, default_value_t = 5)]
         runs: u64,
--- a/crates/pinhaven-lab/src/measure/mod.rs
+++ b/crates/pinhaven-lab/src/measure/mod.rs
@@ -64,15 +64,19 @@
     pub runs: u64,
     /// Time of each run, in milliseconds.
     pub run_ms: u64,
-    /// Only cases whose names contain this.
-    pub only: Option<String>,
+    /// Only cases whose names contain one of these, or end with one that ends in `$`; all if empty.
+    pub only: Vec<String>,
     /// Folder for the results.
     pub folder: PathBuf,
 }
 
 impl MeasureSettings {
     fn wants(&self, name: &str) -> bool {
-        self.only.as_ref().is_none_or(|only| name.contains(only))
+        let fits = |only: &String| match only.strip_suffix('$') {
+            Some(end) => name.ends_with(end),
+            None => name.contains(only.as_str()),
+        };
+        self.only.is_empty() || self.only.iter().any(fits)
     }
 }
 
--- a/crates/pinhaven-stand-in/src/target.rs
+++ b/crates/pinhaven-stand-in/src/target.rs
@@ -384,10 +384,11 @@
 /// The answer: the request's marker and the length and digest of its body.
 fn respond(headers: &HeaderMap, body: &Bytes, fate: &Fate) -> Response<AnyBody> {
     use sha2::Digest as _;
-    let marker = headers
+    let own = headers
         .get("x-marker")
         .and_then(|marker| marker.to_str().ok())
         .unwrap_or("none");
+    let marker = if fate.crossed { "another" } else { own };
     let digest = hex::encode(sha2::Sha256::digest(body));
     let text = format!("{marker} {} {digest}\n", body.len());
     let mut response = if fate.cut {
