Keep news of leaving targets with their version, and take versions on a thread of their own

Also: verifying a large bundle on a worker thread holds requests up; it is done on a thread of its own, one at a time, and one fetch at a time. A planned stop lets answers to relayed requests reach the other entries. Exchanges name 20 members at most (5 KB/s a node).

Ruled out for a 503 over HTTP/2: a fault; 40 requests at once at an entry whose limit is 6 are refused as they should be.

The new test of targets that are put back was not seen to fail with the old code; the window is narrow.

--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -25,6 +25,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Entries of a failure domain that look at the head often.
@@ -77,7 +78,7 @@
     }
 
     /// Returns whether the platform's head is in force here now.
-    async fn look_at_head(&self) -> bool {
+    async fn look_at_head(self: &Arc<Self>) -> bool {
         let read = self.table.read(BUNDLE_HEAD).await;
         let row = match self.count_platform(read) {
             Ok(Some(row)) => row,
@@ -97,38 +98,57 @@
         self.fetch_body(head).await
     }
 
-    async fn fetch_body(&self, head: BundleHead) -> bool {
-        if let Some(body) = self.fetch_delta(&head).await {
-            return self.take_offer(Offer::new(head, body));
+    async fn fetch_body(self: &Arc<Self>, head: BundleHead) -> bool {
+        if self.fetch_delta(&head).await {
+            return true;
         }
         let read = self.objects.read(&bundle_object(head.digest)).await;
         let bytes = match self.count_platform(read) {
             Ok(Some(bytes)) => bytes,
             Ok(None) | Err(_) => return self.ask_all_peers().await >= head.version,
         };
-        match CanonicalBundle::from_bytes(&bytes) {
-            Ok(body) => self.take_offer(Offer::new(head, body)),
+        self.adopt(move |entry| match CanonicalBundle::from_bytes(&bytes) {
+            Ok(body) => entry.take_offer(Offer::new(head, body)),
             Err(error) => {
                 log::error!(target: "bundle", "The body of {} is no bundle: {error}.", head.digest);
                 false
             }
-        }
+        })
+        .await
     }
 
-    /// The body of the version that follows the one in force, by its difference.
-    async fn fetch_delta(&self, head: &BundleHead) -> Option<CanonicalBundle> {
+    /// Takes the version that follows the one in force by its difference, if that is there.
+    async fn fetch_delta(self: &Arc<Self>, head: &BundleHead) -> bool {
         if self.version.lock().version().next() != head.version {
-            return None;
+            return false;
         }
         let key = bundle_delta_object(head.version, head.digest);
         let read = self.objects.read(&key).await;
-        let bytes = self.count_platform(read).ok()??;
-        let delta: BundleDelta = serde_json::from_slice(&bytes).ok()?;
-        self.apply_deltas(head, vec![delta])
+        let Ok(Some(bytes)) = self.count_platform(read) else {
+            return false;
+        };
+        let head = head.clone();
+        self.adopt(move |entry| {
+            let delta: Option<BundleDelta> = serde_json::from_slice(&bytes).ok();
+            let body = delta.and_then(|delta| entry.apply_deltas(&head, vec![delta]));
+            body.is_some_and(|body| entry.take_offer(Offer::new(head, body)))
+        })
+        .await
+    }
+
+    /// Does the work of taking a version on a thread of its own, as it takes long for a large bundle
+    /// and would hold requests up. One at a time, so that the same work is not done twice.
+    async fn adopt(self: &Arc<Self>, work: impl FnOnce(&Self) -> bool + Send + 'static) -> bool {
+        let entry = Arc::clone(self);
+        blocking::unblock(move || {
+            let _turn = entry.adopting.lock();
+            work(&entry)
+        })
+        .await
     }
 
     /// Asks all known peers and seeds; returns the version in force after that.
-    async fn ask_all_peers(&self) -> BundleVersion {
+    async fn ask_all_peers(self: &Arc<Self>) -> BundleVersion {
         for peer in self.known_peer_addresses() {
             self.fetch_from(peer).await;
         }
@@ -137,7 +157,7 @@
 
     /// Learns the version in force from peers while the platform is down. All that are known are
     /// asked, so that the newest of theirs is taken.
-    async fn ask_peers_for_start(&self) {
+    async fn ask_peers_for_start(self: &Arc<Self>) {
         if self.ask_all_peers().await > BundleVersion::NONE {
             log::info!(target: "bundle", "The version in force was learned from peers.");
         }
@@ -159,26 +179,31 @@
         addresses
     }
 
-    /// Takes a newer version from a peer, if it has one.
-    pub(crate) async fn fetch_from(&self, peer: SocketAddr) {
+    /// Takes a newer version from a peer, if it has one. While another peer is asked this does
+    /// nothing; the next exchange shows whether there is still something to take.
+    pub(crate) async fn fetch_from(self: &Arc<Self>, peer: SocketAddr) {
+        if self.is_fetching.swap(true, Ordering::Acquire) {
+            return;
+        }
         let held = self.version.lock().version();
         let request = FetchBundleRequest {
             held_version: held.number(),
         };
         match self.peers.fetch_bundle(peer, FETCH_TIMEOUT, request).await {
-            Ok(response) => self.take_fetched(response),
+            Ok(response) if response.head.is_empty() => {}
+            Ok(response) => {
+                self.adopt(move |entry| entry.take_fetched(response)).await;
+            }
             Err(error) => log::debug!(target: "bundle", "{error}."),
         }
+        self.is_fetching.store(false, Ordering::Release);
     }
 
-    fn take_fetched(&self, response: FetchBundleResponse) {
-        if response.head.is_empty() {
-            return;
-        }
+    fn take_fetched(&self, response: FetchBundleResponse) -> bool {
         let bytes = response.head.len() as u64;
         self.counters.add_many(Count::PeerBytes, bytes);
         let Ok(head) = serde_json::from_slice::<BundleHead>(&response.head) else {
-            return;
+            return false;
         };
         let body = match response.body {
             Some(FetchedBody::Whole(bytes)) => {
@@ -192,9 +217,7 @@
             }
             None => None,
         };
-        if let Some(body) = body {
-            self.take_offer(Offer::new(head, body));
-        }
+        body.is_some_and(|body| self.take_offer(Offer::new(head, body)))
     }
 
     fn apply_deltas(&self, head: &BundleHead, deltas: Vec<BundleDelta>) -> Option<CanonicalBundle> {
@@ -208,9 +231,13 @@
         }
     }
 
-    /// Verifies a version and puts it in force. Returns whether it, or a newer one, is now.
+    /// Verifies a version and puts it in force. Returns whether it, or a newer one, is now. Only
+    /// [`Self::adopt`] may call this, so that versions come one at a time.
     fn take_offer(&self, offer: Offer<pinhaven_agree::Offered>) -> bool {
         let number = offer.head().version;
+        if number <= self.version.lock().version() {
+            return true;
+        }
         let verified = match offer.verify(&self.settings.trusted_signers) {
             Ok(verified) => verified,
             Err(error) => {
@@ -221,21 +248,16 @@
         };
         let body = Arc::clone(verified.body());
         let signer = verified.head().signer.clone();
-        {
-            // The snapshot follows under the same lock, so that it can't be an older one.
-            let mut version = self.version.lock();
-            if version.put_in_force(verified).is_err() {
-                return true;
-            }
-            let previous = self.snapshot.load_full();
-            let next = Snapshot::new(Arc::clone(&body), &previous, self.now());
-            self.snapshot.store(Arc::new(next));
-            if previous.version > BundleVersion::NONE {
-                let delta = BundleDelta::between(previous.bundle(), body.bundle());
-                self.recent_deltas.lock().push(delta);
-            }
+        let previous = self.snapshot.load_full();
+        let next = Snapshot::new(Arc::clone(&body), &previous, self.now());
+        if self.version.lock().put_in_force(verified).is_err() {
+            return true;
+        }
+        self.snapshot.store(Arc::new(next));
+        if previous.version > BundleVersion::NONE {
+            let delta = BundleDelta::between(previous.bundle(), body.bundle());
+            self.recent_deltas.lock().push(delta);
         }
-        self.leaving.lock().clear();
         self.seats.lock().set_seats(body.bundle().measuring.seats);
         self.counters.add(Count::BundleInForce);
         log::info!(target: "bundle", "Version {number}, signed off by {signer}, is in force.");
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -27,6 +27,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -46,6 +47,8 @@
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) version: Mutex<VersionInForce>,
     pub(crate) recent_deltas: Mutex<RecentDeltas>,
+    pub(crate) adopting: Mutex<()>,
+    pub(crate) is_fetching: AtomicBool,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) members: Mutex<Membership>,
     pub(crate) seats: Mutex<SeatKeeper>,
@@ -94,6 +97,8 @@
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
             version: Mutex::new(VersionInForce::new()),
             recent_deltas: Mutex::new(RecentDeltas::default()),
+            adopting: Mutex::new(()),
+            is_fetching: AtomicBool::new(false),
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -103,7 +103,7 @@
     }
 
     /// Exchanges with one peer, and takes its newer version if it has one.
-    pub(crate) async fn exchange_with(&self, peer: SocketAddr) {
+    pub(crate) async fn exchange_with(self: &Arc<Self>, peer: SocketAddr) {
         use prost::Message as _;
         let request = self.exchange_request();
         self.counters.add(Count::Exchanges);
@@ -127,17 +127,13 @@
     }
 
     fn exchange_request(&self) -> ExchangeRequest {
-        let snapshot = self.snapshot.load();
         let members = self.members.lock();
         let wanted = self.unknown_members.lock();
         ExchangeRequest {
             sender: Some(identity_of(members.own())),
             beats: some_beats(members.rows()),
             wanted: wanted.iter().take(WANTED_MAX).map(to_bytes).collect(),
-            leaving: self
-                .leaving
-                .lock()
-                .fresh(snapshot.version.number(), self.now()),
+            leaving: self.leaving.lock().fresh(self.now()),
         }
     }
 
@@ -284,7 +280,6 @@
 }
 
 fn answer_exchange(entry: &Entry, wanted: &[Vec<u8>]) -> ExchangeResponse {
-    let snapshot = entry.snapshot.load();
     let members = entry.members.lock();
     let rows = members.rows();
     let wanted: Vec<Incarnation> = wanted
@@ -305,9 +300,6 @@
         sender,
         beats,
         identities,
-        leaving: entry
-            .leaving
-            .lock()
-            .fresh(snapshot.version.number(), entry.now()),
+        leaving: entry.leaving.lock().fresh(entry.now()),
     }
 }
--- a/crates/pinhaven-entry/src/gossip_message.rs
+++ b/crates/pinhaven-entry/src/gossip_message.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// Members named in one message.
-pub(crate) const BEATS_MAX: usize = 30;
+pub(crate) const BEATS_MAX: usize = 20;
 
 /// Beats of the first row, which is the sender's, and of others drawn by lot.
 pub(crate) fn some_beats(mut rows: Vec<MemberRow>) -> Vec<Beat> {
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -7,6 +7,7 @@
 use crate::metrics;
 use crate::proxy::answer_caller;
 use crate::status;
+use crate::stop::Servers;
 use crate::stop::stop;
 use async_signal::Signal;
 use async_signal::Signals;
@@ -77,15 +78,18 @@
         "Instance {} listens at {} for callers and at {} for peers.",
         entry.settings.instance_id, address_of(&callers), address_of(&peers)
     );
-    let callers = Arc::new(callers);
-    serve(&entry, &callers, peers);
+    let servers = Servers {
+        callers: Arc::new(callers),
+        peers: Arc::new(peers),
+    };
+    serve(&entry, &servers);
     run_beside(&entry);
     if let Some(client) = metrics_client {
         spawn(Arc::clone(&entry).report_metrics(client)).detach();
     }
     // An error among the signals would be the system's; either way the entry stops as planned.
     let _ = signals.next().await;
-    Ok(stop(&entry, &callers).await)
+    Ok(stop(&entry, &servers).await)
 }
 
 fn listen(
@@ -106,12 +110,13 @@
         .unwrap_or_else(|_| (std::net::Ipv4Addr::UNSPECIFIED, 0).into())
 }
 
-fn serve(entry: &Arc<Entry>, callers: &Arc<HttpServer>, peers: HttpServer) {
-    let server = Arc::clone(callers);
+fn serve(entry: &Arc<Entry>, servers: &Servers) {
+    let callers = Arc::clone(&servers.callers);
+    let peers = Arc::clone(&servers.peers);
     let for_callers = Arc::clone(entry);
     spawn(async move {
         let handler = move |request| answer_caller(Arc::clone(&for_callers), request);
-        server.serve(handler).await;
+        callers.serve(handler).await;
     })
     .detach();
     let for_peers = Arc::clone(entry);
--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -17,11 +17,21 @@
 
 /// Exchanges that the word may take to all entries.
 const EXCHANGES_TO_SPREAD: u64 = 4;
+/// How long peers may take to close their connections.
+const PEERS_MOST: Duration = Duration::from_millis(500);
 /// How often the requests in flight are counted, in milliseconds.
 const COUNT_MS: u64 = 10;
 
+/// The servers of an entry.
+pub(crate) struct Servers {
+    /// For callers.
+    pub(crate) callers: Arc<HttpServer>,
+    /// For other entries and operators.
+    pub(crate) peers: Arc<HttpServer>,
+}
+
 /// Stops an entry without cutting a request. Returns whether everything was finished in time.
-pub(crate) async fn stop(entry: &Arc<Entry>, server: &Arc<HttpServer>) -> bool {
+pub(crate) async fn stop(entry: &Arc<Entry>, servers: &Servers) -> bool {
     log::info!(target: "stop", "Stopping; callers are told to use other entries.");
     entry.members.lock().advance(MemberState::Stopping);
     entry.news.notify(usize::MAX);
@@ -30,8 +40,11 @@
     let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
     sleep_ms(keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD).await;
     log::info!(target: "stop", "Finishing {} requests in flight.", entry.in_flight());
-    server.close_gracefully();
-    let is_finished = wait_until_idle(entry, server).await;
+    servers.callers.close_gracefully();
+    let is_finished = wait_until_idle(entry, &servers.callers).await;
+    // Answers to relayed requests may still be on their way to other entries.
+    servers.peers.close_gracefully();
+    wait_until_closed(&servers.peers).await;
     row_written.cancel().await;
     let holds = require_promise(Promise::PlannedStop, is_finished, || {
         format!("{} requests were still in flight", entry.in_flight())
@@ -40,6 +53,13 @@
     holds
 }
 
+async fn wait_until_closed(server: &HttpServer) {
+    let began = Instant::now();
+    while began.elapsed() < PEERS_MOST && server.open_connections() > 0 {
+        sleep_ms(COUNT_MS).await;
+    }
+}
+
 async fn wait_until_idle(entry: &Entry, server: &HttpServer) -> bool {
     let most = Duration::from_millis(entry.settings.stop_most_ms);
     let began = Instant::now();
--- a/crates/pinhaven-lab/src/measure/overload.rs
+++ b/crates/pinhaven-lab/src/measure/overload.rs
@@ -2,6 +2,7 @@
 
 use super::MeasureSettings;
 use super::median;
+use super::plot;
 use super::publish;
 use super::with_spread;
 use crate::lab::Lab;
@@ -29,6 +30,7 @@
     let lab = Lab::start(LabPlan::new(ENTRIES, vec![service])).await?;
     let capacity_per_s = TARGETS as f64 * SLOTS as f64 * 1_000.0 / MEAN_MS;
     let mut rows = Vec::new();
+    let mut points = Vec::new();
     for load in LOADS {
         let (mut goodput, mut p99, mut p999, mut refusal) = (vec![], vec![], vec![], vec![]);
         let mut late = Vec::new();
@@ -46,6 +48,7 @@
             refusal.push(report.refusal_most_ms);
             late.push((report.sent - report.in_time) as f64 * 100.0 / report.sent.max(1) as f64);
         }
+        points.push((load, median(&goodput)));
         rows.push(vec![
             format!("{load}"),
             format!("{:.0}", capacity_per_s * load),
@@ -56,6 +59,16 @@
             with_spread(&refusal),
         ]);
     }
+    points.sort_by(|a: &(f64, f64), b| a.0.total_cmp(&b.0));
+    plot::draw(
+        &settings.folder.join("overload.svg"),
+        "Answers in time against the load",
+        ("load, of capacity", "answers in time a second"),
+        &[plot::Line {
+            name: "goodput".to_owned(),
+            points,
+        }],
+    )?;
     publish(
         &settings.folder,
         "overload",
--- a/crates/pinhaven-lab/src/process.rs
+++ b/crates/pinhaven-lab/src/process.rs
@@ -59,6 +59,11 @@
         Ok((process, line))
     }
 
+    /// A program that was built beside this one.
+    pub fn program(name: &str) -> PathBuf {
+        sibling(name)
+    }
+
     /// Kills the process without warning.
     pub fn kill(&mut self) {
         // A process that has ended already needs no killing.
--- /dev/null
+++ b/crates/pinhaven-lab/tests/command_line.rs
@@ -0,0 +1,115 @@
+//! The command line: what it prints, and how it ends.
+
+mod common;
+
+use common::in_turn;
+use common::lab;
+use pinhaven_lab::Process;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+fn pinhaven(words: &[&str]) -> Output {
+    let program = Process::program("pinhaven");
+    Command::new(program).args(words).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A folder of a test's own, with one file in it.
+fn file(name: &str, content: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("pinhaven-cli-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join(name);
+    std::fs::write(&file, content).unwrap();
+    file
+}
+
+fn check(kind: &str, file: &Path) -> Output {
+    pinhaven(&[kind, "check", &file.display().to_string()])
+}
+
+#[test]
+fn faults_in_a_bundle_are_all_printed_with_their_lines() {
+    let content = "{\n  \"version\": 0,\n  \"address_keep_ms\": 1,\n  \"services\": []\n}\n";
+    let file = file("bad-bundle.json", content);
+    let output = check("bundle", &file);
+    assert_eq!(output.status.code(), Some(1));
+    let errors = text(&output.stderr);
+    assert!(errors.contains("bad-bundle.json:2: version: "), "{errors}");
+    assert!(
+        errors.contains("bad-bundle.json:3: address_keep_ms: "),
+        "{errors}"
+    );
+}
+
+#[test]
+fn a_file_that_is_not_there_is_a_clear_error() {
+    for kind in ["bundle", "settings"] {
+        let output = check(kind, Path::new("/nowhere/file.json"));
+        assert_eq!(output.status.code(), Some(1));
+        assert!(text(&output.stderr).contains("/nowhere/file.json"));
+    }
+}
+
+#[test]
+fn an_entry_with_bad_settings_does_not_start() {
+    let file = file("bad-settings.json", "{\"instance_id\": \"x y\"}");
+    let output = pinhaven(&["entry", "--settings", &file.display().to_string()]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("instance_id"));
+}
+
+#[test]
+fn wrong_words_end_with_2_and_help_with_0() {
+    assert_eq!(pinhaven(&["bundle", "rol"]).status.code(), Some(2));
+    assert_eq!(pinhaven(&[]).status.code(), Some(2));
+    assert_eq!(pinhaven(&["--help"]).status.code(), Some(0));
+}
+
+#[test]
+fn completions_name_the_commands() {
+    let output = pinhaven(&["completions", "bash"]);
+    assert_eq!(output.status.code(), Some(0));
+    assert!(text(&output.stdout).contains("instances"));
+}
+
+#[test]
+fn a_key_file_is_never_written_over() {
+    let file = file("held.key", "secret");
+    let output = pinhaven(&["bundle", "key", "--out", &file.display().to_string()]);
+    assert_eq!(output.status.code(), Some(1));
+    assert_eq!(std::fs::read_to_string(file).unwrap(), "secret");
+}
+
+#[test]
+fn a_platform_that_does_not_answer_is_a_clear_error() {
+    let output = pinhaven(&["instances", "--table", "127.0.0.1:1", "--timeout-ms", "300"]);
+    assert_eq!(output.status.code(), Some(1));
+    let errors = text(&output.stderr);
+    assert!(
+        errors.contains("listing rows pinhaven/entries/ at 127.0.0.1:1"),
+        "{errors}"
+    );
+    assert!(errors.contains("help: "), "{errors}");
+}
+
+#[test]
+fn instances_and_targets_are_listed_for_people_and_programs() {
+    in_turn(async {
+        let lab = lab().await;
+        let table = lab.command(&["instances"]).unwrap();
+        assert_eq!(table.matches("ready").count(), 3, "{table}");
+        let rows = lab.command(&["instances", "--format", "json"]).unwrap();
+        let rows: serde_json::Value = serde_json::from_str(&rows).unwrap();
+        assert_eq!(rows.as_array().unwrap().len(), 3);
+        assert_eq!(rows[0]["promises_broken"], 0);
+        let rows = lab.command(&["targets", "--service", "quote", "--format", "json"]);
+        let rows: serde_json::Value = serde_json::from_str(&rows.unwrap()).unwrap();
+        assert_eq!(rows.as_array().unwrap().len(), 6);
+        assert_eq!(rows[0]["entries_live"], 3);
+    });
+}
--- a/crates/pinhaven-lab/tests/stopping.rs
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -129,3 +129,29 @@
         assert_eq!(after.cancelled, 0);
     });
 }
+
+#[test]
+fn targets_that_are_put_back_stay_whatever_is_still_told_of_the_version_before() {
+    in_turn(async {
+        let plan = LabPlan::new(3, vec![common::quote()]);
+        let mut lab = start(plan.with_settings(json!({"gossip_ms": 5}))).await;
+        for _ in 0..12 {
+            for state in ["leaving", "live"] {
+                let mut bundle = lab.bundle();
+                for target in bundle["services"][0]["targets"].as_array_mut().unwrap() {
+                    target["state"] = json!(state);
+                }
+                lab.roll(&bundle).unwrap();
+                lab.wait_until_in_force().await.unwrap();
+            }
+            sleep_ms(30).await;
+            for status in lab.statuses().await {
+                let left = status.services[0]
+                    .targets
+                    .iter()
+                    .filter(|t| t.state != "live");
+                assert_eq!(left.count(), 0, "at {}", status.own.instance_id);
+            }
+        }
+    });
+}
