Make three tests as strict as the mutants that survived them

Hedging once-only requests and choosing leaving targets were stopped by the program's own assertion, which refused the request, and the tests only looked at what was sent; they now also ask that nothing is refused. Nothing showed that only the home dispatches; a test sends one key through every entry and looks at who did.

Nothing was loosened.

--- a/crates/pinhaven-decide/tests/choice.rs
+++ b/crates/pinhaven-decide/tests/choice.rs
@@ -58,6 +58,8 @@
         let left = service.targets()[2].address().to_string();
         assert!(!picks.contains_key(&left), "{policy}: {picks:?}");
         assert_eq!(picks.len(), 4, "{policy}: the others are all used");
+        let sent: u32 = picks.values().sum();
+        assert_eq!(sent, 300, "{policy}: no request is refused");
     }
 }
 
--- a/crates/pinhaven-decide/tests/hedges.rs
+++ b/crates/pinhaven-decide/tests/hedges.rs
@@ -43,7 +43,9 @@
     let mut driven = Driven::once(&service);
     driven.handle(0, Event::Arrived);
     for time_ms in [50, 100, 500, 900] {
-        assert_eq!(driven.handle(time_ms, Event::TimeCame).sent, 0);
+        let outcome = driven.handle(time_ms, Event::TimeCame);
+        assert_eq!(outcome.sent, 0);
+        assert!(!outcome.is_final(), "it goes on: {outcome:?}");
     }
 }
 
--- a/crates/pinhaven-lab/tests/once_only.rs
+++ b/crates/pinhaven-lab/tests/once_only.rs
@@ -2,11 +2,17 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::call;
 use common::in_turn;
 use common::lab;
 use common::require_right;
+use http::Request;
+use pinhaven_agree::Home;
+use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
+use pinhaven_stand_in::caller::Caller;
+use pinhaven_stand_in::caller::CallerSettings;
 use pinhaven_stand_in::platform::PlatformFaults;
 use pinhaven_stand_in::target::TargetFaults;
 
@@ -146,3 +152,36 @@
         require_right(&lab, &report).await;
     });
 }
+
+#[test]
+fn a_request_sent_to_another_entry_is_dispatched_by_its_home_alone() {
+    in_turn(async {
+        let lab = lab().await;
+        let seeds = lab.caller_addresses().await;
+        let caller = Caller::new(CallerSettings::new(seeds.clone(), "quote", 1.0, 1));
+        let entries = caller.ask(seeds[0]).await.unwrap().entries;
+        let home = &entries[0];
+        let mut bodies = Vec::new();
+        for entry in &entries {
+            let client = HttpClient::new(entry.address, 10_000);
+            let request = Request::post("/orders")
+                .header("host", "quote")
+                .header("x-marker", "relayed")
+                .header("idempotency-key", "relayed")
+                .header("pinhaven-home", &home.home)
+                .body(Bytes::from_static(b"one"))
+                .unwrap();
+            let response = client.call(request).await.unwrap();
+            assert_eq!(response.status(), 200, "{response:?}");
+            bodies.push(response.into_body());
+        }
+        assert!(bodies.iter().all(|body| *body == bodies[0]));
+        assert_eq!(lab.runs(0).await.get("relayed"), Some(&1));
+        let home: Home = home.home.parse().unwrap();
+        for status in lab.statuses().await {
+            let is_home = status.own.incarnation == home.incarnation;
+            let dispatched = status.counters["once.dispatched"];
+            assert_eq!(dispatched, u64::from(is_home), "{}", status.own.instance_id);
+        }
+    });
+}
