--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -8,6 +8,7 @@
 mod ledger;
 mod membership;
 mod seat;
+mod target_list;
 mod version;
 
 pub use ledger::Begin;
@@ -29,6 +30,10 @@
 pub use seat::SeatKeeper;
 pub use seat::SeatRow;
 pub use seat::seat_of;
+pub use target_list::ListedTarget;
+pub use target_list::PeerList;
+pub use target_list::TargetBook;
+pub use target_list::TargetList;
 pub use version::Offer;
 pub use version::Offered;
 pub use version::OlderVersion;
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -226,6 +226,45 @@
         ranked.into_iter().map(|(_, row)| row).collect()
     }
 
+    /// The entries that callers are steered to: in each failure domain the first `per_domain` ready
+    /// ones, in an order that all entries agree on.
+    pub fn serving(&self, per_domain: usize, now: Microseconds) -> Vec<&MemberRow> {
+        let live = self.members.values().filter(|m| self.is_live(m, now));
+        let all = std::iter::once(&self.own).chain(live.map(|member| &member.row));
+        let mut by_domain: BTreeMap<&FailureDomain, Vec<(Digest, &MemberRow)>> = BTreeMap::new();
+        for row in all.filter(|row| row.state == MemberState::Ready) {
+            let rank = Digest::of(row.instance_id.as_str().as_bytes());
+            by_domain
+                .entry(&row.failure_domain)
+                .or_default()
+                .push((rank, row));
+        }
+        let mut serving = Vec::new();
+        for mut rows in by_domain.into_values() {
+            rows.sort_by_key(|(rank, _)| *rank);
+            serving.extend(rows.into_iter().take(per_domain).map(|(_, row)| row));
+        }
+        serving
+    }
+
+    /// The entries that callers in `domain` are told to use: the serving ones there, or all that
+    /// serve when there are fewer than `least` of them, so that nobody depends on a single one.
+    pub fn entries_near(
+        &self,
+        domain: Option<&FailureDomain>,
+        per_domain: usize,
+        least: usize,
+        now: Microseconds,
+    ) -> Vec<&MemberRow> {
+        let serving = self.serving(per_domain, now);
+        let near: Vec<&MemberRow> = serving
+            .iter()
+            .copied()
+            .filter(|row| domain == Some(&row.failure_domain))
+            .collect();
+        if near.len() >= least { near } else { serving }
+    }
+
     /// The lowest and highest version in force in each failure domain, over live members.
     pub fn versions_by_domain(
         &self,
--- /dev/null
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -0,0 +1,237 @@
+//! The list of targets as one entry knows it, and who reads it from the store.
+//!
+//! Every read costs, so few entries read and the others hear from them. Nobody is a reader for good:
+//! each entry has a rank, and reads when what it knows is older than its rank allows. While the first
+//! reader works, nobody else ever gets there; when it is frozen, cut off or turned away by the store,
+//! the next one takes over after a fraction of a second.
+//!
+//! A target that is missing from a list is gone, with one exception: entries of targets lapse while
+//! the store is away, and are back soon after its return. Until then targets that were there before
+//! the outage are kept.
+
+use pinhaven_types::Digest;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use pinhaven_types::TargetId;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Age of the list at which the first reader reads it again. New work must end at a leaving target
+/// 2 s after the store knows; three readings and the way to all entries fit into that.
+const READ_AFTER: Microseconds = Microseconds::from_ms(600);
+/// How much older the list must be for each rank that an entry stands behind the first.
+const READ_AFTER_PER_RANK: Microseconds = Microseconds::from_ms(200);
+/// Ranks past this read at the same age, so that the list never gets too old.
+const RANK_MOST: u32 = 4;
+/// How long targets that lapsed may take to come back after the store did. They write again within
+/// about 2 s.
+const RETURN_WITHIN: Microseconds = Microseconds::from_ms(2_300);
+
+/// A target as the store lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedTarget {
+    /// Its id.
+    pub id: TargetId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: TargetAddress,
+    /// Where it stands.
+    pub failure_domain: FailureDomain,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_leaving: bool,
+    /// How much longer it was slow from its start when it was first listed, in milliseconds.
+    pub warm_up_ms: u64,
+}
+
+/// All targets at one moment of the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetList {
+    /// The store's revision at that moment; a higher one is newer.
+    pub revision: u64,
+    /// The targets, by id.
+    pub targets: BTreeMap<TargetId, ListedTarget>,
+}
+
+impl TargetList {
+    /// A list read at a revision.
+    pub fn new(revision: u64, targets: impl IntoIterator<Item = ListedTarget>) -> Self {
+        Self {
+            revision,
+            targets: targets
+                .into_iter()
+                .map(|target| (target.id.clone(), target))
+                .collect(),
+        }
+    }
+
+    /// Digest of what matters to routing. Two lists with the same digest lead to the same choices.
+    pub fn digest(&self) -> u64 {
+        let parts: Vec<String> = self
+            .targets
+            .values()
+            .map(|target| {
+                format!(
+                    "{} {} {} {} {}",
+                    target.id, target.service, target.address, target.slots, target.is_leaving
+                )
+            })
+            .collect();
+        let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
+        Digest::of_parts(&parts).short()
+    }
+}
+
+/// What is to be done about a list that a peer knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerList {
+    /// The same is known here.
+    Same,
+    /// It is older than what is known here.
+    Older,
+    /// It is newer and different; it has to be fetched.
+    Fetch,
+}
+
+/// The list as one entry knows it.
+#[derive(Debug)]
+pub struct TargetBook {
+    list: Arc<TargetList>,
+    digest: u64,
+    /// When the store last said that the list is right, by this entry's clock.
+    confirmed_at: Option<Microseconds>,
+    last_failure_at: Option<Microseconds>,
+    regained_at: Option<Microseconds>,
+}
+
+impl Default for TargetBook {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TargetBook {
+    /// Nothing is known.
+    pub fn new() -> Self {
+        let list = TargetList::default();
+        Self {
+            digest: list.digest(),
+            list: Arc::new(list),
+            confirmed_at: None,
+            last_failure_at: None,
+            regained_at: None,
+        }
+    }
+
+    /// The list.
+    pub fn list(&self) -> &Arc<TargetList> {
+        &self.list
+    }
+
+    /// Digest of the list.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Whether any list is known.
+    pub fn is_known(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// Time since the store last said that the list is right; `None` when it never did.
+    pub fn age(&self, now: Microseconds) -> Option<Microseconds> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Whether an entry with this rank among the readers, 0 for the first, should read now.
+    pub fn is_due(&self, rank: u32, now: Microseconds) -> bool {
+        let ranks = u64::from(rank.min(RANK_MOST));
+        let after = READ_AFTER.count() + READ_AFTER_PER_RANK.count() * ranks;
+        self.age(now).is_none_or(|age| age.count() >= after)
+    }
+
+    /// Takes in that the store could not be read.
+    pub fn take_failure(&mut self, now: Microseconds) {
+        self.last_failure_at = Some(now);
+        self.regained_at = None;
+    }
+
+    /// Takes in a list that the store gave to a read that began at `began`. Returns whether anything
+    /// that matters has changed.
+    pub fn take_read(&mut self, read: TargetList, began: Microseconds) -> bool {
+        if self.last_failure_at.take().is_some() {
+            self.regained_at = Some(began);
+        }
+        let is_first = !self.is_known();
+        if !is_first && read.revision < self.list.revision {
+            return false;
+        }
+        let read = self.with_kept(read, began);
+        self.put(read, began) || is_first
+    }
+
+    /// What is to be done about a list of a peer that the store confirmed at `confirmed_at`.
+    pub fn hear(&mut self, revision: u64, digest: u64, confirmed_at: Microseconds) -> PeerList {
+        if revision < self.list.revision {
+            return PeerList::Older;
+        }
+        if digest != self.digest || !self.is_known() {
+            return PeerList::Fetch;
+        }
+        if self.confirmed_at.is_none_or(|at| confirmed_at > at) {
+            self.confirmed_at = Some(confirmed_at);
+        }
+        if revision > self.list.revision {
+            Arc::make_mut(&mut self.list).revision = revision;
+        }
+        PeerList::Same
+    }
+
+    /// Takes in a list that a peer gave. Returns whether anything that matters has changed.
+    pub fn take_peer_list(&mut self, list: TargetList, confirmed_at: Microseconds) -> bool {
+        let is_first = !self.is_known();
+        if !is_first && list.revision < self.list.revision {
+            return false;
+        }
+        self.put(list, confirmed_at) || is_first
+    }
+
+    /// Adds the targets that may only have lapsed while the store was away.
+    fn with_kept(&self, mut read: TargetList, now: Microseconds) -> TargetList {
+        let has_returned = |at: Microseconds| now.saturating_sub(at) >= RETURN_WITHIN;
+        if self.regained_at.is_none_or(has_returned) {
+            return read;
+        }
+        for (id, target) in &self.list.targets {
+            if read.targets.contains_key(id) || target.is_leaving {
+                continue;
+            }
+            let is_taken = |other: &ListedTarget| other.address == target.address;
+            if !read.targets.values().any(is_taken) {
+                read.targets.insert(id.clone(), target.clone());
+            }
+        }
+        read
+    }
+
+    fn put(&mut self, mut list: TargetList, confirmed_at: Microseconds) -> bool {
+        for (id, target) in &mut list.targets {
+            if let Some(known) = self.list.targets.get(id) {
+                // What is left of its slow start shrinks all the time; only its beginning counts.
+                target.warm_up_ms = known.warm_up_ms;
+            }
+        }
+        let digest = list.digest();
+        let has_changed = digest != self.digest;
+        self.list = Arc::new(list);
+        self.digest = digest;
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        has_changed
+    }
+}
--- a/crates/pinhaven-agree/src/version.rs
+++ b/crates/pinhaven-agree/src/version.rs
@@ -10,10 +10,16 @@
 use pinhaven_bundle::TrustedSigner;
 use pinhaven_bundle::verify_head;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::ParseNameError;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
 use std::sync::Arc;
 
+/// Who is named for a version that the store acknowledged. No key signs for this name.
+const ACKNOWLEDGED_SIGNER: &str = "acknowledged-by-store";
+/// The write that is named for such a version.
+const ACKNOWLEDGED_OPERATION: &str = "acknowledged";
+
 /// State of an offer that nothing has been checked of.
 #[derive(Debug)]
 pub struct Offered;
@@ -55,6 +61,29 @@
     }
 }
 
+impl Offer<Verified> {
+    /// A version that operators wrote to a store which takes only theirs: its acknowledgement stands
+    /// for the signature, and nobody else can write there.
+    ///
+    /// # Errors
+    ///
+    /// [`ParseNameError`] never in practice: the names that it writes are fixed.
+    pub fn acknowledged(body: CanonicalBundle) -> Result<Self, ParseNameError> {
+        let head = BundleHead {
+            version: body.bundle().version,
+            digest: body.digest(),
+            signer: ACKNOWLEDGED_SIGNER.parse()?,
+            signature: String::new(),
+            operation: ACKNOWLEDGED_OPERATION.parse()?,
+        };
+        Ok(Self {
+            head,
+            body: Arc::new(body),
+            state: std::marker::PhantomData,
+        })
+    }
+}
+
 impl<State> Offer<State> {
     /// The head.
     pub fn head(&self) -> &BundleHead {
--- a/crates/pinhaven-bundle/src/check.rs
+++ b/crates/pinhaven-bundle/src/check.rs
@@ -1,10 +1,12 @@
 //! Checks of a bundle that its types cannot make.
 
 use crate::Bundle;
+use crate::PathRoute;
 use crate::Service;
 use pinhaven_document::Document;
 use pinhaven_document::Fault;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::ServiceName;
 use std::collections::HashSet;
 
 /// The highest priority of a service.
@@ -29,6 +31,7 @@
 pub fn check(bundle: &Bundle, document: &Document) -> Vec<Fault> {
     let mut checker = Checker {
         document,
+        has_host_routes: !bundle.hosts.is_empty(),
         faults: Vec::new(),
     };
     checker.check_bundle(bundle);
@@ -37,6 +40,7 @@
 
 struct Checker<'document> {
     document: &'document Document,
+    has_host_routes: bool,
     faults: Vec<Fault>,
 }
 
@@ -92,11 +96,68 @@
             }
             self.check_service(&at, service);
         }
+        for (index, host) in bundle.hosts.iter().enumerate() {
+            let at = format!("hosts[{index}]");
+            self.require(
+                hosts.insert(&host.host),
+                &format!("{at}.host"),
+                "a service or another entry has this host",
+                "name each host once",
+            );
+            for (path_index, route) in host.paths.iter().enumerate() {
+                self.check_path_route(&format!("{at}.paths[{path_index}]"), route, &names);
+            }
+        }
+    }
+
+    fn check_path_route(&mut self, at: &str, route: &PathRoute, names: &HashSet<&ServiceName>) {
+        self.require(
+            route.path_prefix.starts_with('/'),
+            &format!("{at}.path_prefix"),
+            "no path starts like this",
+            "start it with '/'",
+        );
+        self.require(
+            route.timeout_ms > 0 && route.aim_ms > 0,
+            &format!("{at}.timeout_ms"),
+            "times must be above zero",
+            "write the time in milliseconds, and aim_ms likewise",
+        );
+        self.require(
+            route.priority <= PRIORITY_MAX,
+            &format!("{at}.priority"),
+            "there is no such priority",
+            "write 0 (refused first) to 3 (refused last)",
+        );
+        self.require(
+            route.attempts_most > 0,
+            &format!("{at}.attempts_most"),
+            "a request could not be sent to any target",
+            "write 1 or more",
+        );
+        let weights = route.split.iter().map(|part| part.weight);
+        let are_weights = weights
+            .clone()
+            .all(|weight| weight.is_finite() && weight >= 0.0);
+        self.require(
+            are_weights && weights.sum::<f64>() > 0.0,
+            &format!("{at}.split"),
+            "the weights divide nothing",
+            "name one part or more, with weights above zero",
+        );
+        for (index, part) in route.split.iter().enumerate() {
+            self.require(
+                names.contains(&part.service),
+                &format!("{at}.split[{index}].service"),
+                "there is no such service",
+                "name a service of this bundle",
+            );
+        }
     }
 
     fn check_service(&mut self, at: &str, service: &Service) {
         self.require(
-            !service.hosts.is_empty(),
+            !service.hosts.is_empty() || self.has_host_routes,
             &format!("{at}.hosts"),
             "no request could reach the service",
             "name one host or more",
--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -6,7 +6,9 @@
 
 use crate::Bundle;
 use crate::CanonicalBundle;
+use crate::HostRoutes;
 use crate::Measuring;
+use crate::RequestLimits;
 use crate::Service;
 use displaydoc::Display as DisplayDoc;
 use pinhaven_types::BundleVersion;
@@ -31,6 +33,12 @@
     pub changed: Vec<Service>,
     /// Services that are gone.
     pub removed: Vec<ServiceName>,
+    /// The new `hosts`, when they changed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hosts: Option<Vec<HostRoutes>>,
+    /// The new `limits`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<RequestLimits>,
 }
 
 /// Why a difference can't be applied.
@@ -77,6 +85,8 @@
             address_keep_ms: to.address_keep_ms,
             changed,
             removed,
+            hosts: (from.hosts != to.hosts).then(|| to.hosts.clone()),
+            limits: to.limits,
         }
     }
 
@@ -109,6 +119,8 @@
             measuring: held.measuring.clone(),
             address_keep_ms: held.address_keep_ms,
             services: Vec::new(),
+            hosts: held.hosts.clone(),
+            limits: held.limits,
         };
         for delta in deltas {
             if bundle.version != delta.from {
@@ -120,6 +132,10 @@
             bundle.version = delta.to;
             bundle.measuring = delta.measuring;
             bundle.address_keep_ms = delta.address_keep_ms;
+            bundle.limits = delta.limits;
+            if let Some(hosts) = delta.hosts {
+                bundle.hosts = hosts;
+            }
             for name in &delta.removed {
                 services.remove(name);
             }
@@ -161,6 +177,12 @@
             from.address_keep_ms, to.address_keep_ms
         ));
     }
+    if delta.hosts.is_some() {
+        lines.push("~ hosts".to_owned());
+    }
+    if from.limits != to.limits {
+        lines.push("~ limits".to_owned());
+    }
     lines.extend(delta.removed.iter().map(|name| format!("- {name}")));
     for service in &delta.changed {
         match old.get(&service.name) {
--- a/crates/pinhaven-bundle/src/lib.rs
+++ b/crates/pinhaven-bundle/src/lib.rs
@@ -7,6 +7,7 @@
 mod canonical;
 mod check;
 mod difference;
+mod route;
 mod schema;
 mod sign;
 
@@ -16,6 +17,11 @@
 pub use difference::BundleDelta;
 pub use difference::DeltaError;
 pub use difference::describe_changes;
+pub use route::HostRoutes;
+pub use route::PathRoute;
+pub use route::RequestKind;
+pub use route::RequestLimits;
+pub use route::SplitPart;
 pub use schema::Bundle;
 pub use schema::Measuring;
 pub use schema::Policy;
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -1,10 +1,13 @@
 //! The fields of a bundle.
 
+use crate::HostRoutes;
+use crate::RequestLimits;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Percent;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
+use pinhaven_types::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,6 +25,12 @@
     pub address_keep_ms: u64,
     /// The services, each with its targets.
     pub services: Vec<Service>,
+    /// Hosts whose requests go by path; a service's own `hosts` need none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub hosts: Vec<HostRoutes>,
+    /// What a request may bring and how long a connection may rest.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limits: Option<RequestLimits>,
 }
 
 /// How the load of targets is measured.
@@ -50,6 +59,7 @@
     /// Name, unique in the bundle.
     pub name: ServiceName,
     /// Values of the `Host` header that mean this service.
+    #[serde(default)]
     pub hosts: Vec<String>,
     /// Requests that a target works on at a time.
     pub slots: u32,
@@ -98,6 +108,9 @@
     /// Whether an answer must carry the request's `X-Request-Id` back.
     #[serde(default)]
     pub require_echo: bool,
+    /// Whether an answer may end with its connection, without a length.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub unbounded_answers: bool,
     /// The largest body kept for another attempt, in bytes.
     #[serde(default = "default_replay_bytes")]
     pub replay_bytes: u64,
@@ -107,7 +120,8 @@
     /// Which requests may be repeated; the first route that matches counts.
     #[serde(default)]
     pub routes: Vec<Route>,
-    /// The targets.
+    /// The targets; none for a service whose targets are discovered.
+    #[serde(default)]
     pub targets: Vec<Target>,
 }
 
@@ -137,6 +151,29 @@
     /// Whether it takes new work.
     #[serde(default)]
     pub state: TargetState,
+    /// Its id, by which another target at the same address is told from it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub id: Option<TargetId>,
+    /// Requests that it works on at a time, where that differs from the service's.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// How much longer it is slow from its start, in milliseconds.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub warm_up_ms: u64,
+}
+
+impl Target {
+    /// A live target of which no more is known than where it is.
+    pub fn new(address: TargetAddress, failure_domain: FailureDomain) -> Self {
+        Self {
+            address,
+            failure_domain,
+            state: TargetState::Live,
+            id: None,
+            slots: None,
+            warm_up_ms: 0,
+        }
+    }
 }
 
 /// Whether a target takes new work.
@@ -165,9 +202,40 @@
     /// Counts, aged reports and overdue requests over several draws.
     #[default]
     Pinhaven,
+    /// The earliest expected answer, from slots, reported speed and the counts of all entries.
+    Forecast,
 }
 
 impl Service {
+    /// A service without hosts and targets, with every other field at its default.
+    pub fn new(name: ServiceName, slots: u32) -> Self {
+        Self {
+            name,
+            hosts: Vec::new(),
+            slots,
+            connections: default_connections(),
+            entries_most: default_entries_most(),
+            entries_named: default_entries_named(),
+            deadline_ms: default_deadline_ms(),
+            typical_ms: default_typical_ms(),
+            priority: default_priority(),
+            policy: Policy::default(),
+            hedge_budget_percent: default_hedge_budget(),
+            retry_budget_percent: default_retry_budget(),
+            measuring_budget_percent: default_measuring_budget(),
+            probe_cost_ms: default_probe_cost_ms(),
+            connection_cost_ms: default_connection_cost_ms(),
+            probe_path: None,
+            not_run_statuses: Vec::new(),
+            require_echo: false,
+            unbounded_answers: false,
+            replay_bytes: default_replay_bytes(),
+            body_bytes: default_body_bytes(),
+            routes: Vec::new(),
+            targets: Vec::new(),
+        }
+    }
+
     /// Whether a request may be repeated: the first matching route, else by its method.
     pub fn is_repeatable(&self, method: &str, path: &str) -> bool {
         match self.route_for(method, path) {
@@ -191,6 +259,14 @@
     }
 }
 
+fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 const fn default_address_keep_ms() -> u64 {
     2_000
 }
--- a/crates/pinhaven-command/src/entry.rs
+++ b/crates/pinhaven-command/src/entry.rs
@@ -4,6 +4,7 @@
 use crate::logging;
 use clap::Args;
 use pinhaven_document::Document;
+use pinhaven_entry::EntryWorld;
 use pinhaven_settings::read_settings;
 use std::path::PathBuf;
 
@@ -19,7 +20,11 @@
         Document::read(&arguments.settings).map_err(|fault| CommandError::from_lines([fault]))?;
     let settings = read_settings(&document).map_err(CommandError::from_lines)?;
     logging::start(&settings.log).map_err(CommandError::new)?;
-    match pinhaven_entry::run_entry(settings) {
+    let world = match &settings.discovery {
+        Some(discovery) => pinhaven_adapter::entry_world(discovery),
+        None => EntryWorld::default(),
+    };
+    match pinhaven_entry::run_entry(settings, world) {
         Ok(true) => Ok(()),
         Ok(false) => Err(CommandError::new(
             "the stop was cut short with requests in flight",
--- a/crates/pinhaven-decide/src/budget.rs
+++ b/crates/pinhaven-decide/src/budget.rs
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub struct TokenBudget {
     share: f32,
-    capacity: f32,
+    capacity: AtomicF32,
     tokens: AtomicF32,
 }
 
@@ -21,15 +21,30 @@
         let capacity = if share > 0.0 { capacity } else { 0.0 };
         Self {
             share: share as f32,
-            capacity,
+            capacity: AtomicF32::new(capacity),
             tokens: AtomicF32::new(capacity),
         }
     }
 
+    /// Sets how many tokens the bucket holds at the most. What it has beyond that is lost.
+    pub fn set_capacity(&self, capacity: f32) {
+        if self.share > 0.0 {
+            self.capacity.set(capacity);
+            self.tokens.update(|tokens| tokens.min(capacity));
+        }
+    }
+
+    /// Takes over what another bucket of the same service had left, so that a new version does not
+    /// come with a full bucket.
+    pub(crate) fn take_over(&self, previous: &Self) {
+        self.capacity.set(previous.capacity.get());
+        self.tokens.set(previous.tokens.get());
+    }
+
     /// Pays a request's share in.
     pub fn pay_in(&self) {
         self.tokens
-            .update(|tokens| (tokens + self.share).min(self.capacity));
+            .update(|tokens| (tokens + self.share).min(self.capacity.get()));
     }
 
     /// Takes a token for an added attempt; `false` when there is none.
--- a/crates/pinhaven-decide/src/choice.rs
+++ b/crates/pinhaven-decide/src/choice.rs
@@ -80,7 +80,9 @@
             .filter(usable)
             .take(2)
             .min_by_key(|target| target.in_flight()),
-        Policy::Pinhaven => return choose_by_score(service, now, random, wanted),
+        Policy::Pinhaven | Policy::Forecast => {
+            return choose_by_score(service, now, random, wanted);
+        }
     };
     let target = chosen?;
     let load = target.in_flight() as f32 + service.mean_others();
--- /dev/null
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -0,0 +1,179 @@
+//! When a target would answer, and which one would answer first.
+//!
+//! The forecast for a target is the time that the request's work takes at the speed which its last
+//! report leads one to expect, plus the time until a slot is free. What all entries have under way
+//! there is known from their own counts, so a slot that is taken is not taken for a free one.
+//!
+//! A nearly full target may slow down all that it works on. That delay is measured, and a request is
+//! charged for the delay that it would bring to the others there.
+
+use crate::service::ServiceState;
+use crate::target::TargetState;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetAddress;
+use std::sync::Arc;
+
+/// Targets that one pick looks at, so that its cost does not grow with the service.
+const LOOKS_MAX: usize = 64;
+/// Use of a target's slots from which it counts as nearly full.
+const CROWDED_FROM: f32 = 0.8;
+/// How many times longer work takes at a target that has just started. Targets say how long they
+/// are slow, not by how much; twice was seen.
+const COLD_FACTOR: f32 = 2.0;
+/// Forecasts that differ by less than this share count as equal and are decided by lot, so that
+/// entries with the same view don't all go to the same target.
+const LOT_SHARE: f32 = 0.05;
+/// Weight of a target's use among equal forecasts.
+const USE_WEIGHT: f32 = 0.10;
+/// What a target in another failure domain is charged, as a share of the work: the way there costs
+/// time and paid traffic.
+const FAR_SHARE: f32 = 0.10;
+/// The least that it is charged, in milliseconds.
+const FAR_LEAST_MS: f32 = 2.0;
+/// Age from which the lack of reports makes a target suspect, in milliseconds; several rounds of
+/// probes are missing then.
+const SILENT_AFTER_MS: f32 = 400.0;
+/// Silence past that which counts as the work once more, in milliseconds.
+const SILENT_PER_WORK_MS: f32 = 200.0;
+/// The most that silence counts, in times the work.
+const SILENT_MOST: f32 = 10.0;
+
+/// A target and when it would answer.
+#[derive(Debug)]
+pub(crate) struct Forecast {
+    pub(crate) target: Arc<TargetState>,
+    /// Time until the answer, in milliseconds.
+    pub(crate) answer_ms: f32,
+    /// Requests that it holds, from all entries.
+    pub(crate) load: f32,
+    /// The slowdown that was expected.
+    pub(crate) slowdown: f32,
+}
+
+impl Forecast {
+    /// Whether the target has a slot free.
+    pub(crate) fn has_free_slot(&self) -> bool {
+        self.load < self.target.slots()
+    }
+
+    /// Whether the request would make the target nearly full.
+    pub(crate) fn is_crowded(&self) -> bool {
+        is_crowded(&self.target, self.load)
+    }
+}
+
+/// The forecast for one target.
+pub(crate) fn forecast(
+    service: &ServiceState,
+    target: &Arc<TargetState>,
+    now: Microseconds,
+    work_ms: f32,
+) -> Forecast {
+    let load = load_of(target, now);
+    let slowdown = target.expected_slowdown(now, &service.speed);
+    let run_ms = run_ms(service, target, now, work_ms, load, slowdown);
+    let queued = (load + 1.0 - target.slots()).max(0.0);
+    let queue_ms = queued * run_ms / target.slots();
+    Forecast {
+        target: Arc::clone(target),
+        answer_ms: run_ms + queue_ms,
+        load,
+        slowdown,
+    }
+}
+
+/// The target that is expected to answer first among the usable ones; `None` when there is none.
+pub(crate) fn earliest(
+    service: &ServiceState,
+    now: Microseconds,
+    random: &mut fastrand::Rng,
+    work_ms: f32,
+    tried: &[TargetAddress],
+) -> Option<Forecast> {
+    let targets = service.targets();
+    if targets.is_empty() {
+        return None;
+    }
+    let start = random.usize(..targets.len());
+    let looked_at = targets[start..]
+        .iter()
+        .chain(&targets[..start])
+        .take(LOOKS_MAX);
+    let mut earliest: Option<(f32, Forecast)> = None;
+    for target in looked_at {
+        if !is_usable(service, target, now, tried) {
+            continue;
+        }
+        let forecast = forecast(service, target, now, work_ms);
+        let rank_ms = rank_ms(service, &forecast, now, work_ms);
+        let rank_ms = rank_ms * (1.0 + LOT_SHARE * random.f32());
+        if earliest.as_ref().is_none_or(|(least, _)| rank_ms < *least) {
+            earliest = Some((rank_ms, forecast));
+        }
+    }
+    earliest.map(|(_, forecast)| forecast)
+}
+
+/// Requests that a target holds from all entries, with a penalty for recent failures.
+fn load_of(target: &TargetState, now: Microseconds) -> f32 {
+    let in_flight = target.in_flight() + target.peers_in_flight();
+    in_flight as f32 + target.penalty_at(now)
+}
+
+fn is_crowded(target: &TargetState, load: f32) -> bool {
+    load + 1.0 >= target.slots() * CROWDED_FROM
+}
+
+fn run_ms(
+    service: &ServiceState,
+    target: &TargetState,
+    now: Microseconds,
+    work_ms: f32,
+    load: f32,
+    slowdown: f32,
+) -> f32 {
+    let mut work_ms = work_ms;
+    if target.is_cold(now) {
+        work_ms *= COLD_FACTOR;
+    }
+    work_ms *= 2.0 - target.warm_share(now);
+    if is_crowded(target, load) {
+        work_ms *= service.crowding.get();
+    }
+    crate::speed::time_for(work_ms, slowdown, service.speed.lasting_ms())
+}
+
+/// What targets are compared by, in milliseconds: the forecast, and what the choice costs others.
+fn rank_ms(service: &ServiceState, forecast: &Forecast, now: Microseconds, work_ms: f32) -> f32 {
+    let target = &forecast.target;
+    let mut rank_ms = forecast.answer_ms;
+    if forecast.is_crowded() {
+        rank_ms += (service.crowding.get() - 1.0) * work_ms * forecast.load;
+    }
+    if !service.is_near(target) {
+        rank_ms += (work_ms * FAR_SHARE).max(FAR_LEAST_MS);
+    }
+    rank_ms += work_ms * silence(target, now);
+    rank_ms * (1.0 + USE_WEIGHT * forecast.load / target.slots())
+}
+
+/// How suspect a target is for saying nothing, in times the work.
+fn silence(target: &TargetState, now: Microseconds) -> f32 {
+    let Some((_, at)) = target.reported_speed() else {
+        return 0.0;
+    };
+    let age_ms = now.saturating_sub(at).as_ms() as f32;
+    ((age_ms - SILENT_AFTER_MS) / SILENT_PER_WORK_MS).clamp(0.0, SILENT_MOST)
+}
+
+fn is_usable(
+    service: &ServiceState,
+    target: &TargetState,
+    now: Microseconds,
+    tried: &[TargetAddress],
+) -> bool {
+    !target.is_leaving()
+        && !target.is_ejected(now)
+        && target.in_flight() < service.connections_per_target()
+        && !tried.contains(&target.address())
+}
--- a/crates/pinhaven-decide/src/measuring.rs
+++ b/crates/pinhaven-decide/src/measuring.rs
@@ -111,3 +111,47 @@
         }
     }
 }
+
+/// Entries that may ask one target at the same time while they disagree on whose turn it is.
+const ASKERS_MOST: u64 = 5;
+
+/// When one entry may ask one target again, where any of several entries may.
+///
+/// All entries together are held to a number of probes a second. As no entry sees the others' probes,
+/// each keeps to a fixed part of that number, which holds for as many entries as could ever ask.
+#[derive(Debug, Clone)]
+pub struct ProbePace {
+    spacing: Microseconds,
+    last_at: Option<Microseconds>,
+}
+
+impl ProbePace {
+    /// The pace where all entries together may send `per_second_most`; 0 for none.
+    pub fn new(per_second_most: u32) -> Self {
+        let second_us: u64 = 1_000_000;
+        let spacing_us = (second_us * ASKERS_MOST)
+            .checked_div(u64::from(per_second_most))
+            .unwrap_or(u64::MAX / 2);
+        Self {
+            spacing: Microseconds::new(spacing_us),
+            last_at: None,
+        }
+    }
+
+    /// Takes a probe out of the budget; `false` when it is too early.
+    pub fn take(&mut self, now: Microseconds) -> bool {
+        let since = self.last_at.map(|last_at| now.saturating_sub(last_at));
+        if since.is_some_and(|since| since < self.spacing) {
+            return false;
+        }
+        let holds = require_promise(
+            Promise::MeasuringBudget,
+            since.is_none_or(|since| since >= self.spacing),
+            || format!("a probe would follow the last after {since:?}"),
+        );
+        if holds {
+            self.last_at = Some(now);
+        }
+        holds
+    }
+}
--- a/crates/pinhaven-decide/src/report.rs
+++ b/crates/pinhaven-decide/src/report.rs
@@ -9,6 +9,8 @@
     pub waiting: u32,
     /// Whether it says that it is leaving.
     pub is_draining: bool,
+    /// How many times longer than usual work takes there at this moment, if it says so.
+    pub slowdown: Option<f32>,
 }
 
 impl LoadReport {
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -21,8 +21,12 @@
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
 use crate::report::LoadReport;
+use crate::request_forecast::Progress;
+use crate::route::RouteState;
 use crate::service::ServiceState;
 use crate::target::TargetState;
+use crate::waiting::PRIORITY_MAX;
+use pinhaven_bundle::Policy;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
 use pinhaven_types::TargetAddress;
@@ -40,8 +44,6 @@
 const WAIT_SHARE_MAX: f32 = 0.5;
 /// Use of the entry from which the lowest priority is refused.
 const ENTRY_USE_LOWEST: f32 = 0.6;
-/// Highest priority of a service.
-const PRIORITY_MAX: u8 = 3;
 
 /// What is known of a request when it arrives.
 #[derive(Debug, Clone, Copy)]
@@ -56,6 +58,8 @@
     pub attempts_most: u32,
     /// Share of what the entry can hold that is in use, from 0 to 1.
     pub entry_use: f32,
+    /// Importance from 0 (refused first) to 3, where its route says; else the service's.
+    pub priority: Option<u8>,
 }
 
 impl RequestFacts {
@@ -67,21 +71,24 @@
             deadline,
             attempts_most: ATTEMPTS_DEFAULT,
             entry_use: 0.0,
+            priority: None,
         }
     }
 }
 
 /// An attempt as the request remembers it.
 #[derive(Debug)]
-struct Sent {
+pub(crate) struct Sent {
     id: AttemptId,
-    target: Arc<TargetState>,
+    pub(crate) target: Arc<TargetState>,
     at: Microseconds,
-    is_ended: bool,
+    pub(crate) is_ended: bool,
+    /// How far the target has come with it; kept by the forecasting policy.
+    pub(crate) progress: Option<Progress>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Phase {
+pub(crate) enum Phase {
     New,
     Waiting { until: Microseconds },
     UnderWay,
@@ -91,12 +98,14 @@
 /// A request's own state.
 #[derive(Debug)]
 pub struct RequestState {
-    facts: RequestFacts,
-    phase: Phase,
-    sent: Vec<Sent>,
-    tried: Vec<TargetAddress>,
+    pub(crate) facts: RequestFacts,
+    pub(crate) route: Option<Arc<RouteState>>,
+    pub(crate) arrived: Microseconds,
+    pub(crate) phase: Phase,
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) tried: Vec<TargetAddress>,
     may_have_run: bool,
-    hedge_at: Option<Microseconds>,
+    pub(crate) hedge_at: Option<Microseconds>,
     has_outlasted: bool,
 }
 
@@ -105,6 +114,8 @@
     pub fn new(facts: RequestFacts) -> Self {
         Self {
             facts,
+            route: None,
+            arrived: Microseconds::ZERO,
             phase: Phase::New,
             sent: Vec::new(),
             tried: Vec::new(),
@@ -114,6 +125,24 @@
         }
     }
 
+    /// The same on a route.
+    pub fn with_route(mut self, route: Arc<RouteState>) -> Self {
+        self.route = Some(route);
+        self
+    }
+
+    /// The time from its arrival within which its answer is worth all it can be.
+    pub(crate) fn aim(&self) -> Microseconds {
+        match &self.route {
+            Some(route) => route.aim(),
+            None => self.facts.deadline.saturating_sub(self.arrived),
+        }
+    }
+
+    pub(crate) fn priority(&self, service: &ServiceState) -> u8 {
+        self.facts.priority.unwrap_or(service.priority())
+    }
+
     /// Attempts that services further down may make for `attempt`, its own included. Only the first
     /// attempt hands its extra ones down, so that they don't multiply from level to level.
     pub fn attempts_to_hand_down(&self, attempt: AttemptId) -> u32 {
@@ -179,11 +208,11 @@
 }
 
 /// One event being taken in.
-struct Turn<'turn> {
-    request: &'turn mut RequestState,
-    service: &'turn Arc<ServiceState>,
-    now: Microseconds,
-    random: &'turn mut fastrand::Rng,
+pub(crate) struct Turn<'turn> {
+    pub(crate) request: &'turn mut RequestState,
+    pub(crate) service: &'turn Arc<ServiceState>,
+    pub(crate) now: Microseconds,
+    pub(crate) random: &'turn mut fastrand::Rng,
     actions: &'turn mut Vec<Action>,
 }
 
@@ -193,6 +222,9 @@
             (Phase::Over, _) => {}
             (_, Event::CallerLeft) => self.caller_left(),
             (Phase::New, Event::Arrived) => self.arrived(),
+            (Phase::Waiting { .. }, Event::TimeCame | Event::PlaceFreed) if self.forecasts() => {
+                self.look_again();
+            }
             (Phase::Waiting { until }, Event::TimeCame) if self.now >= until => {
                 self.end_wait();
                 self.refuse(RefusalReason::Overloaded);
@@ -204,7 +236,13 @@
         }
     }
 
+    /// Whether the service's policy is the forecasting one.
+    fn forecasts(&self) -> bool {
+        self.service.policy() == Policy::Forecast
+    }
+
     fn arrived(&mut self) {
+        self.request.arrived = self.now;
         self.service.retry_budget.pay_in();
         if self.request.facts.is_repeatable {
             self.service.hedge_budget.pay_in();
@@ -212,7 +250,8 @@
         if self.now >= self.request.facts.deadline {
             return self.refuse(RefusalReason::DeadlinePast);
         }
-        if self.request.facts.entry_use >= entry_use_most(self.service.priority()) {
+        let priority = self.request.priority(self.service);
+        if self.request.facts.entry_use >= entry_use_most(priority) {
             return self.refuse(RefusalReason::EntryFull);
         }
         self.admit();
@@ -220,6 +259,9 @@
 
     /// Sends the request, lets it wait, or refuses it.
     fn admit(&mut self) {
+        if self.forecasts() {
+            return self.admit_by_forecast();
+        }
         let has_place = (self.service.in_flight() as f32) < self.service.in_flight_limit();
         if !has_place {
             return self.wait_or_refuse();
@@ -236,7 +278,7 @@
             return self.refuse(RefusalReason::Overloaded);
         }
         self.service.record_admission(false);
-        self.send(choice);
+        self.send(choice.target);
     }
 
     fn wait_or_refuse(&mut self) {
@@ -250,7 +292,8 @@
         let until = self
             .now
             .plus(Microseconds::new((allowed_ms * 1_000.0) as u64));
-        self.service.begin_wait();
+        let priority = self.request.priority(self.service);
+        self.service.begin_wait(priority);
         self.request.phase = Phase::Waiting { until };
     }
 
@@ -263,8 +306,9 @@
         self.admit();
     }
 
-    fn end_wait(&mut self) {
-        self.service.end_wait();
+    pub(crate) fn end_wait(&mut self) {
+        let priority = self.request.priority(self.service);
+        self.service.end_wait(priority);
         self.request.phase = Phase::New;
     }
 
@@ -285,8 +329,7 @@
         choose(self.service, self.now, self.random, &wanted)
     }
 
-    fn send(&mut self, choice: Choice) {
-        let target = choice.target;
+    pub(crate) fn send(&mut self, target: Arc<TargetState>) {
         let holds = require_promise(Promise::LeavingTarget, !target.is_leaving(), || {
             format!("{} is leaving and was chosen", target.address())
         });
@@ -306,9 +349,10 @@
             target: Arc::clone(&target),
             at: self.now,
             is_ended: false,
+            progress: None,
         });
         self.request.phase = Phase::UnderWay;
-        if id.0 == 0 {
+        if id.0 == 0 && !self.forecasts() {
             self.plan_hedge();
         }
         self.actions.push(Action::Send(Attempt {
@@ -332,7 +376,11 @@
         }
         if self.request.hedge_at.is_some_and(|at| self.now >= at) {
             self.request.hedge_at = None;
-            self.hedge();
+            if self.forecasts() {
+                self.look_at_attempts();
+            } else {
+                self.hedge();
+            }
         }
     }
 
@@ -352,11 +400,11 @@
         if !self.service.hedge_budget.take() {
             return;
         }
-        self.service.hedges.fetch_add(1, Ordering::Relaxed);
-        self.send(choice);
+        self.service.count_hedge();
+        self.send(choice.target);
     }
 
-    fn has_attempts_left(&self) -> bool {
+    pub(crate) fn has_attempts_left(&self) -> bool {
         (self.request.sent.len() as u32) < self.request.facts.attempts_most
     }
 
@@ -395,6 +443,7 @@
             AttemptOutcome::Answered { report, .. } => {
                 self.service
                     .record_answer(&target, self.now, latency, report.as_ref());
+                self.learn_work(attempt);
                 self.deliver(attempt);
             }
         }
@@ -425,11 +474,16 @@
         if !self.may_retry() {
             return false;
         }
-        let Some(choice) = self.choose() else {
+        let target = if self.forecasts() {
+            self.earliest().map(|forecast| forecast.target)
+        } else {
+            self.choose().map(|choice| choice.target)
+        };
+        let Some(target) = target else {
             return false;
         };
         self.service.retries.fetch_add(1, Ordering::Relaxed);
-        self.send(choice);
+        self.send(target);
         true
     }
 
@@ -454,7 +508,7 @@
         self.actions.push(Action::Deliver(attempt));
     }
 
-    fn refuse(&mut self, reason: RefusalReason) {
+    pub(crate) fn refuse(&mut self, reason: RefusalReason) {
         let run_state = self.request.run_state();
         let is_load = matches!(reason, RefusalReason::Overloaded | RefusalReason::EntryFull);
         if is_load {
--- /dev/null
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -0,0 +1,291 @@
+//! The life of a request under the policy [`Forecast`](pinhaven_bundle::Policy::Forecast).
+//!
+//! - It is sent where the answer is expected first, if that is within its aim.
+//! - Else it waits here, for a short share of its aim, for a slot or for a target to turn fast again.
+//!   The more urgent go first.
+//! - At the end of that wait it takes a free slot if its deadline allows, or is refused.
+//! - While it is under way, its target's reports are looked at. When the aim would be missed there and
+//!   met elsewhere, and it may be repeated, a hedge is sent.
+
+use crate::event::AttemptId;
+use crate::forecast;
+use crate::forecast::Forecast;
+use crate::refusal::RefusalReason;
+use crate::request::Phase;
+use crate::request::Turn;
+use crate::speed::time_for;
+use pinhaven_types::Microseconds;
+
+/// Share of the aim that a request waits here at the most. A refusal within a quarter of the aim
+/// leaves its caller the time for another try; the rest of that quarter is for the way.
+const WAIT_SHARE: f32 = 0.18;
+/// How often a waiting request looks again, in milliseconds: the speed of targets changes without
+/// any request leaving its place.
+const LOOK_AGAIN_MS: u64 = 15;
+/// Share of the time to the aim that a forecast may fill for the request to be sent at once. The rest
+/// is for the way to and from the caller, and for what the forecast does not know.
+const AIM_FILL: f32 = 0.85;
+/// A forecast up to this many times the work is as good as can be expected, aim or not.
+const GOOD_FACTOR: f32 = 1.5;
+/// Share of the time left that a late answer's forecast may fill.
+const LATE_FILL: f32 = 0.8;
+/// First look at a request under way, as a share of its work.
+const FIRST_LOOK_SHARE: f32 = 0.3;
+/// Time between two looks, as a share of its work.
+const LOOK_SHARE: f32 = 0.2;
+/// The shortest and the longest time between two looks, in milliseconds. A report is some 50 ms old
+/// on average, so looking much more often shows nothing new.
+const LOOK_MS: (f32, f32) = (12.0, 50.0);
+/// Work past which a request counts as stuck, in times the work of its route.
+const STUCK_FACTOR: f32 = 2.0;
+/// What is left of a request that has had all of its expected work, as a share of that.
+const LEFT_LEAST_SHARE: f32 = 0.3;
+/// A hedge must save at least this share of the work.
+const HEDGE_GAIN_SHARE: f32 = 0.25;
+/// A hedge of a request that is late either way must be this many times faster.
+const LATE_HEDGE_FACTOR: f32 = 3.0;
+/// Speeds up to this count as usual, so that work can be learned from an answer.
+const USUAL_SLOWDOWN: f32 = 1.3;
+/// Weight of one answer in the measure of how full targets slow down.
+const CROWDING_WEIGHT: f32 = 0.02;
+/// The most that full targets are taken to slow down.
+const CROWDING_MOST: f32 = 3.0;
+
+/// How far a target has come with an attempt, as far as its reports tell.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Progress {
+    /// Work done, in milliseconds of a target of usual speed.
+    done_ms: f32,
+    /// When that was.
+    at: Microseconds,
+    /// The slowdown at that time.
+    slowdown: f32,
+    /// Whether the target was nearly full when the attempt was sent.
+    is_crowded: bool,
+    /// Whether the target was at its usual speed whenever it was looked at.
+    is_usual: bool,
+}
+
+impl Progress {
+    pub(crate) fn begin(forecast: &Forecast, now: Microseconds) -> Self {
+        Self {
+            done_ms: 0.0,
+            at: now,
+            slowdown: forecast.slowdown,
+            is_crowded: forecast.is_crowded(),
+            is_usual: forecast.slowdown <= USUAL_SLOWDOWN && !forecast.target.is_cold(now),
+        }
+    }
+
+    /// Moves on to `now`, at which the target is slow by `slowdown`.
+    fn advance(&mut self, now: Microseconds, slowdown: f32) {
+        let time_ms = now.saturating_sub(self.at).as_ms() as f32;
+        let speed = (1.0 / self.slowdown.max(1.0) + 1.0 / slowdown.max(1.0)) / 2.0;
+        self.done_ms += time_ms * speed;
+        self.at = now;
+        self.slowdown = slowdown;
+        self.is_usual &= slowdown <= USUAL_SLOWDOWN;
+    }
+
+    /// Work that is left, in milliseconds of a target of usual speed.
+    fn left_ms(&self, work_ms: f32) -> f32 {
+        if self.done_ms > work_ms * STUCK_FACTOR {
+            return self.done_ms;
+        }
+        (work_ms - self.done_ms).max(work_ms * LEFT_LEAST_SHARE)
+    }
+}
+
+impl Turn<'_> {
+    /// Sends the request, lets it wait or refuses it.
+    pub(crate) fn admit_by_forecast(&mut self) {
+        let wait_until = self.wait_until();
+        let is_wait_over = self.now >= wait_until;
+        match self.earliest() {
+            Some(earliest) if self.is_good(&earliest) && (is_wait_over || self.is_its_turn()) => {
+                self.send_by_forecast(earliest);
+            }
+            Some(earliest) if is_wait_over && self.is_in_time(&earliest) => {
+                self.send_by_forecast(earliest);
+            }
+            _ if is_wait_over => self.refuse(self.reason_for_no_target()),
+            _ => self.begin_wait(wait_until),
+        }
+    }
+
+    /// Looks again while the request waits.
+    pub(crate) fn look_again(&mut self) {
+        self.end_wait();
+        self.admit_by_forecast();
+    }
+
+    fn send_by_forecast(&mut self, forecast: Forecast) {
+        self.service.record_admission(false);
+        let progress = Progress::begin(&forecast, self.now);
+        self.send(forecast.target);
+        if let Some(sent) = self.request.sent.last_mut() {
+            sent.progress = Some(progress);
+        }
+        self.plan_look(FIRST_LOOK_SHARE);
+    }
+
+    pub(crate) fn earliest(&mut self) -> Option<Forecast> {
+        let work_ms = self.work_ms();
+        let tried = &self.request.tried;
+        forecast::earliest(self.service, self.now, self.random, work_ms, tried)
+    }
+
+    fn work_ms(&self) -> f32 {
+        match &self.request.route {
+            Some(route) => route.work_ms(),
+            None => self.service.typical_ms(),
+        }
+    }
+
+    fn wait_until(&self) -> Microseconds {
+        let facts = &self.request.facts;
+        let aim = self.request.aim();
+        let most_us = aim.count() as f32 * WAIT_SHARE;
+        let until = self.request.arrived.plus(Microseconds::new(most_us as u64));
+        until.min(facts.deadline)
+    }
+
+    fn is_its_turn(&self) -> bool {
+        let priority = self.request.priority(self.service);
+        let most_urgent = self.service.most_urgent_waiting();
+        most_urgent.is_none_or(|most_urgent| most_urgent <= priority)
+    }
+
+    fn is_good(&self, forecast: &Forecast) -> bool {
+        let aim_at = self.request.arrived.plus(self.request.aim());
+        let left_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
+        let is_fast =
+            forecast.has_free_slot() && forecast.answer_ms <= self.work_ms() * GOOD_FACTOR;
+        is_fast || forecast.answer_ms <= left_ms * AIM_FILL
+    }
+
+    /// Whether a late answer would still come before the deadline, without a wait at the target.
+    fn is_in_time(&self, forecast: &Forecast) -> bool {
+        let deadline = self.request.facts.deadline;
+        let left_ms = deadline.saturating_sub(self.now).as_ms() as f32;
+        forecast.has_free_slot() && forecast.answer_ms <= left_ms * LATE_FILL
+    }
+
+    fn reason_for_no_target(&self) -> RefusalReason {
+        if self.service.targets().iter().all(|t| t.is_leaving()) {
+            RefusalReason::NoTarget
+        } else {
+            RefusalReason::Overloaded
+        }
+    }
+
+    fn begin_wait(&mut self, until: Microseconds) {
+        let priority = self.request.priority(self.service);
+        self.service.begin_wait(priority);
+        let look_at = self.now.plus(Microseconds::from_ms(LOOK_AGAIN_MS));
+        self.request.phase = Phase::Waiting {
+            until: until.min(look_at),
+        };
+    }
+
+    /// Plans the next look at a request under way, if a look could lead to anything.
+    fn plan_look(&mut self, share: f32) {
+        let facts = &self.request.facts;
+        let may_hedge = facts.is_repeatable && facts.is_replayable && self.has_attempts_left();
+        self.request.hedge_at = may_hedge.then(|| {
+            let pause_ms = (self.work_ms() * share).clamp(LOOK_MS.0, LOOK_MS.1);
+            self.now
+                .plus(Microseconds::new((pause_ms * 1_000.0) as u64))
+        });
+    }
+
+    /// Looks at the request's attempts, and sends a hedge if the aim would be missed without.
+    pub(crate) fn look_at_attempts(&mut self) {
+        self.advance_progress();
+        if let Some(hedge) = self.hedge_worth_it()
+            && self.service.hedge_budget.take()
+        {
+            self.service.count_hedge();
+            self.send_by_forecast(hedge);
+            return;
+        }
+        self.plan_look(LOOK_SHARE);
+    }
+
+    fn advance_progress(&mut self) {
+        let (now, service) = (self.now, self.service);
+        for sent in &mut self.request.sent {
+            if sent.is_ended {
+                continue;
+            }
+            let slowdown = sent.target.expected_slowdown(now, &service.speed);
+            if let Some(progress) = &mut sent.progress {
+                progress.advance(now, slowdown);
+            }
+        }
+    }
+
+    fn hedge_worth_it(&mut self) -> Option<Forecast> {
+        let work_ms = self.work_ms();
+        let left_ms = self.least_left_ms(work_ms)?;
+        let aim_at = self.request.arrived.plus(self.request.aim());
+        let to_aim_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
+        if left_ms <= to_aim_ms {
+            return None;
+        }
+        let earliest = self.earliest()?;
+        if earliest.is_crowded() && !earliest.has_free_slot() {
+            return None;
+        }
+        let gain_ms = left_ms - earliest.answer_ms;
+        let meets_aim = earliest.answer_ms <= to_aim_ms;
+        let is_worth_it = meets_aim || earliest.answer_ms * LATE_HEDGE_FACTOR < left_ms;
+        (is_worth_it && gain_ms > work_ms * HEDGE_GAIN_SHARE).then_some(earliest)
+    }
+
+    /// Time until the first of the attempts under way is expected to be answered, in milliseconds.
+    fn least_left_ms(&self, work_ms: f32) -> Option<f32> {
+        let lasting_ms = self.service.speed.lasting_ms();
+        self.request
+            .sent
+            .iter()
+            .filter(|sent| !sent.is_ended)
+            .filter_map(|sent| sent.progress)
+            .map(|progress| time_for(progress.left_ms(work_ms), progress.slowdown, lasting_ms))
+            .min_by(f32::total_cmp)
+    }
+
+    /// Learns from an answer how long the route's requests work, and how full targets slow down.
+    pub(crate) fn learn_work(&mut self, attempt: AttemptId) {
+        self.advance_progress_of(attempt);
+        let Some(route) = &self.request.route else {
+            return;
+        };
+        let progress = self.request.sent.get(attempt.0 as usize);
+        let Some(progress) = progress.and_then(|sent| sent.progress) else {
+            return;
+        };
+        if !progress.is_usual {
+            return;
+        }
+        if progress.is_crowded {
+            let factor = (progress.done_ms / route.work_ms()).min(CROWDING_MOST);
+            let crowding = &self.service.crowding;
+            crowding.blend(factor, CROWDING_WEIGHT);
+            crowding.update(|crowding| crowding.clamp(1.0, CROWDING_MOST));
+        } else {
+            route.record_work(progress.done_ms);
+        }
+    }
+
+    fn advance_progress_of(&mut self, attempt: AttemptId) {
+        let (now, service) = (self.now, self.service);
+        let Some(sent) = self.request.sent.get_mut(attempt.0 as usize) else {
+            return;
+        };
+        let slowdown = sent.target.expected_slowdown(now, &service.speed);
+        if let Some(progress) = &mut sent.progress {
+            progress.advance(now, slowdown);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-decide/src/route.rs
@@ -0,0 +1,54 @@
+//! What an entry has learned of one route: how long its requests work.
+
+use crate::atomic::AtomicF32;
+use pinhaven_types::Microseconds;
+
+/// Share of a route's aim that its work is thought to take until it has been measured.
+const WORK_FIRST_SHARE: f32 = 0.33;
+/// Weight of one answer in the route's work.
+const WORK_WEIGHT: f32 = 0.03;
+/// An answer counts for at most this many times the work so far, so that a few stuck requests don't
+/// move it.
+const WORK_SAMPLE_MOST: f32 = 3.0;
+/// The shortest work, in milliseconds; a time of zero would make all targets alike.
+const WORK_LEAST_MS: f32 = 0.2;
+
+/// A route as one entry sees it.
+#[derive(Debug)]
+pub struct RouteState {
+    aim: Microseconds,
+    work_ms: AtomicF32,
+}
+
+impl RouteState {
+    /// A route whose answers are worth all they can be within `aim_ms`.
+    pub fn new(aim_ms: u64) -> Self {
+        Self {
+            aim: Microseconds::from_ms(aim_ms),
+            work_ms: AtomicF32::new((aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS)),
+        }
+    }
+
+    /// The same with what was learned of the route in an earlier version.
+    pub fn with_learned(self, previous: &Self) -> Self {
+        self.work_ms.set(previous.work_ms.get());
+        self
+    }
+
+    /// The time within which an answer is worth all it can be.
+    pub fn aim(&self) -> Microseconds {
+        self.aim
+    }
+
+    /// Time that a request works at a target of usual speed, in milliseconds.
+    pub fn work_ms(&self) -> f32 {
+        self.work_ms.get()
+    }
+
+    /// Takes in that a request needed `work_ms` of a target of usual speed.
+    pub(crate) fn record_work(&self, work_ms: f32) {
+        let most_ms = self.work_ms.get() * WORK_SAMPLE_MOST;
+        let sample_ms = work_ms.clamp(WORK_LEAST_MS, most_ms);
+        self.work_ms.blend(sample_ms, WORK_WEIGHT);
+    }
+}
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -6,10 +6,13 @@
 use crate::health;
 use crate::hedge::HedgeDelay;
 use crate::report::LoadReport;
+use crate::speed::ServiceSpeed;
 use crate::target::TargetState;
+use crate::waiting::Waiting;
 use pinhaven_bundle::Policy;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::TargetState as BundledTargetState;
+use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
@@ -24,6 +27,8 @@
 const BUDGET_CAPACITY: f32 = 20.0;
 /// Weight of one answer in the service's typical time.
 const TYPICAL_WEIGHT: f32 = 0.01;
+/// How many times longer work is thought to take at a nearly full target before it was measured.
+const CROWDING_FIRST: f32 = 1.2;
 /// Weight of one report in the mean load of the others.
 const OTHERS_WEIGHT: f32 = 0.02;
 /// Weight of one request in the share that is refused.
@@ -41,10 +46,13 @@
     slots: f32,
     connections_per_target: u32,
     priority: u8,
+    domain: Option<FailureDomain>,
     targets: Vec<Arc<TargetState>>,
     listed: Vec<BundledTargetState>,
     in_flight: AtomicU32,
-    waiting: AtomicU32,
+    pub(crate) waiting: Waiting,
+    pub(crate) speed: ServiceSpeed,
+    pub(crate) crowding: AtomicF32,
     typical_ms: AtomicF32,
     mean_others: AtomicF32,
     refused_share: AtomicF32,
@@ -86,10 +94,13 @@
             slots: service.slots as f32,
             connections_per_target,
             priority: service.priority,
+            domain: None,
             targets,
             listed: service.targets.iter().map(|target| target.state).collect(),
             in_flight: AtomicU32::new(0),
-            waiting: AtomicU32::new(0),
+            waiting: Waiting::new(),
+            speed: ServiceSpeed::new(),
+            crowding: AtomicF32::new(CROWDING_FIRST),
             typical_ms: AtomicF32::new(typical_ms),
             mean_others: AtomicF32::new(0.0),
             refused_share: AtomicF32::new(0.0),
@@ -124,6 +135,10 @@
         self.mean_others.set(previous.mean_others.get());
         self.limit.take_over(&previous.limit);
         self.hedge_delay.take_over(&previous.hedge_delay);
+        self.speed.take_over(&previous.speed);
+        self.crowding.set(previous.crowding.get());
+        self.hedge_budget.take_over(&previous.hedge_budget);
+        self.retry_budget.take_over(&previous.retry_budget);
     }
 
     /// Name of the service.
@@ -150,7 +165,12 @@
 
     /// Requests of the service that wait at this entry.
     pub fn waiting(&self) -> u32 {
-        self.waiting.load(Ordering::Relaxed)
+        self.waiting.count()
+    }
+
+    /// The most urgent priority of which a request waits at this entry.
+    pub fn most_urgent_waiting(&self) -> Option<u8> {
+        self.waiting.most_urgent()
     }
 
     /// Requests that this entry keeps in flight at the most.
@@ -176,6 +196,42 @@
     pub fn record_report(&self, target: &TargetState, now: Microseconds, report: &LoadReport) {
         let others = target.record_report(now, report);
         self.mean_others.blend(others, OTHERS_WEIGHT);
+        if let Some(slowdown) = report.slowdown {
+            target.record_own_speed(now, slowdown, &self.speed);
+        }
+    }
+
+    /// Takes in what another entry heard of a target's speed at `at`. Returns whether it is news.
+    pub fn record_speed(&self, target: &TargetState, at: Microseconds, slowdown: f32) -> bool {
+        target.record_speed(at, slowdown, &self.speed)
+    }
+
+    /// How long a target's speed lasts on average, in milliseconds.
+    pub fn speed_lasts_ms(&self) -> f32 {
+        self.speed.lasting_ms()
+    }
+
+    /// Sets how many added attempts this entry may make at once. What all entries may together is
+    /// divided among them by whoever knows them.
+    pub fn set_added_at_once(&self, hedges: f32, retries: f32) {
+        self.hedge_budget.set_capacity(hedges);
+        self.retry_budget.set_capacity(retries);
+    }
+
+    /// The same as an entry in `domain` sees it.
+    pub fn with_domain(mut self, domain: &FailureDomain) -> Self {
+        self.domain = Some(domain.clone());
+        self
+    }
+
+    /// Whether a target stands in this entry's failure domain, or that is not known.
+    pub(crate) fn is_near(&self, target: &TargetState) -> bool {
+        let domain = self.domain.as_ref();
+        domain.is_none_or(|domain| domain == target.failure_domain())
+    }
+
+    pub(crate) fn count_hedge(&self) {
+        self.hedges.fetch_add(1, Ordering::Relaxed);
     }
 
     pub(crate) fn policy(&self) -> Policy {
@@ -212,12 +268,12 @@
         target.end(started);
     }
 
-    pub(crate) fn begin_wait(&self) {
-        self.waiting.fetch_add(1, Ordering::Relaxed);
+    pub(crate) fn begin_wait(&self, priority: u8) {
+        self.waiting.begin(priority);
     }
 
-    pub(crate) fn end_wait(&self) {
-        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    pub(crate) fn end_wait(&self, priority: u8) {
+        self.waiting.end(priority);
     }
 
     pub(crate) fn record_admission(&self, is_refused: bool) {
@@ -287,12 +343,12 @@
     let cold_since = previous.map(|_| now);
     let target_of = |target: &pinhaven_bundle::Target| {
         let state = match known.get(&target.address) {
-            Some((known, listed)) if !comes_back(*listed, target.state) => Arc::clone(known),
-            _ => Arc::new(TargetState::new(
-                target.address,
-                target.failure_domain.clone(),
-                cold_since,
-            )),
+            Some((known, listed))
+                if known.id() == target.id.as_ref() && !comes_back(*listed, target.state) =>
+            {
+                Arc::clone(known)
+            }
+            _ => Arc::new(TargetState::new(target, service.slots, now, cold_since)),
         };
         if target.state == BundledTargetState::Leaving {
             state.leave();
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -6,9 +6,13 @@
 
 use crate::atomic::AtomicF32;
 use crate::report::LoadReport;
+use crate::speed::ReportedSpeed;
+use crate::speed::ServiceSpeed;
+use pinhaven_bundle::Target;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
+use pinhaven_types::TargetId;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -32,6 +36,12 @@
 pub struct TargetState {
     address: TargetAddress,
     failure_domain: FailureDomain,
+    id: Option<TargetId>,
+    slots: f32,
+    speed: ReportedSpeed,
+    own_report_at_us: AtomicU64,
+    peers_in_flight: AtomicU32,
+    cold_until: Microseconds,
     in_flight: AtomicU32,
     start_sum_us: AtomicU64,
     others: AtomicF32,
@@ -65,18 +75,30 @@
     pub is_ejected: bool,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// How many times longer than usual work takes there, as it last said.
+    pub slowdown: f32,
+    /// Age of that report, in milliseconds; `None` when it never said.
+    pub report_age_ms: Option<f64>,
 }
 
 impl TargetState {
-    /// A target nothing is known of. A cold one gets its share little by little from `now` on.
+    /// A target nothing is known of, first seen at `now`. A cold one gets its share little by little
+    /// from `cold_since` on.
     pub fn new(
-        address: TargetAddress,
-        failure_domain: FailureDomain,
+        target: &Target,
+        slots: u32,
+        now: Microseconds,
         cold_since: Option<Microseconds>,
     ) -> Self {
         Self {
-            address,
-            failure_domain,
+            address: target.address,
+            failure_domain: target.failure_domain.clone(),
+            id: target.id.clone(),
+            slots: target.slots.unwrap_or(slots) as f32,
+            speed: ReportedSpeed::unknown(),
+            own_report_at_us: AtomicU64::new(0),
+            peers_in_flight: AtomicU32::new(0),
+            cold_until: now.plus(Microseconds::from_ms(target.warm_up_ms)),
             in_flight: AtomicU32::new(0),
             start_sum_us: AtomicU64::new(0),
             others: AtomicF32::new(0.0),
@@ -104,11 +126,82 @@
         &self.failure_domain
     }
 
+    /// Its id, if it is known.
+    pub fn id(&self) -> Option<&TargetId> {
+        self.id.as_ref()
+    }
+
+    /// Requests that it works on at a time.
+    pub fn slots(&self) -> f32 {
+        self.slots
+    }
+
     /// Requests of this entry that it holds.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
     }
 
+    /// Requests of the other entries that it holds, as they last said.
+    pub fn peers_in_flight(&self) -> u32 {
+        self.peers_in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Takes in that another entry, which had said `before`, now has `after` requests there.
+    pub fn record_peer_in_flight(&self, before: u32, after: u32) {
+        if after >= before {
+            self.peers_in_flight
+                .fetch_add(after - before, Ordering::Relaxed);
+        } else {
+            self.peers_in_flight
+                .fetch_sub(before - after, Ordering::Relaxed);
+        }
+    }
+
+    /// What it last said of its speed, and when; `None` when it never did.
+    pub fn reported_speed(&self) -> Option<(f32, Microseconds)> {
+        self.speed.last()
+    }
+
+    /// What it last told this entry itself of its speed, and when. What other entries were told is
+    /// not passed on, so that no report goes round in circles.
+    pub fn own_reported_speed(&self) -> Option<(f32, Microseconds)> {
+        let own_at_us = self.own_report_at_us.load(Ordering::Relaxed);
+        let last = self.speed.last();
+        last.filter(|(_, at)| at.count() == own_at_us)
+    }
+
+    /// Takes in what it told this entry of its speed at `now`.
+    pub(crate) fn record_own_speed(
+        &self,
+        now: Microseconds,
+        slowdown: f32,
+        service: &ServiceSpeed,
+    ) {
+        if self.record_speed(now, slowdown, service) {
+            self.own_report_at_us.store(now.count(), Ordering::Relaxed);
+        }
+    }
+
+    /// Takes in what it said of its speed at `at`. Returns whether that is news.
+    pub(crate) fn record_speed(
+        &self,
+        at: Microseconds,
+        slowdown: f32,
+        service: &ServiceSpeed,
+    ) -> bool {
+        self.speed.record(at, slowdown, service)
+    }
+
+    /// The slowdown to be expected at `now`.
+    pub(crate) fn expected_slowdown(&self, now: Microseconds, service: &ServiceSpeed) -> f32 {
+        self.speed.expected(now, service)
+    }
+
+    /// Whether it is still slow from its start.
+    pub(crate) fn is_cold(&self, now: Microseconds) -> bool {
+        now < self.cold_until
+    }
+
     /// Whether it is leaving.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
@@ -135,6 +228,11 @@
             latency_ms: self.latency_ms.get(),
             is_ejected: self.is_ejected(now),
             is_leaving: self.is_leaving(),
+            slowdown: self.speed.last().map_or(1.0, |(slowdown, _)| slowdown),
+            report_age_ms: self
+                .speed
+                .last()
+                .map(|(_, at)| now.saturating_sub(at).as_ms()),
         }
     }
 
--- a/crates/pinhaven-decide/tests/choice.rs
+++ b/crates/pinhaven-decide/tests/choice.rs
@@ -69,6 +69,7 @@
     let target = Arc::clone(&service.targets()[0]);
     let draining = LoadReport {
         is_draining: true,
+        slowdown: None,
         ..LoadReport::default()
     };
     service.record_report(&target, at_ms(0), &draining);
--- a/crates/pinhaven-decide/tests/common/mod.rs
+++ b/crates/pinhaven-decide/tests/common/mod.rs
@@ -54,6 +54,7 @@
             running,
             waiting,
             is_draining: false,
+            slowdown: None,
         }),
     }
 }
--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/address.rs
@@ -5,6 +5,8 @@
 //! long the answer may be kept.
 
 use crate::counters::Count;
+use crate::dialect::NamedEntry;
+use crate::dialect::query_value;
 use crate::entry::Entry;
 use crate::problem::Problem;
 use http::HeaderValue;
@@ -23,6 +25,12 @@
 use serde::Serialize;
 use std::sync::Arc;
 
+/// Entries of a failure domain that callers are steered to. Fewer entries know the targets better, as
+/// each sees more of the answers; with two, callers of a domain lose nothing when one fails.
+pub(crate) const SERVING_PER_DOMAIN: usize = 2;
+/// Entries that an answer names at least, if there are so many.
+const NAMED_LEAST: usize = 2;
+
 /// Where the question is asked.
 pub(crate) const PATH: &str = "/.well-known/pinhaven/entries";
 
@@ -34,13 +42,6 @@
     entries: Vec<NamedEntry>,
 }
 
-#[derive(Serialize)]
-struct NamedEntry {
-    address: String,
-    failure_domain: String,
-    home: String,
-}
-
 /// Answers the question.
 pub(crate) fn answer<B>(entry: &Arc<Entry>, request: &Request<B>) -> Response<AnyBody> {
     entry.counters.add(Count::Addresses);
@@ -59,8 +60,8 @@
         ));
     }
     let query = request.uri().query().unwrap_or_default();
-    let service: Option<ServiceName> = parameter(query, "service");
-    let domain: Option<FailureDomain> = parameter(query, "domain");
+    let service: Option<ServiceName> = query_value(query, "service");
+    let domain: Option<FailureDomain> = query_value(query, "domain");
     let snapshot = entry.snapshot.load();
     let config = service
         .as_ref()
@@ -92,6 +93,18 @@
     })
 }
 
+/// The entries that callers in `domain` are steered to, nearest first, and how long they may keep the
+/// answer, in milliseconds.
+pub(crate) fn entries_near(
+    entry: &Entry,
+    domain: Option<&FailureDomain>,
+) -> (Vec<NamedEntry>, u64) {
+    let members = entry.members.lock();
+    let rows = members.entries_near(domain, SERVING_PER_DOMAIN, NAMED_LEAST, entry.now());
+    let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
+    (rows.into_iter().map(named_entry).collect(), keep_ms)
+}
+
 fn named_entry(row: &MemberRow) -> NamedEntry {
     debug_assert_eq!(row.state, MemberState::Ready);
     let home = Home {
@@ -99,8 +112,8 @@
         epoch: Epoch(row.epoch),
     };
     NamedEntry {
-        address: row.caller_address.to_string(),
-        failure_domain: row.failure_domain.to_string(),
+        address: row.caller_address,
+        failure_domain: row.failure_domain.clone(),
         home: home.to_string(),
     }
 }
@@ -129,11 +142,3 @@
     }
     response
 }
-
-fn parameter<T: std::str::FromStr>(query: &str, name: &str) -> Option<T> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
-}
--- a/crates/pinhaven-entry/src/attempt.rs
+++ b/crates/pinhaven-entry/src/attempt.rs
@@ -2,23 +2,23 @@
 
 use crate::body::is_bounded;
 use crate::counters::Count;
+use crate::dialect::AnswerFacts;
+use crate::dialect::AttemptFacts;
 use crate::entry::Entry;
 use crate::header;
-use crate::load_report;
+use crate::job::Job;
 use crate::pool;
 use crate::pool::Sender;
 use crate::pool::Sent;
-use crate::proxy::Job;
 use crate::snapshot::ServiceEntry;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::Uri;
 use hyper::body::Incoming;
-use pinhaven_decide::AttemptId;
-use pinhaven_decide::LoadReport;
+use pinhaven_decide::Attempt;
+use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
-use pinhaven_types::TargetAddress;
 use std::sync::Arc;
 
 /// Connections that closed while idle and that one attempt may meet.
@@ -28,23 +28,25 @@
 pub(crate) struct Answer {
     pub(crate) response: Response<Incoming>,
     pub(crate) sender: Sender,
-    pub(crate) report: Option<LoadReport>,
+    pub(crate) facts: AnswerFacts,
 }
 
 /// How an attempt ended, with its answer if there is one.
 pub(crate) enum AttemptEnd {
     NotSent,
+    /// Another target has the address now and did not run the request.
+    OtherTarget,
     Broken,
-    Answer(Answer),
+    Answer(Box<Answer>),
 }
 
 /// A request ready to be sent, and the id that its answer must carry.
 pub(crate) struct Prepared {
     request: Request<AnyBody>,
-    id: HeaderValue,
+    id: Option<HeaderValue>,
 }
 
-pub(crate) fn request_for(job: &Job, attempt: AttemptId, attempts_left: u32) -> Option<Prepared> {
+pub(crate) fn request_for(job: &Job, attempt: &Attempt, attempts_left: u32) -> Option<Prepared> {
     let body = job.body.to_send()?;
     let mut request = Request::new(body);
     *request.method_mut() = job.method.clone();
@@ -58,14 +60,16 @@
         headers.insert(http::header::HOST, host);
     }
     let left = job.deadline.saturating_sub(job.entry.now());
-    headers.insert(header::DEADLINE_MS, (left.as_ms() as u64).into());
-    headers.insert(header::ATTEMPTS_LEFT, attempts_left.into());
-    headers.remove(header::HOME);
     let number = job.entry.request_number();
     let incarnation = job.entry.incarnation.to_string();
-    let text = format!("{}-{number}-{}", &incarnation[..12], attempt.0);
-    let id = HeaderValue::from_str(&text).ok()?;
-    headers.insert(header::REQUEST_ID, id.clone());
+    let attempt_id = format!("{}-{number}-{}", &incarnation[..12], attempt.id.0);
+    let facts = AttemptFacts {
+        left_ms: left.as_ms() as u64,
+        attempts_left,
+        target: attempt.target.id(),
+        attempt_id: &attempt_id,
+    };
+    let id = job.entry.dialect.write_attempt(headers, &facts);
     Some(Prepared { request, id })
 }
 
@@ -73,13 +77,14 @@
 pub(crate) async fn run_attempt(
     entry: Arc<Entry>,
     service: Arc<ServiceEntry>,
-    target: TargetAddress,
+    target: Arc<TargetState>,
     prepared: Prepared,
 ) -> AttemptEnd {
-    let pool = service.pools.get(&target).cloned().unwrap_or_default();
+    let address = target.address();
+    let pool = service.pools.get(&address).cloned().unwrap_or_default();
     let Prepared { mut request, id } = prepared;
     for _ in 0..STALE_CONNECTIONS_MAX {
-        let Ok(connected) = pool.connect(target).await else {
+        let Ok(connected) = pool.connect(address).await else {
             return AttemptEnd::NotSent;
         };
         if connected.is_new {
@@ -87,11 +92,11 @@
         }
         match pool::send(connected.sender, request).await {
             Sent::Answer(response, sender) => {
-                return check_answer(&entry, &service, target, response, sender, &id);
+                return check_answer(&entry, &service, &target, response, sender, id.as_ref());
             }
             Sent::Unsent(unsent) => request = *unsent,
             Sent::Broken(error) => {
-                log::debug!(target: "proxy", "Sending to {target} broke: {error}.");
+                log::debug!(target: "proxy", "Sending to {address} broke: {error}.");
                 return AttemptEnd::Broken;
             }
         }
@@ -103,33 +108,43 @@
 fn check_answer(
     entry: &Entry,
     service: &ServiceEntry,
-    target: TargetAddress,
+    target: &TargetState,
     response: Response<Incoming>,
     sender: Sender,
-    id: &HeaderValue,
+    id: Option<&HeaderValue>,
 ) -> AttemptEnd {
-    let report = load_report::from_headers(response.headers());
-    let echoed = response.headers().get(header::REQUEST_ID);
-    let is_own = match echoed {
-        Some(echoed) => echoed == id,
-        None => !service.config.require_echo,
-    };
-    if !is_own {
+    let (status, headers) = (response.status(), response.headers());
+    let facts = entry.dialect.read_answer(status, headers, &service.config);
+    if facts.is_other_target {
+        // The report is the other target's.
+        return AttemptEnd::OtherTarget;
+    }
+    if !entry.dialect.is_answer_to(headers, id, &service.config) {
         entry.counters.add(Count::AttemptCrossed);
         // Whosever answer it is, the report on it is the target's.
-        if let (Some(report), Some(state)) = (&report, service.state.target(target)) {
-            service.state.record_report(state, entry.now(), report);
+        if let Some(report) = &facts.report {
+            service.state.record_report(target, entry.now(), report);
         }
         log::warn!(target: "proxy", "An answer belonged to another request; it was dropped.");
         return AttemptEnd::Broken;
     }
-    if !is_bounded(response.headers(), response.body()) {
+    if facts.promises_too_much {
+        entry.counters.add(Count::AttemptBroken);
+        log::warn!(target: "proxy", "A target answered {status} without proof that it ran nothing.");
+        return AttemptEnd::Broken;
+    }
+    if status.is_success() && !facts.is_genuine {
+        entry.counters.add(Count::AttemptForged);
+        log::warn!(target: "proxy", "A success lacked the mark of a target's answer; it was dropped.");
+        return AttemptEnd::Broken;
+    }
+    if !service.config.unbounded_answers && !is_bounded(headers, response.body()) {
         entry.counters.add(Count::AttemptUnbounded);
         return AttemptEnd::Broken;
     }
-    AttemptEnd::Answer(Answer {
+    AttemptEnd::Answer(Box::new(Answer {
         response,
         sender,
-        report,
-    })
+        facts,
+    }))
 }
--- a/crates/pinhaven-entry/src/body.rs
+++ b/crates/pinhaven-entry/src/body.rs
@@ -3,12 +3,12 @@
 use crate::counters::Count;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
+use crate::job::CallerHold;
+use crate::places::Places;
 use crate::pool::ReturnSender;
 use crate::problem::Problem;
-use crate::proxy::CallerHold;
 use bytes::Bytes;
 use bytes::BytesMut;
-use event_listener::Event;
 use http::HeaderMap;
 use http::StatusCode;
 use http_body::Body;
@@ -192,7 +192,7 @@
 pub(crate) struct Held {
     pub(crate) entry: Arc<Entry>,
     pub(crate) attempt: Option<Attempt>,
-    pub(crate) place_freed: Arc<Event>,
+    pub(crate) place_freed: Arc<Places>,
     pub(crate) sender: ReturnSender,
     /// Kept only to be dropped with the rest.
     pub(crate) _hold: CallerHold,
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -7,8 +7,10 @@
 use crate::counters::Count;
 use crate::entry::Entry;
 use crate::snapshot::Snapshot;
+use crate::snapshot::Surroundings;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Offer;
+use pinhaven_agree::Verified;
 use pinhaven_bundle::BundleDelta;
 use pinhaven_bundle::BundleHead;
 use pinhaven_bundle::CanonicalBundle;
@@ -138,7 +140,15 @@
 
     /// Does the work of taking a version on a thread of its own, as it takes long for a large bundle
     /// and would hold requests up. One at a time, so that the same work is not done twice.
-    async fn adopt(self: &Arc<Self>, work: impl FnOnce(&Self) -> bool + Send + 'static) -> bool {
+    pub(crate) async fn adopt(
+        self: &Arc<Self>,
+        work: impl FnOnce(&Self) -> bool + Send + 'static,
+    ) -> bool {
+        if self.discovery.is_some() {
+            // A configuration without targets is small, and a thread for it would cost memory.
+            let _turn = self.adopting.lock();
+            return work(self);
+        }
         let entry = Arc::clone(self);
         blocking::unblock(move || {
             let _turn = entry.adopting.lock();
@@ -217,7 +227,31 @@
             }
             None => None,
         };
-        body.is_some_and(|body| self.take_offer(Offer::new(head, body)))
+        body.is_some_and(|body| self.take_from_peer(head, body))
+    }
+
+    fn take_from_peer(&self, head: BundleHead, body: CanonicalBundle) -> bool {
+        if self.discovery.is_none() {
+            return self.take_offer(Offer::new(head, body));
+        }
+        // The store acknowledged it to the peer; a body that came whole is the one it acknowledged.
+        if body.digest() != head.digest {
+            self.counters.add(Count::BundleRefused);
+            log::error!(target: "bundle", "Version {} came altered from a peer.", head.version);
+            return false;
+        }
+        self.take_acknowledged(body)
+    }
+
+    /// Puts a version in force that the store has acknowledged to an operator.
+    pub(crate) fn take_acknowledged(&self, body: CanonicalBundle) -> bool {
+        match Offer::acknowledged(body) {
+            Ok(offer) => self.put_in_force(offer),
+            Err(error) => {
+                log::error!(target: "bundle", "An acknowledged version can't be named: {error}.");
+                false
+            }
+        }
     }
 
     fn apply_deltas(&self, head: &BundleHead, deltas: Vec<BundleDelta>) -> Option<CanonicalBundle> {
@@ -246,14 +280,24 @@
                 return false;
             }
         };
+        self.put_in_force(verified)
+    }
+
+    /// Puts a verified version in force. Returns whether it, or a newer one, is now.
+    fn put_in_force(&self, verified: Offer<Verified>) -> bool {
+        let number = verified.head().version;
+        if number <= self.version.lock().version() {
+            return true;
+        }
         let body = Arc::clone(verified.body());
         let signer = verified.head().signer.clone();
         let previous = self.snapshot.load_full();
-        let next = Snapshot::new(Arc::clone(&body), &previous, self.now());
+        let next = self.snapshot_of(Arc::clone(&body), &previous);
         if self.version.lock().put_in_force(verified).is_err() {
             return true;
         }
         self.snapshot.store(Arc::new(next));
+        self.share_added_attempts();
         if previous.version > BundleVersion::NONE {
             let delta = BundleDelta::between(previous.bundle(), body.bundle());
             self.recent_deltas.lock().push(delta);
@@ -261,14 +305,42 @@
         self.seats.lock().set_seats(body.bundle().measuring.seats);
         self.counters.add(Count::BundleInForce);
         log::info!(target: "bundle", "Version {number}, signed off by {signer}, is in force.");
+        self.become_ready();
+        let epoch = self.ledger.lock().epoch().0;
+        self.members.lock().beat(number, epoch);
+        self.news.notify(usize::MAX);
+        true
+    }
+
+    /// The snapshot of a version with the targets that are known now.
+    fn snapshot_of(&self, body: Arc<CanonicalBundle>, previous: &Snapshot) -> Snapshot {
+        let listed = Arc::clone(self.targets.lock().list());
+        let around = Surroundings {
+            listed: &listed,
+            domain: &self.settings.failure_domain,
+        };
+        Snapshot::new(body, around, previous, self.now())
+    }
+
+    /// Brings the snapshot up to date with the list of targets.
+    pub(crate) fn take_changed_targets(&self) {
+        let previous = self.snapshot.load_full();
+        if let Some(body) = previous.body() {
+            let next = self.snapshot_of(Arc::clone(body), &previous);
+            self.snapshot.store(Arc::new(next));
+            self.share_added_attempts();
+        }
+        self.become_ready();
+    }
+
+    /// Makes this entry ready once it knows all that it needs.
+    fn become_ready(&self) {
+        let knows_version = self.version.lock().version() > BundleVersion::NONE;
+        let knows_targets = self.discovery.is_none() || self.targets.lock().is_known();
         let mut members = self.members.lock();
-        if members.own().state == MemberState::Starting {
+        if members.own().state == MemberState::Starting && knows_version && knows_targets {
             members.advance(MemberState::Ready);
         }
-        members.beat(number, self.ledger.lock().epoch().0);
-        drop(members);
-        self.news.notify(usize::MAX);
-        true
     }
 
     /// The answer to a peer that holds a version.
--- a/crates/pinhaven-entry/src/counters.rs
+++ b/crates/pinhaven-entry/src/counters.rs
@@ -25,6 +25,10 @@
     AttemptBroken,
     /// Answers that belonged to another request.
     AttemptCrossed,
+    /// Successes without the mark of a target's own answer.
+    AttemptForged,
+    /// Attempts at an address that another target has now.
+    AttemptMisdirected,
     /// Answers whose end can't be told from a cut.
     AttemptUnbounded,
     /// Answers that were cut while they were passed on.
@@ -85,7 +89,7 @@
     PeerBytes,
 }
 
-const COUNT_NAMES: [&str; 37] = [
+const COUNT_NAMES: [&str; 39] = [
     "requests",
     "answered",
     "addresses",
@@ -94,6 +98,8 @@
     "attempt.shed",
     "attempt.broken",
     "attempt.crossed",
+    "attempt.forged",
+    "attempt.misdirected",
     "attempt.unbounded",
     "answer.cut",
     "connections",
--- /dev/null
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -0,0 +1,321 @@
+//! Following the configuration, the targets and the peers where one store holds all three.
+//!
+//! Every entry waits for changes of the configuration by itself. The list of targets is read by few,
+//! as [`TargetBook`](pinhaven_agree::TargetBook) decides; the others take it from a peer that has a
+//! newer one. An entry that the store turns away lives on what its peers know.
+
+use crate::address::SERVING_PER_DOMAIN;
+use crate::counters::Count;
+use crate::entry::Entry;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::PeerList;
+use pinhaven_agree::TargetList;
+use pinhaven_bundle::CanonicalBundle;
+use pinhaven_platform::ConfigurationNews;
+use pinhaven_platform::Discovery;
+use pinhaven_platform::PlatformError;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::HttpClient;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Where a peer asks for the list of targets.
+pub(crate) const TARGETS_PATH: &str = "/targets";
+/// How often it is asked whether the list has to be read, in milliseconds.
+const LIST_TICK_MS: u64 = 50;
+/// Pause after a failed call to the store, in milliseconds, doubled with each failure in a row.
+const RETRY_FIRST_MS: u64 = 150;
+/// The longest such pause, in milliseconds; the store's return must be noticed within a second.
+const RETRY_MOST_MS: u64 = 800;
+/// Share of the extra added attempts that goes to the entries that serve.
+const SERVING_EXTRA_SHARE: f64 = 0.8;
+/// Share of an entry's extra added attempts that hedges may use at once.
+const HEDGES_AT_ONCE: f64 = 0.45;
+/// The same for retries. What is left covers entries that have just begun and those that are gone.
+const RETRIES_AT_ONCE: f64 = 0.35;
+/// How long a peer may take to give its list, in milliseconds.
+const PEER_TIMEOUT_MS: u64 = 500;
+/// How long the store may take to bring a configuration that a peer has already, in milliseconds.
+const STORE_HEAD_START_MS: u64 = 200;
+/// When the rows of peers are read after the own was written, in milliseconds. All start at about the
+/// same time, so an earlier look would find few.
+const FIRST_MEMBER_LOOK_MS: u64 = 1_000;
+/// Time between later looks while no peer is heard, in milliseconds.
+const MEMBER_LOOK_AGAIN_MS: u64 = 3_000;
+
+/// A pause that grows with each failure in a row.
+struct Backoff(u64);
+
+impl Backoff {
+    const fn new() -> Self {
+        Self(RETRY_FIRST_MS)
+    }
+
+    async fn pause(&mut self) {
+        let pause_ms = self.0 / 2 + fastrand::u64(0..=self.0);
+        sleep_ms(pause_ms).await;
+        self.0 = (self.0 * 2).min(RETRY_MOST_MS);
+    }
+}
+
+impl Entry {
+    fn store(&self) -> Option<Arc<dyn Discovery>> {
+        self.discovery.clone()
+    }
+
+    /// Takes each new configuration, for ever.
+    pub(crate) async fn follow_configuration(self: Arc<Self>) {
+        let Some(store) = self.store() else {
+            return;
+        };
+        let mut position = None;
+        let mut backoff = Backoff::new();
+        loop {
+            let news = store.next_configuration(position).await;
+            match self.count_platform(news) {
+                Ok(news) => {
+                    backoff = Backoff::new();
+                    position = Some(news.position);
+                    self.take_configuration(news).await;
+                }
+                Err(error) => {
+                    log::warn!(target: "bundle", "The configuration can't be read: {error}.");
+                    // What was missed meanwhile may be gone from the history.
+                    position = None;
+                    backoff.pause().await;
+                }
+            }
+        }
+    }
+
+    async fn take_configuration(self: &Arc<Self>, news: ConfigurationNews) {
+        let Some(bundle) = news.bundle else {
+            return;
+        };
+        if bundle.version <= self.version.lock().version() {
+            return;
+        }
+        self.adopt(move |entry| entry.take_acknowledged(CanonicalBundle::new(bundle)))
+            .await;
+    }
+
+    /// Reads the list of targets whenever it is this entry's turn, for ever.
+    pub(crate) async fn keep_target_list(self: Arc<Self>) {
+        let mut backoff = Backoff::new();
+        loop {
+            let rank = self.reader_rank();
+            if self.targets.lock().is_due(rank, self.now()) {
+                if self.read_targets().await {
+                    backoff = Backoff::new();
+                } else {
+                    backoff.pause().await;
+                }
+            }
+            sleep_ms(LIST_TICK_MS).await;
+        }
+    }
+
+    /// This entry's place among the readers: first those that serve, in the order that all agree on.
+    fn reader_rank(&self) -> u32 {
+        let members = self.members.lock();
+        let own = members.own().incarnation;
+        let serving = members.serving(SERVING_PER_DOMAIN, self.now());
+        let position = serving.iter().position(|row| row.incarnation == own);
+        position.unwrap_or(serving.len()) as u32
+    }
+
+    /// Returns whether the store gave a list.
+    async fn read_targets(&self) -> bool {
+        let Some(store) = self.store() else {
+            return false;
+        };
+        let began = self.now();
+        let read = store.targets().await;
+        match self.count_platform(read) {
+            Ok(list) => {
+                let has_changed = self.targets.lock().take_read(list, began);
+                self.use_list(has_changed);
+                true
+            }
+            Err(error) => {
+                self.targets.lock().take_failure(self.now());
+                log::warn!(target: "targets", "The list of targets can't be read: {error}.");
+                false
+            }
+        }
+    }
+
+    fn use_list(&self, has_changed: bool) {
+        if has_changed {
+            let (count, revision) = {
+                let book = self.targets.lock();
+                (book.list().targets.len(), book.list().revision)
+            };
+            log::info!(target: "targets", "{count} targets are listed at revision {revision}.");
+            self.take_changed_targets();
+            self.news.notify(usize::MAX);
+        }
+    }
+
+    /// Sets how many added attempts this entry may make at once: its part of what all may together.
+    pub(crate) fn share_added_attempts(&self) {
+        let Some(discovery) = &self.settings.discovery else {
+            return;
+        };
+        let part = self.part_of_added_attempts(discovery.added_attempts_extra);
+        for service in self.snapshot.load().services.values() {
+            let (hedges, retries) = (part * HEDGES_AT_ONCE, part * RETRIES_AT_ONCE);
+            service
+                .state
+                .set_added_at_once(hedges as f32, retries as f32);
+        }
+    }
+
+    /// Those that serve share most of it; the rest is for callers that still use others.
+    fn part_of_added_attempts(&self, extra: f64) -> f64 {
+        let members = self.members.lock();
+        let now = self.now();
+        let own = members.own().incarnation;
+        let serving = members.serving(SERVING_PER_DOMAIN, now);
+        let others = (members.live_peers(now).len() + 1).saturating_sub(serving.len());
+        if serving.iter().any(|row| row.incarnation == own) {
+            extra * SERVING_EXTRA_SHARE / serving.len() as f64
+        } else {
+            extra * (1.0 - SERVING_EXTRA_SHARE) / others.max(1) as f64
+        }
+    }
+
+    /// Takes in which list a peer has, and fetches it if it is newer.
+    pub(crate) fn hear_list(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        revision: u64,
+        digest: u64,
+        age: Microseconds,
+    ) {
+        let confirmed_at = self.now().saturating_sub(age);
+        let heard = self.targets.lock().hear(revision, digest, confirmed_at);
+        if heard != PeerList::Fetch || self.is_fetching_list.swap(true, Ordering::Acquire) {
+            return;
+        }
+        let entry = Arc::clone(self);
+        spawn(async move {
+            entry.fetch_list(peer, confirmed_at).await;
+            entry.is_fetching_list.store(false, Ordering::Release);
+        })
+        .detach();
+    }
+
+    async fn fetch_list(&self, peer: SocketAddr, confirmed_at: Microseconds) {
+        let client = HttpClient::new(peer, PEER_TIMEOUT_MS);
+        let Ok(request) = Request::get(TARGETS_PATH).body(bytes::Bytes::new()) else {
+            return;
+        };
+        let answer = match client.call(request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::warn!(target: "targets", "{error}.");
+                return;
+            }
+        };
+        match serde_json::from_slice::<TargetList>(answer.body()) {
+            Ok(list) => {
+                let has_changed = self.targets.lock().take_peer_list(list, confirmed_at);
+                self.use_list(has_changed);
+            }
+            Err(error) => log::warn!(target: "targets", "The list of {peer} is none: {error}."),
+        }
+    }
+
+    /// Fetches a configuration that a peer has and this entry lacks, unless the store brings it in
+    /// the meantime.
+    pub(crate) fn hear_version(self: &Arc<Self>, peer: SocketAddr, version: BundleVersion) {
+        if version <= self.version.lock().version() {
+            return;
+        }
+        let entry = Arc::clone(self);
+        spawn(async move {
+            sleep_ms(STORE_HEAD_START_MS).await;
+            if version > entry.version.lock().version() {
+                entry.fetch_from(peer).await;
+            }
+        })
+        .detach();
+    }
+
+    /// Writes the own row and finds the others', for ever.
+    pub(crate) async fn keep_membership(self: Arc<Self>) {
+        let Some(store) = self.store() else {
+            return;
+        };
+        let mut backoff = Backoff::new();
+        while let Err(error) = self.announce(&store).await {
+            log::warn!(target: "members", "The own row is not written: {error}.");
+            backoff.pause().await;
+        }
+        sleep_ms(FIRST_MEMBER_LOOK_MS).await;
+        self.look_for_members(&store).await;
+        loop {
+            sleep_ms(MEMBER_LOOK_AGAIN_MS).await;
+            let is_alone = self.members.lock().live_peers(self.now()).is_empty();
+            if is_alone || !self.has_looked_for_members() {
+                self.look_for_members(&store).await;
+            }
+        }
+    }
+
+    async fn announce(&self, store: &Arc<dyn Discovery>) -> Result<(), PlatformError> {
+        let row = self.members.lock().own().clone();
+        let written = store.announce(&row).await;
+        self.count_platform(written)
+    }
+
+    async fn look_for_members(&self, store: &Arc<dyn Discovery>) {
+        let read = store.members().await;
+        match self.count_platform(read) {
+            Ok(rows) => {
+                let now = self.now();
+                let mut members = self.members.lock();
+                for row in rows {
+                    members.hear_of(row, now);
+                }
+                self.looked_for_members.store(true, Ordering::Relaxed);
+            }
+            Err(error) => log::warn!(target: "members", "Peers can't be looked up: {error}."),
+        }
+    }
+
+    fn has_looked_for_members(&self) -> bool {
+        self.looked_for_members.load(Ordering::Relaxed)
+    }
+}
+
+/// Answers a peer that asks for the list of targets.
+pub(crate) fn answer_targets(entry: &Entry) -> Response<AnyBody> {
+    entry.counters.add(Count::Exchanges);
+    let book = entry.targets.lock();
+    let mut response = match serde_json::to_vec(&**book.list()) {
+        Ok(body) if book.is_known() => Response::new(whole_body(body)),
+        _ => {
+            let mut response = Response::new(whole_body(""));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
+    };
+    if entry.state() >= MemberState::Stopping {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -10,13 +10,11 @@
 use crate::body::Held;
 use crate::counters::Count;
 use crate::header;
+use crate::job::CallerHold;
+use crate::job::Job;
 use crate::pool::ReturnSender;
 use crate::problem::Problem;
-use crate::proxy::CallerHold;
-use crate::proxy::Job;
 use event_listener::EventListener;
-use http::HeaderMap;
-use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
@@ -27,7 +25,6 @@
 use pinhaven_decide::Event;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
-use pinhaven_decide::RunState;
 use pinhaven_decide::Step;
 use pinhaven_runtime::AnyBody;
 use pinhaven_types::Promise;
@@ -48,10 +45,15 @@
             .attempts_most
             .unwrap_or(RequestFacts::new(true, job.deadline).attempts_most),
         entry_use: job.entry.use_share(),
+        priority: job.routed.config().map(|route| route.priority),
     };
+    let mut request = RequestState::new(facts);
+    if let Some(route) = &job.routed.route {
+        request = request.with_route(Arc::clone(&route.state));
+    }
     let mut run = Run {
         job,
-        request: RequestState::new(facts),
+        request,
         random: fastrand::Rng::new(),
         under_way: Vec::new(),
         answers: Vec::new(),
@@ -94,7 +96,7 @@
             // Listening begins before the actions, so that no freed place is missed.
             let place = step
                 .wants_place
-                .then(|| self.job.service.place_freed.listen());
+                .then(|| self.job.service.place_freed.listen(self.priority()));
             for action in std::mem::take(&mut step.actions) {
                 match action {
                     Action::Send(attempt) => self.send(attempt),
@@ -112,6 +114,11 @@
         }
     }
 
+    fn priority(&self) -> u8 {
+        let route = self.job.routed.config();
+        route.map_or(self.job.service.config.priority, |route| route.priority)
+    }
+
     fn handle(&mut self, event: Event) -> Step {
         let now = self.job.entry.now();
         let service = &self.job.service.state;
@@ -121,12 +128,12 @@
     fn send(&mut self, attempt: Attempt) {
         self.job.entry.counters.add(Count::Attempts);
         let attempts = self.request.attempts_to_hand_down(attempt.id);
-        let outcome = match request_for(self.job, attempt.id, attempts) {
+        let outcome = match request_for(self.job, &attempt, attempts) {
             Some(prepared) => {
                 let future = run_attempt(
                     Arc::clone(&self.job.entry),
                     Arc::clone(&self.job.service),
-                    attempt.target.address(),
+                    Arc::clone(&attempt.target),
                     prepared,
                 );
                 Box::pin(future) as Pin<Box<dyn Future<Output = AttemptEnd> + Send>>
@@ -189,9 +196,15 @@
                 self.free_place(attempt, Count::AttemptBroken);
                 AttemptOutcome::Broken
             }
+            AttemptEnd::OtherTarget => {
+                // Nothing of ours runs at that address any more.
+                attempt.target.leave();
+                self.free_place(attempt, Count::AttemptMisdirected);
+                AttemptOutcome::Shed { report: None }
+            }
             AttemptEnd::Answer(answer) => {
                 let outcome = self.outcome_of(&answer);
-                self.answers.push((attempt, answer));
+                self.answers.push((attempt, *answer));
                 outcome
             }
         };
@@ -208,13 +221,12 @@
     }
 
     fn outcome_of(&mut self, answer: &Answer) -> AttemptOutcome {
-        let headers = answer.response.headers();
-        if let Ok(Some(left)) = header::number(headers, &header::ATTEMPTS_LEFT) {
-            self.request.limit_added_attempts(left as u32);
+        let facts = &answer.facts;
+        if let Some(left) = facts.attempts_left {
+            self.request.limit_added_attempts(left);
         }
-        let status = answer.response.status().as_u16();
-        let report = answer.report;
-        if self.job.service.config.not_run_statuses.contains(&status) {
+        let report = facts.report;
+        if facts.is_not_run {
             self.job.entry.counters.add(Count::AttemptShed);
             return AttemptOutcome::Shed { report };
         }
@@ -245,19 +257,9 @@
         };
         let (mut head, body) = answer.response.into_parts();
         header::remove_connection_fields(&mut head.headers);
-        head.headers.remove(header::LOAD_REPORT);
-        restore_request_id(&self.job.headers, &mut head.headers);
-        let run = HeaderValue::from_static(RunState::Run.name());
-        head.headers.insert(header::RUN, run);
+        let dialect = &self.job.entry.dialect;
+        dialect.pass_answer(&self.job.headers, &mut head.headers);
         head.version = http::Version::default();
         Response::from_parts(head, AnswerBody::new(body, held).boxed_unsync())
     }
 }
-
-/// Gives the caller the request id back that it had sent, and none of ours.
-fn restore_request_id(request: &HeaderMap, response: &mut HeaderMap) {
-    match request.get(header::REQUEST_ID) {
-        Some(id) => response.insert(header::REQUEST_ID, id.clone()),
-        None => response.remove(header::REQUEST_ID),
-    };
-}
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -4,7 +4,9 @@
 use crate::clock::Clock;
 use crate::counters::Count;
 use crate::counters::Counters;
+use crate::dialect::Dialect;
 use crate::leaving::LeavingNews;
+use crate::news::PeerCounts;
 use crate::snapshot::Snapshot;
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -15,8 +17,10 @@
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Membership;
 use pinhaven_agree::SeatKeeper;
+use pinhaven_agree::TargetBook;
 use pinhaven_agree::VersionInForce;
 use pinhaven_peer::PeerClients;
+use pinhaven_platform::Discovery;
 use pinhaven_platform::HttpObjectStore;
 use pinhaven_platform::HttpTableService;
 use pinhaven_platform::PlatformError;
@@ -39,9 +43,31 @@
 /// A member is silent after this many exchanges' time.
 const SILENT_AFTER_EXCHANGES: u64 = 8;
 
+/// What an entry meets outside: how callers and targets speak, and where it finds its configuration,
+/// its targets and its peers if that is a store.
+pub struct EntryWorld {
+    /// How callers and targets speak.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store that holds everything, unless the table service and signed bundles are used.
+    pub discovery: Option<Arc<dyn Discovery>>,
+}
+
+impl Default for EntryWorld {
+    fn default() -> Self {
+        Self {
+            dialect: Arc::new(crate::dialect::OwnDialect),
+            discovery: None,
+        }
+    }
+}
+
 /// An entry instance.
 pub(crate) struct Entry {
     pub(crate) settings: Settings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) discovery: Option<Arc<dyn Discovery>>,
+    pub(crate) targets: Mutex<TargetBook>,
+    pub(crate) peer_counts: Mutex<PeerCounts>,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
@@ -49,6 +75,8 @@
     pub(crate) recent_deltas: Mutex<RecentDeltas>,
     pub(crate) adopting: Mutex<()>,
     pub(crate) is_fetching: AtomicBool,
+    pub(crate) is_fetching_list: AtomicBool,
+    pub(crate) looked_for_members: AtomicBool,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) members: Mutex<Membership>,
     pub(crate) seats: Mutex<SeatKeeper>,
@@ -69,6 +97,7 @@
     /// An entry that listens at these addresses and knows nothing yet.
     pub(crate) fn new(
         settings: Settings,
+        world: EntryWorld,
         caller_address: SocketAddr,
         peer_address: SocketAddr,
     ) -> Arc<Self> {
@@ -92,6 +121,10 @@
         let silent_after = Microseconds::from_ms(settings.gossip_ms * SILENT_AFTER_EXCHANGES);
         let timeout_ms = settings.platform_timeout_ms;
         Arc::new(Self {
+            dialect: world.dialect,
+            discovery: world.discovery,
+            targets: Mutex::new(TargetBook::new()),
+            peer_counts: Mutex::new(PeerCounts::default()),
             incarnation,
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
@@ -99,6 +132,8 @@
             recent_deltas: Mutex::new(RecentDeltas::default()),
             adopting: Mutex::new(()),
             is_fetching: AtomicBool::new(false),
+            is_fetching_list: AtomicBool::new(false),
+            looked_for_members: AtomicBool::new(false),
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
@@ -121,6 +156,12 @@
         self.clock.now()
     }
 
+    /// Whether once-only requests are remembered by their key. Where each request of a caller has an
+    /// id of its own and no key comes, there is nothing to remember.
+    pub(crate) fn keeps_once_keys(&self) -> bool {
+        self.discovery.is_none()
+    }
+
     pub(crate) fn state(&self) -> MemberState {
         self.members.lock().own().state
     }
--- a/crates/pinhaven-entry/src/error.rs
+++ b/crates/pinhaven-entry/src/error.rs
@@ -10,6 +10,12 @@
     ListenForCallers,
     /// listening for peers
     ListenForPeers,
+    /// listening for news of peers
+    ListenForNews,
+    /// listening for questions after readiness
+    ListenForReadiness,
+    /// listening for questions after addresses
+    ListenForAddresses,
     /// preparing metrics
     PrepareMetrics,
     /// listening for signals
@@ -38,6 +44,9 @@
         match step {
             EntryStep::ListenForCallers => "set caller_address to a free address of this instance",
             EntryStep::ListenForPeers => "set peer_address to a free address of this instance",
+            EntryStep::ListenForNews => "set peer_address to an address that is free for datagrams",
+            EntryStep::ListenForReadiness => "set discovery.ready_address to a free address",
+            EntryStep::ListenForAddresses => "set discovery.directory_address to a free address",
             EntryStep::PrepareMetrics => {
                 "set metrics_address to an IP address and port, or leave it out"
             }
--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -149,7 +149,7 @@
     }
 
     /// Takes in what a peer says of itself; returns its version in force.
-    fn hear_sender(&self, sender: Option<Identity>, beats: &[Beat]) -> BundleVersion {
+    pub(crate) fn hear_sender(&self, sender: Option<Identity>, beats: &[Beat]) -> BundleVersion {
         let row = sender.and_then(|sender| row_of(sender, beats));
         let Some(row) = row else {
             return BundleVersion::NONE;
@@ -160,14 +160,14 @@
         version
     }
 
-    fn hear_identity(&self, identity: Identity, beats: &[Beat]) {
+    pub(crate) fn hear_identity(&self, identity: Identity, beats: &[Beat]) {
         if let Some(row) = row_of(identity, beats) {
             self.unknown_members.lock().remove(&row.incarnation);
             self.members.lock().hear_of(row, self.now());
         }
     }
 
-    fn hear_beats(&self, beats: &[Beat]) {
+    pub(crate) fn hear_beats(&self, beats: &[Beat]) {
         let now = self.now();
         let mut members = self.members.lock();
         for beat in beats {
--- a/crates/pinhaven-entry/src/header.rs
+++ b/crates/pinhaven-entry/src/header.rs
@@ -24,8 +24,9 @@
 pub(crate) const LOAD_REPORT: HeaderName = HeaderName::from_static("endpoint-load-metrics");
 
 /// Fields that belong to one connection and are not passed on.
-const CONNECTION_FIELDS: [HeaderName; 8] = [
+const CONNECTION_FIELDS: [HeaderName; 9] = [
     header::CONNECTION,
+    header::EXPECT,
     HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHENTICATE,
     header::PROXY_AUTHORIZATION,
--- /dev/null
+++ b/crates/pinhaven-entry/src/job.rs
@@ -0,0 +1,37 @@
+//! A request on its way through an entry, once its route is known.
+
+use crate::body::RequestBody;
+use crate::entry::BodyMemory;
+use crate::entry::Entry;
+use crate::entry::InFlight;
+use crate::routes::Routed;
+use crate::snapshot::ServiceEntry;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+use pinhaven_types::Microseconds;
+use std::sync::Arc;
+
+/// A request whose service and deadline are known.
+pub(crate) struct Job {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) service: Arc<ServiceEntry>,
+    /// What its route says of it; nothing for a request that a peer relayed.
+    pub(crate) routed: Routed,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) deadline: Microseconds,
+    pub(crate) is_repeatable: bool,
+    pub(crate) attempts_most: Option<u32>,
+    pub(crate) body: RequestBody,
+}
+
+/// What is held until the caller has its whole answer.
+#[derive(Default)]
+pub(crate) struct CallerHold {
+    /// The request's place among those under way.
+    pub(crate) _in_flight: Option<InFlight>,
+    /// The memory of its body.
+    pub(crate) _memory: Option<BodyMemory>,
+}
--- a/crates/pinhaven-entry/src/load_report.rs
+++ b/crates/pinhaven-entry/src/load_report.rs
@@ -36,5 +36,6 @@
         running: metrics.requests_running as u32,
         waiting: metrics.requests_waiting as u32,
         is_draining: metrics.draining > 0.0,
+        slowdown: None,
     })
 }
--- /dev/null
+++ b/crates/pinhaven-entry/src/news.rs
@@ -0,0 +1,345 @@
+//! News between entries, as datagrams.
+//!
+//! The entries that serve tell each other every few milliseconds what they have under way and how
+//! fast the targets say they are. To the others they only tell now and then that they live. An entry
+//! that does not serve tells one that does, which passes it on.
+
+pub(crate) use crate::news_message::PeerCounts;
+
+use crate::address::SERVING_PER_DOMAIN;
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::error::EntryError;
+use crate::error::EntryStep;
+use crate::gossip_message::beat_of;
+use crate::gossip_message::identity_of;
+use crate::gossip_message::to_bytes;
+use crate::gossip_message::to_incarnation;
+use crate::news_message::Told;
+use async_io::Async;
+use pinhaven_agree::MemberRow;
+use pinhaven_peer::Beat;
+use pinhaven_peer::ListNews;
+use pinhaven_peer::News;
+use pinhaven_peer::TargetNews;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::within;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use prost::Message as _;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between two rounds. A target's speed lasts some hundred milliseconds.
+const ROUND: Duration = Duration::from_millis(50);
+/// Rounds between two whole datagrams, which make good for lost ones.
+const ROUNDS_PER_WHOLE: u64 = 10;
+/// Beats of other entries in a whole datagram.
+const BEATS_PASSED_ON: usize = 6;
+/// Entries described or asked about in one datagram, so that it fits into one packet.
+const IDENTITIES_MAX: usize = 6;
+/// The largest datagram that is taken, in bytes.
+const DATAGRAM_BYTES_MAX: usize = 8 * 1024;
+/// Targets in one datagram, so that it fits into one packet.
+const TARGETS_MAX: usize = 90;
+/// Pause after a failed receive, in milliseconds.
+const RECEIVE_RETRY_MS: u64 = 20;
+
+/// The socket for news.
+pub(crate) type NewsSocket = Async<UdpSocket>;
+
+/// Opens the socket for news, at the address for peers.
+///
+/// # Errors
+///
+/// [`EntryError`] when the address can't be had.
+pub(crate) fn listen(entry: &Entry) -> Result<Arc<NewsSocket>, EntryError> {
+    let address = entry.members.lock().own().peer_address;
+    let socket = Async::<UdpSocket>::bind(address);
+    socket.map(Arc::new).map_err(|error| EntryError::System {
+        step: EntryStep::ListenForNews,
+        peer: address.to_string(),
+        message: error.to_string(),
+    })
+}
+
+/// What has been told so far.
+#[derive(Default)]
+struct Teller {
+    rounds: u64,
+    told: Told,
+    list_told_at: Option<Microseconds>,
+}
+
+impl Entry {
+    /// Tells news, for ever.
+    pub(crate) async fn tell_news(self: Arc<Self>, socket: Arc<NewsSocket>) {
+        let mut teller = Teller::default();
+        loop {
+            let news = self.news.listen();
+            let is_urgent = within(ROUND, news).await.is_some();
+            self.tell_round(&mut teller, &socket, is_urgent).await;
+            teller.rounds += 1;
+        }
+    }
+
+    async fn tell_round(&self, teller: &mut Teller, socket: &NewsSocket, is_urgent: bool) {
+        let now = self.now();
+        let is_whole = is_urgent || teller.rounds.is_multiple_of(ROUNDS_PER_WHOLE);
+        let mut audience = self.audience(now);
+        if is_whole {
+            self.members.lock().forget_silent(now);
+            self.peer_counts.lock().forget_silent(now);
+            self.share_added_attempts();
+        }
+        let snapshot = self.snapshot.load();
+        let targets = teller.told.gather(&snapshot, now, is_whole);
+        if !is_whole && (!audience.is_told_often || !self.has_news(teller, &targets)) {
+            return;
+        }
+        self.count_beat();
+        let list = self.list_news(now);
+        teller.list_told_at = self
+            .targets
+            .lock()
+            .age(now)
+            .map(|age| now.saturating_sub(age));
+        if audience.is_told_often || !targets.is_empty() {
+            self.tell_close(&audience.close, targets, list, is_whole, socket)
+                .await;
+        }
+        if !is_whole {
+            return;
+        }
+        if !audience.is_told_often && !is_urgent {
+            fastrand::shuffle(&mut audience.distant);
+            audience.distant.truncate(1);
+        }
+        let beat = self.message(Vec::new(), list, true);
+        send_all(self, socket, &audience.distant, &beat).await;
+    }
+
+    async fn tell_close(
+        &self,
+        peers: &[SocketAddr],
+        targets: Vec<TargetNews>,
+        list: Option<ListNews>,
+        is_whole: bool,
+        socket: &NewsSocket,
+    ) {
+        let fits = targets.len() <= TARGETS_MAX;
+        for part in targets.chunks(TARGETS_MAX) {
+            let mut message = self.message(part.to_vec(), list, is_whole);
+            message.is_whole &= fits;
+            send_all(self, socket, peers, &message).await;
+        }
+        if targets.is_empty() {
+            let message = self.message(targets, list, is_whole);
+            send_all(self, socket, peers, &message).await;
+        }
+    }
+
+    fn has_news(&self, teller: &Teller, targets: &[TargetNews]) -> bool {
+        let now = self.now();
+        let age = self.targets.lock().age(now);
+        let confirmed_at = age.map(|age| now.saturating_sub(age));
+        !targets.is_empty() || confirmed_at > teller.list_told_at
+    }
+
+    fn count_beat(&self) {
+        let version = self.snapshot.load().version;
+        self.members.lock().beat(version, 0);
+    }
+
+    fn list_news(&self, now: Microseconds) -> Option<ListNews> {
+        let book = self.targets.lock();
+        let age = book.age(now)?;
+        Some(ListNews {
+            revision: book.list().revision,
+            digest: book.digest(),
+            age_ms: age.as_ms() as u32,
+        })
+    }
+
+    fn message(&self, targets: Vec<TargetNews>, list: Option<ListNews>, is_whole: bool) -> News {
+        let members = self.members.lock();
+        let own = members.own();
+        let mut beats = vec![beat_of(own)];
+        if is_whole {
+            beats.extend(some_live_beats(&members.live_peers(self.now())));
+        }
+        let unknown = self.unknown_members.lock();
+        let wanted = unknown.iter().take(IDENTITIES_MAX).map(to_bytes);
+        News {
+            sender: is_whole.then(|| identity_of(own)),
+            beats,
+            identities: Vec::new(),
+            wanted: wanted.filter(|_| is_whole).collect(),
+            list,
+            targets,
+            is_whole,
+        }
+    }
+
+    /// Whom this entry talks to.
+    fn audience(&self, now: Microseconds) -> Audience {
+        let active: BTreeSet<Incarnation> = self.peer_counts.lock().active_peers().collect();
+        let members = self.members.lock();
+        let own = members.own();
+        let serving: BTreeSet<Incarnation> = members
+            .serving(SERVING_PER_DOMAIN, now)
+            .into_iter()
+            .map(|row| row.incarnation)
+            .collect();
+        let mut audience = Audience {
+            is_told_often: serving.contains(&own.incarnation) || self.in_flight() > 0,
+            ..Audience::default()
+        };
+        for row in members.peers_to_ask() {
+            let is_close = serving.contains(&row.incarnation) || active.contains(&row.incarnation);
+            let peers = if is_close {
+                &mut audience.close
+            } else {
+                &mut audience.distant
+            };
+            peers.push(row.peer_address);
+        }
+        if !audience.is_told_often && !audience.close.is_empty() {
+            // One that serves passes it on.
+            audience.distant = audience.close.clone();
+        }
+        if members.live_peers(now).is_empty() {
+            let own_address = own.peer_address;
+            let seeds = self.settings.peer_seeds.iter().copied();
+            audience
+                .distant
+                .extend(seeds.filter(|seed| *seed != own_address));
+        }
+        audience
+    }
+
+    /// Takes news in, for ever.
+    pub(crate) async fn hear_news(self: Arc<Self>, socket: Arc<NewsSocket>) {
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            let (length, peer) = match socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!(target: "news", "Receiving failed: {error}.");
+                    sleep_ms(RECEIVE_RETRY_MS).await;
+                    continue;
+                }
+            };
+            self.counters.add_many(Count::PeerBytes, length as u64);
+            match News::decode(&buffer[..length]) {
+                Ok(news) => self.hear(news, peer, &socket).await,
+                Err(error) => log::warn!(target: "news", "A datagram of {peer} is none: {error}."),
+            }
+        }
+    }
+
+    async fn hear(self: &Arc<Self>, news: News, peer: SocketAddr, socket: &NewsSocket) {
+        let Some(beat) = news.beats.first().cloned() else {
+            return;
+        };
+        let Some(incarnation) = to_incarnation(&beat.incarnation) else {
+            return;
+        };
+        if incarnation == self.incarnation {
+            return;
+        }
+        let is_new = self.members.lock().member(incarnation).is_none();
+        self.hear_sender(news.sender, &news.beats);
+        for identity in news.identities {
+            self.hear_identity(identity, &news.beats);
+        }
+        self.hear_beats(&news.beats);
+        self.hear_targets(incarnation, &beat, &news.targets, news.is_whole);
+        self.hear_version(peer, BundleVersion::new(beat.version));
+        if let Some(list) = news.list {
+            let age = Microseconds::from_ms(u64::from(list.age_ms));
+            self.hear_list(peer, list.revision, list.digest, age);
+        }
+        if is_new || !news.wanted.is_empty() {
+            let answer = self.introduction(&news.wanted);
+            send_all(self, socket, &[peer], &answer).await;
+        }
+    }
+
+    fn hear_targets(&self, peer: Incarnation, beat: &Beat, news: &[TargetNews], is_whole: bool) {
+        let snapshot = self.snapshot.load();
+        let mut counts = self.peer_counts.lock();
+        let is_speed_news =
+            counts.hear(peer, beat.heartbeat, news, is_whole, &snapshot, self.now());
+        drop(counts);
+        if is_speed_news {
+            self.wake_waiting();
+        }
+    }
+
+    /// Lets one request of each service that has some waiting look again.
+    fn wake_waiting(&self) {
+        for service in self.snapshot.load().services.values() {
+            if service.state.waiting() > 0 {
+                service.place_freed.notify(1);
+            }
+        }
+    }
+
+    /// Describes this entry, those that were asked about, and some more.
+    fn introduction(&self, wanted: &[Vec<u8>]) -> News {
+        let wanted: Vec<Incarnation> = wanted
+            .iter()
+            .take(IDENTITIES_MAX)
+            .filter_map(|bytes| to_incarnation(bytes))
+            .collect();
+        let members = self.members.lock();
+        let mut rows = members.live_peers(self.now());
+        fastrand::shuffle(&mut rows);
+        rows.sort_by_key(|row| !wanted.contains(&row.incarnation));
+        rows.truncate(IDENTITIES_MAX);
+        let beats = std::iter::once(members.own()).chain(rows.iter().copied());
+        News {
+            sender: Some(identity_of(members.own())),
+            beats: beats.map(beat_of).collect(),
+            identities: rows.into_iter().map(identity_of).collect(),
+            ..News::default()
+        }
+    }
+}
+
+/// Whom an entry talks to.
+#[derive(Default)]
+struct Audience {
+    /// Whether this entry has something to tell in each round.
+    is_told_often: bool,
+    /// Entries that serve or have requests under way.
+    close: Vec<SocketAddr>,
+    /// All others, or for an entry that does not serve: those that do.
+    distant: Vec<SocketAddr>,
+}
+
+fn some_live_beats(live: &[&MemberRow]) -> Vec<Beat> {
+    let mut live = live.to_vec();
+    fastrand::shuffle(&mut live);
+    live.into_iter()
+        .take(BEATS_PASSED_ON)
+        .map(beat_of)
+        .collect()
+}
+
+async fn send_all(entry: &Entry, socket: &NewsSocket, peers: &[SocketAddr], message: &News) {
+    let bytes = message.encode_to_vec();
+    for peer in peers {
+        entry
+            .counters
+            .add_many(Count::PeerBytes, bytes.len() as u64);
+        if let Err(error) = socket.send_to(&bytes, *peer).await {
+            log::debug!(target: "news", "Telling {peer} failed: {error}.");
+        }
+    }
+}
--- a/crates/pinhaven-entry/src/problem.rs
+++ b/crates/pinhaven-entry/src/problem.rs
@@ -91,6 +91,13 @@
 impl From<Refusal> for Problem {
     fn from(refusal: Refusal) -> Self {
         let (status, detail) = describe(refusal.reason);
+        // Only what has certainly not run may be promised not to have; a gateway's failure does not.
+        let is_not_run = refusal.run_state == RunState::NotRun;
+        let status = if is_not_run && status.is_server_error() {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            status
+        };
         Self {
             status,
             reason: refusal.reason.name(),
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/proxy.rs
@@ -2,25 +2,28 @@
 
 use crate::address;
 use crate::body::BodyLimits;
-use crate::body::RequestBody;
 use crate::body::take_body;
 use crate::counters::Count;
+use crate::dialect::CallerFacts;
 use crate::dispatch::dispatch;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::entry::InFlight;
 use crate::header;
+use crate::job::CallerHold;
+use crate::job::Job;
 use crate::once;
 use crate::problem::Problem;
+use crate::routes::Routed;
 use crate::snapshot::ServiceEntry;
 use http::HeaderMap;
-use http::Method;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
-use http::Uri;
 use http::request::Parts;
 use hyper::body::Incoming;
+use pinhaven_agree::MemberState;
+use pinhaven_bundle::PathRoute;
 use pinhaven_runtime::AnyBody;
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
@@ -28,28 +31,6 @@
 /// The longest deadline that a caller may name, in milliseconds.
 const DEADLINE_MS_MAX: u64 = 600_000;
 
-/// A request whose service and deadline are known.
-pub(crate) struct Job {
-    pub(crate) entry: Arc<Entry>,
-    pub(crate) service: Arc<ServiceEntry>,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) deadline: Microseconds,
-    pub(crate) is_repeatable: bool,
-    pub(crate) attempts_most: Option<u32>,
-    pub(crate) body: RequestBody,
-}
-
-/// What is held until the caller has its whole answer.
-#[derive(Default)]
-pub(crate) struct CallerHold {
-    /// The request's place among those under way.
-    pub(crate) _in_flight: Option<InFlight>,
-    /// The memory of its body.
-    pub(crate) _memory: Option<BodyMemory>,
-}
-
 /// Answers one request of a caller.
 pub(crate) async fn answer_caller(
     entry: Arc<Entry>,
@@ -62,7 +43,7 @@
     entry.counters.add(Count::Requests);
     let is_keyed = request.headers().contains_key(header::IDEMPOTENCY_KEY);
     let keyed_headers = is_keyed.then(|| request.headers().clone());
-    match take_request(&entry, request).await {
+    let mut response = match take_request(&entry, request).await {
         Err(problem) => match keyed_headers {
             Some(headers) => once::without_proof(&headers, problem).into_response(),
             None => problem.into_response(),
@@ -72,13 +53,23 @@
                 _in_flight: Some(in_flight),
                 _memory: memory,
             };
-            if job.headers.contains_key(header::IDEMPOTENCY_KEY) && !job.is_repeatable {
+            if entry.keeps_once_keys() && is_keyed && !job.is_repeatable {
                 once::answer(job, hold).await
             } else {
                 dispatch(&job, hold).await
             }
         }
+    };
+    if response.headers().contains_key(header::RETRY_AFTER_MS) {
+        entry.dialect.pass_refusal(&mut response);
+    }
+    if entry.state() >= MemberState::Stopping {
+        let close = HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
     }
+    response
 }
 
 async fn take_request(
@@ -86,35 +77,23 @@
     request: Request<Incoming>,
 ) -> Result<(Job, Option<BodyMemory>), Problem> {
     let (head, body) = request.into_parts();
-    let service = find_service(entry, &head)?;
-    let config = &service.config;
-    let method = head.method.as_str();
-    let path = head.uri.path();
-    let is_repeatable = config.is_repeatable(method, path);
+    let (service, routed) = find_route(entry, &head)?;
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
-    if config
-        .route_for(method, path)
-        .is_some_and(|r| r.key_required)
-        && !has_key
-    {
-        entry.counters.add(Count::KeyMissing);
-        return Err(Problem::not_run(
-            StatusCode::BAD_REQUEST,
-            "key_missing",
-            "this route takes only requests with an Idempotency-Key",
-        ));
+    if routed.route.is_none() {
+        require_key(entry, &service, &head, has_key)?;
     }
-    let deadline_ms = deadline_ms(entry, &head.headers)?.unwrap_or(config.deadline_ms);
-    let deadline = entry.now().plus(Microseconds::from_ms(deadline_ms));
-    let attempts_most = attempts_most(entry, &head.headers)?;
-    let limits = BodyLimits {
-        held_bytes: if has_key && !is_repeatable {
-            once::body_bytes_most(config)
-        } else {
-            config.replay_bytes
-        },
-        taken_bytes: config.body_bytes,
+    let is_repeatable = match routed.config() {
+        Some(route) => route.kind.is_repeatable(),
+        None => service
+            .config
+            .is_repeatable(head.method.as_str(), head.uri.path()),
     };
+    let facts = read_caller(entry, &head.headers)?;
+    let deadline = entry
+        .now()
+        .plus(held_for(&facts, routed.config(), &service));
+    let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
+    let limits = body_limits(entry, &service, keeps_key);
     let taken = async { Some(take_body(entry, body, limits).await) };
     let out_of_time = async {
         async_io::Timer::at(entry.clock.instant_of(deadline)).await;
@@ -136,20 +115,80 @@
         headers: head.headers,
         deadline,
         is_repeatable,
-        attempts_most,
+        attempts_most: attempts_most(&facts, routed.config()),
         body,
         service,
+        routed,
     };
     Ok((job, memory))
 }
 
-fn find_service(entry: &Entry, head: &Parts) -> Result<Arc<ServiceEntry>, Problem> {
-    let host = head
-        .uri
-        .authority()
-        .map(|authority| authority.as_str())
-        .or_else(|| head.headers.get(http::header::HOST)?.to_str().ok());
-    let Some(host) = host else {
+/// How long a request is held: as long as its caller waits and its route allows.
+fn held_for(
+    facts: &CallerFacts,
+    route: Option<&PathRoute>,
+    service: &ServiceEntry,
+) -> Microseconds {
+    let held_ms = match (facts.deadline_ms, route) {
+        (Some(deadline_ms), Some(route)) => deadline_ms.min(route.timeout_ms),
+        (None, Some(route)) => route.timeout_ms,
+        (Some(deadline_ms), None) => deadline_ms,
+        (None, None) => service.config.deadline_ms,
+    };
+    Microseconds::from_ms(held_ms)
+}
+
+fn attempts_most(facts: &CallerFacts, route: Option<&PathRoute>) -> Option<u32> {
+    let routed = route.map(|route| route.attempts_most);
+    match (facts.attempts_most, routed) {
+        (Some(caller), Some(route)) => Some(caller.min(route)),
+        (caller, route) => caller.or(route),
+    }
+}
+
+fn body_limits(entry: &Entry, service: &ServiceEntry, keeps_key: bool) -> BodyLimits {
+    let config = &service.config;
+    let limits = entry.snapshot.load().limits();
+    let taken_bytes = limits.map_or(config.body_bytes, |limits| {
+        limits.body_bytes.min(config.body_bytes)
+    });
+    BodyLimits {
+        held_bytes: if keeps_key {
+            once::body_bytes_most(config)
+        } else {
+            config.replay_bytes
+        },
+        taken_bytes,
+    }
+}
+
+fn require_key(
+    entry: &Entry,
+    service: &ServiceEntry,
+    head: &Parts,
+    has_key: bool,
+) -> Result<(), Problem> {
+    let route = service
+        .config
+        .route_for(head.method.as_str(), head.uri.path());
+    if has_key || !route.is_some_and(|route| route.key_required) {
+        return Ok(());
+    }
+    entry.counters.add(Count::KeyMissing);
+    Err(Problem::not_run(
+        StatusCode::BAD_REQUEST,
+        "key_missing",
+        "this route takes only requests with an Idempotency-Key",
+    ))
+}
+
+fn host_of(head: &Parts) -> Option<&str> {
+    let authority = head.uri.authority().map(|authority| authority.as_str());
+    authority.or_else(|| head.headers.get(http::header::HOST)?.to_str().ok())
+}
+
+fn find_route(entry: &Entry, head: &Parts) -> Result<(Arc<ServiceEntry>, Routed), Problem> {
+    let Some(host) = host_of(head) else {
         entry.counters.add(Count::BadRequest);
         return Err(Problem::not_run(
             StatusCode::BAD_REQUEST,
@@ -166,42 +205,37 @@
             "this entry does not know the version in force yet",
         ));
     }
+    if let Some(route) = snapshot.route_for(host, head.uri.path()) {
+        let service = Arc::clone(route.deal());
+        let route = Some(Arc::clone(route));
+        return Ok((service, Routed { route }));
+    }
     let Some(service) = snapshot.service_for_host(host) else {
         entry.counters.add(Count::UnknownService);
         return Err(Problem::not_run(
             StatusCode::NOT_FOUND,
             "unknown_service",
-            format!("no service has the host {host:?}"),
+            format!("no route takes this path of the host {host:?}"),
         ));
     };
-    Ok(Arc::clone(service))
+    Ok((Arc::clone(service), Routed::default()))
 }
 
-fn deadline_ms(entry: &Entry, headers: &HeaderMap) -> Result<Option<u64>, Problem> {
-    match header::number(headers, &header::DEADLINE_MS) {
-        Ok(None) => Ok(None),
-        Ok(Some(time_ms)) if time_ms <= DEADLINE_MS_MAX => Ok(Some(time_ms)),
-        _ => {
-            entry.counters.add(Count::BadRequest);
-            Err(Problem::not_run(
-                StatusCode::BAD_REQUEST,
-                "bad_deadline",
-                format!("Pinhaven-Deadline-Ms is a number from 0 to {DEADLINE_MS_MAX}"),
-            ))
-        }
-    }
-}
-
-fn attempts_most(entry: &Entry, headers: &HeaderMap) -> Result<Option<u32>, Problem> {
-    match header::number(headers, &header::ATTEMPTS_LEFT) {
-        Ok(number) => Ok(number.map(|n| u32::try_from(n.max(1)).unwrap_or(u32::MAX))),
-        Err(()) => {
-            entry.counters.add(Count::BadRequest);
-            Err(Problem::not_run(
-                StatusCode::BAD_REQUEST,
-                "bad_attempts",
-                "Pinhaven-Attempts-Left is a whole number",
-            ))
-        }
+fn read_caller(entry: &Entry, headers: &HeaderMap) -> Result<CallerFacts, Problem> {
+    let facts = entry.dialect.read_caller(headers).map_err(|field| {
+        entry.counters.add(Count::BadRequest);
+        Problem::not_run(StatusCode::BAD_REQUEST, field.reason, field.expected)
+    })?;
+    if facts
+        .deadline_ms
+        .is_some_and(|deadline_ms| deadline_ms > DEADLINE_MS_MAX)
+    {
+        entry.counters.add(Count::BadRequest);
+        return Err(Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "bad_deadline",
+            format!("a deadline is a number from 0 to {DEADLINE_MS_MAX} milliseconds"),
+        ));
     }
+    Ok(facts)
 }
--- a/crates/pinhaven-entry/src/relay.rs
+++ b/crates/pinhaven-entry/src/relay.rs
@@ -4,10 +4,11 @@
 use crate::counters::Count;
 use crate::entry::Entry;
 use crate::header;
+use crate::job::CallerHold;
+use crate::job::Job;
 use crate::once;
 use crate::problem::Problem;
-use crate::proxy::CallerHold;
-use crate::proxy::Job;
+use crate::routes::Routed;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
@@ -131,6 +132,7 @@
     let job = Job {
         entry: Arc::clone(entry),
         service,
+        routed: Routed::default(),
         method,
         uri,
         headers: from_fields(request.headers),
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/snapshot.rs
@@ -1,12 +1,21 @@
 //! What a request's path reads: one snapshot of the version in force, replaced as a whole.
 
+use crate::places::Places;
 use crate::pool::TargetPool;
-use event_listener::Event;
+use crate::routes::RouteEntry;
+use crate::routes::RouteTable;
+use pinhaven_agree::ListedTarget;
+use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
 use pinhaven_bundle::CanonicalBundle;
+use pinhaven_bundle::RequestLimits;
 use pinhaven_bundle::Service;
+use pinhaven_bundle::Target;
+use pinhaven_bundle::TargetState;
 use pinhaven_decide::ServiceState;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::Digest;
+use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
@@ -23,6 +32,8 @@
     measuring: Default::default(),
     address_keep_ms: NO_BUNDLE_KEEP_MS,
     services: Vec::new(),
+    hosts: Vec::new(),
+    limits: None,
 });
 
 /// A service in one version.
@@ -31,7 +42,7 @@
     pub(crate) state: Arc<ServiceState>,
     pub(crate) pools: HashMap<TargetAddress, Arc<TargetPool>>,
     /// Notified when a request of the service leaves its place.
-    pub(crate) place_freed: Arc<Event>,
+    pub(crate) place_freed: Arc<Places>,
 }
 
 /// All services in one version.
@@ -40,6 +51,25 @@
     body: Option<Arc<CanonicalBundle>>,
     pub(crate) services: HashMap<ServiceName, Arc<ServiceEntry>>,
     hosts: HashMap<String, Arc<ServiceEntry>>,
+    routes: RouteTable,
+    /// Targets with an id, by the short hash of it that entries use among themselves.
+    by_key: HashMap<u32, KeyedTarget>,
+}
+
+/// A target and the service that it belongs to.
+#[derive(Clone)]
+pub(crate) struct KeyedTarget {
+    pub(crate) service: Arc<ServiceEntry>,
+    pub(crate) target: Arc<pinhaven_decide::TargetState>,
+}
+
+/// What a snapshot is made of besides the bundle.
+#[derive(Clone, Copy)]
+pub(crate) struct Surroundings<'entry> {
+    /// Targets of services whose targets are discovered.
+    pub(crate) listed: &'entry TargetList,
+    /// Where this entry stands.
+    pub(crate) domain: &'entry FailureDomain,
 }
 
 impl Snapshot {
@@ -50,29 +80,75 @@
             body: None,
             services: HashMap::new(),
             hosts: HashMap::new(),
+            routes: RouteTable::default(),
+            by_key: HashMap::new(),
         }
     }
 
     /// The snapshot of a bundle. Services that are the same as before are taken over as they are.
-    pub(crate) fn new(body: Arc<CanonicalBundle>, previous: &Self, now: Microseconds) -> Self {
+    pub(crate) fn new(
+        body: Arc<CanonicalBundle>,
+        around: Surroundings<'_>,
+        previous: &Self,
+        now: Microseconds,
+    ) -> Self {
         let bundle = body.bundle();
+        let listed = by_service(around.listed);
         let mut services = HashMap::new();
         let mut hosts = HashMap::new();
         for service in &bundle.services {
-            let entry = service_entry(service, previous.services.get(&service.name), now);
+            let service = with_listed(service, &listed);
+            let known = previous.services.get(&service.name);
+            let entry = service_entry(&service, around.domain, known, now);
             for host in &service.hosts {
                 hosts.insert(host.to_ascii_lowercase(), Arc::clone(&entry));
             }
             services.insert(service.name.clone(), entry);
         }
+        let routes = RouteTable::new(&bundle.hosts, &services, &previous.routes);
+        let by_key = keyed(&services);
         Self {
             version: bundle.version,
             body: Some(body),
             services,
             hosts,
+            routes,
+            by_key,
         }
     }
 
+    /// All targets with an id.
+    pub(crate) fn keyed_targets(&self) -> &HashMap<u32, KeyedTarget> {
+        &self.by_key
+    }
+
+    /// The body of the version; `None` before any is known.
+    pub(crate) fn body(&self) -> Option<&Arc<CanonicalBundle>> {
+        self.body.as_ref()
+    }
+
+    /// What requests may bring, where the operators limit it.
+    pub(crate) fn limits(&self) -> Option<RequestLimits> {
+        self.bundle().limits
+    }
+
+    /// The route for a path of a host, with or without the host's port.
+    pub(crate) fn route_for(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        if let Some(route) = self.routes.find(host, path) {
+            return Some(route);
+        }
+        let host = host.to_ascii_lowercase();
+        let without_port = host
+            .rsplit_once(':')
+            .map_or(host.as_str(), |(name, _)| name);
+        let host = if self.routes.has_host(&host) {
+            &host
+        } else {
+            without_port
+        };
+        self.routes.find(host, path)
+    }
+
     /// The bundle; an empty one before any version is known.
     pub(crate) fn bundle(&self) -> &Bundle {
         match &self.body {
@@ -96,17 +172,80 @@
     }
 }
 
+fn keyed(services: &HashMap<ServiceName, Arc<ServiceEntry>>) -> HashMap<u32, KeyedTarget> {
+    let mut by_key = HashMap::new();
+    for service in services.values() {
+        for target in service.state.targets() {
+            let Some(id) = target.id() else {
+                continue;
+            };
+            let key = Digest::of(id.as_str().as_bytes()).short() as u32;
+            let keyed = KeyedTarget {
+                service: Arc::clone(service),
+                target: Arc::clone(target),
+            };
+            by_key.insert(key, keyed);
+        }
+    }
+    by_key
+}
+
+/// The listed targets of each service.
+fn by_service(listed: &TargetList) -> HashMap<&ServiceName, Vec<&ListedTarget>> {
+    let mut services: HashMap<&ServiceName, Vec<&ListedTarget>> = HashMap::new();
+    for target in listed.targets.values() {
+        services.entry(&target.service).or_default().push(target);
+    }
+    services
+}
+
+/// A service with the targets that are listed for it. Of two at one address, which can only be while
+/// one is replaced by the other, the one that takes new work counts.
+fn with_listed(service: &Service, listed: &HashMap<&ServiceName, Vec<&ListedTarget>>) -> Service {
+    let mut service = service.clone();
+    let Some(listed) = listed.get(&service.name) else {
+        return service;
+    };
+    let mut listed = listed.clone();
+    listed.sort_by_key(|target| (target.address, target.is_leaving));
+    listed.dedup_by_key(|target| target.address);
+    service.targets.extend(listed.into_iter().map(target_of));
+    service
+}
+
+fn target_of(listed: &ListedTarget) -> Target {
+    Target {
+        state: if listed.is_leaving {
+            TargetState::Leaving
+        } else {
+            TargetState::Live
+        },
+        id: Some(listed.id.clone()),
+        slots: Some(listed.slots),
+        warm_up_ms: listed.warm_up_ms,
+        ..Target::new(listed.address, listed.failure_domain.clone())
+    }
+}
+
 fn service_entry(
     service: &Service,
+    domain: &FailureDomain,
     previous: Option<&Arc<ServiceEntry>>,
     now: Microseconds,
 ) -> Arc<ServiceEntry> {
     if let Some(previous) = previous.filter(|previous| previous.config == *service) {
         return Arc::clone(previous);
     }
-    let state = ServiceState::new(service, previous.map(|p| &*p.state), now);
-    let pool_of = |target: &pinhaven_bundle::Target| {
-        let known = previous.and_then(|previous| previous.pools.get(&target.address));
+    let state = ServiceState::new(service, previous.map(|p| &*p.state), now).with_domain(domain);
+    let pool_of = |target: &Target| {
+        // Connections to another target that had the address before are of no use.
+        let is_same = |previous: &&Arc<ServiceEntry>| {
+            let known = previous.state.target(target.address);
+            known.is_some_and(|known| known.id() == target.id.as_ref())
+        };
+        let known = previous
+            .filter(is_same)
+            .and_then(|previous| previous.pools.get(&target.address));
         (target.address, known.cloned().unwrap_or_default())
     };
     Arc::new(ServiceEntry {
--- /dev/null
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -0,0 +1,139 @@
+//! Asking targets how fast they are, when their answers don't say it often enough.
+//!
+//! Each target is asked by one of the entries that serve, the one that ranks first for it. While
+//! entries disagree on who serves, several may ask; so each entry keeps to an equal part of what all
+//! together may send.
+
+use crate::address::SERVING_PER_DOMAIN;
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::pool::no_bytes;
+use crate::snapshot::KeyedTarget;
+use http::Request;
+use pinhaven_decide::ProbePace;
+use pinhaven_runtime::HttpClient;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_types::Digest;
+use pinhaven_types::Incarnation;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+/// Time between two looks for targets that are due, in milliseconds.
+const TICK_MS: u64 = 20;
+/// Age of a report at which a target is asked, in milliseconds: a fifth of the time that a target's
+/// speed lasts where that was measured.
+const REPORT_AGE_MS: f64 = 80.0;
+/// How long a target may take to answer, in milliseconds.
+const TIMEOUT_MS: u64 = 400;
+
+/// A target that this entry asks.
+struct Probed {
+    pace: ProbePace,
+    client: Arc<HttpClient>,
+    is_under_way: Arc<AtomicBool>,
+}
+
+impl Entry {
+    /// Sends probes, for ever.
+    pub(crate) async fn probe_speeds(self: Arc<Self>) {
+        let mut probed: HashMap<u32, Probed> = HashMap::new();
+        loop {
+            sleep_ms(TICK_MS).await;
+            let serving = self.serving_entries();
+            if !serving.contains(&self.incarnation) {
+                probed.clear();
+                continue;
+            }
+            let snapshot = self.snapshot.load_full();
+            probed.retain(|key, _| snapshot.keyed_targets().contains_key(key));
+            for (key, keyed) in snapshot.keyed_targets() {
+                if asker(*key, &serving) == Some(self.incarnation) {
+                    self.probe_speed_if_due(*key, keyed, &mut probed);
+                }
+            }
+        }
+    }
+
+    fn serving_entries(&self) -> Vec<Incarnation> {
+        let members = self.members.lock();
+        let serving = members.serving(SERVING_PER_DOMAIN, self.now());
+        serving.into_iter().map(|row| row.incarnation).collect()
+    }
+
+    fn probe_speed_if_due(
+        self: &Arc<Self>,
+        key: u32,
+        keyed: &KeyedTarget,
+        probed: &mut HashMap<u32, Probed>,
+    ) {
+        let now = self.now();
+        let target = &keyed.target;
+        let Some(path) = &keyed.service.config.probe_path else {
+            return;
+        };
+        let age = target
+            .reported_speed()
+            .map(|(_, at)| now.saturating_sub(at));
+        if target.is_leaving() || age.is_some_and(|age| age.as_ms() < REPORT_AGE_MS) {
+            return;
+        }
+        let most = self.settings.discovery.as_ref();
+        let most = most.map_or(0, |discovery| discovery.probes_per_second_most);
+        let probed = probed.entry(key).or_insert_with(|| Probed {
+            pace: ProbePace::new(most),
+            client: Arc::new(
+                HttpClient::new(target.address().socket_address(), TIMEOUT_MS)
+                    .with_idle_connections(1),
+            ),
+            is_under_way: Arc::new(AtomicBool::new(false)),
+        });
+        if probed.is_under_way.load(Ordering::Acquire) || !probed.pace.take(now) {
+            return;
+        }
+        probed.is_under_way.store(true, Ordering::Release);
+        let (entry, keyed) = (Arc::clone(self), keyed.clone());
+        let (client, is_under_way) = (Arc::clone(&probed.client), Arc::clone(&probed.is_under_way));
+        let path = path.clone();
+        spawn(async move {
+            entry.probe_speed(&keyed, &client, &path).await;
+            is_under_way.store(false, Ordering::Release);
+        })
+        .detach();
+    }
+
+    async fn probe_speed(&self, keyed: &KeyedTarget, client: &HttpClient, path: &str) {
+        self.counters.add(Count::Probes);
+        let KeyedTarget { service, target } = keyed;
+        let Ok(request) = Request::get(path).body(no_bytes()) else {
+            return;
+        };
+        let answer = match client.call(request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.counters.add(Count::ProbeFailed);
+                log::debug!(target: "probe", "{error}.");
+                return;
+            }
+        };
+        let answered_by = self.dialect.probed_target(answer.headers());
+        if answered_by.is_some() && answered_by.as_ref() != target.id() {
+            log::info!(target: "probe", "Another target has the address of {}.", target.address());
+            target.leave();
+            return;
+        }
+        match self.dialect.read_probe(answer.headers(), answer.body()) {
+            Some(report) => service.state.record_report(target, self.now(), &report),
+            None => self.counters.add(Count::ProbeFailed),
+        }
+    }
+}
+
+/// The entry that asks a target: the one that ranks first for it.
+fn asker(key: u32, serving: &[Incarnation]) -> Option<Incarnation> {
+    let rank =
+        |entry: &&Incarnation| Digest::of_parts(&[&key.to_le_bytes(), &entry.to_bytes()]).short();
+    serving.iter().min_by_key(rank).copied()
+}
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -1,10 +1,14 @@
 //! Starting an entry and running it until it is told to stop.
 
+use crate::discovered;
+use crate::doors::open_doors;
 use crate::entry::Entry;
+use crate::entry::EntryWorld;
 use crate::error::EntryError;
 use crate::error::EntryStep;
 use crate::gossip::PeerAnswers;
 use crate::metrics;
+use crate::news;
 use crate::proxy::answer_caller;
 use crate::status;
 use crate::stop::Servers;
@@ -40,12 +44,12 @@
 /// # Errors
 ///
 /// [`EntryError`] when it can't listen.
-pub fn run_entry(settings: Settings) -> Result<bool, EntryError> {
+pub fn run_entry(settings: Settings, world: EntryWorld) -> Result<bool, EntryError> {
     let threads = settings.worker_threads;
-    run_with_threads(threads, run(settings))
+    run_with_threads(threads, run(settings, world))
 }
 
-async fn run(settings: Settings) -> Result<bool, EntryError> {
+async fn run(settings: Settings, world: EntryWorld) -> Result<bool, EntryError> {
     let signals = Signals::new([Signal::Term, Signal::Int]);
     let mut signals = signals.map_err(|error| EntryError::System {
         step: EntryStep::ListenForSignals,
@@ -72,7 +76,7 @@
         Some(address) => Some(metrics::connect(address)?),
         None => None,
     };
-    let entry = Entry::new(settings, address_of(&callers), address_of(&peers));
+    let entry = Entry::new(settings, world, address_of(&callers), address_of(&peers));
     log::info!(
         target: "entry",
         "Instance {} listens at {} for callers and at {} for peers.",
@@ -83,7 +87,12 @@
         peers: Arc::new(peers),
     };
     serve(&entry, &servers);
-    run_beside(&entry);
+    if entry.discovery.is_some() {
+        open_doors(&entry)?;
+        run_beside_discovered(&entry)?;
+    } else {
+        run_beside(&entry);
+    }
     if let Some(client) = metrics_client {
         spawn(Arc::clone(&entry).report_metrics(client)).detach();
     }
@@ -92,7 +101,7 @@
     Ok(stop(&entry, &servers).await)
 }
 
-fn listen(
+pub(crate) fn listen(
     step: EntryStep,
     address: SocketAddr,
     settings: HttpServerSettings,
@@ -137,8 +146,10 @@
     answers: Arc<PeerAnswers>,
     request: Request<Incoming>,
 ) -> Response<AnyBody> {
-    if request.uri().path() == status::PATH {
-        return status::answer(entry);
+    match request.uri().path() {
+        status::PATH => return status::answer(entry),
+        discovered::TARGETS_PATH => return discovered::answer_targets(entry),
+        _ => {}
     }
     answer_peer(answers, request).await
 }
@@ -153,6 +164,18 @@
     spawn(Arc::clone(entry).announce_start()).detach();
 }
 
+/// Starts what runs beside the requests where a store holds everything.
+fn run_beside_discovered(entry: &Arc<Entry>) -> Result<(), EntryError> {
+    let socket = news::listen(entry)?;
+    spawn(Arc::clone(entry).follow_configuration()).detach();
+    spawn(Arc::clone(entry).keep_target_list()).detach();
+    spawn(Arc::clone(entry).keep_membership()).detach();
+    spawn(Arc::clone(entry).hear_news(Arc::clone(&socket))).detach();
+    spawn(Arc::clone(entry).tell_news(socket)).detach();
+    spawn(Arc::clone(entry).probe_speeds()).detach();
+    Ok(())
+}
+
 impl Entry {
     /// Begins epochs of once-only requests for ever.
     async fn count_epochs(self: Arc<Self>) {
--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -19,6 +19,11 @@
 const EXCHANGES_TO_SPREAD: u64 = 4;
 /// How long peers may take to close their connections.
 const PEERS_MOST: Duration = Duration::from_millis(500);
+/// Share of the grace for which requests are still taken. Callers learn of the stop within the time
+/// that they keep an answer; the rest is for the longest requests.
+const SERVE_ON_SHARE: f64 = 0.45;
+/// Time kept between the end of a stop and the end of the grace, in milliseconds.
+const KILL_MARGIN_MS: u64 = 300;
 /// How often the requests in flight are counted, in milliseconds.
 const COUNT_MS: u64 = 10;
 
@@ -30,22 +35,54 @@
     pub(crate) peers: Arc<HttpServer>,
 }
 
+/// How long each part of a stop may take.
+struct StopPlan {
+    /// How long requests are still taken, as callers keep older answers, in milliseconds.
+    serve_on_ms: u64,
+    /// How long those in flight may then take, in milliseconds.
+    finish_ms: u64,
+}
+
+impl StopPlan {
+    fn new(entry: &Entry) -> Self {
+        let Some(discovery) = &entry.settings.discovery else {
+            let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
+            return Self {
+                serve_on_ms: keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD,
+                finish_ms: entry.settings.stop_most_ms,
+            };
+        };
+        // The process is killed when its grace is over, so both parts have to fit into it.
+        let grace_ms = discovery.stop_grace_ms;
+        let serve_on_ms = (grace_ms as f64 * SERVE_ON_SHARE) as u64;
+        Self {
+            serve_on_ms,
+            finish_ms: grace_ms.saturating_sub(serve_on_ms + KILL_MARGIN_MS),
+        }
+    }
+}
+
 /// Stops an entry without cutting a request. Returns whether everything was finished in time.
 pub(crate) async fn stop(entry: &Arc<Entry>, servers: &Servers) -> bool {
     log::info!(target: "stop", "Stopping; callers are told to use other entries.");
     entry.members.lock().advance(MemberState::Stopping);
     entry.news.notify(usize::MAX);
+    let plan = StopPlan::new(entry);
     let writer = Arc::clone(entry);
-    let row_written = spawn(async move { writer.write_own_row().await });
-    let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
-    sleep_ms(keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD).await;
+    let row_written = entry
+        .discovery
+        .is_none()
+        .then(|| spawn(async move { writer.write_own_row().await }));
+    sleep_ms(plan.serve_on_ms).await;
     log::info!(target: "stop", "Finishing {} requests in flight.", entry.in_flight());
     servers.callers.close_gracefully();
-    let is_finished = wait_until_idle(entry, &servers.callers).await;
+    let is_finished = wait_until_idle(entry, &servers.callers, plan.finish_ms).await;
     // Answers to relayed requests may still be on their way to other entries.
     servers.peers.close_gracefully();
     wait_until_closed(&servers.peers).await;
-    row_written.cancel().await;
+    if let Some(row_written) = row_written {
+        row_written.cancel().await;
+    }
     let holds = require_promise(Promise::PlannedStop, is_finished, || {
         format!("{} requests were still in flight", entry.in_flight())
     });
@@ -60,8 +97,8 @@
     }
 }
 
-async fn wait_until_idle(entry: &Entry, server: &HttpServer) -> bool {
-    let most = Duration::from_millis(entry.settings.stop_most_ms);
+async fn wait_until_idle(entry: &Entry, server: &HttpServer, most_ms: u64) -> bool {
+    let most = Duration::from_millis(most_ms);
     let began = Instant::now();
     while began.elapsed() < most {
         if entry.in_flight() == 0 && server.open_connections() == 0 {
--- a/crates/pinhaven-peer/src/lib.rs
+++ b/crates/pinhaven-peer/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod channel;
 mod client;
+mod news;
 mod server;
 
 #[allow(missing_docs, rust_2018_idioms, clippy::all)]
@@ -28,6 +29,9 @@
 pub use generated::RelayOnceResponse;
 pub use generated::fetch_bundle_response::Body as FetchedBody;
 pub use generated::peer_server::Peer;
+pub use news::ListNews;
+pub use news::News;
+pub use news::TargetNews;
 pub use server::answer_peer;
 pub use tonic::Request;
 pub use tonic::Response;
--- a/crates/pinhaven-platform/src/error.rs
+++ b/crates/pinhaven-platform/src/error.rs
@@ -17,6 +17,10 @@
     ReadObject,
     /// writing an object
     WriteObject,
+    /// waiting for changes of
+    AwaitChanges,
+    /// decoding
+    Decode,
 }
 
 /// Why a call to the platform gave no result.
--- a/crates/pinhaven-platform/src/lib.rs
+++ b/crates/pinhaven-platform/src/lib.rs
@@ -4,6 +4,7 @@
 //! type keeps them apart: it took effect, it did not, or nobody can tell. A caller that gets
 //! [`PlatformError::Unknown`] settles it by reading back, as every row carries its writer's id.
 
+mod discovery;
 mod error;
 mod http;
 mod key;
@@ -11,6 +12,9 @@
 
 pub use crate::http::HttpObjectStore;
 pub use crate::http::HttpTableService;
+pub use discovery::ConfigurationNews;
+pub use discovery::Discovery;
+pub use discovery::FeedPosition;
 pub use error::PlatformError;
 pub use error::PlatformStep;
 pub use key::BUNDLE_HEAD;
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -28,14 +28,21 @@
     pub caller_address: SocketAddr,
     /// Where other entries connect.
     pub peer_address: SocketAddr,
-    /// The platform's table service.
+    /// The platform's table service; not used with `discovery`.
+    #[serde(default = "no_address")]
     pub table_address: SocketAddr,
-    /// The platform's object store.
+    /// The platform's object store; not used with `discovery`.
+    #[serde(default = "no_address")]
     pub object_address: SocketAddr,
+    /// Set when the configuration, the targets and the peers are all found through one store.
+    #[serde(default)]
+    pub discovery: Option<DiscoverySettings>,
     /// Where metrics are sent as StatsD datagrams; none are sent without it.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
-    /// Persons whose sign-off counts.
+    /// Persons whose sign-off counts; none with `discovery`, where the store takes only the
+    /// operators' writes.
+    #[serde(default)]
     pub trusted_signers: Vec<TrustedSigner>,
     /// Peer addresses of other entries to ask when the platform is down.
     #[serde(default)]
@@ -78,6 +85,30 @@
     pub log: LogSettings,
 }
 
+/// How an entry finds everything through one store, and what the deployment allows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DiscoverySettings {
+    /// The store.
+    pub store_address: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready_address: SocketAddr,
+    /// Where callers ask which entries to use.
+    pub directory_address: SocketAddr,
+    /// The longest that callers keep an address answer, in milliseconds.
+    pub address_keep_most_ms: u64,
+    /// Probes that all entries together may send to one target, in a second.
+    pub probes_per_second_most: u32,
+    /// Added attempts that all entries together may make, as a share of a service's requests.
+    pub added_attempts_share: f64,
+    /// Added attempts on top of that share in each window.
+    pub added_attempts_extra: f64,
+    /// The time between the word to stop and the end of the process, in milliseconds.
+    pub stop_grace_ms: u64,
+    /// How long a change of the configuration may take to be in force, in milliseconds.
+    pub apply_within_ms: u64,
+}
+
 /// How logs are written.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -121,8 +152,36 @@
             faults.push(document.fault(field, message, help));
         }
     };
+    let is_discovered = settings.discovery.is_some();
+    require(
+        is_discovered || settings.table_address != no_address(),
+        "table_address",
+        "the platform can't be reached",
+        "write the address of the table service",
+    );
     require(
-        !settings.trusted_signers.is_empty(),
+        is_discovered || settings.object_address != no_address(),
+        "object_address",
+        "the platform can't be reached",
+        "write the address of the object store",
+    );
+    if let Some(discovery) = &settings.discovery {
+        require(
+            (0.0..=1.0).contains(&discovery.added_attempts_share)
+                && discovery.added_attempts_extra >= 0.0,
+            "discovery.added_attempts_share",
+            "this is no share of the requests",
+            "write 0 to 1, and added_attempts_extra from 0 up",
+        );
+        require(
+            discovery.stop_grace_ms > 0 && discovery.address_keep_most_ms > 0,
+            "discovery.stop_grace_ms",
+            "times must be above zero",
+            "write the time in milliseconds, and address_keep_most_ms likewise",
+        );
+    }
+    require(
+        is_discovered || !settings.trusted_signers.is_empty(),
         "trusted_signers",
         "no bundle could ever be accepted",
         "name one signer or more with a public key",
@@ -164,6 +223,11 @@
     faults
 }
 
+/// Stands for an address that was not given.
+const fn no_address() -> SocketAddr {
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0)
+}
+
 const fn default_worker_threads() -> usize {
     2
 }
--- a/crates/pinhaven-types/src/digest.rs
+++ b/crates/pinhaven-types/src/digest.rs
@@ -26,6 +26,13 @@
         }
         Self(hasher.finalize().into())
     }
+
+    /// The first eight bytes as a number, where a short hash is enough.
+    pub fn short(self) -> u64 {
+        let mut first = [0; 8];
+        first.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(first)
+    }
 }
 
 impl fmt::Display for Digest {
--- a/crates/pinhaven-types/src/name.rs
+++ b/crates/pinhaven-types/src/name.rs
@@ -94,6 +94,14 @@
     /// Name that the settings give an entry instance.
     InstanceId
 }
+name_type! {
+    /// Id of one run of a target; a restarted target has another one.
+    TargetId
+}
+name_type! {
+    /// Name of a route.
+    RouteName
+}
 name_type! {
     /// Name of the person who signs off a bundle.
     SignerName
