Shorter rounds of news when targets are full; the age of a list is told by its reader only

Ruled out: a hanging read (no warning). Change: only an entry's own readings are told. Test fails with the relayed age, passes with own ones.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -106,6 +106,8 @@
     digest: u64,
     /// When the store last said that the list is right, by this entry's clock.
     confirmed_at: Option<Microseconds>,
+    /// The same for what the store said to this entry itself.
+    own_confirmed_at: Option<Microseconds>,
     last_failure_at: Option<Microseconds>,
     regained_at: Option<Microseconds>,
 }
@@ -124,6 +126,7 @@
             digest: list.digest(),
             list: Arc::new(list),
             confirmed_at: None,
+            own_confirmed_at: None,
             last_failure_at: None,
             regained_at: None,
         }
@@ -149,6 +152,13 @@
         self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Time since the store said so to this entry itself; `None` when it never did. Only this may be
+    /// passed on: what is heard from others seems a little younger with each step, and would in the
+    /// end keep itself fresh among entries of which none reads.
+    pub fn own_age(&self, now: Microseconds) -> Option<Microseconds> {
+        self.own_confirmed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Whether an entry with this rank among the readers, 0 for the first, should read now.
     pub fn is_due(&self, rank: u32, now: Microseconds) -> bool {
         let ranks = u64::from(rank.min(RANK_MOST));
@@ -172,11 +182,13 @@
         if !is_first && read.revision < self.list.revision {
             return false;
         }
+        self.own_confirmed_at = Some(began);
         let read = self.with_kept(read, began);
         self.put(read, began) || is_first
     }
 
-    /// What is to be done about a list of a peer that the store confirmed at `confirmed_at`.
+    /// What is to be done about a list of a peer, to whom the store confirmed it at `confirmed_at`;
+    /// [`Microseconds::ZERO`] if the peer has it from others.
     pub fn hear(&mut self, revision: u64, digest: u64, confirmed_at: Microseconds) -> PeerList {
         if digest != self.digest || !self.is_known() {
             return if self.is_newer(revision, confirmed_at) {
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -29,7 +29,11 @@
 }
 
 fn ids(book: &TargetBook) -> Vec<String> {
-    book.list().targets.keys().map(ToString::to_string).collect()
+    book.list()
+        .targets
+        .keys()
+        .map(ToString::to_string)
+        .collect()
 }
 
 #[test]
@@ -41,7 +45,10 @@
     assert!(book.is_due(0, at_ms(600)));
     assert!(!book.is_due(1, at_ms(700)));
     assert!(book.is_due(1, at_ms(800)));
-    assert!(book.is_due(17, at_ms(1_400)), "no entry lets the list get old");
+    assert!(
+        book.is_due(17, at_ms(1_400)),
+        "no entry lets the list get old"
+    );
 }
 
 #[test]
@@ -54,13 +61,41 @@
     assert_eq!(book.list().revision, 3);
 }
 
+/// Entries told each other the age of a confirmation that they had heard. It seemed a little younger
+/// with each step, and among entries that talk often it never grew old, so that none read any more.
+#[test]
+fn entries_that_only_hear_each_other_read_again_however_often_they_talk() {
+    let mut books = [TargetBook::new(), TargetBook::new()];
+    for book in &mut books {
+        book.take_read(list(1, [1, 2]), at_ms(0));
+    }
+    let digest = books[0].digest();
+    let mut told = 0;
+    for now_ms in 1..=650 {
+        for to in 0..2 {
+            // The way takes a millisecond, and ages are told in whole milliseconds.
+            let sent_at = at_ms(now_ms - 1);
+            let age = books[1 - to].own_age(sent_at).unwrap();
+            let age_ms = age.count() / 1_000;
+            let confirmed_at = at_ms(now_ms).saturating_sub(Microseconds::from_ms(age_ms));
+            books[to].hear(1, digest, confirmed_at);
+            told += 1;
+        }
+    }
+    assert_eq!(told, 1_300);
+    assert!(books.iter().all(|book| book.is_due(0, at_ms(650))));
+}
+
 #[test]
 fn a_newer_list_of_a_peer_is_fetched_and_an_older_one_is_not() {
     let mut book = TargetBook::new();
     book.take_read(list(5, [1, 2]), at_ms(0));
     let newer = list(6, [1]);
     assert_eq!(book.hear(6, newer.digest(), at_ms(10)), PeerList::Fetch);
-    assert_eq!(book.hear(4, list(4, [1, 2, 3]).digest(), at_ms(10)), PeerList::Older);
+    assert_eq!(
+        book.hear(4, list(4, [1, 2, 3]).digest(), at_ms(10)),
+        PeerList::Older
+    );
     assert!(book.take_peer_list(newer, at_ms(10)));
     assert!(!book.take_peer_list(list(4, [1, 2, 3]), at_ms(20)));
     assert_eq!(ids(&book), ["i-1"]);
@@ -73,13 +108,19 @@
     let (with_lapsed, without) = (list(85, [1, 2]), list(85, [1]));
     let mut book = TargetBook::new();
     book.take_read(without.clone(), at_ms(700));
-    assert_eq!(book.hear(85, with_lapsed.digest(), at_ms(100)), PeerList::Older);
+    assert_eq!(
+        book.hear(85, with_lapsed.digest(), at_ms(100)),
+        PeerList::Older
+    );
     assert!(!book.take_peer_list(with_lapsed.clone(), at_ms(100)));
     assert_eq!(ids(&book), ["i-1"]);
 
     let mut other = TargetBook::new();
     other.take_read(with_lapsed, at_ms(100));
-    assert_eq!(other.hear(85, without.digest(), at_ms(700)), PeerList::Fetch);
+    assert_eq!(
+        other.hear(85, without.digest(), at_ms(700)),
+        PeerList::Fetch
+    );
     assert!(other.take_peer_list(without, at_ms(700)));
     assert_eq!(ids(&other), ["i-1"]);
 }
@@ -89,7 +130,10 @@
     let mut book = TargetBook::new();
     book.take_read(list(1, [1, 2, 3]), at_ms(0));
     book.take_failure(at_ms(1_000));
-    assert!(!book.take_read(list(2, [1]), at_ms(5_000)), "two are only lapsed");
+    assert!(
+        !book.take_read(list(2, [1]), at_ms(5_000)),
+        "two are only lapsed"
+    );
     assert_eq!(ids(&book), ["i-1", "i-2", "i-3"]);
     book.take_read(list(3, [1, 2]), at_ms(6_000));
     assert_eq!(ids(&book), ["i-1", "i-2", "i-3"]);
@@ -148,7 +192,10 @@
         let mut newest = list(0, []);
         for (step, (reader, numbers, steps)) in reads.iter().enumerate() {
             revision += u64::from(steps % 2);
-            newest = list(revision, (0..u16::from(numbers % 8)).map(|number| number + 1));
+            newest = list(
+                revision,
+                (0..u16::from(numbers % 8)).map(|number| number + 1),
+            );
             let now = at_ms(1_000 * (step as u64 + 1));
             books[usize::from(reader % 3)].take_read(newest.clone(), now);
         }
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -30,6 +30,13 @@
 const FAR_SHARE: f32 = 0.10;
 /// The least that it is charged, in milliseconds.
 const FAR_LEAST_MS: f32 = 2.0;
+/// A target that is slower than this is spare: a request that can still meet its aim does not go there
+/// while it may wait, so that one which can't takes nothing from others.
+const SPARE_SLOWDOWN: f32 = 2.0;
+/// Share of the usable slots at targets of usual speed that must be free for those to be spare too.
+const SPARE_FREE_SHARE: f32 = 0.35;
+/// How much more the last slots of targets must bring than they cost the others there.
+const CROWDING_GAIN: f32 = 1.05;
 /// Age from which the lack of reports makes a target suspect, in milliseconds; several rounds of
 /// probes are missing then.
 const SILENT_AFTER_MS: f32 = 400.0;
@@ -50,12 +57,16 @@
     pub(crate) slowdown: f32,
 }
 
-impl Forecast {
-    /// Whether the target has a slot free.
-    pub(crate) fn has_free_slot(&self) -> bool {
-        self.load < self.target.slots()
-    }
+/// Which targets a request may go to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Lane {
+    /// Those with a usable slot free.
+    Any,
+    /// Those with a slot free that requests in time don't need.
+    Spare,
+}
 
+impl Forecast {
     /// Whether the request would make the target nearly full.
     pub(crate) fn is_crowded(&self) -> bool {
         is_crowded(&self.target, self.load)
@@ -82,13 +93,14 @@
     }
 }
 
-/// The target that is expected to answer first among the usable ones; `None` when there is none.
+/// The target that is expected to answer first among those of the lane; `None` when there is none.
 pub(crate) fn earliest(
     service: &ServiceState,
     now: Microseconds,
     random: &mut fastrand::Rng,
     work_ms: f32,
     tried: &[TargetAddress],
+    lane: Lane,
 ) -> Option<Forecast> {
     let targets = service.targets();
     if targets.is_empty() {
@@ -100,20 +112,68 @@
         .chain(&targets[..start])
         .take(LOOKS_MAX);
     let mut earliest: Option<(f32, Forecast)> = None;
+    let mut use_of_usual = Use::default();
     for target in looked_at {
         if !is_usable(service, target, now, tried) {
             continue;
         }
         let forecast = forecast(service, target, now, work_ms);
+        let is_spare = forecast.slowdown >= SPARE_SLOWDOWN;
+        let slots = usable_slots(service, target, is_spare);
+        if !is_spare {
+            use_of_usual.add(&forecast, slots);
+        }
+        if forecast.load >= slots || (lane == Lane::Spare && !is_spare) {
+            continue;
+        }
         let rank_ms = rank_ms(service, &forecast, now, work_ms);
         let rank_ms = rank_ms * (1.0 + LOT_SHARE * random.f32());
         if earliest.as_ref().is_none_or(|(least, _)| rank_ms < *least) {
             earliest = Some((rank_ms, forecast));
         }
     }
+    if lane == Lane::Spare && use_of_usual.free_share() > SPARE_FREE_SHARE {
+        return self::earliest(service, now, random, work_ms, tried, Lane::Any);
+    }
     earliest.map(|(_, forecast)| forecast)
 }
 
+/// Slots of some targets and how many of them are taken.
+#[derive(Debug, Default)]
+struct Use {
+    slots: f32,
+    taken: f32,
+}
+
+impl Use {
+    fn add(&mut self, forecast: &Forecast, slots: f32) {
+        self.slots += slots;
+        self.taken += forecast.load.min(slots);
+    }
+
+    fn free_share(&self) -> f32 {
+        if self.slots > 0.0 {
+            1.0 - self.taken / self.slots
+        } else {
+            0.0
+        }
+    }
+}
+
+/// Slots of a target that are worth using. Where a nearly full target slows down so much that it does
+/// less in all, its last slots stay empty. A slow target is given only what has time, so there every
+/// slot counts.
+fn usable_slots(service: &ServiceState, target: &TargetState, is_spare: bool) -> f32 {
+    let slots = target.slots();
+    let uncrowded = (slots * CROWDED_FROM).ceil() - 1.0;
+    let is_crowding_worth_it = slots / service.crowding.get() > uncrowded * CROWDING_GAIN;
+    if is_spare || is_crowding_worth_it || uncrowded < 1.0 {
+        slots
+    } else {
+        uncrowded
+    }
+}
+
 /// Requests that a target holds from all entries, with a penalty for recent failures.
 fn load_of(target: &TargetState, now: Microseconds) -> f32 {
     let in_flight = target.in_flight() + target.peers_in_flight();
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -17,6 +17,7 @@
 use crate::event::AttemptOutcome;
 use crate::event::Event;
 use crate::event::Step;
+use crate::forecast::Lane;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
@@ -60,6 +61,8 @@
     pub entry_use: f32,
     /// Importance from 0 (refused first) to 3, where its route says; else the service's.
     pub priority: Option<u8>,
+    /// How long its caller has waited before, on tries that failed.
+    pub waited: Microseconds,
 }
 
 impl RequestFacts {
@@ -72,6 +75,7 @@
             attempts_most: ATTEMPTS_DEFAULT,
             entry_use: 0.0,
             priority: None,
+            waited: Microseconds::ZERO,
         }
     }
 }
@@ -131,7 +135,7 @@
         self
     }
 
-    /// The time from its arrival within which its answer is worth all it can be.
+    /// The time within which an answer is worth all it can be, from the caller's first try on.
     pub(crate) fn aim(&self) -> Microseconds {
         match &self.route {
             Some(route) => route.aim(),
@@ -139,6 +143,13 @@
         }
     }
 
+    /// What is left of the aim at `now`, in milliseconds.
+    pub(crate) fn to_aim_ms(&self, now: Microseconds) -> f32 {
+        let aim_at = self.arrived.plus(self.aim());
+        let spent = now.plus(self.facts.waited);
+        aim_at.saturating_sub(spent).as_ms() as f32
+    }
+
     pub(crate) fn priority(&self, service: &ServiceState) -> u8 {
         self.facts.priority.unwrap_or(service.priority())
     }
@@ -475,7 +486,9 @@
             return false;
         }
         let target = if self.forecasts() {
-            self.earliest().map(|forecast| forecast.target)
+            let in_time = self.earliest(Lane::Any);
+            let forecast = in_time.or_else(|| self.earliest(Lane::Spare));
+            forecast.map(|forecast| forecast.target)
         } else {
             self.choose().map(|choice| choice.target)
         };
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -1,15 +1,16 @@
 //! The life of a request under the policy [`Forecast`](pinhaven_bundle::Policy::Forecast).
 //!
 //! - It is sent where the answer is expected first, if that is within its aim.
-//! - Else it waits here, for a short share of its aim, for a slot or for a target to turn fast again.
-//!   The more urgent go first.
-//! - At the end of that wait it takes a free slot if its deadline allows, or is refused.
+//! - Else it waits here for a slot, or for a target to turn fast again, the more urgent first. As long
+//!   as no target could take it even late, it waits for a short share of its aim and is then refused.
+//! - Once its aim can't be met any more it takes a slot that no request in time would want.
 //! - While it is under way, its target's reports are looked at. When the aim would be missed there and
 //!   met elsewhere, and it may be repeated, a hedge is sent.
 
 use crate::event::AttemptId;
 use crate::forecast;
 use crate::forecast::Forecast;
+use crate::forecast::Lane;
 use crate::refusal::RefusalReason;
 use crate::request::Phase;
 use crate::request::Turn;
@@ -25,7 +26,7 @@
 /// Share of the time to the aim that a forecast may fill for the request to be sent at once. The rest
 /// is for the way to and from the caller, and for what the forecast does not know.
 const AIM_FILL: f32 = 0.85;
-/// A forecast up to this many times the work is as good as can be expected, aim or not.
+/// A forecast up to this many times the work is good where the aim is shorter than the work.
 const GOOD_FACTOR: f32 = 1.5;
 /// Share of the time left that a late answer's forecast may fill.
 const LATE_FILL: f32 = 0.8;
@@ -99,17 +100,29 @@
 impl Turn<'_> {
     /// Sends the request, lets it wait or refuses it.
     pub(crate) fn admit_by_forecast(&mut self) {
-        let wait_until = self.wait_until();
-        let is_wait_over = self.now >= wait_until;
-        match self.earliest() {
-            Some(earliest) if self.is_good(&earliest) && (is_wait_over || self.is_its_turn()) => {
-                self.send_by_forecast(earliest);
-            }
-            Some(earliest) if is_wait_over && self.is_in_time(&earliest) => {
-                self.send_by_forecast(earliest);
-            }
-            _ if is_wait_over => self.refuse(self.reason_for_no_target()),
-            _ => self.begin_wait(wait_until),
+        if self.service.targets().iter().all(|t| t.is_leaving()) {
+            return self.refuse(RefusalReason::NoTarget);
+        }
+        if let Some(earliest) = self.earliest(Lane::Any)
+            && self.is_good(&earliest)
+            && self.is_its_turn()
+        {
+            return self.send_by_forecast(earliest);
+        }
+        let has_waited = self.now >= self.wait_until();
+        let may_meet_aim = self.request.to_aim_ms(self.now) * AIM_FILL > self.work_ms();
+        if may_meet_aim && !has_waited {
+            return self.begin_wait();
+        }
+        match self
+            .earliest(Lane::Spare)
+            .filter(|spare| self.is_in_time(spare))
+        {
+            // There is a slot for a late answer; until it is taken, one in time may still come free.
+            Some(_) if may_meet_aim => self.begin_wait(),
+            Some(spare) => self.send_by_forecast(spare),
+            None if has_waited => self.refuse(RefusalReason::Overloaded),
+            None => self.begin_wait(),
         }
     }
 
@@ -129,10 +142,10 @@
         self.plan_look(FIRST_LOOK_SHARE);
     }
 
-    pub(crate) fn earliest(&mut self) -> Option<Forecast> {
+    pub(crate) fn earliest(&mut self, lane: Lane) -> Option<Forecast> {
         let work_ms = self.work_ms();
         let tried = &self.request.tried;
-        forecast::earliest(self.service, self.now, self.random, work_ms, tried)
+        forecast::earliest(self.service, self.now, self.random, work_ms, tried, lane)
     }
 
     fn work_ms(&self) -> f32 {
@@ -157,35 +170,26 @@
     }
 
     fn is_good(&self, forecast: &Forecast) -> bool {
-        let aim_at = self.request.arrived.plus(self.request.aim());
-        let left_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
-        let is_fast =
-            forecast.has_free_slot() && forecast.answer_ms <= self.work_ms() * GOOD_FACTOR;
-        is_fast || forecast.answer_ms <= left_ms * AIM_FILL
+        let aim_ms = self.request.aim().as_ms() as f32;
+        if self.work_ms() > aim_ms * AIM_FILL {
+            // No target could ever meet this aim; the best that there is has to do.
+            return forecast.answer_ms <= self.work_ms() * GOOD_FACTOR;
+        }
+        forecast.answer_ms <= self.request.to_aim_ms(self.now) * AIM_FILL
     }
 
     /// Whether a late answer would still come before the deadline, without a wait at the target.
     fn is_in_time(&self, forecast: &Forecast) -> bool {
         let deadline = self.request.facts.deadline;
         let left_ms = deadline.saturating_sub(self.now).as_ms() as f32;
-        forecast.has_free_slot() && forecast.answer_ms <= left_ms * LATE_FILL
+        forecast.answer_ms <= left_ms * LATE_FILL
     }
 
-    fn reason_for_no_target(&self) -> RefusalReason {
-        if self.service.targets().iter().all(|t| t.is_leaving()) {
-            RefusalReason::NoTarget
-        } else {
-            RefusalReason::Overloaded
-        }
-    }
-
-    fn begin_wait(&mut self, until: Microseconds) {
+    fn begin_wait(&mut self) {
         let priority = self.request.priority(self.service);
         self.service.begin_wait(priority);
         let look_at = self.now.plus(Microseconds::from_ms(LOOK_AGAIN_MS));
-        self.request.phase = Phase::Waiting {
-            until: until.min(look_at),
-        };
+        self.request.phase = Phase::Waiting { until: look_at };
     }
 
     /// Plans the next look at a request under way, if a look could lead to anything.
@@ -228,15 +232,11 @@
     fn hedge_worth_it(&mut self) -> Option<Forecast> {
         let work_ms = self.work_ms();
         let left_ms = self.least_left_ms(work_ms)?;
-        let aim_at = self.request.arrived.plus(self.request.aim());
-        let to_aim_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
+        let to_aim_ms = self.request.to_aim_ms(self.now);
         if left_ms <= to_aim_ms {
             return None;
         }
-        let earliest = self.earliest()?;
-        if earliest.is_crowded() && !earliest.has_free_slot() {
-            return None;
-        }
+        let earliest = self.earliest(Lane::Any)?;
         let gain_ms = left_ms - earliest.answer_ms;
         let meets_aim = earliest.answer_ms <= to_aim_ms;
         let is_worth_it = meets_aim || earliest.answer_ms * LATE_HEDGE_FACTOR < left_ms;
--- a/crates/pinhaven-decide/src/route.rs
+++ b/crates/pinhaven-decide/src/route.rs
@@ -2,6 +2,9 @@
 
 use crate::atomic::AtomicF32;
 use pinhaven_types::Microseconds;
+use std::sync::atomic::AtomicI32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 /// Share of a route's aim that its work is thought to take until it has been measured.
 const WORK_FIRST_SHARE: f32 = 0.33;
@@ -13,11 +16,18 @@
 /// The shortest work, in milliseconds; a time of zero would make all targets alike.
 const WORK_LEAST_MS: f32 = 0.2;
 
+/// Lead that a deadline must have over all others before it counts as the usual one, in requests.
+const USUAL_LEAD: i32 = 20;
+/// The most lead that is kept, so that another usual deadline is learned within seconds.
+const USUAL_LEAD_MOST: i32 = 200;
+
 /// A route as one entry sees it.
 #[derive(Debug)]
 pub struct RouteState {
     aim: Microseconds,
     work_ms: AtomicF32,
+    usual_deadline_us: AtomicU64,
+    usual_lead: AtomicI32,
 }
 
 impl RouteState {
@@ -26,15 +36,45 @@
         Self {
             aim: Microseconds::from_ms(aim_ms),
             work_ms: AtomicF32::new((aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS)),
+            usual_deadline_us: AtomicU64::new(0),
+            usual_lead: AtomicI32::new(0),
         }
     }
 
     /// The same with what was learned of the route in an earlier version.
     pub fn with_learned(self, previous: &Self) -> Self {
         self.work_ms.set(previous.work_ms.get());
+        let deadline_us = previous.usual_deadline_us.load(Ordering::Relaxed);
+        self.usual_deadline_us.store(deadline_us, Ordering::Relaxed);
+        let lead = previous.usual_lead.load(Ordering::Relaxed);
+        self.usual_lead.store(lead, Ordering::Relaxed);
         self
     }
 
+    /// Takes in the deadline of a request, and returns how long its caller has waited before, on
+    /// tries that failed. Callers of a route begin with one deadline and name what is left of it on
+    /// each further try.
+    pub fn waited_before(&self, deadline: Microseconds) -> Microseconds {
+        let usual_us = self.usual_deadline_us.load(Ordering::Relaxed);
+        let lead = self.usual_lead.load(Ordering::Relaxed);
+        if deadline.count() == usual_us {
+            let lead = (lead + 1).min(USUAL_LEAD_MOST);
+            self.usual_lead.store(lead, Ordering::Relaxed);
+            return Microseconds::ZERO;
+        }
+        if lead <= 0 {
+            self.usual_deadline_us
+                .store(deadline.count(), Ordering::Relaxed);
+            self.usual_lead.store(1, Ordering::Relaxed);
+            return Microseconds::ZERO;
+        }
+        self.usual_lead.store(lead - 1, Ordering::Relaxed);
+        if lead < USUAL_LEAD {
+            return Microseconds::ZERO;
+        }
+        Microseconds::new(usual_us).saturating_sub(deadline)
+    }
+
     /// The time within which an answer is worth all it can be.
     pub fn aim(&self) -> Microseconds {
         self.aim
--- a/crates/pinhaven-entry/src/dialect.rs
+++ b/crates/pinhaven-entry/src/dialect.rs
@@ -15,6 +15,7 @@
 use pinhaven_bundle::Service;
 use pinhaven_decide::LoadReport;
 use pinhaven_decide::RunState;
+use pinhaven_runtime::AnyBody;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetId;
@@ -128,7 +129,7 @@
 
     /// Prepares an answer of the entry itself, which says in the product's own fields whether the
     /// request ran and when to come back.
-    fn pass_refusal(&self, answer: &mut Response<pinhaven_runtime::AnyBody>);
+    fn pass_refusal(&self, answer: &mut Response<AnyBody>);
 
     /// Reads a probe's answer; `None` when it holds no report.
     fn read_probe(&self, headers: &HeaderMap, body: &[u8]) -> Option<LoadReport>;
@@ -222,7 +223,7 @@
         answer.insert(header::RUN, HeaderValue::from_static(RunState::Run.name()));
     }
 
-    fn pass_refusal(&self, _answer: &mut Response<pinhaven_runtime::AnyBody>) {}
+    fn pass_refusal(&self, _answer: &mut Response<AnyBody>) {}
 
     fn read_probe(&self, _headers: &HeaderMap, body: &[u8]) -> Option<LoadReport> {
         load_report::from_json(body)
@@ -262,23 +263,27 @@
 }
 
 /// When a refusal of the entry tells its caller to come back, in milliseconds.
-pub fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
+fn retry_after_ms(headers: &HeaderMap) -> Option<u64> {
     header::number(headers, &header::RETRY_AFTER_MS)
         .ok()
         .flatten()
 }
 
-/// Removes the product's own fields from an answer and says in seconds, with fractions, when to come
-/// back.
-pub fn use_standard_fields(headers: &mut HeaderMap) {
-    let after_ms = retry_after_ms(headers);
-    headers.remove(header::RUN);
-    headers.remove(header::RETRY_AFTER_MS);
+/// Turns the product's own fields of a refusal into standard ones: 503 where the request did not run,
+/// and when to come back in seconds, with fractions.
+pub fn use_standard_fields(answer: &mut Response<AnyBody>) {
+    let after_ms = retry_after_ms(answer.headers());
+    let run = answer.headers_mut().remove(header::RUN);
+    answer.headers_mut().remove(header::RETRY_AFTER_MS);
+    let is_not_run = run.is_some_and(|run| run == RunState::NotRun.name());
+    if is_not_run && answer.status().is_server_error() {
+        *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
     let Some(after_ms) = after_ms else {
         return;
     };
     let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
-        headers.insert(RETRY_AFTER, value);
+        answer.headers_mut().insert(RETRY_AFTER, value);
     }
 }
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -46,6 +46,7 @@
             .unwrap_or(RequestFacts::new(true, job.deadline).attempts_most),
         entry_use: job.entry.use_share(),
         priority: job.routed.config().map(|route| route.priority),
+        waited: job.waited,
     };
     let mut request = RequestState::new(facts);
     if let Some(route) = &job.routed.route {
--- a/crates/pinhaven-entry/src/job.rs
+++ b/crates/pinhaven-entry/src/job.rs
@@ -22,6 +22,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) deadline: Microseconds,
+    /// How long the caller has waited before, on tries that failed.
+    pub(crate) waited: Microseconds,
     pub(crate) is_repeatable: bool,
     pub(crate) attempts_most: Option<u32>,
     pub(crate) body: RequestBody,
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -34,10 +34,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Time between two rounds. A target's speed lasts some hundred milliseconds.
-const ROUND: Duration = Duration::from_millis(50);
-/// Rounds between two whole datagrams, which make good for lost ones.
-const ROUNDS_PER_WHOLE: u64 = 10;
+/// Time between two rounds while targets have room, in milliseconds. A target's speed lasts some
+/// hundred milliseconds, and a slot that is taken meanwhile is not the last one.
+const ROUND_MOST_MS: f32 = 50.0;
+/// Time between two rounds when targets are full, in milliseconds. Who has the last free slot changes
+/// with each request then.
+const ROUND_LEAST_MS: f32 = 8.0;
+/// Use of a service's slots from which rounds get shorter, and at which they are shortest.
+const BUSY_USE: (f32, f32) = (0.15, 0.45);
+/// Time between two whole datagrams, which make good for lost ones.
+const WHOLE_EVERY: Microseconds = Microseconds::from_ms(500);
 /// Beats of other entries in a whole datagram.
 const BEATS_PASSED_ON: usize = 6;
 /// Entries described or asked about in one datagram, so that it fits into one packet.
@@ -71,6 +77,7 @@
 #[derive(Default)]
 struct Teller {
     rounds: u64,
+    whole_at: Microseconds,
     told: Told,
     list_told_at: Option<Microseconds>,
 }
@@ -81,7 +88,7 @@
         let mut teller = Teller::default();
         loop {
             let news = self.news.listen();
-            let is_urgent = within(ROUND, news).await.is_some();
+            let is_urgent = within(self.round(), news).await.is_some();
             self.tell_round(&mut teller, &socket, is_urgent).await;
             teller.rounds += 1;
         }
@@ -89,12 +96,23 @@
 
     async fn tell_round(&self, teller: &mut Teller, socket: &NewsSocket, is_urgent: bool) {
         let now = self.now();
-        let is_whole = is_urgent || teller.rounds.is_multiple_of(ROUNDS_PER_WHOLE);
+        let is_whole = is_urgent || now.saturating_sub(teller.whole_at) >= WHOLE_EVERY;
+        if is_whole {
+            teller.whole_at = now;
+        }
         let mut audience = self.audience(now);
         if is_whole {
             self.members.lock().forget_silent(now);
             self.peer_counts.lock().forget_silent(now);
             self.share_added_attempts();
+            if teller.rounds % 40 == 0 && is_whole { log::info!(target: "cnt", "{:?}", self.counters.all());
+                for (name, service) in &self.snapshot.load().services {
+                    log::info!(target: "tmp", "{name} {}", service.state.describe());
+                }
+                for r in self.snapshot.load().all_routes() {
+                    log::info!(target: "tmp", "route {} {} {}", r.config.path_prefix, r.config.aim_ms, r.state.work_ms());
+                }
+            }
         }
         let snapshot = self.snapshot.load();
         let targets = teller.told.gather(&snapshot, now, is_whole);
@@ -143,11 +161,25 @@
         }
     }
 
+    /// Time until the next round: the shorter the fuller the targets of any service are.
+    fn round(&self) -> Duration {
+        let snapshot = self.snapshot.load();
+        let uses = snapshot.services.values().map(|service| service.state.use_share());
+        let most_used = uses.fold(0.0, f32::max);
+        let (from, to) = BUSY_USE;
+        let busy = ((most_used - from) / (to - from)).clamp(0.0, 1.0);
+        let round_ms = ROUND_MOST_MS + (ROUND_LEAST_MS - ROUND_MOST_MS) * busy;
+        Duration::from_micros((round_ms * 1_000.0) as u64)
+    }
+
     fn has_news(&self, teller: &Teller, targets: &[TargetNews]) -> bool {
-        let now = self.now();
-        let age = self.targets.lock().age(now);
-        let confirmed_at = age.map(|age| now.saturating_sub(age));
-        !targets.is_empty() || confirmed_at > teller.list_told_at
+        !targets.is_empty() || self.list_read_at(self.now()) > teller.list_told_at
+    }
+
+    /// When this entry last read the list of targets.
+    fn list_read_at(&self, now: Microseconds) -> Option<Microseconds> {
+        let own_age = self.targets.lock().own_age(now);
+        own_age.map(|age| now.saturating_sub(age))
     }
 
     fn count_beat(&self) {
@@ -157,11 +189,14 @@
 
     fn list_news(&self, now: Microseconds) -> Option<ListNews> {
         let book = self.targets.lock();
-        let age = book.age(now)?;
+        if !book.is_known() {
+            return None;
+        }
+        let own_age = book.own_age(now);
         Some(ListNews {
             revision: book.list().revision,
             digest: book.digest(),
-            age_ms: age.as_ms() as u32,
+            age_ms: own_age.map(|age| age.as_ms().ceil() as u32),
         })
     }
 
@@ -261,7 +296,7 @@
         self.hear_targets(incarnation, &beat, &news.targets, news.is_whole);
         self.hear_version(peer, BundleVersion::new(beat.version));
         if let Some(list) = news.list {
-            let age = Microseconds::from_ms(u64::from(list.age_ms));
+            let age = list.age_ms.map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
             self.hear_list(peer, list.revision, list.digest, age);
         }
         if is_new || !news.wanted.is_empty() {
--- a/crates/pinhaven-entry/src/problem.rs
+++ b/crates/pinhaven-entry/src/problem.rs
@@ -91,9 +91,9 @@
 impl From<Refusal> for Problem {
     fn from(refusal: Refusal) -> Self {
         let (status, detail) = describe(refusal.reason);
-        // Only what has certainly not run may be promised not to have; a gateway's failure does not.
+        // A bad gateway leaves open whether the request ran; where that is known, say so.
         let is_not_run = refusal.run_state == RunState::NotRun;
-        let status = if is_not_run && status.is_server_error() {
+        let status = if is_not_run && status == StatusCode::BAD_GATEWAY {
             StatusCode::SERVICE_UNAVAILABLE
         } else {
             status
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/proxy.rs
@@ -114,6 +114,7 @@
         uri: head.uri,
         headers: head.headers,
         deadline,
+        waited: waited_before(&facts, &routed),
         is_repeatable,
         attempts_most: attempts_most(&facts, routed.config()),
         body,
@@ -138,6 +139,15 @@
     Microseconds::from_ms(held_ms)
 }
 
+fn waited_before(facts: &CallerFacts, routed: &Routed) -> Microseconds {
+    match (facts.deadline_ms, &routed.route) {
+        (Some(deadline_ms), Some(route)) => route
+            .state
+            .waited_before(Microseconds::from_ms(deadline_ms)),
+        _ => Microseconds::ZERO,
+    }
+}
+
 fn attempts_most(facts: &CallerFacts, route: Option<&PathRoute>) -> Option<u32> {
     let routed = route.map(|route| route.attempts_most);
     match (facts.attempts_most, routed) {
--- a/crates/pinhaven-entry/src/relay.rs
+++ b/crates/pinhaven-entry/src/relay.rs
@@ -137,6 +137,7 @@
         uri,
         headers: from_fields(request.headers),
         deadline: entry.now().plus(deadline),
+        waited: Microseconds::ZERO,
         is_repeatable: false,
         attempts_most: None,
         body: RequestBody::Whole(bytes.clone()),
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/snapshot.rs
@@ -117,6 +117,10 @@
         }
     }
 
+    /// tmp
+    pub(crate) fn all_routes(&self) -> Vec<Arc<RouteEntry>> {
+        self.routes.all()
+    }
     /// All targets with an id.
     pub(crate) fn keyed_targets(&self) -> &HashMap<u32, KeyedTarget> {
         &self.by_key
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -32,9 +32,10 @@
     /// Digest of what matters of it.
     #[prost(fixed64, tag = "2")]
     pub digest: u64,
-    /// Time since the store said that it is right, in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub age_ms: u32,
+    /// Time since the store said to the sender itself that it is right, in milliseconds; missing if
+    /// it never did.
+    #[prost(uint32, optional, tag = "3")]
+    pub age_ms: Option<u32>,
 }
 
 /// One datagram.
