--- a/crates/pinhaven-decide/src/measuring.rs
+++ b/crates/pinhaven-decide/src/measuring.rs
@@ -113,7 +113,7 @@
 }
 
 /// Entries that may ask one target at the same time while they disagree on whose turn it is.
-const ASKERS_MOST: u64 = 5;
+const ASKERS_MOST: u64 = 3;
 
 /// When one entry may ask one target again, where any of several entries may.
 ///
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -276,7 +276,8 @@
         self.connections_per_target
     }
 
-    pub(crate) fn typical_ms(&self) -> f32 {
+    /// Typical time of a request, in milliseconds.
+    pub fn typical_ms(&self) -> f32 {
         self.typical_ms.get()
     }
 
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -22,10 +22,13 @@
 use std::sync::atomic::Ordering;
 
 /// Time between two looks for targets that are due, in milliseconds.
-const TICK_MS: u64 = 20;
-/// Age of a report at which a target is asked, in milliseconds: a fifth of the time that a target's
-/// speed lasts where that was measured.
-const REPORT_AGE_MS: f64 = 80.0;
+const TICK_MS: u64 = 15;
+/// Age of a report at which a target is asked, as a share of the typical time of the service's
+/// requests. A choice is wrong when the speed has changed since the report, or changes while the
+/// request works; asking much more often than that would mend the smaller of the two.
+const REPORT_AGE_SHARE: f32 = 0.6;
+/// The least and the most of that age, in milliseconds.
+const REPORT_AGE_MS: (f32, f32) = (30.0, 90.0);
 /// How long a target may take to answer, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 
@@ -77,7 +80,9 @@
         let age = target
             .reported_speed()
             .map(|(_, at)| now.saturating_sub(at));
-        if target.is_leaving() || age.is_some_and(|age| age.as_ms() < REPORT_AGE_MS) {
+        let wanted_ms = keyed.service.state.typical_ms() * REPORT_AGE_SHARE;
+        let wanted_ms = f64::from(wanted_ms.clamp(REPORT_AGE_MS.0, REPORT_AGE_MS.1));
+        if target.is_leaving() || age.is_some_and(|age| age.as_ms() < wanted_ms) {
             return;
         }
         let most = self.settings.discovery.as_ref();
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -76,11 +76,11 @@
         Some(address) => Some(metrics::connect(address)?),
         None => None,
     };
-    let entry = Entry::new(settings, world, address_of(&callers), address_of(&peers));
+    let entry = Entry::new(settings, world, callers.local_address(), peers.local_address());
     log::info!(
         target: "entry",
         "Instance {} listens at {} for callers and at {} for peers.",
-        entry.settings.instance_id, address_of(&callers), address_of(&peers)
+        entry.settings.instance_id, callers.local_address(), peers.local_address()
     );
     let servers = Servers {
         callers: Arc::new(callers),
@@ -113,12 +113,6 @@
     })
 }
 
-fn address_of(server: &HttpServer) -> SocketAddr {
-    server
-        .local_address()
-        .unwrap_or_else(|_| (std::net::Ipv4Addr::UNSPECIFIED, 0).into())
-}
-
 fn serve(entry: &Arc<Entry>, servers: &Servers) {
     let callers = Arc::clone(&servers.callers);
     let peers = Arc::clone(&servers.peers);
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -18,6 +18,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -46,7 +47,9 @@
 
 /// A listening server; it serves while [`HttpServer::serve`] runs.
 pub struct HttpServer {
-    listener: Async<TcpListener>,
+    /// The listening socket; it is closed when the server stops.
+    listener: Mutex<Option<Async<TcpListener>>>,
+    address: SocketAddr,
     settings: HttpServerSettings,
     stop_sender: async_channel::Sender<()>,
     stop_receiver: async_channel::Receiver<()>,
@@ -61,8 +64,10 @@
     /// The system's error when the address can't be had.
     pub fn bind(address: SocketAddr, settings: HttpServerSettings) -> std::io::Result<Self> {
         let (stop_sender, stop_receiver) = async_channel::bounded(1);
+        let listener = Async::<TcpListener>::bind(address)?;
         Ok(Self {
-            listener: Async::<TcpListener>::bind(address)?,
+            address: listener.get_ref().local_addr()?,
+            listener: Mutex::new(Some(listener)),
             settings,
             stop_sender,
             stop_receiver,
@@ -71,12 +76,8 @@
     }
 
     /// The address the server listens at, with the port that the system picked.
-    ///
-    /// # Errors
-    ///
-    /// The system's error when it can't tell.
-    pub fn local_address(&self) -> std::io::Result<SocketAddr> {
-        self.listener.get_ref().local_addr()
+    pub fn local_address(&self) -> SocketAddr {
+        self.address
     }
 
     /// How many connections are open.
@@ -84,19 +85,24 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Closes idle connections and takes no further requests on the others.
+    /// Takes no more connections, closes idle ones and takes no further requests on the others.
     pub fn close_gracefully(&self) {
         self.stop_sender.close();
     }
 
-    /// Accepts connections and answers requests with `handler`, for ever.
+    /// Accepts connections and answers requests with `handler`, until the server is told to close.
+    /// Connections that are open then are served on. Only the first call serves.
     pub async fn serve<H, F>(&self, handler: H)
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<AnyBody>> + Send + 'static,
     {
-        loop {
-            let Ok((stream, _peer)) = self.listener.accept().await else {
+        let listener = self.listener.lock().ok().and_then(|mut held| held.take());
+        let Some(listener) = listener else {
+            return;
+        };
+        while let Some(accepted) = self.accept(&listener).await {
+            let Ok((stream, _peer)) = accepted else {
                 sleep_ms(ACCEPT_RETRY_MS).await;
                 continue;
             };
@@ -115,6 +121,19 @@
             .detach();
         }
     }
+
+    /// The next connection; `None` once the server is told to close.
+    async fn accept(
+        &self,
+        listener: &Async<TcpListener>,
+    ) -> Option<std::io::Result<(Async<TcpStream>, SocketAddr)>> {
+        let accepted = async { Some(listener.accept().await) };
+        let stopped = async {
+            let _ = self.stop_receiver.recv().await;
+            None
+        };
+        or(stopped, accepted).await
+    }
 }
 
 async fn serve_connection<H, F>(
--- a/crates/pinhaven-stand-in/src/platform.rs
+++ b/crates/pinhaven-stand-in/src/platform.rs
@@ -89,7 +89,7 @@
             connections_most: 10_000,
         };
         let server = HttpServer::bind(address, settings)?;
-        let address = server.local_address()?;
+        let address = server.local_address();
         let stored = Arc::new(Mutex::new(Stored {
             random: fastrand::Rng::with_seed(seed),
             ..Stored::default()
--- a/crates/pinhaven-stand-in/src/target.rs
+++ b/crates/pinhaven-stand-in/src/target.rs
@@ -140,7 +140,7 @@
             connections_most: 1_000,
         };
         let server = HttpServer::bind(address, server_settings)?;
-        let address = server.local_address()?;
+        let address = server.local_address();
         let target = Arc::new(Target {
             settings,
             work: Mutex::new(Work {
