--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -180,8 +180,14 @@
     in_flight as f32 + target.penalty_at(now)
 }
 
+/// Whether a target that holds `load` requests would be nearly full with one more.
 fn is_crowded(target: &TargetState, load: f32) -> bool {
-    load + 1.0 >= target.slots() * CROWDED_FROM
+    is_nearly_full(target, load + 1.0)
+}
+
+/// Whether a target that holds `load` requests is nearly full.
+pub(crate) fn is_nearly_full(target: &TargetState, load: f32) -> bool {
+    load >= target.slots() * CROWDED_FROM
 }
 
 fn run_ms(
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -454,7 +454,7 @@
             AttemptOutcome::Answered { report, .. } => {
                 self.service
                     .record_answer(&target, self.now, latency, report.as_ref());
-                self.learn_work(attempt);
+                self.learn_work(attempt, report.as_ref());
                 self.deliver(attempt);
             }
         }
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -12,6 +12,7 @@
 use crate::forecast::Forecast;
 use crate::forecast::Lane;
 use crate::refusal::RefusalReason;
+use crate::report::LoadReport;
 use crate::request::Phase;
 use crate::request::Turn;
 use crate::speed::time_for;
@@ -255,17 +256,21 @@
             .min_by(f32::total_cmp)
     }
 
-    /// Learns from an answer how long the route's requests work, and how full targets slow down.
-    pub(crate) fn learn_work(&mut self, attempt: AttemptId) {
+    /// Learns from an answer how long the route's requests work, and how full targets slow down. Only
+    /// answers of targets that were as full at the end as at the beginning tell either.
+    pub(crate) fn learn_work(&mut self, attempt: AttemptId, report: Option<&LoadReport>) {
         self.advance_progress_of(attempt);
         let Some(route) = &self.request.route else {
             return;
         };
-        let progress = self.request.sent.get(attempt.0 as usize);
-        let Some(progress) = progress.and_then(|sent| sent.progress) else {
+        let Some(sent) = self.request.sent.get(attempt.0 as usize) else {
             return;
         };
-        if !progress.is_usual {
+        let (Some(progress), Some(report)) = (sent.progress, report) else {
+            return;
+        };
+        let is_crowded = forecast::is_nearly_full(&sent.target, report.running as f32);
+        if !progress.is_usual || is_crowded != progress.is_crowded {
             return;
         }
         if progress.is_crowded {
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -206,22 +206,6 @@
         target.record_speed(at, slowdown, &self.speed)
     }
 
-    /// tmp
-    pub fn describe(&self) -> String {
-        format!(
-            "lasting {} crowding {} inflight {} waiting {} hedges {} retries {} typical {} budget {} {}",
-            self.speed.lasting_ms(),
-            self.crowding.get(),
-            self.in_flight(),
-            self.waiting(),
-            self.counts().hedges,
-            self.counts().retries,
-            self.typical_ms(),
-            self.hedge_budget.tokens(),
-            self.retry_budget.tokens()
-        )
-    }
-
     /// Share of the slots of all targets that requests of all entries hold, as far as is known.
     pub fn use_share(&self) -> f32 {
         let (mut held, mut slots) = (0.0, 0.0);
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -202,8 +202,7 @@
         digest: u64,
         age: Option<Microseconds>,
     ) {
-        let confirmed_at =
-            age.map_or(Microseconds::ZERO, |age| self.now().saturating_sub(age));
+        let confirmed_at = age.map_or(Microseconds::ZERO, |age| self.now().saturating_sub(age));
         let heard = self.targets.lock().hear(revision, digest, confirmed_at);
         if heard != PeerList::Fetch || self.is_fetching_list.swap(true, Ordering::Acquire) {
             return;
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -76,7 +76,6 @@
 /// What has been told so far.
 #[derive(Default)]
 struct Teller {
-    rounds: u64,
     whole_at: Microseconds,
     told: Told,
     list_told_at: Option<Microseconds>,
@@ -90,7 +89,6 @@
             let news = self.news.listen();
             let is_urgent = within(self.round(), news).await.is_some();
             self.tell_round(&mut teller, &socket, is_urgent).await;
-            teller.rounds += 1;
         }
     }
 
@@ -105,14 +103,6 @@
             self.members.lock().forget_silent(now);
             self.peer_counts.lock().forget_silent(now);
             self.share_added_attempts();
-            if teller.rounds % 40 == 0 && is_whole { log::info!(target: "cnt", "{:?}", self.counters.all());
-                for (name, service) in &self.snapshot.load().services {
-                    log::info!(target: "tmp", "{name} {}", service.state.describe());
-                }
-                for r in self.snapshot.load().all_routes() {
-                    log::info!(target: "tmp", "route {} {} {}", r.config.path_prefix, r.config.aim_ms, r.state.work_ms());
-                }
-            }
         }
         let snapshot = self.snapshot.load();
         let targets = teller.told.gather(&snapshot, now, is_whole);
@@ -121,11 +111,7 @@
         }
         self.count_beat();
         let list = self.list_news(now);
-        teller.list_told_at = self
-            .targets
-            .lock()
-            .age(now)
-            .map(|age| now.saturating_sub(age));
+        teller.list_told_at = self.list_read_at(now);
         if audience.is_told_often || !targets.is_empty() {
             self.tell_close(&audience.close, targets, list, is_whole, socket)
                 .await;
@@ -164,7 +150,10 @@
     /// Time until the next round: the shorter the fuller the targets of any service are.
     fn round(&self) -> Duration {
         let snapshot = self.snapshot.load();
-        let uses = snapshot.services.values().map(|service| service.state.use_share());
+        let uses = snapshot
+            .services
+            .values()
+            .map(|service| service.state.use_share());
         let most_used = uses.fold(0.0, f32::max);
         let (from, to) = BUSY_USE;
         let busy = ((most_used - from) / (to - from)).clamp(0.0, 1.0);
@@ -296,7 +285,9 @@
         self.hear_targets(incarnation, &beat, &news.targets, news.is_whole);
         self.hear_version(peer, BundleVersion::new(beat.version));
         if let Some(list) = news.list {
-            let age = list.age_ms.map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
+            let age = list
+                .age_ms
+                .map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
             self.hear_list(peer, list.revision, list.digest, age);
         }
         if is_new || !news.wanted.is_empty() {
--- a/crates/pinhaven-entry/src/routes.rs
+++ b/crates/pinhaven-entry/src/routes.rs
@@ -80,10 +80,6 @@
             .find(|route| path.starts_with(&route.config.path_prefix))
     }
 
-    /// tmp
-    pub(crate) fn all(&self) -> Vec<Arc<RouteEntry>> {
-        self.hosts.values().flatten().cloned().collect()
-    }
     /// Whether any route is known for a host in lower case.
     pub(crate) fn has_host(&self, host: &str) -> bool {
         self.hosts.contains_key(host)
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/snapshot.rs
@@ -117,10 +117,6 @@
         }
     }
 
-    /// tmp
-    pub(crate) fn all_routes(&self) -> Vec<Arc<RouteEntry>> {
-        self.routes.all()
-    }
     /// All targets with an id.
     pub(crate) fn keyed_targets(&self) -> &HashMap<u32, KeyedTarget> {
         &self.by_key
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -76,7 +76,12 @@
         Some(address) => Some(metrics::connect(address)?),
         None => None,
     };
-    let entry = Entry::new(settings, world, callers.local_address(), peers.local_address());
+    let entry = Entry::new(
+        settings,
+        world,
+        callers.local_address(),
+        peers.local_address(),
+    );
     log::info!(
         target: "entry",
         "Instance {} listens at {} for callers and at {} for peers.",
