Leave the last slots of slow targets empty too

Cause: late requests filled slow targets, which turned fast with three requests and worked on them crowded.

--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -119,7 +119,7 @@
         }
         let forecast = forecast(service, target, now, work_ms);
         let is_spare = forecast.slowdown >= SPARE_SLOWDOWN;
-        let slots = usable_slots(service, target, is_spare);
+        let slots = usable_slots(service, target);
         if !is_spare {
             use_of_usual.add(&forecast, slots);
         }
@@ -161,13 +161,13 @@
 }
 
 /// Slots of a target that are worth using. Where a nearly full target slows down so much that it does
-/// less in all, its last slots stay empty. A slow target is given only what has time, so there every
-/// slot counts.
-fn usable_slots(service: &ServiceState, target: &TargetState, is_spare: bool) -> f32 {
+/// less in all, its last slots stay empty. That holds for slow targets too: they turn fast again, and
+/// then work on what they have.
+fn usable_slots(service: &ServiceState, target: &TargetState) -> f32 {
     let slots = target.slots();
     let uncrowded = (slots * CROWDED_FROM).ceil() - 1.0;
     let is_crowding_worth_it = slots / service.crowding.get() > uncrowded * CROWDING_GAIN;
-    if is_spare || is_crowding_worth_it || uncrowded < 1.0 {
+    if is_crowding_worth_it || uncrowded < 1.0 {
         slots
     } else {
         uncrowded
