Fill at most three quarters of the time to the aim

Cause: callers have spent 16 to 64 ms on questions and connections before a request comes, which the entry can't see.

--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -26,7 +26,7 @@
 const LOOK_AGAIN_MS: u64 = 15;
 /// Share of the time to the aim that a forecast may fill for the request to be sent at once. The rest
 /// is for the way to and from the caller, and for what the forecast does not know.
-const AIM_FILL: f32 = 0.85;
+const AIM_FILL: f32 = 0.75;
 /// A forecast up to this many times the work is good where the aim is shorter than the work.
 const GOOD_FACTOR: f32 = 1.5;
 /// Share of the time left that a late answer's forecast may fill.
