--- a/crates/pinhaven-entry/src/doors.rs
+++ b/crates/pinhaven-entry/src/doors.rs
@@ -39,6 +39,7 @@
     let settings = HttpServerSettings {
         idle_ms: IDLE_MS,
         connections_most: CONNECTIONS_MAX,
+        allows_http2: false,
     };
     let ready = listen(
         EntryStep::ListenForReadiness,
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -62,6 +62,7 @@
         HttpServerSettings {
             idle_ms: settings.caller_idle_ms,
             connections_most: settings.requests_most as usize,
+            allows_http2: settings.caller_http2,
         },
     )?;
     let peers = listen(
@@ -70,6 +71,7 @@
         HttpServerSettings {
             idle_ms: PEER_IDLE_MS,
             connections_most: PEER_CONNECTIONS_MAX,
+            allows_http2: true,
         },
     )?;
     let metrics_client = match settings.metrics_address {
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -43,6 +43,8 @@
     pub idle_ms: u64,
     /// The most connections at a time.
     pub connections_most: usize,
+    /// Whether connections may speak HTTP/2. Telling it from HTTP/1.1 costs each connection memory.
+    pub allows_http2: bool,
 }
 
 /// A listening server; it serves while [`HttpServer::serve`] runs.
@@ -155,6 +157,31 @@
         let answer = handler(request);
         async move { Ok::<_, Infallible>(answer.await) }
     });
+    // Each kind is boxed, so that a connection takes no more memory than its own kind needs.
+    if settings.allows_http2 {
+        let builder = any_version(settings);
+        let connection = builder.serve_connection(FuturesIo::new(stream), service);
+        Box::pin(drive(connection, settings, stop, &has_asked)).await;
+    } else {
+        let builder = http1_only(settings);
+        let connection = builder.serve_connection(FuturesIo::new(stream), service);
+        Box::pin(drive(connection, settings, stop, &has_asked)).await;
+    }
+}
+
+fn http1_only(settings: HttpServerSettings) -> hyper::server::conn::http1::Builder {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(SmolTimer::new())
+        .header_read_timeout(Duration::from_millis(settings.idle_ms))
+        .max_headers(HEADERS_MAX)
+        .max_buf_size(HEAD_BYTES_MAX);
+    builder
+}
+
+fn any_version(
+    settings: HttpServerSettings,
+) -> hyper_util::server::conn::auto::Builder<HyperExecutor> {
     let idle = Duration::from_millis(settings.idle_ms);
     let mut builder = hyper_util::server::conn::auto::Builder::new(HyperExecutor);
     builder
@@ -169,7 +196,45 @@
         .keep_alive_interval(idle)
         .max_header_list_size(HEAD_BYTES_MAX as u32)
         .max_concurrent_streams(STREAMS_MAX);
-    let connection = builder.serve_connection(FuturesIo::new(stream), service);
+    builder
+}
+
+/// A connection of either kind.
+trait Connection: Future {
+    /// Answers the request that is being read, and no other.
+    fn shut_down(self: std::pin::Pin<&mut Self>);
+}
+
+impl<S> Connection for hyper::server::conn::http1::Connection<Stream, S>
+where
+    S: hyper::service::HttpService<Incoming, ResBody = AnyBody>,
+    S::Error: Into<crate::BoxError>,
+{
+    fn shut_down(self: std::pin::Pin<&mut Self>) {
+        self.graceful_shutdown();
+    }
+}
+
+impl<S> Connection
+    for hyper_util::server::conn::auto::Connection<'_, Stream, S, HyperExecutor>
+where
+    S: hyper::service::Service<Request<Incoming>, Response = Response<AnyBody>>,
+    S::Future: Send + 'static,
+    S::Error: Into<crate::BoxError>,
+{
+    fn shut_down(self: std::pin::Pin<&mut Self>) {
+        self.graceful_shutdown();
+    }
+}
+
+type Stream = FuturesIo<Async<TcpStream>>;
+
+async fn drive(
+    connection: impl Connection,
+    settings: HttpServerSettings,
+    stop: async_channel::Receiver<()>,
+    has_asked: &AtomicBool,
+) {
     let mut connection = std::pin::pin!(connection);
     let served = async {
         // An error here is the caller's connection breaking; there is nobody left to tell.
@@ -200,7 +265,7 @@
         or(served, sleep_ms(LAST_REQUEST_MS)).await;
     }
     if has_asked.load(Ordering::Relaxed) {
-        connection.as_mut().graceful_shutdown();
+        connection.as_mut().shut_down();
         let _ = connection.await;
     }
 }
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -77,6 +77,9 @@
     /// How long an idle or half-sent caller connection is kept, in milliseconds.
     #[serde(default = "default_caller_idle_ms")]
     pub caller_idle_ms: u64,
+    /// Whether callers may speak HTTP/2; without it a connection takes less memory.
+    #[serde(default = "default_caller_http2")]
+    pub caller_http2: bool,
     /// The longest that a planned stop waits for requests in flight, in milliseconds.
     #[serde(default = "default_stop_most_ms")]
     pub stop_most_ms: u64,
@@ -268,6 +271,10 @@
     30_000
 }
 
+const fn default_caller_http2() -> bool {
+    true
+}
+
 const fn default_stop_most_ms() -> u64 {
     60_000
 }
--- a/crates/pinhaven-stand-in/src/platform.rs
+++ b/crates/pinhaven-stand-in/src/platform.rs
@@ -87,6 +87,7 @@
         let settings = HttpServerSettings {
             idle_ms: 300_000,
             connections_most: 10_000,
+            allows_http2: true,
         };
         let server = HttpServer::bind(address, settings)?;
         let address = server.local_address();
--- a/crates/pinhaven-stand-in/src/target.rs
+++ b/crates/pinhaven-stand-in/src/target.rs
@@ -138,6 +138,7 @@
         let server_settings = HttpServerSettings {
             idle_ms: 300_000,
             connections_most: 1_000,
+            allows_http2: true,
         };
         let server = HttpServer::bind(address, server_settings)?;
         let address = server.local_address();
