Spend less on deciding whose turn it is

Cause: the rank of each member and the asker of each target were hashed anew 20 to 70 times a second at every entry, also at those that do not serve.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -62,12 +62,15 @@
     pub heard_at: Microseconds,
     /// Whether it was heard itself or its count was seen to grow; a row alone may be long out of date.
     is_confirmed: bool,
+    /// Its place in the order that all entries agree on.
+    rank: u64,
 }
 
 /// All entries that this one knows of.
 #[derive(Debug)]
 pub struct Membership {
     own: MemberRow,
+    own_rank: u64,
     members: BTreeMap<Incarnation, Member>,
     silent_after: Microseconds,
     forget_after: Microseconds,
@@ -78,6 +81,7 @@
     /// `silent_after` is not told to callers; after ten times that it is forgotten.
     pub fn new(own: MemberRow, silent_after: Microseconds) -> Self {
         Self {
+            own_rank: rank_of(&own),
             own,
             members: BTreeMap::new(),
             silent_after,
@@ -124,6 +128,7 @@
         }
         let Some(member) = self.members.get_mut(&row.incarnation) else {
             let member = Member {
+                rank: rank_of(&row),
                 row,
                 heard_at: now,
                 is_confirmed: false,
@@ -230,14 +235,12 @@
     /// ones, in an order that all entries agree on.
     pub fn serving(&self, per_domain: usize, now: Microseconds) -> Vec<&MemberRow> {
         let live = self.members.values().filter(|m| self.is_live(m, now));
-        let all = std::iter::once(&self.own).chain(live.map(|member| &member.row));
-        let mut by_domain: BTreeMap<&FailureDomain, Vec<(Digest, &MemberRow)>> = BTreeMap::new();
-        for row in all.filter(|row| row.state == MemberState::Ready) {
-            let rank = Digest::of(row.instance_id.as_str().as_bytes());
-            by_domain
-                .entry(&row.failure_domain)
-                .or_default()
-                .push((rank, row));
+        let others = live.map(|member| (member.rank, &member.row));
+        let all = std::iter::once((self.own_rank, &self.own)).chain(others);
+        let mut by_domain: BTreeMap<&FailureDomain, Vec<(u64, &MemberRow)>> = BTreeMap::new();
+        for (rank, row) in all.filter(|(_, row)| row.state == MemberState::Ready) {
+            let rows = by_domain.entry(&row.failure_domain).or_default();
+            rows.push((rank, row));
         }
         let mut serving = Vec::new();
         for mut rows in by_domain.into_values() {
@@ -287,6 +290,11 @@
     }
 }
 
+/// Rank of an entry among all, the lower the sooner it serves.
+fn rank_of(row: &MemberRow) -> u64 {
+    Digest::of(row.instance_id.as_str().as_bytes()).short()
+}
+
 /// Rank of an entry for a service, the lower the sooner.
 fn rank(service: &ServiceName, row: &MemberRow) -> Digest {
     Digest::of_parts(&[
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -176,9 +176,15 @@
 
     /// Whether an entry with this rank among the readers, 0 for the first, should read now.
     pub fn is_due(&self, rank: u32, now: Microseconds) -> bool {
+        self.due_in(rank, now) == Microseconds::ZERO
+    }
+
+    /// Time until such an entry should read, if it hears nothing until then.
+    pub fn due_in(&self, rank: u32, now: Microseconds) -> Microseconds {
         let ranks = u64::from(rank.min(RANK_MOST));
         let after = READ_AFTER.count() + READ_AFTER_PER_RANK.count() * ranks;
-        self.age(now).is_none_or(|age| age.count() >= after)
+        let due_in = |age| Microseconds::new(after).saturating_sub(age);
+        self.age(now).map_or(Microseconds::ZERO, due_in)
     }
 
     /// Takes in that the store could not be read.
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -30,8 +30,9 @@
 
 /// Where a peer asks for the list of targets.
 pub(crate) const TARGETS_PATH: &str = "/targets";
-/// How often it is asked whether the list has to be read, in milliseconds.
-const LIST_TICK_MS: u64 = 50;
+/// The shortest and the longest pause before it is asked again whether the list has to be read, in
+/// milliseconds. Ranks change when entries come and go.
+const LIST_PAUSE_MS: (u64, u64) = (5, 200);
 /// Pause after a failed call to the store, in milliseconds, doubled with each failure in a row.
 const RETRY_FIRST_MS: u64 = 150;
 /// The longest such pause, in milliseconds; the store's return must be noticed within a second.
@@ -115,14 +116,14 @@
             let has_expired = self.targets.lock().expire_kept(self.now());
             self.use_list(has_expired);
             let rank = self.reader_rank();
-            if self.targets.lock().is_due(rank, self.now()) {
-                if self.read_targets().await {
-                    backoff = Backoff::new();
-                } else {
-                    backoff.pause().await;
-                }
+            let due_in = self.targets.lock().due_in(rank, self.now());
+            if due_in > Microseconds::ZERO {
+                sleep_ms((due_in.count() / 1_000).clamp(LIST_PAUSE_MS.0, LIST_PAUSE_MS.1)).await;
+            } else if self.read_targets().await {
+                backoff = Backoff::new();
+            } else {
+                backoff.pause().await;
             }
-            sleep_ms(LIST_TICK_MS).await;
         }
     }
 
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -40,6 +40,8 @@
 /// Time between two rounds when targets are full, in milliseconds. Who has the last free slot changes
 /// with each request then.
 const ROUND_LEAST_MS: f32 = 8.0;
+/// Time between two rounds of an entry that has nothing to tell but that it lives.
+const ROUND_OF_IDLE: Duration = Duration::from_millis(250);
 /// Use of a service's slots from which rounds get shorter, and at which they are shortest.
 const BUSY_USE: (f32, f32) = (0.15, 0.45);
 /// Time between two whole datagrams, which make good for lost ones.
@@ -77,6 +79,7 @@
 #[derive(Default)]
 struct Teller {
     whole_at: Microseconds,
+    is_told_often: bool,
     told: Told,
     list_told_at: Option<Microseconds>,
 }
@@ -87,7 +90,7 @@
         let mut teller = Teller::default();
         loop {
             let news = self.news.listen();
-            let is_urgent = within(self.round(), news).await.is_some();
+            let is_urgent = within(self.round(&teller), news).await.is_some();
             self.tell_round(&mut teller, &socket, is_urgent).await;
         }
     }
@@ -99,6 +102,7 @@
             teller.whole_at = now;
         }
         let mut audience = self.audience(now);
+        teller.is_told_often = audience.is_told_often;
         if is_whole {
             self.members.lock().forget_silent(now);
             self.peer_counts.lock().forget_silent(now);
@@ -147,8 +151,12 @@
         }
     }
 
-    /// Time until the next round: the shorter the fuller the targets of any service are.
-    fn round(&self) -> Duration {
+    /// Time until the next round: the shorter the fuller the targets of any service are, and long for
+    /// an entry that has nothing under way and does not serve.
+    fn round(&self, teller: &Teller) -> Duration {
+        if !teller.is_told_often && self.in_flight() == 0 {
+            return ROUND_OF_IDLE;
+        }
         let snapshot = self.snapshot.load();
         let uses = snapshot
             .services
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -29,6 +29,8 @@
 const REPORT_AGE_SHARE: f32 = 0.6;
 /// The least and the most of that age, in milliseconds.
 const REPORT_AGE_MS: (f32, f32) = (30.0, 90.0);
+/// The same for an entry that asks none, in milliseconds.
+const IDLE_TICK_MS: u64 = 200;
 /// How long a target may take to answer, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 
@@ -39,25 +41,49 @@
     is_under_way: Arc<AtomicBool>,
 }
 
+/// Which targets this entry asks, for as long as the same entries serve the same targets.
+#[derive(Default)]
+struct Turn {
+    serving: Vec<Incarnation>,
+    keys: Vec<u32>,
+    own_keys: Vec<u32>,
+    probed: HashMap<u32, Probed>,
+}
+
 impl Entry {
     /// Sends probes, for ever.
     pub(crate) async fn probe_speeds(self: Arc<Self>) {
-        let mut probed: HashMap<u32, Probed> = HashMap::new();
+        let mut turn = Turn::default();
         loop {
-            sleep_ms(TICK_MS).await;
-            let serving = self.serving_entries();
-            if !serving.contains(&self.incarnation) {
-                probed.clear();
+            if !self.take_turn(&mut turn) {
+                sleep_ms(IDLE_TICK_MS).await;
                 continue;
             }
             let snapshot = self.snapshot.load_full();
-            probed.retain(|key, _| snapshot.keyed_targets().contains_key(key));
-            for (key, keyed) in snapshot.keyed_targets() {
-                if asker(*key, &serving) == Some(self.incarnation) {
-                    self.probe_speed_if_due(*key, keyed, &mut probed);
+            for key in turn.own_keys.clone() {
+                if let Some(keyed) = snapshot.keyed_targets().get(&key) {
+                    self.probe_speed_if_due(key, keyed, &mut turn.probed);
                 }
             }
+            sleep_ms(TICK_MS).await;
+        }
+    }
+
+    /// Brings up to date which targets this entry asks. Returns whether it asks any.
+    fn take_turn(&self, turn: &mut Turn) -> bool {
+        let serving = self.serving_entries();
+        let snapshot = self.snapshot.load();
+        let mut keys: Vec<u32> = snapshot.keyed_targets().keys().copied().collect();
+        keys.sort_unstable();
+        if serving != turn.serving || keys != turn.keys {
+            let is_own = |key: &u32| asker(*key, &serving) == Some(self.incarnation);
+            turn.own_keys = keys.iter().copied().filter(is_own).collect();
+            let own_keys = &turn.own_keys;
+            turn.probed.retain(|key, _| own_keys.contains(key));
+            turn.serving = serving;
+            turn.keys = keys;
         }
+        !turn.own_keys.is_empty()
     }
 
     fn serving_entries(&self) -> Vec<Incarnation> {
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -215,8 +215,7 @@
     }
 }
 
-impl<S> Connection
-    for hyper_util::server::conn::auto::Connection<'_, Stream, S, HyperExecutor>
+impl<S> Connection for hyper_util::server::conn::auto::Connection<'_, Stream, S, HyperExecutor>
 where
     S: hyper::service::Service<Request<Incoming>, Response = Response<AnyBody>>,
     S::Future: Send + 'static,
