--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -324,6 +324,8 @@
 
     /// Brings the snapshot up to date with the list of targets.
     pub(crate) fn take_changed_targets(&self) {
+        // A version that is being taken meanwhile may have looked at the list before it changed.
+        let _turn = self.adopting.lock();
         let previous = self.snapshot.load_full();
         if let Some(body) = previous.body() {
             let next = self.snapshot_of(Arc::clone(body), &previous);
