--- a/crates/pinhaven-command/src/entry.rs
+++ b/crates/pinhaven-command/src/entry.rs
@@ -24,7 +24,7 @@
         Some(discovery) => pinhaven_adapter::entry_environment(discovery),
         None => EntryEnvironment::default(),
     };
-    let environment = environment.with_recorder(log.recorder());
+    let environment = environment.with_recorder(log.recorder(settings.instance_id.as_str()));
     let ended = pinhaven_entry::run_entry(settings, environment);
     log.finish();
     match ended {
--- a/crates/pinhaven-command/src/explain.rs
+++ b/crates/pinhaven-command/src/explain.rs
@@ -10,7 +10,7 @@
 /// How long before a request what entries came to believe is still told, in seconds.
 const BEFORE_S: f64 = 5.0;
 /// Facts that are not told again on each line.
-const HEAD_FACTS: [&str; 4] = ["id", "route", "service", "version"];
+const HEAD_FACTS: [&str; 5] = ["id", "instance", "route", "service", "version"];
 
 #[derive(Debug, Args)]
 pub(crate) struct ExplainArguments {
@@ -56,8 +56,8 @@
     Ok((lines, bad))
 }
 
-/// What is told of a request: its own lines, and before them what entries came to believe of the
-/// targets that it was sent to, of versions and of the store.
+/// What is told of a request: its own lines, and between and before them what the entry that had it
+/// came to believe of the targets that it was sent to, of versions and of the store.
 fn explain(id: &str, lines: Vec<ReadLine>) -> Vec<String> {
     let is_own = |line: &&ReadLine| line.text("id") == id;
     let own: Vec<&ReadLine> = lines.iter().filter(is_own).collect();
@@ -66,13 +66,17 @@
     };
     let (from_s, to_s) = (first.time_s - BEFORE_S, last.time_s);
     let targets: Vec<String> = own.iter().map(|line| line.text("target")).collect();
-    let is_about = |line: &ReadLine| match line.part.as_str() {
-        "target" => targets.contains(&line.text("target")),
-        "bundle" | "store" | "entry" => line.event != "log",
-        _ => false,
+    let is_about = |line: &ReadLine| {
+        line.text("instance") == first.text("instance")
+            && match line.part.as_str() {
+                "target" => targets.contains(&line.text("target")),
+                "bundle" | "store" | "entry" => line.event != "log",
+                _ => false,
+            }
     };
     let mut told = vec![format!(
-        "request {id}: route {}, service {}, version {}",
+        "request {id} at {}: route {}, service {}, version {}",
+        first.text("instance"),
         first.text("route"),
         first.text("service"),
         first.text("version")
@@ -88,8 +92,10 @@
 fn describe(line: &ReadLine, start_s: f64) -> String {
     let at_ms = (line.time_s - start_s) * 1_000.0;
     let facts = line.facts.iter();
+    let is_request = line.part == "request";
+    let is_told_above = |name: &str| is_request && HEAD_FACTS.contains(&name);
     let told: Vec<String> = facts
-        .filter(|(name, value)| !HEAD_FACTS.contains(&name.as_str()) && !value.is_null())
+        .filter(|(name, value)| !is_told_above(name) && *name != "instance" && !value.is_null())
         .map(|(name, _)| format!("{name}={}", line.text(name)))
         .collect();
     let (part, event) = (&line.part, &line.event);
--- a/crates/pinhaven-command/src/logging.rs
+++ b/crates/pinhaven-command/src/logging.rs
@@ -32,8 +32,8 @@
 
 impl Log {
     /// What an entry records with.
-    pub(crate) fn recorder(&self) -> Recorder {
-        Recorder::new(Arc::clone(&self.ring), self.plain_one_in)
+    pub(crate) fn recorder(&self, instance: &str) -> Recorder {
+        Recorder::new(Arc::clone(&self.ring), instance, self.plain_one_in)
     }
 
     /// Writes what is left, if the output takes it.
--- a/crates/pinhaven-decide/src/measuring.rs
+++ b/crates/pinhaven-decide/src/measuring.rs
@@ -112,16 +112,17 @@
     }
 }
 
-/// Entries that may ask one target at the same time while they disagree on whose turn it is.
-const ASKERS_MOST: u64 = 3;
+/// Entries that may probe one target at the same time while they disagree on whose turn it is.
+const PROBERS_MOST: u64 = 3;
 
-/// When one entry may ask one target again, where any of several entries may.
+/// When one entry may probe one target again, where any of several entries may.
 ///
 /// All entries together are held to a number of probes a second. As no entry sees the others' probes,
 /// each keeps to a fixed part of that number, which holds for as many entries as could ever ask.
 #[derive(Debug, Clone)]
 pub struct ProbePace {
-    spacing: Microseconds,
+    /// Time between two probes; nothing when none may be sent.
+    spacing: Option<Microseconds>,
     last_at: Option<Microseconds>,
 }
 
@@ -129,24 +130,26 @@
     /// The pace where all entries together may send `per_second_most`; 0 for none.
     pub fn new(per_second_most: u32) -> Self {
         let second_us: u64 = 1_000_000;
-        let spacing_us = (second_us * ASKERS_MOST)
-            .checked_div(u64::from(per_second_most))
-            .unwrap_or(u64::MAX / 2);
+        let spacing_us = (second_us * PROBERS_MOST).checked_div(u64::from(per_second_most));
         Self {
-            spacing: Microseconds::new(spacing_us),
+            spacing: spacing_us.map(Microseconds::new),
             last_at: None,
         }
     }
 
     /// Takes a probe out of the budget; `false` when it is too early.
     pub fn take(&mut self, now: Microseconds) -> bool {
+        let Some(spacing) = self.spacing else {
+            return false;
+        };
         let since = self.last_at.map(|last_at| now.saturating_sub(last_at));
-        if since.is_some_and(|since| since < self.spacing) {
+        if since.is_some_and(|since| since < spacing) {
             return false;
         }
         let holds = require_promise(
             Promise::MeasuringBudget,
-            since.is_none_or(|since| since >= self.spacing),
+            self.last_at
+                .is_none_or(|last_at| last_at.plus(spacing) <= now),
             || format!("a probe would follow the last after {since:?}"),
         );
         if holds {
--- a/crates/pinhaven-decide/tests/measuring.rs
+++ b/crates/pinhaven-decide/tests/measuring.rs
@@ -7,6 +7,7 @@
 use pinhaven_bundle::Measuring;
 use pinhaven_decide::Microseconds;
 use pinhaven_decide::ProbeBudget;
+use pinhaven_decide::ProbePace;
 use pinhaven_types::promise_violations;
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
@@ -96,3 +97,34 @@
         .quickcheck(windows_hold as fn(u8, u8, Vec<u8>) -> bool);
     assert_eq!(promise_violations(), before);
 }
+
+/// Entries that disagree on whose turn it is may all probe one target; together they stay within what
+/// is allowed in any second.
+#[test]
+fn several_entries_that_probe_one_target_stay_within_the_rate_together() {
+    let mut paces = [ProbePace::new(60), ProbePace::new(60), ProbePace::new(60)];
+    let mut times_ms = Vec::new();
+    for time_ms in 0..10_000 {
+        for pace in &mut paces {
+            if pace.take(at_ms(time_ms)) {
+                times_ms.push(time_ms);
+            }
+        }
+    }
+    let in_second = |start: &u64| {
+        times_ms
+            .iter()
+            .filter(|at| (*start..start + 1_000).contains(at))
+            .count()
+    };
+    let most = times_ms.iter().map(|start| in_second(start)).max().unwrap();
+    assert!(most <= 60, "{most}");
+    assert!(most > 30, "{most} would be far too few");
+}
+
+#[test]
+fn no_probe_is_sent_where_none_is_allowed() {
+    let mut pace = ProbePace::new(0);
+    let taken = (0..100_000).filter(|time_ms| pace.take(at_ms(*time_ms)));
+    assert_eq!(taken.count(), 0);
+}
--- a/crates/pinhaven-entry/src/beliefs.rs
+++ b/crates/pinhaven-entry/src/beliefs.rs
@@ -21,10 +21,7 @@
 
     /// Records an event of this process.
     pub(crate) fn record_event(&self, part: &str, event: &str) {
-        self.record_line(|| {
-            let instance = self.settings.instance_id.as_str();
-            Line::new(part, event, 0).with("instance", instance)
-        });
+        self.record_line(|| Line::new(part, event, 0));
     }
 
     /// Records a version that is in force or was refused.
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -304,6 +304,10 @@
             self.recent_deltas.lock().push(delta);
         }
         self.seats.lock().set_seats(body.bundle().measuring.seats);
+        if let Some(limits) = body.bundle().limits {
+            self.caller_idle_ms
+                .store(limits.idle_timeout_ms, Ordering::Relaxed);
+        }
         self.counters.add(Count::BundleInForce);
         self.record_version("in_force", number);
         log::info!(target: "bundle", "Version {number}, signed off by {signer}, is in force.");
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -92,6 +92,8 @@
     pub(crate) is_fetching_list: AtomicBool,
     pub(crate) looked_for_members: AtomicBool,
     pub(crate) store_answers: AtomicBool,
+    /// How long callers' connections may be idle, in milliseconds.
+    pub(crate) caller_idle_ms: Arc<AtomicU64>,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) members: Mutex<Membership>,
     pub(crate) seats: Mutex<SeatKeeper>,
@@ -115,6 +117,7 @@
         settings: Settings,
         environment: EntryEnvironment,
         caller_address: SocketAddr,
+        caller_idle_ms: Arc<AtomicU64>,
         peer_address: SocketAddr,
     ) -> Arc<Self> {
         let incarnation = Incarnation::random();
@@ -152,6 +155,7 @@
             is_fetching_list: AtomicBool::new(false),
             looked_for_members: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
+            caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -84,6 +84,7 @@
         settings,
         environment,
         callers.local_address(),
+        callers.idle_ms(),
         peers.local_address(),
     );
     log::info!(
--- a/crates/pinhaven-record/src/recorder.rs
+++ b/crates/pinhaven-record/src/recorder.rs
@@ -13,14 +13,20 @@
 #[derive(Debug, Clone)]
 pub struct Recorder {
     ring: Arc<Ring>,
+    instance: Arc<str>,
     plain_one_in: u64,
 }
 
 impl Recorder {
-    /// A recorder that keeps one in `plain_one_in` of the requests that went as they should, the same
-    /// ones at every entry; 0 for none.
-    pub fn new(ring: Arc<Ring>, plain_one_in: u64) -> Self {
-        Self { ring, plain_one_in }
+    /// A recorder of the entry `instance`, whose name each line carries. It keeps one in
+    /// `plain_one_in` of the requests that went as they should, the same ones at every entry; 0 for
+    /// none.
+    pub fn new(ring: Arc<Ring>, instance: &str, plain_one_in: u64) -> Self {
+        Self {
+            ring,
+            instance: instance.into(),
+            plain_one_in,
+        }
     }
 
     /// The ring.
@@ -30,6 +36,7 @@
 
     /// Records something that the process did or now believes.
     pub fn record(&self, line: Line) {
+        let line = line.with("instance", &*self.instance);
         self.ring.add(Importance::Failure, vec![line.into_text()]);
     }
 
@@ -45,7 +52,10 @@
         if trace.is_empty() || (importance == Importance::Plain && !self.is_sampled(id)) {
             return;
         }
-        let mut head = vec![("id", id.to_owned())];
+        let mut head = vec![
+            ("id", id.to_owned()),
+            ("instance", self.instance.to_string()),
+        ];
         head.extend_from_slice(facts);
         self.ring.add(importance, trace.into_lines(now_us, &head));
     }
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -20,12 +20,14 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The largest request head, in bytes.
-const HEAD_BYTES_MAX: usize = 16 * 1024;
+/// The largest request head, in bytes. Deployments allow heads of 16 KiB; the rest is for what hyper
+/// keeps beside them.
+const HEAD_BYTES_MAX: usize = 20 * 1024;
 /// The most header fields in a request.
 const HEADERS_MAX: usize = 100;
 /// The most HTTP/2 requests at a time on one connection.
@@ -53,6 +55,7 @@
     listener: Mutex<Option<Async<TcpListener>>>,
     address: SocketAddr,
     settings: HttpServerSettings,
+    idle_ms: Arc<AtomicU64>,
     stop_sender: async_channel::Sender<()>,
     stop_receiver: async_channel::Receiver<()>,
     open: Arc<AtomicUsize>,
@@ -71,6 +74,7 @@
             address: listener.get_ref().local_addr()?,
             listener: Mutex::new(Some(listener)),
             settings,
+            idle_ms: Arc::new(AtomicU64::new(settings.idle_ms)),
             stop_sender,
             stop_receiver,
             open: Arc::new(AtomicUsize::new(0)),
@@ -82,6 +86,12 @@
         self.address
     }
 
+    /// How long new connections may be idle or take for a head, in milliseconds; it may be changed at
+    /// any time.
+    pub fn idle_ms(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.idle_ms)
+    }
+
     /// How many connections are open.
     pub fn open_connections(&self) -> usize {
         self.open.load(Ordering::Relaxed)
@@ -114,7 +124,10 @@
             self.open.fetch_add(1, Ordering::Relaxed);
             let open = Arc::clone(&self.open);
             let stop = self.stop_receiver.clone();
-            let settings = self.settings;
+            let settings = HttpServerSettings {
+                idle_ms: self.idle_ms.load(Ordering::Relaxed),
+                ..self.settings
+            };
             let handler = handler.clone();
             spawn(async move {
                 serve_connection(stream, settings, stop, handler).await;
