--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -11,6 +11,7 @@
 use crate::forecast;
 use crate::forecast::Forecast;
 use crate::forecast::Lane;
+use crate::progress::Progress;
 use crate::refusal::RefusalReason;
 use crate::report::LoadReport;
 use crate::request::Phase;
@@ -38,66 +39,15 @@
 /// The shortest and the longest time between two looks, in milliseconds. A report is some 50 ms old
 /// on average, so looking much more often shows nothing new.
 const LOOK_MS: (f32, f32) = (12.0, 50.0);
-/// Work past which a request counts as stuck, in times the work of its route.
-const STUCK_FACTOR: f32 = 2.0;
-/// What is left of a request that has had all of its expected work, as a share of that.
-const LEFT_LEAST_SHARE: f32 = 0.3;
 /// A hedge must save at least this share of the work.
 const HEDGE_GAIN_SHARE: f32 = 0.25;
 /// A hedge of a request that is late either way must be this many times faster.
 const LATE_HEDGE_FACTOR: f32 = 3.0;
-/// Speeds up to this count as usual, so that work can be learned from an answer.
-const USUAL_SLOWDOWN: f32 = 1.3;
 /// Weight of one answer in the measure of how full targets slow down.
 const CROWDING_WEIGHT: f32 = 0.02;
 /// The most that full targets are taken to slow down.
 const CROWDING_MOST: f32 = 3.0;
 
-/// How far a target has come with an attempt, as far as its reports tell.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Progress {
-    /// Work done, in milliseconds of a target of usual speed.
-    done_ms: f32,
-    /// When that was.
-    at: Microseconds,
-    /// The slowdown at that time.
-    slowdown: f32,
-    /// Whether the target was nearly full when the attempt was sent.
-    is_crowded: bool,
-    /// Whether the target was at its usual speed whenever it was looked at.
-    is_usual: bool,
-}
-
-impl Progress {
-    pub(crate) fn begin(forecast: &Forecast, now: Microseconds) -> Self {
-        Self {
-            done_ms: 0.0,
-            at: now,
-            slowdown: forecast.slowdown,
-            is_crowded: forecast.is_crowded(),
-            is_usual: forecast.slowdown <= USUAL_SLOWDOWN && !forecast.target.is_cold(now),
-        }
-    }
-
-    /// Moves on to `now`, at which the target is slow by `slowdown`.
-    fn advance(&mut self, now: Microseconds, slowdown: f32) {
-        let time_ms = now.saturating_sub(self.at).as_ms() as f32;
-        let speed = (1.0 / self.slowdown.max(1.0) + 1.0 / slowdown.max(1.0)) / 2.0;
-        self.done_ms += time_ms * speed;
-        self.at = now;
-        self.slowdown = slowdown;
-        self.is_usual &= slowdown <= USUAL_SLOWDOWN;
-    }
-
-    /// Work that is left, in milliseconds of a target of usual speed.
-    fn left_ms(&self, work_ms: f32) -> f32 {
-        if self.done_ms > work_ms * STUCK_FACTOR {
-            return self.done_ms;
-        }
-        (work_ms - self.done_ms).max(work_ms * LEFT_LEAST_SHARE)
-    }
-}
-
 impl Turn<'_> {
     /// Sends the request, lets it wait or refuses it.
     pub(crate) fn admit_by_forecast(&mut self) {
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -29,6 +29,8 @@
 const TYPICAL_WEIGHT: f32 = 0.01;
 /// How many times longer work is thought to take at a nearly full target before it was measured.
 const CROWDING_FIRST: f32 = 1.2;
+/// Slowdown from which a target counts as slow in a summary.
+const SLOW_FROM: f32 = 2.0;
 /// Weight of one report in the mean load of the others.
 const OTHERS_WEIGHT: f32 = 0.02;
 /// Weight of one request in the share that is refused.
@@ -67,6 +69,21 @@
     pub(crate) ejections: AtomicU64,
 }
 
+/// Targets of a service, and why requests can't go to some of them; one may count for several reasons.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetSummary {
+    /// All that are known.
+    pub all: u32,
+    /// Those that are leaving.
+    pub leaving: u32,
+    /// Those that are ejected for failing.
+    pub ejected: u32,
+    /// Those that are thought to work at less than half their usual speed.
+    pub slow: u32,
+    /// Those whose slots are all taken.
+    pub full: u32,
+}
+
 /// Added attempts and ejections of a service since the entry began with its bundle version.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServiceCounts {
@@ -206,6 +223,21 @@
         target.record_speed(at, slowdown, &self.speed)
     }
 
+    /// How many targets there are and why requests can't go to some of them, for the record.
+    pub fn summary(&self, now: Microseconds) -> TargetSummary {
+        let mut summary = TargetSummary::default();
+        for target in &self.targets {
+            summary.all += 1;
+            let held = target.in_flight() + target.peers_in_flight();
+            let slowdown = target.expected_slowdown(now, &self.speed);
+            summary.leaving += u32::from(target.is_leaving());
+            summary.ejected += u32::from(target.is_ejected(now));
+            summary.slow += u32::from(slowdown >= SLOW_FROM);
+            summary.full += u32::from(held as f32 >= target.slots());
+        }
+        summary
+    }
+
     /// Share of the slots of all targets that requests of all entries hold, as far as is known.
     pub fn use_share(&self) -> f32 {
         let (mut held, mut slots) = (0.0, 0.0);
--- a/crates/pinhaven-decide/tests/measuring.rs
+++ b/crates/pinhaven-decide/tests/measuring.rs
@@ -117,7 +117,7 @@
             .filter(|at| (*start..start + 1_000).contains(at))
             .count()
     };
-    let most = times_ms.iter().map(|start| in_second(start)).max().unwrap();
+    let most = times_ms.iter().map(in_second).max().unwrap();
     assert!(most <= 60, "{most}");
     assert!(most > 30, "{most} would be far too few");
 }
--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/address.rs
@@ -9,6 +9,8 @@
 use crate::dialect::query_value;
 use crate::entry::Entry;
 use crate::problem::Problem;
+use crate::steering::NAMED_LEAST;
+use crate::steering::SERVING_PER_DOMAIN;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -25,15 +27,6 @@
 use serde::Serialize;
 use std::sync::Arc;
 
-/// Entries of a failure domain that callers are steered to. Fewer entries know the targets better, as
-/// each sees more of the answers; with two, callers of a domain lose nothing when one fails.
-pub(crate) const SERVING_PER_DOMAIN: usize = 2;
-/// Entries that an answer names at least, if there are so many.
-const NAMED_LEAST: usize = 2;
-
-/// Where the question is asked.
-pub(crate) const PATH: &str = "/.well-known/pinhaven/entries";
-
 #[derive(Serialize)]
 struct AddressAnswer {
     service: String,
--- a/crates/pinhaven-entry/src/body.rs
+++ b/crates/pinhaven-entry/src/body.rs
@@ -3,7 +3,7 @@
 use crate::counters::Count;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::job::CallerHold;
+use crate::hold::CallerHold;
 use crate::places::Places;
 use crate::pool::ReturnSender;
 use crate::problem::Problem;
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -24,7 +24,6 @@
 use pinhaven_platform::bundle_object;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_types::BundleVersion;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -34,33 +33,9 @@
 const HEAD_READERS: usize = 2;
 /// The others look this many times less often.
 const HEAD_POLL_SLOW_FACTOR: u64 = 10;
-/// Differences that are kept for peers.
-const DELTAS_KEPT: usize = 64;
 /// How long a peer may take to give a bundle.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The last differences, each leading to the start of the next, the last to the version in force.
-#[derive(Default)]
-pub(crate) struct RecentDeltas(VecDeque<BundleDelta>);
-
-impl RecentDeltas {
-    fn push(&mut self, delta: BundleDelta) {
-        if self.0.back().is_some_and(|last| last.to != delta.from) {
-            self.0.clear();
-        }
-        self.0.push_back(delta);
-        if self.0.len() > DELTAS_KEPT {
-            self.0.pop_front();
-        }
-    }
-
-    /// The differences that lead from a version to the one in force.
-    fn since(&self, version: BundleVersion) -> Option<Vec<&BundleDelta>> {
-        let first = self.0.iter().position(|delta| delta.from == version)?;
-        Some(self.0.iter().skip(first).collect())
-    }
-}
-
 impl Entry {
     /// Looks at the head for ever, and makes this entry ready once a version is in force.
     pub(crate) async fn follow_bundles(self: Arc<Self>) {
--- a/crates/pinhaven-entry/src/claims.rs
+++ b/crates/pinhaven-entry/src/claims.rs
@@ -9,48 +9,17 @@
 use crate::problem::Problem;
 use displaydoc::Display as DisplayDoc;
 use http::StatusCode;
-use parking_lot::Mutex;
 use pinhaven_agree::Home;
 use pinhaven_platform::CLAIM_PREFIX;
 use pinhaven_platform::Condition;
 use pinhaven_platform::PlatformError;
 use pinhaven_platform::TableService;
 use pinhaven_types::Digest;
-use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 
 /// When a caller may come back after its claim failed, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
-/// Limits how many claims are written a second.
-pub(crate) struct ClaimRate {
-    spacing: Microseconds,
-    next_at: Mutex<Microseconds>,
-    burst: Microseconds,
-}
-
-impl ClaimRate {
-    pub(crate) fn new(per_second: u32) -> Self {
-        let spacing = Microseconds::new(1_000_000 / u64::from(per_second.max(1)));
-        Self {
-            spacing,
-            next_at: Mutex::new(Microseconds::ZERO),
-            burst: Microseconds::from_ms(1_000),
-        }
-    }
-
-    /// Takes the right to one write; `false` when there is none now.
-    fn take(&self, now: Microseconds) -> bool {
-        let mut next_at = self.next_at.lock();
-        let from = (*next_at).max(now.saturating_sub(self.burst));
-        if from > now {
-            return false;
-        }
-        *next_at = from.plus(self.spacing);
-        true
-    }
-}
-
 /// a claim failed: {0}
 #[derive(Debug, DisplayDoc)]
 struct ClaimFailed(String);
--- a/crates/pinhaven-entry/src/dialect.rs
+++ b/crates/pinhaven-entry/src/dialect.rs
@@ -150,6 +150,9 @@
     fn ready_path(&self) -> &str;
 }
 
+/// Where the product's own callers ask which entries to use.
+pub(crate) const ADDRESS_PATH: &str = "/.well-known/pinhaven/entries";
+
 /// The product's own dialect.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct OwnDialect;
@@ -242,7 +245,7 @@
     }
 
     fn read_question(&self, uri: &Uri) -> Option<AddressQuestion> {
-        (uri.path() == crate::address::PATH).then(|| {
+        (uri.path() == ADDRESS_PATH).then(|| {
             let query = uri.query().unwrap_or_default();
             AddressQuestion {
                 service: query_value(query, "service"),
--- a/crates/pinhaven-entry/src/directory.rs
+++ b/crates/pinhaven-entry/src/directory.rs
@@ -5,8 +5,9 @@
 use crate::entry::Entry;
 use crate::error::EntryError;
 use crate::error::EntryStep;
+use crate::listening::listen;
 use crate::metrics_text;
-use crate::start::listen;
+
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Request;
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -4,9 +4,9 @@
 //! as [`KnownTargets`](pinhaven_agree::KnownTargets) decides; the others take it from a peer that has a
 //! newer one. An entry that the store turns away lives on what its peers know.
 
-use crate::address::SERVING_PER_DOMAIN;
 use crate::counters::Count;
 use crate::entry::Entry;
+use crate::steering::SERVING_PER_DOMAIN;
 use http::Request;
 use http::Response;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::body::Held;
 use crate::counters::Count;
 use crate::header;
-use crate::job::CallerHold;
+use crate::hold::CallerHold;
 use crate::job::Job;
 use crate::latencies::Outcome;
 use crate::pool::ReturnSender;
@@ -29,6 +29,7 @@
 use pinhaven_decide::RequestState;
 use pinhaven_decide::Step;
 use pinhaven_record::Chosen;
+use pinhaven_record::TargetCounts;
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
@@ -149,10 +150,23 @@
             status: problem.status.as_u16(),
             retry_after_ms: refusal.retry_after_ms,
             waiting: self.job.service.state.waiting(),
+            held_ms: self.job.entry.now().saturating_sub(self.began).as_ms(),
+            targets: Some(self.target_counts()),
         });
         problem.into_response()
     }
 
+    fn target_counts(&self) -> TargetCounts {
+        let summary = self.job.service.state.summary(self.job.entry.now());
+        TargetCounts {
+            all: summary.all,
+            leaving: summary.leaving,
+            ejected: summary.ejected,
+            slow: summary.slow,
+            full: summary.full,
+        }
+    }
+
     fn note(&mut self, event: TraceEvent) {
         if self.job.entry.recorder.is_some() {
             self.trace.add(self.job.entry.now().count(), event);
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -1,13 +1,14 @@
 //! What all parts of an entry share.
 
-use crate::bundles::RecentDeltas;
+use crate::claim_rate::ClaimRate;
 use crate::clock::Clock;
 use crate::counters::Count;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
 use crate::latencies::Latencies;
-use crate::leaving::LeavingNews;
-use crate::news::PeerCounts;
+use crate::leaving_news::LeavingNews;
+use crate::news_message::PeerCounts;
+use crate::recent_deltas::RecentDeltas;
 use crate::snapshot::Snapshot;
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -105,7 +106,7 @@
     pub(crate) peers: PeerClients,
     pub(crate) counters: Counters,
     pub(crate) latencies: Latencies,
-    pub(crate) claim_slots: crate::claims::ClaimRate,
+    pub(crate) claim_slots: ClaimRate,
     in_flight: AtomicU32,
     body_bytes: AtomicU64,
     next_request: AtomicU64,
@@ -167,7 +168,7 @@
             peers: PeerClients::new(),
             counters: Counters::new(),
             latencies: Latencies::default(),
-            claim_slots: crate::claims::ClaimRate::new(settings.claim_writes_per_second),
+            claim_slots: ClaimRate::new(settings.claim_writes_per_second),
             in_flight: AtomicU32::new(0),
             body_bytes: AtomicU64::new(0),
             next_request: AtomicU64::new(0),
--- a/crates/pinhaven-entry/src/job.rs
+++ b/crates/pinhaven-entry/src/job.rs
@@ -1,9 +1,7 @@
 //! A request on its way through an entry, once its route is known.
 
 use crate::body::RequestBody;
-use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::entry::InFlight;
 use crate::routes::Routed;
 use crate::snapshot::ServiceEntry;
 use http::HeaderMap;
@@ -28,12 +26,3 @@
     pub(crate) attempts_most: Option<u32>,
     pub(crate) body: RequestBody,
 }
-
-/// What is held until the caller has its whole answer.
-#[derive(Default)]
-pub(crate) struct CallerHold {
-    /// The request's place among those under way.
-    pub(crate) _in_flight: Option<InFlight>,
-    /// The memory of its body.
-    pub(crate) _memory: Option<BodyMemory>,
-}
--- /dev/null
+++ b/crates/pinhaven-entry/src/leaving_news.rs
@@ -0,0 +1,58 @@
+//! Targets known to be leaving.
+
+use crate::snapshot::Snapshot;
+use pinhaven_peer::Leaving;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use pinhaven_types::TargetAddress;
+use std::collections::BTreeMap;
+
+/// How long news is passed on.
+const PASS_ON_FOR: Microseconds = Microseconds::from_ms(10_000);
+
+/// Targets known to be leaving in one version, and since when.
+///
+/// News belongs to a version: a target that left in one may be put back by the next, and must not be
+/// taken out again by what was still gathered from the one before.
+#[derive(Default)]
+pub(crate) struct LeavingNews {
+    version: BundleVersion,
+    since: BTreeMap<(ServiceName, TargetAddress), Microseconds>,
+}
+
+impl LeavingNews {
+    /// Takes in all targets that are marked as leaving. Returns whether any was new.
+    pub(crate) fn gather(&mut self, snapshot: &Snapshot, now: Microseconds) -> bool {
+        if snapshot.version < self.version {
+            return false;
+        }
+        if snapshot.version > self.version {
+            self.version = snapshot.version;
+            self.since.clear();
+        }
+        let known = self.since.len();
+        for (name, service) in &snapshot.services {
+            for target in service.state.targets() {
+                if target.is_leaving() {
+                    let key = (name.clone(), target.address());
+                    self.since.entry(key).or_insert(now);
+                }
+            }
+        }
+        self.since.len() > known
+    }
+
+    /// News that is still worth passing on.
+    pub(crate) fn fresh(&self, now: Microseconds) -> Vec<Leaving> {
+        self.since
+            .iter()
+            .filter(|(_, since)| now.saturating_sub(**since) < PASS_ON_FOR)
+            .map(|((service, target), _)| Leaving {
+                service: service.to_string(),
+                target: target.to_string(),
+                version: self.version.number(),
+            })
+            .collect()
+    }
+}
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -4,9 +4,6 @@
 //! fast the targets say they are. To the others they only tell now and then that they live. An entry
 //! that does not serve tells one that does, which passes it on.
 
-pub(crate) use crate::news_message::PeerCounts;
-
-use crate::address::SERVING_PER_DOMAIN;
 use crate::beliefs::LivePeers;
 use crate::counters::Count;
 use crate::entry::Entry;
@@ -17,6 +14,7 @@
 use crate::gossip_message::to_bytes;
 use crate::gossip_message::to_incarnation;
 use crate::news_message::Told;
+use crate::steering::SERVING_PER_DOMAIN;
 use async_io::Async;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
--- a/crates/pinhaven-entry/src/once.rs
+++ b/crates/pinhaven-entry/src/once.rs
@@ -10,7 +10,7 @@
 use crate::counters::Count;
 use crate::dispatch::dispatch;
 use crate::header;
-use crate::job::CallerHold;
+use crate::hold::CallerHold;
 use crate::job::Job;
 use crate::problem::Problem;
 use crate::relay;
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/proxy.rs
@@ -4,12 +4,13 @@
 use crate::body::BodyLimits;
 use crate::body::take_body;
 use crate::counters::Count;
+use crate::dialect;
 use crate::dialect::CallerFacts;
 use crate::dispatch::dispatch;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
 use crate::header;
-use crate::job::CallerHold;
+use crate::hold::CallerHold;
 use crate::job::Job;
 use crate::once;
 use crate::problem::Problem;
@@ -31,6 +32,11 @@
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
 
+/// Time that a final answer takes to its caller, in milliseconds; 8 ms one way are usual, and timers
+/// fire late.
+const WAY_BACK_MS: u64 = 25;
+/// The way back takes at most this part of a deadline.
+const WAY_BACK_LEAST_PART: u64 = 10;
 /// The longest deadline that a caller may name, in milliseconds.
 const DEADLINE_MS_MAX: u64 = 600_000;
 
@@ -39,7 +45,7 @@
     entry: Arc<Entry>,
     request: Request<Incoming>,
 ) -> Response<AnyBody> {
-    if request.uri().path() == address::PATH {
+    if request.uri().path() == dialect::ADDRESS_PATH {
         return address::answer(&entry, &request);
     }
     let in_flight = entry.enter();
@@ -95,6 +101,8 @@
         status: problem.status.as_u16(),
         retry_after_ms: problem.retry_after_ms,
         waiting: 0,
+        held_ms: 0.0,
+        targets: None,
     };
     trace.add(now_us, event);
     let facts = [("version", entry.snapshot.load().version.to_string())];
@@ -154,14 +162,18 @@
     Ok((job, memory))
 }
 
-/// How long a request is held: as long as its caller waits and its route allows.
+/// How long a request is held: as long as its route allows, and so that its final answer reaches its
+/// caller before that leaves.
 fn held_for(
     facts: &CallerFacts,
     route: Option<&PathRoute>,
     service: &ServiceEntry,
 ) -> Microseconds {
     let held_ms = match (facts.deadline_ms, route) {
-        (Some(deadline_ms), Some(route)) => deadline_ms.min(route.timeout_ms),
+        (Some(deadline_ms), Some(route)) => {
+            let way_ms = WAY_BACK_MS.min(deadline_ms / WAY_BACK_LEAST_PART);
+            (deadline_ms - way_ms).min(route.timeout_ms)
+        }
         (None, Some(route)) => route.timeout_ms,
         (Some(deadline_ms), None) => deadline_ms,
         (None, None) => service.config.deadline_ms,
--- a/crates/pinhaven-entry/src/relay.rs
+++ b/crates/pinhaven-entry/src/relay.rs
@@ -4,7 +4,7 @@
 use crate::counters::Count;
 use crate::entry::Entry;
 use crate::header;
-use crate::job::CallerHold;
+use crate::hold::CallerHold;
 use crate::job::Job;
 use crate::once;
 use crate::problem::Problem;
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -4,11 +4,11 @@
 //! entries disagree on who serves, several may ask; so each entry keeps to an equal part of what all
 //! together may send.
 
-use crate::address::SERVING_PER_DOMAIN;
 use crate::counters::Count;
 use crate::entry::Entry;
 use crate::pool::no_bytes;
 use crate::snapshot::KeyedTarget;
+use crate::steering::SERVING_PER_DOMAIN;
 use http::Request;
 use pinhaven_decide::ProbePace;
 use pinhaven_runtime::HttpClient;
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -7,6 +7,7 @@
 use crate::error::EntryError;
 use crate::error::EntryStep;
 use crate::gossip::PeerAnswers;
+use crate::listening::listen;
 use crate::metrics;
 use crate::metrics_text;
 use crate::news;
@@ -23,14 +24,12 @@
 use pinhaven_agree::MemberState;
 use pinhaven_peer::answer_peer;
 use pinhaven_runtime::AnyBody;
-use pinhaven_runtime::HttpServer;
 use pinhaven_runtime::HttpServerSettings;
 use pinhaven_runtime::run_with_threads;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
 use pinhaven_runtime::whole_body;
 use pinhaven_settings::Settings;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Connections from peers and operators at a time.
@@ -112,18 +111,6 @@
     Ok(stop(&entry, &servers).await)
 }
 
-pub(crate) fn listen(
-    step: EntryStep,
-    address: SocketAddr,
-    settings: HttpServerSettings,
-) -> Result<HttpServer, EntryError> {
-    HttpServer::bind(address, settings).map_err(|error| EntryError::System {
-        step,
-        peer: address.to_string(),
-        message: error.to_string(),
-    })
-}
-
 fn serve(entry: &Arc<Entry>, servers: &Servers) {
     let callers = Arc::clone(&servers.callers);
     let peers = Arc::clone(&servers.peers);
--- a/crates/pinhaven-record/src/lib.rs
+++ b/crates/pinhaven-record/src/lib.rs
@@ -21,6 +21,7 @@
 pub use ring::Ring;
 pub use ring::RingCounts;
 pub use trace::Chosen;
+pub use trace::TargetCounts;
 pub use trace::Trace;
 pub use trace::TraceEvent;
 pub use writer::write_lines;
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -21,6 +21,21 @@
     pub report_age_ms: Option<f64>,
 }
 
+/// Targets as they were known when a request was refused; one may count for several reasons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetCounts {
+    /// All.
+    pub all: u32,
+    /// Those that were leaving.
+    pub leaving: u32,
+    /// Those that were ejected.
+    pub ejected: u32,
+    /// Those that were slow.
+    pub slow: u32,
+    /// Those whose slots were all taken.
+    pub full: u32,
+}
+
 /// Something that happened to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum TraceEvent {
@@ -59,6 +74,10 @@
         retry_after_ms: u64,
         /// Requests that waited here.
         waiting: u32,
+        /// How long it was held, in milliseconds.
+        held_ms: f64,
+        /// What was known of the targets, where they were looked at.
+        targets: Option<TargetCounts>,
     },
     /// It was answered.
     Delivered {
@@ -150,12 +169,17 @@
             status,
             retry_after_ms,
             waiting,
-        } => line
-            .with("reason", reason)
-            .with("run", run)
-            .with("status", status)
-            .with("retry_after_ms", retry_after_ms)
-            .with("waiting", waiting),
+            held_ms,
+            targets,
+        } => target_facts(
+            line.with("reason", reason)
+                .with("run", run)
+                .with("status", status)
+                .with("retry_after_ms", retry_after_ms)
+                .with("waiting", waiting)
+                .with_number("held_ms", held_ms),
+            targets,
+        ),
         TraceEvent::Delivered { attempt, status } => {
             line.with("attempt", attempt).with("status", status)
         }
@@ -173,3 +197,14 @@
         None => line,
     }
 }
+
+fn target_facts(line: Line, targets: Option<TargetCounts>) -> Line {
+    let Some(targets) = targets else {
+        return line;
+    };
+    line.with("targets", targets.all)
+        .with("targets_leaving", targets.leaving)
+        .with("targets_ejected", targets.ejected)
+        .with("targets_slow", targets.slow)
+        .with("targets_full", targets.full)
+}
