--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -22,9 +22,6 @@
 /// Share of the aim that a request waits here at the most. A refusal within a quarter of the aim
 /// leaves its caller the time for another try; the rest of that quarter is for the way.
 const WAIT_SHARE: f32 = 0.18;
-/// Share of the time left that a request waits whose caller comes back after a refusal. Refusing it
-/// again would waste what both have spent.
-const RETURNING_WAIT_SHARE: f32 = 0.3;
 /// How often a waiting request looks again, in milliseconds: the speed of targets changes without
 /// any request leaving its place.
 const LOOK_AGAIN_MS: u64 = 15;
@@ -113,12 +110,7 @@
     fn wait_until(&self) -> Microseconds {
         let facts = &self.request.facts;
         let aim = self.request.aim();
-        let most_us = if facts.waited > Microseconds::ZERO {
-            facts.deadline.saturating_sub(self.request.arrived).count() as f32
-                * RETURNING_WAIT_SHARE
-        } else {
-            aim.count() as f32 * WAIT_SHARE
-        };
+        let most_us = aim.count() as f32 * WAIT_SHARE;
         let until = self.request.arrived.plus(Microseconds::new(most_us as u64));
         until.min(facts.deadline)
     }
