Give up on a connection that does not come up, spare idle ones, and take changed settings without ending

Change: SIGHUP rereads the settings; a connection has 300 ms; the attempt is made elsewhere at no cost, as no target saw it; kept ones are used for 8 s, for requests that may not be repeated 2 s. pinhaven report draws records. Not measured yet.

--- a/crates/pinhaven-command/src/lib.rs
+++ b/crates/pinhaven-command/src/lib.rs
@@ -11,6 +11,7 @@
 mod logging;
 mod output;
 mod platform;
+mod report;
 mod settings;
 mod targets;
 
@@ -38,6 +39,8 @@
     Bundle(bundle::BundleCommand),
     /// Tell what happened to one request, from the records of entries.
     Explain(explain::ExplainArguments),
+    /// Draw refusals and answers over time, from the records of entries.
+    Report(report::ReportArguments),
     /// List the entry instances.
     Instances(instances::InstancesArguments),
     /// List the targets as the entries see them.
@@ -117,6 +120,7 @@
         Command::Entry(arguments) => entry::run(&arguments),
         Command::Bundle(command) => bundle::run(command),
         Command::Explain(arguments) => explain::run(&arguments),
+        Command::Report(arguments) => report::run(&arguments),
         Command::Instances(arguments) => instances::run(&arguments),
         Command::Targets(arguments) => targets::run(&arguments),
         Command::Settings(command) => settings::run(&command),
--- /dev/null
+++ b/crates/pinhaven-command/src/report.rs
@@ -0,0 +1,131 @@
+//! `pinhaven report`: draws refusals and answers over time, from the records of entries.
+
+use crate::CommandError;
+use crate::explain::read_all;
+use clap::Args;
+use pinhaven_record::Mark;
+use pinhaven_record::Timeline;
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+/// Size of the drawing, in pixels.
+const SIZE: (u32, u32) = (1_200, 800);
+
+#[derive(Debug, Args)]
+pub(crate) struct ReportArguments {
+    /// Records of entries.
+    #[arg(required = true)]
+    files: Vec<PathBuf>,
+    /// File to draw to, SVG.
+    #[arg(long, default_value = "report.svg")]
+    out: PathBuf,
+}
+
+pub(crate) fn run(arguments: &ReportArguments) -> Result<(), CommandError> {
+    let (lines, bad) = read_all(&arguments.files)?;
+    if bad > 0 {
+        eprintln!("{bad} lines are no records and were passed over");
+    }
+    if lines.is_empty() {
+        return Err(CommandError::new("there is no line to draw"));
+    }
+    let timeline = Timeline::new(&lines);
+    draw(arguments, &timeline).map_err(CommandError::new)?;
+    for mark in &timeline.marks {
+        println!("{:9.2} s  {}", mark.at_s, mark.name);
+    }
+    println!("drawn to {}", arguments.out.display());
+    Ok(())
+}
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Drawn = Result<(), Box<dyn std::error::Error>>;
+
+/// A named line of points, one a second.
+struct Series<'timeline> {
+    name: &'timeline str,
+    points: Vec<(f64, f64)>,
+}
+
+fn draw(arguments: &ReportArguments, timeline: &Timeline) -> Result<(), String> {
+    let area = SVGBackend::new(&arguments.out, SIZE).into_drawing_area();
+    let drawn = draw_both(&area, timeline);
+    drawn.map_err(|error| format!("{}: {error}", arguments.out.display()))
+}
+
+fn draw_both(area: &Area<'_>, timeline: &Timeline) -> Drawn {
+    area.fill(&WHITE)?;
+    let (upper, lower) = area.split_vertically(SIZE.1 / 2);
+    let refusals: Vec<Series<'_>> = timeline
+        .refusals
+        .iter()
+        .map(|(reason, seconds)| Series {
+            name: reason,
+            points: points(seconds, |count| *count as f64),
+        })
+        .collect();
+    let slowest = Series {
+        name: "slowest recorded answer",
+        points: points(&timeline.slowest_ms, |time_ms| *time_ms),
+    };
+    draw_chart(&upper, "refusals a second", &refusals, &timeline.marks)?;
+    draw_chart(&lower, "milliseconds", &[slowest], &timeline.marks)?;
+    area.present()?;
+    Ok(())
+}
+
+fn points<T>(seconds: &BTreeMap<u64, T>, value: impl Fn(&T) -> f64) -> Vec<(f64, f64)> {
+    let point = |(second, held): (&u64, &T)| (*second as f64, value(held));
+    seconds.iter().map(point).collect()
+}
+
+fn draw_chart(area: &Area<'_>, unit: &str, series: &[Series<'_>], marks: &[Mark]) -> Drawn {
+    let all = || series.iter().flat_map(|series| &series.points);
+    let marked_s = marks.iter().map(|mark| mark.at_s);
+    let x_most = all()
+        .map(|point| point.0)
+        .chain(marked_s)
+        .fold(1.0, f64::max);
+    let y_most = all().map(|point| point.1).fold(1.0, f64::max);
+    let mut chart = ChartBuilder::on(area)
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(0.0..x_most, 0.0..y_most * 1.1)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_desc(unit)
+        .draw()?;
+    for mark in marks {
+        let line = vec![(mark.at_s, 0.0), (mark.at_s, y_most * 1.1)];
+        chart.draw_series(LineSeries::new(line, colour_of(mark).mix(0.5)))?;
+    }
+    for (index, series) in series.iter().enumerate() {
+        let colour = Palette99::pick(index).to_rgba();
+        chart
+            .draw_series(LineSeries::new(
+                series.points.clone(),
+                colour.stroke_width(2),
+            ))?
+            .label(series.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], colour));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    Ok(())
+}
+
+/// Versions are blue, targets orange, the store red.
+fn colour_of(mark: &Mark) -> RGBColor {
+    match mark.name.split(' ').next() {
+        Some("bundle") => BLUE,
+        Some("target") => RGBColor(230, 140, 0),
+        _ => RED,
+    }
+}
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -42,6 +42,8 @@
 const WAIT_MAX: f32 = 4.0;
 /// The longest queue at a target that a request joins, in typical times.
 const QUEUE_MAX: f32 = 4.0;
+/// Attempts without a connection that cost nothing of what may be added.
+const UNSENT_MOST: u32 = 3;
 /// Share of the remaining time that may be spent on waiting.
 const WAIT_SHARE_MAX: f32 = 0.5;
 /// Use of the entry from which the lowest priority is refused.
@@ -110,6 +112,8 @@
     pub(crate) sent: Vec<Sent>,
     pub(crate) tried: Vec<TargetAddress>,
     may_have_run: bool,
+    /// Attempts that were never sent, as no connection came up.
+    unsent: u32,
     pub(crate) hedge_at: Option<Microseconds>,
     has_outlasted: bool,
 }
@@ -125,6 +129,7 @@
             sent: Vec::new(),
             tried: Vec::new(),
             may_have_run: false,
+            unsent: 0,
             hedge_at: None,
             has_outlasted: false,
         }
@@ -423,7 +428,25 @@
     }
 
     pub(crate) fn has_attempts_left(&self) -> bool {
-        (self.request.sent.len() as u32) < self.request.facts.attempts_most
+        let mut made = self.request.sent.len() as u32;
+        if self.forecasts() {
+            made -= self.request.unsent.min(UNSENT_MOST);
+        }
+        made < self.request.facts.attempts_most
+    }
+
+    /// Sends a request whose last attempt never reached a target. No target has seen that attempt, so
+    /// it costs nothing of what may be added.
+    fn send_elsewhere(&mut self) -> bool {
+        if !self.request.facts.is_replayable || self.now >= self.request.facts.deadline {
+            return false;
+        }
+        let Some(forecast) = self.earliest(Lane::Any) else {
+            return false;
+        };
+        let facts = forecast.facts(self.now);
+        self.send(forecast.target, Some(facts));
+        true
     }
 
     fn attempt_ended(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
@@ -439,6 +462,10 @@
         match outcome {
             AttemptOutcome::NotSent => {
                 self.service.record_failure(&target, self.now);
+                self.request.unsent += 1;
+                if self.forecasts() && self.request.unsent <= UNSENT_MOST && self.send_elsewhere() {
+                    return;
+                }
                 self.retry_or_refuse(RefusalReason::Unreachable);
             }
             AttemptOutcome::Shed { report } => {
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -250,6 +250,30 @@
     assert_eq!(driven.attempts.len(), 1);
 }
 
+#[test]
+fn an_attempt_without_a_connection_is_made_elsewhere_at_no_cost() {
+    let service = service(4, 4);
+    service.set_added_at_once(0.0, 0.0);
+    let mut driven = Driven::with_facts(&service, 1_000, |facts| {
+        facts.is_repeatable = false;
+        facts.attempts_most = 1;
+    });
+    let first = driven.target(0);
+    for attempt in 0..2 {
+        let id = driven.attempts[attempt].take().unwrap().id;
+        let outcome = AttemptOutcome::NotSent;
+        driven.handle(
+            1_300,
+            Event::AttemptEnded {
+                attempt: id,
+                outcome,
+            },
+        );
+    }
+    assert_eq!(driven.attempts.len(), 3);
+    assert_ne!(driven.target(2), first);
+}
+
 #[test]
 fn the_last_slots_stay_empty_where_a_full_target_does_less_in_all() {
     let service = service(1, 3);
--- a/crates/pinhaven-entry/src/attempt.rs
+++ b/crates/pinhaven-entry/src/attempt.rs
@@ -8,6 +8,8 @@
 use crate::header;
 use crate::job::Job;
 use crate::pool;
+use crate::pool::IDLE_MOST;
+use crate::pool::IDLE_MOST_ONCE;
 use crate::pool::Sender;
 use crate::pool::Sent;
 use crate::snapshot::ServiceEntry;
@@ -20,6 +22,7 @@
 use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Connections that closed while idle and that one attempt may meet.
 const STALE_CONNECTIONS_MAX: usize = 8;
@@ -44,6 +47,8 @@
 pub(crate) struct Prepared {
     request: Request<AnyBody>,
     id: Option<HeaderValue>,
+    /// How long a connection may have been idle to be used for it.
+    idle_most: Duration,
 }
 
 pub(crate) fn request_for(job: &Job, attempt: &Attempt, attempts_left: u32) -> Option<Prepared> {
@@ -70,7 +75,16 @@
         attempt_id: &attempt_id,
     };
     let id = job.entry.dialect.write_attempt(headers, &facts);
-    Some(Prepared { request, id })
+    let idle_most = if job.is_repeatable {
+        IDLE_MOST
+    } else {
+        IDLE_MOST_ONCE
+    };
+    Some(Prepared {
+        request,
+        id,
+        idle_most,
+    })
 }
 
 /// Sends one attempt and waits for the head of its answer.
@@ -82,9 +96,13 @@
 ) -> AttemptEnd {
     let address = target.address();
     let pool = service.pools.get(&address).cloned().unwrap_or_default();
-    let Prepared { mut request, id } = prepared;
+    let Prepared {
+        mut request,
+        id,
+        idle_most,
+    } = prepared;
     for _ in 0..STALE_CONNECTIONS_MAX {
-        let Ok(connected) = pool.connect(address).await else {
+        let Ok(connected) = pool.connect(address, idle_most).await else {
             return AttemptEnd::NotSent;
         };
         if connected.is_new {
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -156,7 +156,7 @@
             .into_iter()
             .map(|row| row.peer_address);
         let mut addresses: Vec<SocketAddr> = known
-            .chain(self.settings.peer_seeds.iter().copied())
+            .chain(self.peer_seeds.load().iter().copied())
             .filter(|address| *address != own)
             .collect();
         addresses.sort();
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -55,14 +55,25 @@
     pub discovery: Option<Arc<dyn Discovery>>,
     /// Where decisions are recorded; nowhere without it.
     pub recorder: Option<Recorder>,
+    /// Reads the settings again when they are said to have changed.
+    pub reread: Option<Reread>,
 }
 
+/// Reads the settings again; the error says what is wrong with them.
+pub type Reread = Arc<dyn Fn() -> Result<Settings, String> + Send + Sync>;
+
 impl EntryEnvironment {
     /// The same with a recorder.
     pub fn with_recorder(mut self, recorder: Recorder) -> Self {
         self.recorder = Some(recorder);
         self
     }
+
+    /// The same with a way to read the settings again.
+    pub fn with_reread(mut self, reread: Reread) -> Self {
+        self.reread = Some(reread);
+        self
+    }
 }
 
 impl Default for EntryEnvironment {
@@ -71,6 +82,7 @@
             dialect: Arc::new(crate::dialect::OwnDialect),
             discovery: None,
             recorder: None,
+            reread: None,
         }
     }
 }
@@ -81,6 +93,9 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) discovery: Option<Arc<dyn Discovery>>,
     pub(crate) recorder: Option<Recorder>,
+    pub(crate) reread: Option<Reread>,
+    /// Peers to ask while none is known; they may change while the entry runs.
+    pub(crate) peer_seeds: ArcSwap<Vec<SocketAddr>>,
     pub(crate) targets: Mutex<KnownTargets>,
     pub(crate) peer_counts: Mutex<PeerCounts>,
     pub(crate) incarnation: Incarnation,
@@ -144,6 +159,8 @@
             dialect: environment.dialect,
             discovery: environment.discovery,
             recorder: environment.recorder,
+            reread: environment.reread,
+            peer_seeds: ArcSwap::from_pointee(settings.peer_seeds.clone()),
             targets: Mutex::new(KnownTargets::new()),
             peer_counts: Mutex::new(PeerCounts::default()),
             incarnation,
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -247,7 +247,8 @@
         }
         if members.live_peers(now).is_empty() {
             let own_address = own.peer_address;
-            let seeds = self.settings.peer_seeds.iter().copied();
+            let seeds = self.peer_seeds.load();
+            let seeds = seeds.iter().copied();
             recipients
                 .distant
                 .extend(seeds.filter(|seed| *seed != own_address));
--- a/crates/pinhaven-entry/src/pool.rs
+++ b/crates/pinhaven-entry/src/pool.rs
@@ -7,16 +7,29 @@
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
 use pinhaven_runtime::http1_sender;
+use pinhaven_runtime::within;
 use pinhaven_types::TargetAddress;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 /// A connection to a target.
 pub(crate) type Sender = http1::SendRequest<AnyBody>;
 
-/// Idle connections to one target.
+/// How long a target may take to accept a connection. Failure domains are a few milliseconds apart; a
+/// target that is gone says nothing, and the system would try for minutes.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a connection may have been idle to be used again. Targets close them after some time,
+/// often 10 s, and a request that crosses the close is lost.
+pub(crate) const IDLE_MOST: Duration = Duration::from_secs(8);
+/// The same for a request that may not be repeated, as nothing can mend its loss.
+pub(crate) const IDLE_MOST_ONCE: Duration = Duration::from_secs(2);
+
+/// Idle connections to one target, and since when, the last used last.
 #[derive(Default)]
 pub(crate) struct TargetPool {
-    idle: Mutex<Vec<Sender>>,
+    idle: Mutex<Vec<(Instant, Sender)>>,
 }
 
 /// A connection and whether it was just made.
@@ -26,9 +39,13 @@
 }
 
 impl TargetPool {
-    /// A connection that takes a request now.
-    pub(crate) async fn connect(&self, target: TargetAddress) -> Result<Connected, BoxError> {
-        while let Some(mut sender) = self.take() {
+    /// A connection that takes a request now, a kept one only if it was used less than `idle_most` ago.
+    pub(crate) async fn connect(
+        &self,
+        target: TargetAddress,
+        idle_most: Duration,
+    ) -> Result<Connected, BoxError> {
+        while let Some(mut sender) = self.take(idle_most) {
             if sender.ready().await.is_ok() {
                 return Ok(Connected {
                     sender,
@@ -36,7 +53,11 @@
                 });
             }
         }
-        let mut sender = http1_sender(target.socket_address()).await?;
+        let connecting = http1_sender(target.socket_address());
+        let Some(connected) = within(CONNECT_TIMEOUT, connecting).await else {
+            return Err(format!("{target} did not accept a connection in time").into());
+        };
+        let mut sender = connected?;
         sender.ready().await?;
         Ok(Connected {
             sender,
@@ -47,12 +68,23 @@
     /// Keeps a connection whose answer has been read to its end.
     pub(crate) fn keep(&self, sender: Sender) {
         if !sender.is_closed() {
-            self.idle.lock().push(sender);
+            self.idle.lock().push((Instant::now(), sender));
         }
     }
 
-    fn take(&self) -> Option<Sender> {
-        self.idle.lock().pop()
+    /// The connection used last. If that is too long ago, all others are older and are closed.
+    fn take(&self, idle_most: Duration) -> Option<Sender> {
+        let mut idle = self.idle.lock();
+        let (since, sender) = idle.pop()?;
+        if since.elapsed() < idle_most {
+            return Some(sender);
+        }
+        if since.elapsed() >= IDLE_MOST {
+            idle.clear();
+        } else {
+            idle.push((since, sender));
+        }
+        None
     }
 }
 
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -51,7 +51,7 @@
 }
 
 async fn run(settings: Settings, environment: EntryEnvironment) -> Result<bool, EntryError> {
-    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let mut signals = signals.map_err(|error| EntryError::System {
         step: EntryStep::ListenForSignals,
         peer: "SIGTERM and SIGINT".to_owned(),
@@ -106,8 +106,10 @@
     if let Some(client) = metrics_client {
         spawn(Arc::clone(&entry).report_metrics(client)).detach();
     }
-    // An error among the signals would be the system's; either way the entry stops as planned.
-    let _ = signals.next().await;
+    // An error among the signals would be the system's; the entry stops as planned then, too.
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        entry.reload();
+    }
     Ok(stop(&entry, &servers).await)
 }
 
--- a/crates/pinhaven-lab/src/process.rs
+++ b/crates/pinhaven-lab/src/process.rs
@@ -82,6 +82,11 @@
         self.signal(Signal::CONT);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn tell_changed(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Asks the process to stop as planned.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- a/crates/pinhaven-lab/tests/command_line.rs
+++ b/crates/pinhaven-lab/tests/command_line.rs
@@ -113,3 +113,56 @@
         assert_eq!(rows[0]["entries_live"], 3);
     });
 }
+
+/// Records of two entries: a request that was shed by one target and answered by another, and what one
+/// of the entries came to believe.
+const RECORDS: &str = r#"
+{"time_s": 10.0, "part": "target", "event": "draining", "target": "i-1", "instance": "e1"}
+{"time_s": 10.5, "part": "target", "event": "draining", "target": "i-1", "instance": "e2"}
+{"time_s": 11.0, "part": "request", "event": "sent", "id": "r-1", "instance": "e1", "target": "i-1", "version": "7"}
+{"time_s": 11.002, "part": "request", "event": "ended", "id": "r-1", "instance": "e1", "outcome": "shed"}
+{"time_s": 11.1, "part": "request", "event": "refused", "id": "r-2", "instance": "e1", "reason": "overloaded"}
+this is no record
+"#;
+
+#[test]
+fn a_request_is_explained_with_what_its_entry_knew() {
+    let file = file("records.log", RECORDS);
+    let output = pinhaven(&["explain", "r-1", &file.display().to_string()]);
+    assert_eq!(output.status.code(), Some(0));
+    let told = text(&output.stdout);
+    assert!(told.contains("request r-1 at e1"), "{told}");
+    assert!(
+        told.contains("-1000.0 ms  target draining  target=i-1"),
+        "{told}"
+    );
+    assert!(
+        told.contains("+2.0 ms  request ended  outcome=shed"),
+        "{told}"
+    );
+    assert!(
+        !told.contains("-500.0 ms"),
+        "another entry's belief: {told}"
+    );
+    assert!(!told.contains("overloaded"), "another request: {told}");
+    assert!(text(&output.stderr).contains("1 lines are no records"));
+}
+
+#[test]
+fn a_request_of_which_nothing_is_recorded_is_a_clear_error() {
+    let file = file("records-none.log", RECORDS);
+    let output = pinhaven(&["explain", "r-3", &file.display().to_string()]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stderr).contains("no line tells of request \"r-3\""));
+}
+
+#[test]
+fn a_report_is_drawn_from_records() {
+    let file = file("records-report.log", RECORDS);
+    let out = file.with_extension("svg");
+    let words = [file.display().to_string(), out.display().to_string()];
+    let output = pinhaven(&["report", &words[0], "--out", &words[1]]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    assert!(text(&output.stdout).contains("target draining i-1"));
+    assert!(std::fs::read_to_string(&out).unwrap().contains("<svg"));
+}
--- a/crates/pinhaven-lab/tests/stopping.rs
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -42,6 +42,28 @@
     });
 }
 
+#[test]
+fn word_of_changed_settings_ends_nothing() {
+    in_turn(async {
+        let mut lab = lab().await;
+        let calls = call(&lab, 1_500, |settings| settings.rate_per_s = 100.0).await;
+        for _ in 0..10 {
+            for index in 0..3 {
+                lab.entry(index).tell_changed();
+            }
+            sleep_ms(50).await;
+        }
+        let report = calls.await;
+        let repeatable = &report.repeatable;
+        assert_eq!(repeatable.answered, repeatable.sent, "{repeatable:?}");
+        for index in 0..3 {
+            let ended = lab.entry(index).wait(Duration::from_millis(1)).await;
+            assert_eq!(ended, None, "entry {index} runs on");
+        }
+        require_right(&lab, &report).await;
+    });
+}
+
 #[test]
 fn a_stop_waits_for_a_long_request() {
     in_turn(async {
--- a/crates/pinhaven-record/src/lib.rs
+++ b/crates/pinhaven-record/src/lib.rs
@@ -10,6 +10,7 @@
 mod read;
 mod recorder;
 mod ring;
+mod timeline;
 mod trace;
 mod writer;
 
@@ -20,6 +21,8 @@
 pub use ring::Importance;
 pub use ring::Ring;
 pub use ring::RingCounts;
+pub use timeline::Mark;
+pub use timeline::Timeline;
 pub use trace::Chosen;
 pub use trace::TargetCounts;
 pub use trace::Trace;
--- /dev/null
+++ b/crates/pinhaven-record/src/timeline.rs
@@ -0,0 +1,75 @@
+//! Records over time: refusals and answers by the second, and what entries came to believe.
+
+use crate::read::ReadLine;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+/// Something that happened at one time, for all entries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Mark {
+    /// Seconds since the first line.
+    pub at_s: f64,
+    /// What it was, such as `bundle in_force 12`.
+    pub name: String,
+}
+
+/// Records by the second.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Timeline {
+    /// Refusals, by reason and second.
+    pub refusals: BTreeMap<String, BTreeMap<u64, u64>>,
+    /// The longest time until an answer that was recorded in each second, in milliseconds.
+    pub slowest_ms: BTreeMap<u64, f64>,
+    /// Versions, targets and the store; each once, when the first entry came to believe it.
+    pub marks: Vec<Mark>,
+}
+
+impl Timeline {
+    /// The timeline of lines in the order of their times.
+    pub fn new(lines: &[ReadLine]) -> Self {
+        let mut timeline = Self::default();
+        let Some(first) = lines.first() else {
+            return timeline;
+        };
+        let mut started: HashMap<(String, String), f64> = HashMap::new();
+        for line in lines {
+            let at_s = line.time_s - first.time_s;
+            let key = (line.text("instance"), line.text("id"));
+            match (line.part.as_str(), line.event.as_str()) {
+                ("request", "sent") => {
+                    started.entry(key).or_insert(at_s);
+                }
+                ("request", "delivered") => {
+                    if let Some(start_s) = started.remove(&key) {
+                        timeline.add_answer(at_s, (at_s - start_s) * 1_000.0);
+                    }
+                }
+                ("request", "refused") => timeline.add_refusal(at_s, line.text("reason")),
+                ("bundle", event) => timeline.add_mark(at_s, line, event, "version"),
+                ("target", event @ ("draining" | "gone" | "back")) => {
+                    timeline.add_mark(at_s, line, event, "target");
+                }
+                ("store", event) => timeline.add_mark(at_s, line, event, "instance"),
+                _ => {}
+            }
+        }
+        timeline
+    }
+
+    fn add_answer(&mut self, at_s: f64, took_ms: f64) {
+        let slowest_ms = self.slowest_ms.entry(at_s as u64).or_default();
+        *slowest_ms = slowest_ms.max(took_ms);
+    }
+
+    fn add_refusal(&mut self, at_s: f64, reason: String) {
+        let seconds = self.refusals.entry(reason).or_default();
+        *seconds.entry(at_s as u64).or_default() += 1;
+    }
+
+    fn add_mark(&mut self, at_s: f64, line: &ReadLine, event: &str, fact: &str) {
+        let name = format!("{} {event} {}", line.part, line.text(fact));
+        if !self.marks.iter().any(|mark| mark.name == name) {
+            self.marks.push(Mark { at_s, name });
+        }
+    }
+}
--- a/crates/pinhaven-record/tests/record.rs
+++ b/crates/pinhaven-record/tests/record.rs
@@ -3,6 +3,7 @@
 use pinhaven_record::Chosen;
 use pinhaven_record::Importance;
 use pinhaven_record::Ring;
+use pinhaven_record::Timeline;
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
 use pinhaven_record::read_lines;
@@ -164,3 +165,27 @@
     assert_eq!(read[0].text("report_age_ms"), "12.0");
     assert!(read[0].time_s < read[1].time_s);
 }
+
+#[test]
+fn a_timeline_counts_refusals_by_the_second_and_marks_each_change_once() {
+    let text = r#"
+        {"time_s": 100.0, "part": "request", "event": "sent", "id": "a", "instance": "e1"}
+        {"time_s": 100.2, "part": "bundle", "event": "in_force", "version": "7", "instance": "e1"}
+        {"time_s": 100.3, "part": "bundle", "event": "in_force", "version": "7", "instance": "e2"}
+        {"time_s": 100.4, "part": "request", "event": "delivered", "id": "a", "instance": "e1"}
+        {"time_s": 101.1, "part": "request", "event": "refused", "reason": "overloaded", "id": "b"}
+        {"time_s": 101.9, "part": "request", "event": "refused", "reason": "overloaded", "id": "c"}
+        {"time_s": 103.5, "part": "store", "event": "lost", "instance": "e1"}
+    "#;
+    let (lines, bad) = read_lines(text);
+    assert_eq!(bad, 0);
+    let timeline = Timeline::new(&lines);
+    assert_eq!(timeline.refusals["overloaded"], [(1, 2)].into());
+    assert!((timeline.slowest_ms[&0] - 400.0).abs() < 1.0);
+    let marks: Vec<&str> = timeline
+        .marks
+        .iter()
+        .map(|mark| mark.name.as_str())
+        .collect();
+    assert_eq!(marks, ["bundle in_force 7", "store lost e1"]);
+}
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -108,8 +108,6 @@
     pub added_attempts_extra: f64,
     /// The time between the word to stop and the end of the process, in milliseconds.
     pub stop_grace_ms: u64,
-    /// How long a change of the configuration may take to be in force, in milliseconds.
-    pub apply_within_ms: u64,
 }
 
 /// How logs are written.
