Let entries that stand by tell all that serve, and three others, that they live

Change: it tells all that serve and three others. Open: both entries that a domain's callers know may go.

--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -45,6 +45,8 @@
 const BUSY_USE: (f32, f32) = (0.15, 0.45);
 /// Time between two whole datagrams, which make good for lost ones.
 const WHOLE_EVERY: Microseconds = Microseconds::from_ms(500);
+/// Entries beside those that serve that an entry tells that it lives.
+const OTHERS_TOLD: usize = 3;
 /// An entry whose last read of the list is older than this does not read at present.
 const READS_WITHIN: Microseconds = Microseconds::from_ms(2_000);
 /// Beats of other entries in a whole datagram.
@@ -127,8 +129,11 @@
             return;
         }
         if !recipients.sends_often && !is_urgent {
+            // Those that serve pass it on; some of the others hear it too, in case all that serve
+            // are lost at once.
             fastrand::shuffle(&mut recipients.distant);
-            recipients.distant.truncate(1);
+            recipients.distant.truncate(OTHERS_TOLD);
+            recipients.distant.extend_from_slice(&recipients.close);
         }
         let beat = self.message(Vec::new(), list, true);
         send_all(self, socket, &recipients.distant, &beat).await;
@@ -246,10 +251,6 @@
             };
             peers.push(row.peer_address);
         }
-        if !recipients.sends_often && !recipients.close.is_empty() {
-            // One that serves passes it on.
-            recipients.distant = recipients.close.clone();
-        }
         if members.live_peers(now).is_empty() {
             let own_address = own.peer_address;
             let seeds = self.peer_seeds.load();
@@ -365,7 +366,7 @@
     sends_often: bool,
     /// Entries that serve or have requests under way.
     close: Vec<SocketAddr>,
-    /// All others, or for an entry that does not serve: those that do.
+    /// All others.
     distant: Vec<SocketAddr>,
 }
 
