Steer callers by what instances can carry and what callers ask, and let few speak with the store

Cause: on the grown sites 97 of 103 (134 of 142) machines have a tenth of a core and 10 Mbit/s, and the two entries of a failure domain that served were chosen by a hash of their names. Ruled out: the targets (151 with room for all), the store. Change: an entry tells what its instance can carry and what callers ask of it; the largest two of each domain serve, and more while the demand with headroom is more than those carry; every caller is told all that serve in its region, each in proportion to its capacity. Two keepers a domain (six at least) follow the configuration and keep a row; the others take from peers. News go to all only first hand, and within 100 KB/s.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -5,12 +5,15 @@
 //! a seat's holder asks its own clock before each use, and what a pause between asking and using can
 //! cost is paid for beforehand.
 
+mod demand;
 mod ledger;
 mod membership;
 mod seat;
+mod steering;
 mod target_list;
 mod version;
 
+pub use demand::DemandMeter;
 pub use ledger::Begin;
 pub use ledger::Claim;
 pub use ledger::Epoch;
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -10,6 +10,8 @@
 use pinhaven_types::Incarnation;
 use pinhaven_types::InstanceId;
 use pinhaven_types::Microseconds;
+use pinhaven_types::Region;
+use pinhaven_types::RequestRate;
 use pinhaven_types::ServiceName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,6 +41,15 @@
     pub instance_id: InstanceId,
     /// Where it stands.
     pub failure_domain: FailureDomain,
+    /// The region that its failure domain belongs to, where there are several.
+    #[serde(default)]
+    pub region: Option<Region>,
+    /// Requests that its instance can carry.
+    #[serde(default)]
+    pub capacity: RequestRate,
+    /// Requests that it gets from callers, the most of the last seconds.
+    #[serde(default)]
+    pub demand: RequestRate,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where other entries connect.
@@ -106,6 +117,11 @@
         self.own.epoch = epoch;
     }
 
+    /// Takes in how many requests this entry gets from callers.
+    pub fn set_demand(&mut self, demand: RequestRate) {
+        self.own.demand = demand;
+    }
+
     /// Moves this entry on in its life; it never moves back.
     pub fn advance(&mut self, state: MemberState) {
         self.own.state = self.own.state.max(state);
@@ -167,6 +183,13 @@
             && now.saturating_sub(member.heard_at) < self.silent_after
     }
 
+    /// This entry and all live members, with the ranks that all entries agree on.
+    pub(crate) fn live_ranked(&self, now: Microseconds) -> impl Iterator<Item = (u64, &MemberRow)> {
+        let live = self.members.values().filter(move |m| self.is_live(m, now));
+        let others = live.map(|member| (member.rank, &member.row));
+        std::iter::once((self.own_rank, &self.own)).chain(others)
+    }
+
     /// All rows to pass on: this entry's own and those of members that are not long silent.
     pub fn rows(&self) -> Vec<MemberRow> {
         let others = self.members.values().map(|member| member.row.clone());
@@ -231,43 +254,6 @@
         ranked.into_iter().map(|(_, row)| row).collect()
     }
 
-    /// The entries that callers are steered to: in each failure domain the first `per_domain` ready
-    /// ones, in an order that all entries agree on.
-    pub fn serving(&self, per_domain: usize, now: Microseconds) -> Vec<&MemberRow> {
-        let live = self.members.values().filter(|m| self.is_live(m, now));
-        let others = live.map(|member| (member.rank, &member.row));
-        let all = std::iter::once((self.own_rank, &self.own)).chain(others);
-        let mut by_domain: BTreeMap<&FailureDomain, Vec<(u64, &MemberRow)>> = BTreeMap::new();
-        for (rank, row) in all.filter(|(_, row)| row.state == MemberState::Ready) {
-            let rows = by_domain.entry(&row.failure_domain).or_default();
-            rows.push((rank, row));
-        }
-        let mut serving = Vec::new();
-        for mut rows in by_domain.into_values() {
-            rows.sort_by_key(|(rank, _)| *rank);
-            serving.extend(rows.into_iter().take(per_domain).map(|(_, row)| row));
-        }
-        serving
-    }
-
-    /// The entries that callers in `domain` are told to use: the serving ones there, or all that
-    /// serve when there are fewer than `least` of them, so that nobody depends on a single one.
-    pub fn entries_near(
-        &self,
-        domain: Option<&FailureDomain>,
-        per_domain: usize,
-        least: usize,
-        now: Microseconds,
-    ) -> Vec<&MemberRow> {
-        let serving = self.serving(per_domain, now);
-        let near: Vec<&MemberRow> = serving
-            .iter()
-            .copied()
-            .filter(|row| domain == Some(&row.failure_domain))
-            .collect();
-        if near.len() >= least { near } else { serving }
-    }
-
     /// The lowest and highest version in force in each failure domain, over live members.
     pub fn versions_by_domain(
         &self,
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -6,6 +6,7 @@
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
 use pinhaven_types::ServiceName;
 use std::collections::BTreeMap;
 
@@ -16,6 +17,9 @@
         incarnation: Incarnation::new(u128::from(number)),
         instance_id: format!("entry-{number:02}").parse().unwrap(),
         failure_domain: format!("domain-{}", number % 3).parse().unwrap(),
+        region: None,
+        capacity: RequestRate::new(100),
+        demand: RequestRate::ZERO,
         caller_address: format!("127.0.0.1:{}", 7_000 + number).parse().unwrap(),
         peer_address: format!("127.0.0.1:{}", 8_000 + number).parse().unwrap(),
         state,
--- /dev/null
+++ b/crates/pinhaven-agree/tests/steering.rs
@@ -0,0 +1,198 @@
+//! Which entries serve, which a caller is told, and which speak with the store.
+
+use pinhaven_agree::DemandMeter;
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::Membership;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
+use std::collections::BTreeMap;
+
+const SILENT_AFTER: Microseconds = Microseconds::from_ms(2_000);
+const NOW: Microseconds = Microseconds::from_ms(100_000);
+
+/// An entry of one of three failure domains that can carry `capacity` requests a second.
+fn row(number: u16, capacity: u32) -> MemberRow {
+    MemberRow {
+        incarnation: Incarnation::new(u128::from(number)),
+        instance_id: format!("entry-{number:03}").parse().unwrap(),
+        failure_domain: format!("domain-{}", number % 3).parse().unwrap(),
+        region: None,
+        capacity: RequestRate::new(capacity),
+        demand: RequestRate::ZERO,
+        caller_address: format!("127.0.0.1:{}", 7_000 + number).parse().unwrap(),
+        peer_address: format!("127.0.0.1:{}", 8_000 + number).parse().unwrap(),
+        state: MemberState::Ready,
+        heartbeat: 1,
+        version: BundleVersion::new(1),
+        epoch: 1,
+    }
+}
+
+/// What the first of these entries knows of all.
+fn members(rows: &[MemberRow]) -> Membership {
+    members_of(0, rows)
+}
+
+fn members_of(own: usize, rows: &[MemberRow]) -> Membership {
+    let mut members = Membership::new(rows[own].clone(), SILENT_AFTER);
+    for row in rows.iter().filter(|row| **row != rows[own]) {
+        members.hear(row.clone(), NOW);
+    }
+    members
+}
+
+fn numbers(rows: &[&MemberRow]) -> Vec<u32> {
+    rows.iter()
+        .map(|row| row.instance_id.as_str()[6..].parse().unwrap())
+        .collect()
+}
+
+/// 100 small entries, and six that carry ten times as much.
+fn mixed() -> Vec<MemberRow> {
+    (0..106)
+        .map(|number| row(number, if number >= 100 { 350 } else { 35 }))
+        .collect()
+}
+
+#[test]
+fn the_largest_entries_serve_two_in_each_failure_domain() {
+    let mut serving = numbers(&members(&mixed()).serving(NOW));
+    serving.sort_unstable();
+    assert_eq!(serving, [100, 101, 102, 103, 104, 105]);
+}
+
+#[test]
+fn all_entries_agree_on_who_serves() {
+    let rows: Vec<MemberRow> = (0..18).map(|number| row(number, 140)).collect();
+    let first = members_of(0, &rows);
+    for own in 1..18 {
+        let other = members_of(own, &rows);
+        assert_eq!(numbers(&other.serving(NOW)), numbers(&first.serving(NOW)));
+    }
+    assert_eq!(first.serving(NOW).len(), 6);
+}
+
+#[test]
+fn more_entries_serve_while_callers_ask_for_more() {
+    let mut rows = mixed();
+    for large in &mut rows[100..] {
+        large.demand = RequestRate::new(400);
+    }
+    let serving = numbers(&members(&rows).serving(NOW));
+    // 2,400 requests a second with headroom are 3,360; six carry 2,100, so 36 small ones join.
+    assert_eq!(serving.len(), 6 + 36);
+}
+
+#[test]
+fn an_entry_that_leaves_still_counts_what_callers_ask_of_it() {
+    let mut rows = mixed();
+    rows[100].demand = RequestRate::new(1_500);
+    rows[100].state = MemberState::Stopping;
+    // 2,100 with headroom; five of 350 and one small one that takes the place carry 1,785.
+    assert_eq!(members(&rows).serving(NOW).len(), 6 + 9);
+}
+
+#[test]
+fn callers_are_told_entries_of_every_failure_domain() {
+    let rows: Vec<MemberRow> = (0..18).map(|number| row(number, 140)).collect();
+    let members = members(&rows);
+    let domain = "domain-1".parse().unwrap();
+    let named = members.named_for(None, Some(&domain), || 0.99, NOW);
+    assert_eq!(named.len(), 6);
+    let own: Vec<bool> = named
+        .iter()
+        .map(|row| row.failure_domain == domain)
+        .collect();
+    assert_eq!(own, [true, true, false, false, false, false]);
+}
+
+#[test]
+fn callers_spread_over_entries_by_what_those_can_carry() {
+    let mut rows = mixed();
+    for large in &mut rows[100..] {
+        large.demand = RequestRate::new(400);
+    }
+    let members = members(&rows);
+    let mut random = fastrand::Rng::with_seed(11);
+    let mut share: BTreeMap<bool, f64> = BTreeMap::new();
+    for _ in 0..4_000 {
+        let named = members.named_for(None, None, || random.f32(), NOW);
+        for row in &named {
+            let is_large = row.capacity == RequestRate::new(350);
+            *share.entry(is_large).or_default() += 1.0 / named.len() as f64;
+        }
+    }
+    let (large, small) = (share[&true] / 6.0, share[&false] / 36.0);
+    let ratio = large / small;
+    assert!(
+        (8.0..12.0).contains(&ratio),
+        "a large entry gets {ratio} times as much"
+    );
+}
+
+#[test]
+fn a_caller_is_told_the_entries_of_its_region_while_there_are_two() {
+    let mut rows: Vec<MemberRow> = (0..12).map(|number| row(number, 140)).collect();
+    for row in &mut rows {
+        let number: u16 = row.instance_id.as_str()[6..].parse().unwrap();
+        let region = if number < 6 { "north" } else { "south" };
+        row.region = Some(region.parse().unwrap());
+        row.failure_domain = format!("{region}-{}", number % 3).parse().unwrap();
+    }
+    let south = "south".parse().unwrap();
+    let told = |rows: &[MemberRow]| {
+        let members = members(rows);
+        let named = members.named_for(Some(&south), None, || 0.5, NOW);
+        let mut numbers = numbers(&named);
+        numbers.sort_unstable();
+        numbers
+    };
+    assert_eq!(told(&rows), [6, 7, 8, 9, 10, 11]);
+    for row in &mut rows[6..11] {
+        row.state = MemberState::Gone;
+    }
+    assert_eq!(told(&rows), [0, 1, 2, 3, 4, 5, 11]);
+}
+
+#[test]
+fn few_entries_speak_with_the_store_and_others_take_their_place() {
+    let keepers = |rows: &[MemberRow]| -> Vec<usize> {
+        let is_keeper = |own: &usize| members_of(*own, rows).is_keeper(NOW);
+        (0..rows.len()).filter(is_keeper).collect()
+    };
+    let mut rows = mixed();
+    assert_eq!(keepers(&rows), [100, 101, 102, 103, 104, 105]);
+    rows[101].state = MemberState::Stopping;
+    rows[103].state = MemberState::Gone;
+    let after = keepers(&rows);
+    assert_eq!(after.len(), 6);
+    assert!(!after.contains(&101) && !after.contains(&103));
+}
+
+#[test]
+fn in_a_single_failure_domain_enough_entries_speak_with_the_store() {
+    let mut rows: Vec<MemberRow> = (0..18).map(|number| row(number, 140)).collect();
+    for row in &mut rows {
+        row.failure_domain = "only".parse().unwrap();
+        row.state = MemberState::Starting;
+    }
+    let count = (0..18)
+        .filter(|own| members_of(*own, &rows).is_keeper(NOW))
+        .count();
+    assert_eq!(count, 6);
+}
+
+#[test]
+fn demand_is_the_most_of_the_last_seconds() {
+    let mut meter = DemandMeter::default();
+    let at = Microseconds::from_ms;
+    assert_eq!(meter.record(50, at(500)), RequestRate::new(100));
+    assert_eq!(meter.record(150, at(1_000)), RequestRate::new(200));
+    // Too soon to tell.
+    assert_eq!(meter.record(400, at(1_010)), RequestRate::new(200));
+    let lull = meter.record(400, at(11_000)).per_second();
+    assert!((95..=105).contains(&lull), "{lull}");
+}
--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/address.rs
@@ -5,12 +5,11 @@
 //! long the answer may be kept.
 
 use crate::counters::Count;
+use crate::dialect::AddressQuestion;
 use crate::dialect::NamedEntry;
 use crate::dialect::query_value;
 use crate::entry::Entry;
 use crate::problem::Problem;
-use crate::steering::NAMED_LEAST;
-use crate::steering::SERVING_PER_DOMAIN;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -86,14 +85,12 @@
     })
 }
 
-/// The entries that callers in `domain` are steered to, nearest first, and how long they may keep the
-/// answer, in milliseconds.
-pub(crate) fn entries_near(
-    entry: &Entry,
-    domain: Option<&FailureDomain>,
-) -> (Vec<NamedEntry>, u64) {
+/// The entries that a caller is steered to, those of its failure domain first, and how long it may keep
+/// the answer, in milliseconds.
+pub(crate) fn entries_named(entry: &Entry, question: &AddressQuestion) -> (Vec<NamedEntry>, u64) {
     let members = entry.members.lock();
-    let rows = members.entries_near(domain, SERVING_PER_DOMAIN, NAMED_LEAST, entry.now());
+    let (region, domain) = (question.region.as_ref(), question.domain.as_ref());
+    let rows = members.named_for(region, domain, fastrand::f32, entry.now());
     let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
     (rows.into_iter().map(named_entry).collect(), keep_ms)
 }
--- a/crates/pinhaven-entry/src/clock.rs
+++ b/crates/pinhaven-entry/src/clock.rs
@@ -24,6 +24,11 @@
         START.plus(Microseconds::new(self.started.elapsed().as_micros() as u64))
     }
 
+    /// Time since the entry began.
+    pub(crate) fn age(&self) -> Microseconds {
+        self.now().saturating_sub(START)
+    }
+
     /// The moment at which the clock will show `time`.
     pub(crate) fn instant_of(&self, time: Microseconds) -> Instant {
         self.started + Duration::from_micros(time.saturating_sub(START).count())
--- a/crates/pinhaven-entry/src/counters.rs
+++ b/crates/pinhaven-entry/src/counters.rs
@@ -158,6 +158,11 @@
         self.refusals[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// One counter.
+    pub(crate) fn get(&self, count: Count) -> u64 {
+        self.counts[count as usize].load(Ordering::Relaxed)
+    }
+
     /// All counters by name.
     pub(crate) fn all(&self) -> BTreeMap<String, u64> {
         let counts = COUNT_NAMES
--- a/crates/pinhaven-entry/src/dialect.rs
+++ b/crates/pinhaven-entry/src/dialect.rs
@@ -17,6 +17,7 @@
 use pinhaven_decide::RunState;
 use pinhaven_runtime::AnyBody;
 use pinhaven_types::FailureDomain;
+use pinhaven_types::Region;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetId;
 use serde::Serialize;
@@ -78,6 +79,8 @@
     pub service: Option<ServiceName>,
     /// Where the caller stands.
     pub domain: Option<FailureDomain>,
+    /// The region of that place.
+    pub region: Option<Region>,
 }
 
 /// An entry that a caller may use.
@@ -250,6 +253,7 @@
             AddressQuestion {
                 service: query_value(query, "service"),
                 domain: query_value(query, "domain"),
+                region: query_value(query, "region"),
             }
         })
     }
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -6,7 +6,6 @@
 
 use crate::counters::Count;
 use crate::entry::Entry;
-use crate::steering::SERVING_PER_DOMAIN;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -25,6 +24,7 @@
 use pinhaven_runtime::whole_body;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -48,11 +48,26 @@
 const PEER_TIMEOUT_MS: u64 = 500;
 /// How long the store may take to bring a configuration that a peer has already, in milliseconds.
 const STORE_HEAD_START_MS: u64 = 200;
+/// Age of this process until which it asks only its seeds. An answer takes a few milliseconds, and says
+/// whether others speak with the store already.
+const ASK_PEERS_FIRST: Microseconds = Microseconds::from_ms(150);
+/// Age until which an entry that others speak with the store for waits for what they have. When all
+/// start together, those have it after a few hundred milliseconds.
+const ASK_PEERS_ONLY: Microseconds = Microseconds::from_ms(700);
+/// Time between two looks of an entry that does not follow the configuration, as others do for it, while
+/// there is none, in milliseconds.
+const ABSENT_LOOK_MS: u64 = 4_000;
+/// How often an entry that does not follow the configuration looks whether it should, in milliseconds.
+/// The others notice within 2 s that one that did is gone.
+const KEEPER_LOOK_MS: u64 = 100;
 /// When the rows of peers are read after the own was written, in milliseconds. All start at about the
 /// same time, so an earlier look would find few.
 const FIRST_MEMBER_LOOK_MS: u64 = 1_000;
-/// Time between later looks while no peer is heard, in milliseconds.
+/// Time between later looks of an entry that hears no peer, in milliseconds.
 const MEMBER_LOOK_AGAIN_MS: u64 = 3_000;
+/// Looks of that kind between two looks of an entry that does hear some, and whose row is where others
+/// look. Two groups of entries that know nothing of each other meet that way.
+const LOOKS_PER_MEETING: u32 = 4;
 
 /// A pause that grows with each failure in a row.
 struct Backoff(u64);
@@ -82,12 +97,25 @@
         let mut position = None;
         let mut backoff = Backoff::new();
         loop {
+            let is_in_force = self.version.lock().version() > BundleVersion::NONE;
+            if !self.speaks_with_store(is_in_force) {
+                // What changes until this entry follows again is learned by reading it anew.
+                position = None;
+                sleep_ms(KEEPER_LOOK_MS).await;
+                continue;
+            }
             let news = store.next_configuration(position).await;
             match self.count_platform(news) {
                 Ok(news) => {
                     backoff = Backoff::new();
                     position = Some(news.position);
+                    let is_there = news.bundle.is_some();
                     self.take_configuration(news).await;
+                    if !is_there && !self.speaks_with_store(true) {
+                        // Nobody has one yet; those that follow will hear of the first.
+                        position = None;
+                        sleep_ms(ABSENT_LOOK_MS).await;
+                    }
                 }
                 Err(error) => {
                     log::warn!(target: "bundle", "The configuration can't be read: {error}.");
@@ -110,6 +138,19 @@
             .await;
     }
 
+    /// Whether this entry speaks with the store itself: as one of the few that do for all, or as there
+    /// is nothing to be had from peers. What it `has` already it may keep taking from them.
+    fn speaks_with_store(&self, has: bool) -> bool {
+        let now = self.now();
+        let age = self.clock.age();
+        if age < ASK_PEERS_FIRST {
+            return false;
+        }
+        let members = self.members.lock();
+        let is_alone = members.live_peers(now).is_empty();
+        is_alone || members.is_keeper(now) || (!has && age >= ASK_PEERS_ONLY)
+    }
+
     /// Reads the list of targets whenever it is this entry's turn, for ever.
     pub(crate) async fn keep_target_list(self: Arc<Self>) {
         let mut backoff = Backoff::new();
@@ -117,9 +158,14 @@
             let now = self.now();
             self.change_targets(|known| known.expire_kept(now));
             let rank = self.reader_rank();
-            let due_in = self.targets.lock().due_in(rank, self.now());
+            let (due_in, is_known) = {
+                let targets = self.targets.lock();
+                (targets.due_in(rank, self.now()), targets.is_known())
+            };
             if due_in > Microseconds::ZERO {
                 sleep_ms((due_in.count() / 1_000).clamp(LIST_PAUSE_MS.0, LIST_PAUSE_MS.1)).await;
+            } else if !is_known && !self.speaks_with_store(false) {
+                sleep_ms(LIST_PAUSE_MS.0).await;
             } else if self.read_targets().await {
                 backoff = Backoff::new();
             } else {
@@ -132,7 +178,7 @@
     fn reader_rank(&self) -> u32 {
         let members = self.members.lock();
         let own = members.own().incarnation;
-        let serving = members.serving(SERVING_PER_DOMAIN, self.now());
+        let serving = members.serving(self.now());
         let position = serving.iter().position(|row| row.incarnation == own);
         position.unwrap_or(serving.len()) as u32
     }
@@ -195,11 +241,14 @@
     fn part_of_added_attempts(&self, extra: f64) -> f64 {
         let members = self.members.lock();
         let now = self.now();
-        let own = members.own().incarnation;
-        let serving = members.serving(SERVING_PER_DOMAIN, now);
+        let own = members.own();
+        let serving = members.serving(now);
         let others = (members.live_peers(now).len() + 1).saturating_sub(serving.len());
-        if serving.iter().any(|row| row.incarnation == own) {
-            extra * SERVING_EXTRA_SHARE / serving.len() as f64
+        if serving.contains(&own) {
+            // Callers spread over them by what they can carry.
+            let all: RequestRate = serving.iter().map(|row| row.capacity).sum();
+            let share = f64::from(own.capacity.per_second()) / f64::from(all.per_second().max(1));
+            extra * SERVING_EXTRA_SHARE * share
         } else {
             extra * (1.0 - SERVING_EXTRA_SHARE) / others.max(1) as f64
         }
@@ -254,8 +303,11 @@
             return;
         }
         let entry = Arc::clone(self);
+        let follows = self.speaks_with_store(true);
         spawn(async move {
-            sleep_ms(STORE_HEAD_START_MS).await;
+            if follows {
+                sleep_ms(STORE_HEAD_START_MS).await;
+            }
             if version > entry.version.lock().version() {
                 entry.fetch_from(peer).await;
             }
@@ -268,19 +320,24 @@
         let Some(store) = self.store() else {
             return;
         };
+        while !self.speaks_with_store(true) {
+            sleep_ms(KEEPER_LOOK_MS).await;
+        }
         let mut backoff = Backoff::new();
         while let Err(error) = self.announce(&store).await {
             log::warn!(target: "members", "The own row is not written: {error}.");
             backoff.pause().await;
         }
         sleep_ms(FIRST_MEMBER_LOOK_MS).await;
-        self.look_for_members(&store).await;
+        let mut looks: u32 = 0;
         loop {
-            sleep_ms(MEMBER_LOOK_AGAIN_MS).await;
+            let is_meeting = looks.is_multiple_of(LOOKS_PER_MEETING);
             let is_alone = self.members.lock().live_peers(self.now()).is_empty();
-            if is_alone || !self.has_looked_for_members() {
+            if is_alone || (is_meeting && self.speaks_with_store(true)) {
                 self.look_for_members(&store).await;
             }
+            looks += 1;
+            sleep_ms(MEMBER_LOOK_AGAIN_MS).await;
         }
     }
 
@@ -299,15 +356,10 @@
                 for row in rows {
                     members.hear_of(row, now);
                 }
-                self.looked_for_members.store(true, Ordering::Relaxed);
             }
             Err(error) => log::warn!(target: "members", "Peers can't be looked up: {error}."),
         }
     }
-
-    fn has_looked_for_members(&self) -> bool {
-        self.looked_for_members.load(Ordering::Relaxed)
-    }
 }
 
 /// Answers a peer that asks for the list of targets.
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -1,5 +1,6 @@
 //! What all parts of an entry share.
 
+use crate::capacity::capacity_of;
 use crate::claim_rate::ClaimRate;
 use crate::clock::Clock;
 use crate::counters::Count;
@@ -31,6 +32,7 @@
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -106,7 +108,6 @@
     pub(crate) adopting: Mutex<()>,
     pub(crate) is_fetching: AtomicBool,
     pub(crate) is_fetching_list: AtomicBool,
-    pub(crate) looked_for_members: AtomicBool,
     pub(crate) store_answers: AtomicBool,
     /// How long callers' connections may be idle, in milliseconds.
     pub(crate) caller_idle_ms: Arc<AtomicU64>,
@@ -146,6 +147,9 @@
             incarnation,
             instance_id: settings.instance_id.clone(),
             failure_domain: settings.failure_domain.clone(),
+            region: settings.region.clone(),
+            capacity: capacity_of(&settings.resources),
+            demand: RequestRate::ZERO,
             caller_address,
             peer_address,
             state: MemberState::Starting,
@@ -171,7 +175,6 @@
             adopting: Mutex::new(()),
             is_fetching: AtomicBool::new(false),
             is_fetching_list: AtomicBool::new(false),
-            looked_for_members: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
--- a/crates/pinhaven-entry/src/gossip_message.rs
+++ b/crates/pinhaven-entry/src/gossip_message.rs
@@ -6,6 +6,7 @@
 use pinhaven_peer::Identity;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Incarnation;
+use pinhaven_types::RequestRate;
 use std::net::SocketAddr;
 
 /// Members named in one message.
@@ -26,6 +27,7 @@
         state: row.state as u32,
         version: row.version.number(),
         epoch: row.epoch,
+        demand: row.demand.per_second(),
     }
 }
 
@@ -36,6 +38,12 @@
         failure_domain: row.failure_domain.to_string(),
         caller_address: row.caller_address.to_string(),
         peer_address: row.peer_address.to_string(),
+        region: row
+            .region
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        capacity: row.capacity.per_second(),
     }
 }
 
@@ -47,6 +55,9 @@
         incarnation: to_incarnation(&identity.incarnation)?,
         instance_id: identity.instance_id.parse().ok()?,
         failure_domain: identity.failure_domain.parse().ok()?,
+        region: identity.region.parse().ok(),
+        capacity: RequestRate::new(identity.capacity),
+        demand: RequestRate::ZERO,
         caller_address: identity.caller_address.parse().ok()?,
         peer_address: identity.peer_address.parse().ok()?,
         state: MemberState::Starting,
@@ -63,6 +74,7 @@
         heartbeat: beat.heartbeat,
         version: BundleVersion::new(beat.version),
         epoch: beat.epoch,
+        demand: RequestRate::new(beat.demand),
         ..row
     }
 }
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -14,8 +14,9 @@
 use crate::gossip_message::to_bytes;
 use crate::gossip_message::to_incarnation;
 use crate::news_message::Told;
-use crate::steering::SERVING_PER_DOMAIN;
+use crate::recipients::Occasion;
 use async_io::Async;
+use pinhaven_agree::DemandMeter;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ListNews;
@@ -27,7 +28,6 @@
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use prost::Message as _;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
@@ -45,8 +45,13 @@
 const BUSY_USE: (f32, f32) = (0.15, 0.45);
 /// Time between two whole datagrams, which make good for lost ones.
 const WHOLE_EVERY: Microseconds = Microseconds::from_ms(500);
-/// Entries beside those that serve that an entry tells that it lives.
-const OTHERS_TOLD: usize = 3;
+/// What an entry sends of news at the most, in bytes a second; rounds get longer when it would be more.
+/// It is a twelfth of the smallest link, which requests need.
+const NEWS_BYTES_PER_SECOND: f64 = 100_000.0;
+/// Age of an entry until which it meets the others.
+const MEETING_TIME: Microseconds = Microseconds::from_ms(1_500);
+/// Time between two whole datagrams of an entry of that age. It learns of others with each.
+const WHOLE_EVERY_WHILE_MEETING: Microseconds = Microseconds::from_ms(100);
 /// An entry whose last read of the list is older than this does not read at present.
 const READS_WITHIN: Microseconds = Microseconds::from_ms(2_000);
 /// Beats of other entries in a whole datagram.
@@ -86,12 +91,17 @@
     sends_often: bool,
     told: Told,
     list_told_at: Option<Microseconds>,
+    demand: DemandMeter,
+    /// The least time until the next round, so that news stay within their rate.
+    pause_least: Duration,
 }
 
 impl Entry {
     /// Tells news, for ever.
     pub(crate) async fn tell_news(self: Arc<Self>, socket: Arc<NewsSocket>) {
         let mut sender = Sender::default();
+        // Others should hear of this entry at once.
+        self.tell_round(&mut sender, &socket, true).await;
         loop {
             let news = self.news.listen();
             let is_urgent = within(self.round(&sender), news).await.is_some();
@@ -101,42 +111,68 @@
 
     async fn tell_round(&self, sender: &mut Sender, socket: &NewsSocket, is_urgent: bool) {
         let now = self.now();
-        let is_whole = is_urgent || now.saturating_sub(sender.whole_at) >= WHOLE_EVERY;
+        let list_read_at = self.list_read_at(now);
+        let has_read_list = list_read_at > sender.list_told_at;
+        let is_first_hand = has_read_list || (is_urgent && self.is_keeper(now));
+        let is_due = now.saturating_sub(sender.whole_at) >= self.whole_every();
+        let is_whole = is_urgent || has_read_list || is_due;
         if is_whole {
             sender.whole_at = now;
+            self.look_at_peers(sender, now);
         }
-        let mut recipients = self.recipients(now);
+        let occasion = match is_first_hand {
+            true => Occasion::FirstHand,
+            false => Occasion::Beat,
+        };
+        let recipients = self.recipients(occasion, now);
         sender.sends_often = recipients.sends_often;
-        if is_whole {
-            self.members.lock().forget_silent(now);
-            self.peer_counts.lock().forget_silent(now);
-            self.share_added_attempts();
-            self.record_peers(&mut sender.live_peers);
-        }
         let snapshot = self.snapshot.load();
         let targets = sender.told.gather(&snapshot, now, is_whole);
-        if !is_whole && (!recipients.sends_often || !self.has_news(sender, &targets)) {
+        if !is_whole && (!recipients.sends_often || targets.is_empty()) {
             return;
         }
         self.count_beat();
         let list = self.list_news(now);
-        sender.list_told_at = self.list_read_at(now);
+        sender.list_told_at = list_read_at;
+        let mut bytes = 0;
         if recipients.sends_often || !targets.is_empty() {
-            self.tell_close(&recipients.close, targets, list, is_whole, socket)
+            let close = &recipients.close;
+            bytes += self
+                .tell_close(close, targets, list, is_whole, socket)
                 .await;
+        } else if is_whole {
+            let beat = self.message(Vec::new(), list, true);
+            bytes += send_all(self, socket, &recipients.close, &beat).await;
         }
-        if !is_whole {
-            return;
+        if is_whole {
+            let beat = self.message(Vec::new(), list, true);
+            bytes += send_all(self, socket, &recipients.distant, &beat).await;
         }
-        if !recipients.sends_often && !is_urgent {
-            // Those that serve pass it on; some of the others hear it too, in case all that serve
-            // are lost at once.
-            fastrand::shuffle(&mut recipients.distant);
-            recipients.distant.truncate(OTHERS_TOLD);
-            recipients.distant.extend_from_slice(&recipients.close);
+        sender.pause_least = Duration::from_secs_f64(bytes as f64 / NEWS_BYTES_PER_SECOND);
+    }
+
+    fn whole_every(&self) -> Microseconds {
+        match self.clock.age() < MEETING_TIME {
+            true => WHOLE_EVERY_WHILE_MEETING,
+            false => WHOLE_EVERY,
         }
-        let beat = self.message(Vec::new(), list, true);
-        send_all(self, socket, &recipients.distant, &beat).await;
+    }
+
+    /// Brings up to date what depends on which peers live.
+    fn look_at_peers(&self, sender: &mut Sender, now: Microseconds) {
+        self.members.lock().forget_silent(now);
+        self.peer_counts.lock().forget_silent(now);
+        let demand = sender
+            .demand
+            .record(self.counters.get(Count::Requests), now);
+        self.members.lock().set_demand(demand);
+        self.share_added_attempts();
+        self.record_peers(&mut sender.live_peers);
+    }
+
+    fn is_keeper(&self, now: Microseconds) -> bool {
+        let members = self.members.lock();
+        members.is_keeper(now)
     }
 
     async fn tell_close(
@@ -146,22 +182,27 @@
         list: Option<ListNews>,
         is_whole: bool,
         socket: &NewsSocket,
-    ) {
+    ) -> usize {
         let fits = targets.len() <= TARGETS_MAX;
+        let mut bytes = 0;
         for part in targets.chunks(TARGETS_MAX) {
             let mut message = self.message(part.to_vec(), list, is_whole);
             message.is_whole &= fits;
-            send_all(self, socket, peers, &message).await;
+            bytes += send_all(self, socket, peers, &message).await;
         }
         if targets.is_empty() {
             let message = self.message(targets, list, is_whole);
-            send_all(self, socket, peers, &message).await;
+            bytes += send_all(self, socket, peers, &message).await;
         }
+        bytes
     }
 
     /// Time until the next round: the shorter the fuller the targets of any service are, and long for
     /// an entry that has nothing under way and does not serve.
     fn round(&self, sender: &Sender) -> Duration {
+        if self.clock.age() < MEETING_TIME {
+            return Duration::from_micros(WHOLE_EVERY_WHILE_MEETING.count());
+        }
         if !sender.sends_often && self.in_flight() == 0 {
             return ROUND_OF_IDLE;
         }
@@ -174,11 +215,7 @@
         let (from, to) = BUSY_USE;
         let busy = ((most_used - from) / (to - from)).clamp(0.0, 1.0);
         let round_ms = ROUND_MOST_MS + (ROUND_LEAST_MS - ROUND_MOST_MS) * busy;
-        Duration::from_micros((round_ms * 1_000.0) as u64)
-    }
-
-    fn has_news(&self, sender: &Sender, targets: &[TargetNews]) -> bool {
-        !targets.is_empty() || self.list_read_at(self.now()) > sender.list_told_at
+        Duration::from_micros((round_ms * 1_000.0) as u64).max(sender.pause_least)
     }
 
     /// When this entry last read the list of targets.
@@ -228,40 +265,6 @@
         }
     }
 
-    /// Whom this entry talks to.
-    fn recipients(&self, now: Microseconds) -> Recipients {
-        let active: BTreeSet<Incarnation> = self.peer_counts.lock().active_peers().collect();
-        let members = self.members.lock();
-        let own = members.own();
-        let serving: BTreeSet<Incarnation> = members
-            .serving(SERVING_PER_DOMAIN, now)
-            .into_iter()
-            .map(|row| row.incarnation)
-            .collect();
-        let mut recipients = Recipients {
-            sends_often: serving.contains(&own.incarnation) || self.in_flight() > 0,
-            ..Recipients::default()
-        };
-        for row in members.peers_to_ask() {
-            let is_close = serving.contains(&row.incarnation) || active.contains(&row.incarnation);
-            let peers = if is_close {
-                &mut recipients.close
-            } else {
-                &mut recipients.distant
-            };
-            peers.push(row.peer_address);
-        }
-        if members.live_peers(now).is_empty() {
-            let own_address = own.peer_address;
-            let seeds = self.peer_seeds.load();
-            let seeds = seeds.iter().copied();
-            recipients
-                .distant
-                .extend(seeds.filter(|seed| *seed != own_address));
-        }
-        recipients
-    }
-
     /// Takes news in, for ever.
     pub(crate) async fn hear_news(self: Arc<Self>, socket: Arc<NewsSocket>) {
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
@@ -359,17 +362,6 @@
     }
 }
 
-/// Whom an entry talks to.
-#[derive(Default)]
-struct Recipients {
-    /// Whether this entry has something to tell in each round.
-    sends_often: bool,
-    /// Entries that serve or have requests under way.
-    close: Vec<SocketAddr>,
-    /// All others.
-    distant: Vec<SocketAddr>,
-}
-
 fn some_live_beats(live: &[&MemberRow]) -> Vec<Beat> {
     let mut live = live.to_vec();
     fastrand::shuffle(&mut live);
@@ -379,7 +371,13 @@
         .collect()
 }
 
-async fn send_all(entry: &Entry, socket: &NewsSocket, peers: &[SocketAddr], message: &News) {
+/// Sends a message to several peers. Returns the bytes that were sent.
+async fn send_all(
+    entry: &Entry,
+    socket: &NewsSocket,
+    peers: &[SocketAddr],
+    message: &News,
+) -> usize {
     let bytes = message.encode_to_vec();
     for peer in peers {
         entry
@@ -389,4 +387,5 @@
             log::debug!(target: "news", "Telling {peer} failed: {error}.");
         }
     }
+    bytes.len() * peers.len()
 }
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -8,7 +8,6 @@
 use crate::entry::Entry;
 use crate::pool::no_bytes;
 use crate::snapshot::KeyedTarget;
-use crate::steering::SERVING_PER_DOMAIN;
 use http::Request;
 use pinhaven_decide::ProbePace;
 use pinhaven_runtime::HttpClient;
@@ -34,6 +33,10 @@
 /// How long a target may take to answer, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 
+/// Entries that carry less than this part of what the largest does ask no targets: questions would
+/// take the greater part of their processor.
+const PROBER_CAPACITY_PART: u32 = 2;
+
 /// A target that this entry asks.
 struct Probed {
     pace: ProbePace,
@@ -71,7 +74,7 @@
 
     /// Brings up to date which targets this entry asks. Returns whether it asks any.
     fn take_turn(&self, turn: &mut Turn) -> bool {
-        let serving = self.serving_entries();
+        let serving = self.probing_entries();
         let snapshot = self.snapshot.load();
         let mut keys: Vec<u32> = snapshot.keyed_targets().keys().copied().collect();
         keys.sort_unstable();
@@ -86,10 +89,16 @@
         !turn.own_keys.is_empty()
     }
 
-    fn serving_entries(&self) -> Vec<Incarnation> {
+    fn probing_entries(&self) -> Vec<Incarnation> {
         let members = self.members.lock();
-        let serving = members.serving(SERVING_PER_DOMAIN, self.now());
-        serving.into_iter().map(|row| row.incarnation).collect()
+        let serving = members.serving(self.now());
+        let largest = serving.iter().map(|row| row.capacity).max();
+        let least = largest.unwrap_or_default().per_second() / PROBER_CAPACITY_PART;
+        serving
+            .into_iter()
+            .filter(|row| row.capacity.per_second() >= least)
+            .map(|row| row.incarnation)
+            .collect()
     }
 
     fn probe_speed_if_due(
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -8,6 +8,7 @@
 use pinhaven_document::Fault;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::InstanceId;
+use pinhaven_types::Region;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -24,6 +25,12 @@
     pub instance_id: InstanceId,
     /// Where the instance stands.
     pub failure_domain: FailureDomain,
+    /// The region that this failure domain belongs to, where there are several.
+    #[serde(default)]
+    pub region: Option<Region>,
+    /// What the instance has; callers are steered to those that have most.
+    #[serde(default)]
+    pub resources: ResourceSettings,
     /// Where callers connect.
     pub caller_address: SocketAddr,
     /// Where other entries connect.
@@ -110,6 +117,28 @@
     pub stop_grace_ms: u64,
 }
 
+/// What an instance has.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ResourceSettings {
+    /// Processor cores that the entry may use; parts of one count.
+    pub processor_cores: f64,
+    /// How many times faster than usual these cores are.
+    pub processor_speed: f64,
+    /// What its network link carries, in megabits a second.
+    pub link_mbps: f64,
+}
+
+impl Default for ResourceSettings {
+    fn default() -> Self {
+        Self {
+            processor_cores: default_worker_threads() as f64,
+            processor_speed: 1.0,
+            link_mbps: 1_000.0,
+        }
+    }
+}
+
 /// How logs are written.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -215,6 +244,20 @@
         "callers and peers can't share an address",
         "write another port, or 0 for one that the system picks",
     );
+    let resources = &settings.resources;
+    let amounts = [
+        ("resources.processor_cores", resources.processor_cores),
+        ("resources.processor_speed", resources.processor_speed),
+        ("resources.link_mbps", resources.link_mbps),
+    ];
+    for (field, amount) in amounts {
+        require(
+            amount.is_finite() && amount > 0.0,
+            field,
+            "an instance has some of it",
+            "write a number above zero",
+        );
+    }
     let counts = [
         ("requests_most", u64::from(settings.requests_most)),
         ("body_memory_bytes", settings.body_memory_bytes),
--- a/crates/pinhaven-settings/tests/check.rs
+++ b/crates/pinhaven-settings/tests/check.rs
@@ -42,6 +42,11 @@
             8,
             "log.levels.proxy",
         ),
+        (
+            more("\"resources\": {\"link_mbps\": 0},"),
+            8,
+            "resources.link_mbps",
+        ),
         (GOOD.replacen("8081", "8080", 1), 5, "peer_address"),
         (
             GOOD.replacen("127.0.0.1:7000", "table", 1),
--- a/crates/pinhaven-types/src/lib.rs
+++ b/crates/pinhaven-types/src/lib.rs
@@ -15,6 +15,7 @@
 pub use name::InstanceId;
 pub use name::OperationId;
 pub use name::ParseNameError;
+pub use name::Region;
 pub use name::RouteName;
 pub use name::ServiceName;
 pub use name::SignerName;
@@ -28,6 +29,7 @@
 pub use quantity::Microseconds;
 pub use quantity::ParseQuantityError;
 pub use quantity::Percent;
+pub use quantity::RequestRate;
 pub use quantity::TargetAddress;
 
 /// Advice that goes with an error.
--- a/crates/pinhaven-types/src/name.rs
+++ b/crates/pinhaven-types/src/name.rs
@@ -90,6 +90,10 @@
     /// Name of a failure domain.
     FailureDomain
 }
+name_type! {
+    /// Name of a region, in which failure domains are near each other.
+    Region
+}
 name_type! {
     /// Name that the settings give an entry instance.
     InstanceId
--- a/crates/pinhaven-types/src/quantity.rs
+++ b/crates/pinhaven-types/src/quantity.rs
@@ -16,6 +16,8 @@
     Address(String),
     /// {0:?} is not a whole number from 1 up
     Version(String),
+    /// {0:?} is not a whole number of requests a second, such as "120/s"
+    Rate(String),
 }
 
 impl std::error::Error for ParseQuantityError {}
@@ -163,6 +165,51 @@
     }
 }
 
+/// A number of requests a second.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct RequestRate(u32);
+
+impl RequestRate {
+    /// No requests at all.
+    pub const ZERO: Self = Self(0);
+
+    /// So many requests a second.
+    pub const fn new(per_second: u32) -> Self {
+        Self(per_second)
+    }
+
+    /// The number of requests a second.
+    pub const fn per_second(self) -> u32 {
+        self.0
+    }
+}
+
+impl std::iter::Sum for RequestRate {
+    fn sum<I: Iterator<Item = Self>>(rates: I) -> Self {
+        Self(rates.fold(0, |sum: u32, rate| sum.saturating_add(rate.0)))
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseQuantityError;
+
+    fn from_str(text: &str) -> Result<Self, ParseQuantityError> {
+        let Ok(per_second) = text.trim_end_matches("/s").trim().parse() else {
+            return Err(ParseQuantityError::Rate(text.to_owned()));
+        };
+        Ok(Self(per_second))
+    }
+}
+
 /// IP address and port of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
