--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -48,9 +48,10 @@
 const PEER_TIMEOUT_MS: u64 = 500;
 /// How long the store may take to bring a configuration that a peer has already, in milliseconds.
 const STORE_HEAD_START_MS: u64 = 200;
-/// Age of this process until which it asks only its seeds. An answer takes a few milliseconds, and says
-/// whether others speak with the store already.
-const ASK_PEERS_FIRST: Microseconds = Microseconds::from_ms(150);
+/// The least and the most age, in milliseconds, until which an entry asks only its seeds, drawn by each.
+/// A seed that lives answers within a few milliseconds. When all have just started, the first few ask the
+/// store and tell the others, which takes some 100 ms.
+const ASK_PEERS_FIRST_MS: (u64, u64) = (20, 220);
 /// Age until which an entry that others speak with the store for waits for what they have. When all
 /// start together, those have it after a few hundred milliseconds.
 const ASK_PEERS_ONLY: Microseconds = Microseconds::from_ms(700);
@@ -60,9 +61,10 @@
 /// How often an entry that does not follow the configuration looks whether it should, in milliseconds.
 /// The others notice within 2 s that one that did is gone.
 const KEEPER_LOOK_MS: u64 = 100;
-/// When the rows of peers are read after the own was written, in milliseconds. All start at about the
-/// same time, so an earlier look would find few.
-const FIRST_MEMBER_LOOK_MS: u64 = 1_000;
+/// When an entry writes its row, if others shall find it there, and how much later it reads theirs, in
+/// milliseconds. All start at about the same time, so an earlier look would find few.
+const FIRST_ROW_MS: u64 = 1_000;
+const FIRST_MEMBER_LOOK_MS: u64 = 500;
 /// Time between later looks of an entry that hears no peer, in milliseconds.
 const MEMBER_LOOK_AGAIN_MS: u64 = 3_000;
 /// Looks of that kind between two looks of an entry that does hear some, and whose row is where others
@@ -84,6 +86,12 @@
     }
 }
 
+/// Age at which an entry may first ask the store.
+pub(crate) fn asks_store_from() -> Microseconds {
+    let (least, most) = ASK_PEERS_FIRST_MS;
+    Microseconds::from_ms(fastrand::u64(least..most))
+}
+
 impl Entry {
     fn store(&self) -> Option<Arc<dyn Discovery>> {
         self.discovery.clone()
@@ -143,7 +151,7 @@
     fn speaks_with_store(&self, has: bool) -> bool {
         let now = self.now();
         let age = self.clock.age();
-        if age < ASK_PEERS_FIRST {
+        if age < self.asks_store_from {
             return false;
         }
         let members = self.members.lock();
@@ -320,6 +328,7 @@
         let Some(store) = self.store() else {
             return;
         };
+        sleep_ms(FIRST_ROW_MS).await;
         while !self.speaks_with_store(true) {
             sleep_ms(KEEPER_LOOK_MS).await;
         }
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -6,6 +6,7 @@
 use crate::counters::Count;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
+use crate::discovered;
 use crate::latencies::Latencies;
 use crate::leaving_news::LeavingNews;
 use crate::news_message::PeerCounts;
@@ -109,6 +110,8 @@
     pub(crate) is_fetching: AtomicBool,
     pub(crate) is_fetching_list: AtomicBool,
     pub(crate) store_answers: AtomicBool,
+    /// Age of this process from which it may ask the store.
+    pub(crate) asks_store_from: Microseconds,
     /// How long callers' connections may be idle, in milliseconds.
     pub(crate) caller_idle_ms: Arc<AtomicU64>,
     pub(crate) ledger: Mutex<Ledger>,
@@ -176,6 +179,7 @@
             is_fetching: AtomicBool::new(false),
             is_fetching_list: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
+            asks_store_from: discovered::asks_store_from(),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -49,9 +49,9 @@
 /// It is a twelfth of the smallest link, which requests need.
 const NEWS_BYTES_PER_SECOND: f64 = 100_000.0;
 /// Age of an entry until which it meets the others.
-const MEETING_TIME: Microseconds = Microseconds::from_ms(1_500);
+const MEETING_TIME: Microseconds = Microseconds::from_ms(600);
 /// Time between two whole datagrams of an entry of that age. It learns of others with each.
-const WHOLE_EVERY_WHILE_MEETING: Microseconds = Microseconds::from_ms(100);
+const WHOLE_EVERY_WHILE_MEETING: Microseconds = Microseconds::from_ms(60);
 /// An entry whose last read of the list is older than this does not read at present.
 const READS_WITHIN: Microseconds = Microseconds::from_ms(2_000);
 /// Beats of other entries in a whole datagram.
@@ -113,7 +113,8 @@
         let now = self.now();
         let list_read_at = self.list_read_at(now);
         let has_read_list = list_read_at > sender.list_told_at;
-        let is_first_hand = has_read_list || (is_urgent && self.is_keeper(now));
+        let may_be_first = self.is_meeting() || self.is_keeper(now);
+        let is_first_hand = has_read_list || (is_urgent && may_be_first);
         let is_due = now.saturating_sub(sender.whole_at) >= self.whole_every();
         let is_whole = is_urgent || has_read_list || is_due;
         if is_whole {
@@ -152,12 +153,17 @@
     }
 
     fn whole_every(&self) -> Microseconds {
-        match self.clock.age() < MEETING_TIME {
+        match self.is_meeting() {
             true => WHOLE_EVERY_WHILE_MEETING,
             false => WHOLE_EVERY,
         }
     }
 
+    /// Whether this entry has just started and may not know all others yet.
+    fn is_meeting(&self) -> bool {
+        self.clock.age() < MEETING_TIME
+    }
+
     /// Brings up to date what depends on which peers live.
     fn look_at_peers(&self, sender: &mut Sender, now: Microseconds) {
         self.members.lock().forget_silent(now);
@@ -200,7 +206,7 @@
     /// Time until the next round: the shorter the fuller the targets of any service are, and long for
     /// an entry that has nothing under way and does not serve.
     fn round(&self, sender: &Sender) -> Duration {
-        if self.clock.age() < MEETING_TIME {
+        if self.is_meeting() {
             return Duration::from_micros(WHOLE_EVERY_WHILE_MEETING.count());
         }
         if !sender.sends_often && self.in_flight() == 0 {
