--- a/crates/pinhaven-agree/src/demand.rs
+++ b/crates/pinhaven-agree/src/demand.rs
@@ -1,4 +1,7 @@
-//! How many requests an entry gets from callers.
+//! How many requests an entry carries for callers.
+//!
+//! Only those that are sent to a target count: a refusal costs little, and callers who come back after
+//! one would make a full service look like entries that are.
 
 use pinhaven_types::Microseconds;
 use pinhaven_types::RequestRate;
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -47,7 +47,7 @@
     /// Requests that its instance can carry.
     #[serde(default)]
     pub capacity: RequestRate,
-    /// Requests that it gets from callers, the most of the last seconds.
+    /// Requests that it sends to targets for callers, the most of the last seconds.
     #[serde(default)]
     pub demand: RequestRate,
     /// Where callers connect.
@@ -117,7 +117,7 @@
         self.own.epoch = epoch;
     }
 
-    /// Takes in how many requests this entry gets from callers.
+    /// Takes in how many requests this entry carries for callers.
     pub fn set_demand(&mut self, demand: RequestRate) {
         self.own.demand = demand;
     }
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -23,7 +23,7 @@
 const SERVING_PER_DOMAIN: usize = 2;
 /// How many times the demand all that serve must be able to carry. Bursts of 1.6 times are usual, and
 /// the demand that is known is the most of the last seconds.
-const HEADROOM: f64 = 1.4;
+const HEADROOM: f64 = 1.2;
 /// Entries that an answer names at least, if there are so many.
 const NAMED_LEAST: usize = 2;
 /// Entries that an answer names at most; callers take no more.
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -9,6 +9,7 @@
 
 use crate::event::ChoiceFacts;
 use crate::service::ServiceState;
+use crate::speed::usual_share;
 use crate::target::TargetState;
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
@@ -31,11 +32,17 @@
 const FAR_SHARE: f32 = 0.10;
 /// The least that it is charged, in milliseconds.
 const FAR_LEAST_MS: f32 = 2.0;
+/// What a target whose home is another entry is charged, as a share of the work. What others have
+/// under way there is known late, and it is they who need it when their own are full.
+const FOREIGN_SHARE: f32 = 0.15;
 /// A target that is slower than this is spare: a request that can still meet its aim does not go there
 /// while it may wait, so that one which can't takes nothing from others.
 const SPARE_SLOWDOWN: f32 = 2.0;
 /// Share of the usable slots at targets of usual speed that must be free for those to be spare too.
 const SPARE_FREE_SHARE: f32 = 0.35;
+/// Share of the work of a late request that a slow target may still have to do once it is fast again. A
+/// late answer is worth a tenth or a fifth of one in time, and something for being one at all.
+const SPARE_USUAL_SHARE: f32 = 0.45;
 /// How much more the last slots of targets must bring than they cost the others there.
 const CROWDING_GAIN: f32 = 1.05;
 /// Age from which the lack of reports makes a target suspect, in milliseconds; several rounds of
@@ -147,6 +154,12 @@
     if lane == Lane::Spare && use_of_usual.free_share() > SPARE_FREE_SHARE {
         return self::earliest(service, now, random, work_ms, tried, Lane::Any);
     }
+    if lane == Lane::Spare {
+        earliest.take_if(|(_, forecast)| {
+            let lasting_ms = service.speed.lasting_ms();
+            usual_share(work_ms, forecast.slowdown, lasting_ms) > SPARE_USUAL_SHARE
+        });
+    }
     earliest.map(|(_, forecast)| forecast)
 }
 
@@ -231,6 +244,9 @@
     if !service.is_near(target) {
         rank_ms += (work_ms * FAR_SHARE).max(FAR_LEAST_MS);
     }
+    if !target.is_home() {
+        rank_ms += work_ms * FOREIGN_SHARE;
+    }
     rank_ms += work_ms * silence(target, now);
     rank_ms * (1.0 + USE_WEIGHT * forecast.load / target.slots())
 }
--- a/crates/pinhaven-decide/src/speed.rs
+++ b/crates/pinhaven-decide/src/speed.rs
@@ -130,3 +130,12 @@
     }
     lasting_ms + (work_ms - lasting_ms / slowdown)
 }
+
+/// Share of `work_ms` that is expected to be left, at a target that is slow by `slowdown` now, when it
+/// turns fast again after about `lasting_ms`. That share takes a slot from work that could be done in
+/// time; what is done before takes nothing from anybody.
+pub(crate) fn usual_share(work_ms: f32, slowdown: f32, lasting_ms: f32) -> f32 {
+    let done_ms = lasting_ms / slowdown.max(1.0);
+    let times = done_ms / work_ms.max(0.1);
+    1.0 - times * (1.0 - (-1.0 / times).exp())
+}
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -56,6 +56,7 @@
     pub(crate) ejections: AtomicU32,
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
+    is_home: AtomicBool,
 }
 
 /// What is known of a target, for people and metrics.
@@ -113,6 +114,7 @@
             ejections: AtomicU32::new(0),
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
+            is_home: AtomicBool::new(false),
         }
     }
 
@@ -213,6 +215,16 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this entry is its home, which goes there before others do.
+    pub fn is_home(&self) -> bool {
+        self.is_home.load(Ordering::Relaxed)
+    }
+
+    /// Says whether this entry is its home.
+    pub fn set_home(&self, is_home: bool) {
+        self.is_home.store(is_home, Ordering::Relaxed);
+    }
+
     /// Whether it is ejected at `now`.
     pub fn is_ejected(&self, now: Microseconds) -> bool {
         self.ejected_until_us.load(Ordering::Relaxed) > now.count()
--- a/crates/pinhaven-entry/src/capacity.rs
+++ b/crates/pinhaven-entry/src/capacity.rs
@@ -11,7 +11,7 @@
 /// between entries included.
 const PROCESSOR_US: f64 = 700.0;
 /// Share of the processor that requests may use. The rest is for bursts.
-const PROCESSOR_SHARE: f64 = 0.5;
+const PROCESSOR_SHARE: f64 = 0.6;
 /// Bytes that a request brings over the link in each direction, on average over the users' kinds of
 /// requests; the uploads among them make up half.
 const LINK_BYTES: f64 = 8_000.0;
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -24,6 +24,7 @@
 mod gossip_message;
 mod header;
 mod hold;
+mod homes;
 mod job;
 mod latencies;
 mod leaving;
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -45,9 +45,10 @@
 const BUSY_USE: (f32, f32) = (0.15, 0.45);
 /// Time between two whole datagrams, which make good for lost ones.
 const WHOLE_EVERY: Microseconds = Microseconds::from_ms(500);
-/// What an entry sends of news at the most, in bytes a second; rounds get longer when it would be more.
-/// It is a twelfth of the smallest link, which requests need.
-const NEWS_BYTES_PER_SECOND: f64 = 100_000.0;
+/// Share of the link that news may take; rounds get longer when it would be more.
+const NEWS_LINK_SHARE: f64 = 0.03;
+/// Bytes a second in a megabit a second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Age of an entry until which it meets the others.
 const MEETING_TIME: Microseconds = Microseconds::from_ms(600);
 /// Time between two whole datagrams of an entry of that age. It learns of others with each.
@@ -149,7 +150,8 @@
             let beat = self.message(Vec::new(), list, true);
             bytes += send_all(self, socket, &recipients.distant, &beat).await;
         }
-        sender.pause_least = Duration::from_secs_f64(bytes as f64 / NEWS_BYTES_PER_SECOND);
+        let link = self.settings.resources.link_mbps * BYTES_PER_MEGABIT;
+        sender.pause_least = Duration::from_secs_f64(bytes as f64 / (link * NEWS_LINK_SHARE));
     }
 
     fn whole_every(&self) -> Microseconds {
@@ -170,7 +172,7 @@
         self.peer_counts.lock().forget_silent(now);
         let demand = sender
             .demand
-            .record(self.counters.get(Count::Requests), now);
+            .record(self.counters.get(Count::Attempts), now);
         self.members.lock().set_demand(demand);
         self.share_added_attempts();
         self.record_peers(&mut sender.live_peers);
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -1,11 +1,11 @@
 //! Asking targets how fast they are, when their answers don't say it often enough.
 //!
-//! Each target is asked by one of the entries that serve, the one that ranks first for it. While
-//! entries disagree on who serves, several may ask; so each entry keeps to an equal part of what all
-//! together may send.
+//! Each target is asked by its home. While entries disagree on who serves, several may ask; so each
+//! entry keeps to an equal part of what all together may send.
 
 use crate::counters::Count;
 use crate::entry::Entry;
+use crate::homes::Homes;
 use crate::pool::no_bytes;
 use crate::snapshot::KeyedTarget;
 use http::Request;
@@ -13,8 +13,6 @@
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
-use pinhaven_types::Digest;
-use pinhaven_types::Incarnation;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -33,10 +31,6 @@
 /// How long a target may take to answer, in milliseconds.
 const TIMEOUT_MS: u64 = 400;
 
-/// Entries that carry less than this part of what the largest does ask no targets: questions would
-/// take the greater part of their processor.
-const PROBER_CAPACITY_PART: u32 = 2;
-
 /// A target that this entry asks.
 struct Probed {
     pace: ProbePace,
@@ -44,63 +38,29 @@
     is_under_way: Arc<AtomicBool>,
 }
 
-/// Which targets this entry asks, for as long as the same entries serve the same targets.
-#[derive(Default)]
-struct Turn {
-    serving: Vec<Incarnation>,
-    keys: Vec<u32>,
-    own_keys: Vec<u32>,
-    probed: HashMap<u32, Probed>,
-}
-
 impl Entry {
     /// Sends probes, for ever.
     pub(crate) async fn probe_speeds(self: Arc<Self>) {
-        let mut turn = Turn::default();
+        let mut homes = Homes::default();
+        let mut probed: HashMap<u32, Probed> = HashMap::new();
         loop {
-            if !self.take_turn(&mut turn) {
+            let snapshot = self.snapshot.load_full();
+            homes.refresh(&self, &snapshot);
+            if homes.own_keys().is_empty() {
+                probed.clear();
                 sleep_ms(IDLE_TICK_MS).await;
                 continue;
             }
-            let snapshot = self.snapshot.load_full();
-            for key in turn.own_keys.clone() {
-                if let Some(keyed) = snapshot.keyed_targets().get(&key) {
-                    self.probe_speed_if_due(key, keyed, &mut turn.probed);
+            probed.retain(|key, _| homes.own_keys().contains(key));
+            for key in homes.own_keys() {
+                if let Some(keyed) = snapshot.keyed_targets().get(key) {
+                    self.probe_speed_if_due(*key, keyed, &mut probed);
                 }
             }
             sleep_ms(TICK_MS).await;
         }
     }
 
-    /// Brings up to date which targets this entry asks. Returns whether it asks any.
-    fn take_turn(&self, turn: &mut Turn) -> bool {
-        let serving = self.probing_entries();
-        let snapshot = self.snapshot.load();
-        let mut keys: Vec<u32> = snapshot.keyed_targets().keys().copied().collect();
-        keys.sort_unstable();
-        if serving != turn.serving || keys != turn.keys {
-            let is_own = |key: &u32| prober(*key, &serving) == Some(self.incarnation);
-            turn.own_keys = keys.iter().copied().filter(is_own).collect();
-            let own_keys = &turn.own_keys;
-            turn.probed.retain(|key, _| own_keys.contains(key));
-            turn.serving = serving;
-            turn.keys = keys;
-        }
-        !turn.own_keys.is_empty()
-    }
-
-    fn probing_entries(&self) -> Vec<Incarnation> {
-        let members = self.members.lock();
-        let serving = members.serving(self.now());
-        let largest = serving.iter().map(|row| row.capacity).max();
-        let least = largest.unwrap_or_default().per_second() / PROBER_CAPACITY_PART;
-        serving
-            .into_iter()
-            .filter(|row| row.capacity.per_second() >= least)
-            .map(|row| row.incarnation)
-            .collect()
-    }
-
     fn probe_speed_if_due(
         self: &Arc<Self>,
         key: u32,
@@ -170,10 +130,3 @@
         }
     }
 }
-
-/// The entry that probes a target: the one that ranks first for it.
-fn prober(key: u32, serving: &[Incarnation]) -> Option<Incarnation> {
-    let rank =
-        |entry: &&Incarnation| Digest::of_parts(&[&key.to_le_bytes(), &entry.to_bytes()]).short();
-    serving.iter().min_by_key(rank).copied()
-}
