Give every request its final answer when a planned stop may wait no longer

Change: 150 ms before a stop has to end, requests under way are refused as unknown, those that wait as not run.

--- a/crates/pinhaven-decide/src/event.rs
+++ b/crates/pinhaven-decide/src/event.rs
@@ -50,6 +50,8 @@
     },
     /// The caller left; nothing more need be answered.
     CallerLeft,
+    /// The entry ends: the request must have its final answer now.
+    EntryEnds,
 }
 
 /// What decided the choice of a target.
--- a/crates/pinhaven-decide/src/refusal.rs
+++ b/crates/pinhaven-decide/src/refusal.rs
@@ -23,11 +23,13 @@
     Broken,
     /// The deadline came while a target had it.
     DeadlineCame,
+    /// This entry's planned stop may wait no longer.
+    EntryStopping,
 }
 
 impl RefusalReason {
     /// All reasons, for counters.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::DeadlinePast,
         Self::NoTimeLeft,
         Self::Overloaded,
@@ -37,6 +39,7 @@
         Self::Unreachable,
         Self::Broken,
         Self::DeadlineCame,
+        Self::EntryStopping,
     ];
 
     /// Name in answers, logs and metrics.
@@ -51,6 +54,7 @@
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
             Self::DeadlineCame => "deadline_came",
+            Self::EntryStopping => "entry_stopping",
         }
     }
 }
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -243,6 +243,7 @@
         match (self.request.phase, event) {
             (Phase::Over, _) => {}
             (_, Event::CallerLeft) => self.caller_left(),
+            (_, Event::EntryEnds) => self.entry_ends(),
             (Phase::New, Event::Arrived) => self.arrived(),
             (Phase::Waiting { .. }, Event::TimeCame | Event::PlaceFreed) if self.forecasts() => {
                 self.look_again();
@@ -585,6 +586,13 @@
         self.close();
     }
 
+    fn entry_ends(&mut self) {
+        if matches!(self.request.phase, Phase::Waiting { .. }) {
+            self.end_wait();
+        }
+        self.refuse(RefusalReason::EntryStopping);
+    }
+
     /// Gives up whatever is under way and ends the request.
     fn close(&mut self) {
         if !self.request.sent.is_empty() && !self.request.has_outlasted {
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -248,6 +248,7 @@
     async fn next_event(&mut self, step: &Step, mut place: Option<EventListener>) -> Event {
         let wake_at = step.wake_at.unwrap_or(self.job.deadline);
         let mut timer = async_io::Timer::at(self.job.entry.clock.instant_of(wake_at));
+        let mut ending = std::pin::pin!(self.job.entry.ending.wait());
         let ended = poll_fn(|context| {
             for (index, under_way) in self.under_way.iter_mut().enumerate() {
                 if let Poll::Ready(end) = under_way.outcome.as_mut().poll(context) {
@@ -259,6 +260,9 @@
             {
                 return Poll::Ready(Err(Event::PlaceFreed));
             }
+            if ending.as_mut().poll(context).is_ready() {
+                return Poll::Ready(Err(Event::EntryEnds));
+            }
             match Pin::new(&mut timer).poll(context) {
                 Poll::Ready(_) => Poll::Ready(Err(Event::TimeCame)),
                 Poll::Pending => Poll::Pending,
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -120,6 +120,8 @@
     pub(crate) leaving: Mutex<LeavingNews>,
     pub(crate) unknown_members: Mutex<BTreeSet<Incarnation>>,
     pub(crate) news: event_listener::Event,
+    /// Set and notified when requests under way must have their final answers.
+    pub(crate) ending: Ending,
     pub(crate) table: HttpTableService,
     pub(crate) objects: HttpObjectStore,
     pub(crate) peers: PeerClients,
@@ -187,6 +189,7 @@
             leaving: Mutex::new(LeavingNews::default()),
             unknown_members: Mutex::new(BTreeSet::new()),
             news: event_listener::Event::new(),
+            ending: Ending::default(),
             table: HttpTableService::new(settings.table_address, timeout_ms),
             objects: HttpObjectStore::new(settings.object_address, timeout_ms),
             peers: PeerClients::new(),
@@ -267,6 +270,29 @@
     }
 }
 
+/// The word that this entry ends.
+#[derive(Default)]
+pub(crate) struct Ending {
+    has_come: AtomicBool,
+    event: event_listener::Event,
+}
+
+impl Ending {
+    /// Gives the word.
+    pub(crate) fn announce(&self) {
+        self.has_come.store(true, Ordering::SeqCst);
+        self.event.notify(usize::MAX);
+    }
+
+    /// Comes once the word was given.
+    pub(crate) async fn wait(&self) {
+        let listener = self.event.listen();
+        if !self.has_come.load(Ordering::SeqCst) {
+            listener.await;
+        }
+    }
+}
+
 /// A request under way.
 pub(crate) struct InFlight(Arc<Entry>);
 
--- a/crates/pinhaven-entry/src/problem.rs
+++ b/crates/pinhaven-entry/src/problem.rs
@@ -139,6 +139,10 @@
             StatusCode::BAD_GATEWAY,
             "a target took the request and did not answer whole",
         ),
+        RefusalReason::EntryStopping => (
+            StatusCode::BAD_GATEWAY,
+            "this entry stops and can't wait for the target any longer",
+        ),
         RefusalReason::DeadlineCame => (
             StatusCode::GATEWAY_TIMEOUT,
             "the deadline came while a target had the request",
--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! In this order: the entry tells everyone that it stops, so that no new address answer names it; it
 //! serves on for as long as callers keep older answers; it takes no more connections and lets each
-//! open one finish; and it exits once nothing is in flight.
+//! open one finish; and it exits once nothing is in flight. What is still in flight when it may wait no
+//! longer gets its final answer, so that no caller is left with a closed connection.
 
 use crate::entry::Entry;
 use pinhaven_agree::MemberState;
@@ -24,6 +25,9 @@
 const SERVE_ON_SHARE: f64 = 0.45;
 /// Time kept between the end of a stop and the end of the grace, in milliseconds.
 const KILL_MARGIN_MS: u64 = 300;
+/// Time for the final answers of requests that can't be waited for, in milliseconds. They have to reach
+/// callers some 10 ms away.
+const FINAL_ANSWERS_MS: u64 = 150;
 /// How often the requests in flight are counted, in milliseconds.
 const COUNT_MS: u64 = 10;
 
@@ -77,7 +81,13 @@
     sleep_ms(plan.serve_on_ms).await;
     log::info!(target: "stop", "Finishing {} requests in flight.", entry.in_flight());
     servers.callers.close_gracefully();
-    let is_finished = wait_until_idle(entry, &servers.callers, plan.finish_ms).await;
+    let wait_ms = plan.finish_ms.saturating_sub(FINAL_ANSWERS_MS);
+    let is_finished = wait_until_idle(entry, &servers.callers, wait_ms).await;
+    if !is_finished {
+        log::warn!(target: "stop", "Giving up {} requests in flight.", entry.in_flight());
+        entry.ending.announce();
+        wait_until_idle(entry, &servers.callers, FINAL_ANSWERS_MS).await;
+    }
     // Answers to relayed requests may still be on their way to other entries.
     servers.peers.close_gracefully();
     wait_until_closed(&servers.peers).await;
--- a/crates/pinhaven-lab/tests/stopping.rs
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -91,6 +91,34 @@
     });
 }
 
+#[test]
+fn a_stop_that_may_wait_no_longer_gives_every_request_its_final_answer() {
+    in_turn(async {
+        // Work that takes longer than the stop may, as at a target that never answers.
+        let mut silent = common::quote().with_bundle(json!({"typical_ms": 10}));
+        silent.mean_ms = 30_000.0;
+        silent.sigma = 0.0;
+        let plan = LabPlan::new(2, vec![silent]);
+        let mut lab = start(plan.with_settings(json!({"stop_most_ms": 1_500}))).await;
+        let calls = call(&lab, 300, |settings| {
+            settings.rate_per_s = 40.0;
+            settings.deadline_ms = 25_000;
+        })
+        .await;
+        sleep_ms(400).await;
+        for index in 0..2 {
+            lab.entry(index).terminate();
+        }
+        let report = calls.await;
+        for class in [&report.repeatable, &report.once] {
+            assert!(class.sent > 0);
+            assert_eq!(class.cut + class.silent, 0, "{class:?}");
+            let told = class.refused.get("entry_stopping/unknown");
+            assert!(told.is_some(), "{class:?}");
+        }
+    });
+}
+
 #[test]
 fn a_draining_target_gets_no_new_work_from_any_entry_after_a_few_seconds() {
     in_turn(async {
