Let an entry that knows no speeds send, and judge silence by how often a member is heard of

Besides, members that are only heard of through others were lost and found again every half second. Change: a target without a recent report counts at its usual speed when it is decided whether to send at all; a member may be silent for four of its usual gaps, 2 to 10 s. Tests: decide `an_entry_that_was_told_of_no_speed_lately_sends_and_does_not_refuse`, agree `an_entry_that_is_heard_of_now_and_then_is_not_taken_for_gone_in_between`; both failed before.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -18,6 +18,13 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+/// Weight of the gaps between heartbeats that were heard before, against one of the new.
+const GAPS: u64 = 4;
+/// Usual gaps after which a member counts as silent.
+const GAPS_MISSED: u64 = 4;
+/// The most time for which any member may be silent, in times the least.
+const SILENT_MOST: u64 = 5;
+
 /// Life cycle of an entry, as it tells others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -71,6 +78,8 @@
     pub row: MemberRow,
     /// When its heartbeat count last grew, by this entry's clock.
     pub heard_at: Microseconds,
+    /// Time between two such moments, on average.
+    gap: Microseconds,
     /// Whether it was heard itself or its count was seen to grow; a row alone may be long out of date.
     is_confirmed: bool,
     /// Its place in the order that all entries agree on.
@@ -147,6 +156,7 @@
                 rank: rank_of(&row),
                 row,
                 heard_at: now,
+                gap: Microseconds::ZERO,
                 is_confirmed: false,
             };
             self.members.insert(member.row.incarnation, member);
@@ -157,6 +167,8 @@
         }
         let state = member.row.state.max(row.state);
         member.row = MemberRow { state, ..row };
+        let gap = now.saturating_sub(member.heard_at);
+        member.gap = Microseconds::new((member.gap.count() * (GAPS - 1) + gap.count()) / GAPS);
         member.heard_at = now;
         member.is_confirmed = true;
         true
@@ -180,7 +192,15 @@
     pub fn is_live(&self, member: &Member, now: Microseconds) -> bool {
         member.is_confirmed
             && member.row.state != MemberState::Gone
-            && now.saturating_sub(member.heard_at) < self.silent_after
+            && now.saturating_sub(member.heard_at) < self.silent_after_of(member)
+    }
+
+    /// How long a member may be silent. One that is heard of through others, now and then, is not gone
+    /// because it was not heard of for as long as one that speaks to this entry itself may be silent.
+    fn silent_after_of(&self, member: &Member) -> Microseconds {
+        let least = self.silent_after.count();
+        let usual = member.gap.count() * GAPS_MISSED;
+        Microseconds::new(usual.clamp(least, least * SILENT_MOST))
     }
 
     /// This entry and all live members, with the ranks that all entries agree on.
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -82,6 +82,19 @@
     );
 }
 
+#[test]
+fn an_entry_that_is_heard_of_now_and_then_is_not_taken_for_gone_in_between() {
+    let mut members = members(1);
+    for beat in 1..10 {
+        let mut row = row(1, MemberState::Ready);
+        row.heartbeat = 1 + beat;
+        members.hear_of(row, at_ms(beat * 1_800));
+    }
+    // Heard last at 16.2 s.
+    assert_eq!(named(&members, "quote", 10, 20_000).len(), 2);
+    assert_eq!(named(&members, "quote", 10, 24_000).len(), 1);
+}
+
 #[test]
 fn a_repeated_old_heartbeat_does_not_keep_an_entry_alive() {
     let mut members = members(1);
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -63,6 +63,8 @@
     pub(crate) load: f32,
     /// The slowdown that was expected.
     pub(crate) slowdown: f32,
+    /// Time until the answer if the target is as fast as usual, where nothing is known of its speed.
+    hopeful_ms: Option<f32>,
 }
 
 /// Which targets a request may go to.
@@ -86,6 +88,12 @@
         }
     }
 
+    /// Time until the answer by which it is decided whether the request is sent at all, in milliseconds.
+    /// A guess is no reason to refuse: an entry that nobody has told of speeds lately would refuse all.
+    pub(crate) fn admission_ms(&self) -> f32 {
+        self.hopeful_ms.unwrap_or(self.answer_ms)
+    }
+
     /// Whether the request would make the target nearly full.
     pub(crate) fn is_crowded(&self) -> bool {
         is_crowded(&self.target, self.load)
@@ -103,12 +111,15 @@
     let slowdown = target.expected_slowdown(now, &service.speed);
     let run_ms = run_ms(service, target, now, work_ms, load, slowdown);
     let queued = (load + 1.0 - target.slots()).max(0.0);
-    let queue_ms = queued * run_ms / target.slots();
+    let with_queue = |run_ms: f32| run_ms + queued * run_ms / target.slots();
+    let is_guess = !target.has_recent_report(now, &service.speed);
+    let hopeful_ms = is_guess.then(|| run_ms_at_usual(service, target, now, work_ms, load));
     Forecast {
         target: Arc::clone(target),
-        answer_ms: run_ms + queue_ms,
+        answer_ms: with_queue(run_ms),
         load,
         slowdown,
+        hopeful_ms: hopeful_ms.map(with_queue),
     }
 }
 
@@ -222,6 +233,17 @@
     work_ms: f32,
     load: f32,
     slowdown: f32,
+) -> f32 {
+    let work_ms = run_ms_at_usual(service, target, now, work_ms, load);
+    crate::speed::time_for(work_ms, slowdown, service.speed.lasting_ms())
+}
+
+fn run_ms_at_usual(
+    service: &ServiceState,
+    target: &TargetState,
+    now: Microseconds,
+    work_ms: f32,
+    load: f32,
 ) -> f32 {
     let mut work_ms = work_ms;
     if target.is_cold(now) {
@@ -231,7 +253,7 @@
     if is_crowded(target, load) {
         work_ms *= service.crowding.get();
     }
-    crate::speed::time_for(work_ms, slowdown, service.speed.lasting_ms())
+    work_ms
 }
 
 /// What targets are compared by, in milliseconds: the forecast, and what the choice costs others.
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -125,9 +125,9 @@
         let aim_ms = self.request.aim().as_ms() as f32;
         if self.work_ms() > aim_ms * AIM_FILL {
             // No target could ever meet this aim; the best that there is has to do.
-            return forecast.answer_ms <= self.work_ms() * GOOD_FACTOR;
+            return forecast.admission_ms() <= self.work_ms() * GOOD_FACTOR;
         }
-        forecast.answer_ms <= self.request.to_aim_ms(self.now) * AIM_FILL
+        forecast.admission_ms() <= self.request.to_aim_ms(self.now) * AIM_FILL
     }
 
     /// Whether a late answer would still come before the deadline, without a wait at the target.
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -28,6 +28,10 @@
 const WARM_UP: Microseconds = Microseconds::from_ms(2_000);
 /// Share that a cold target begins with.
 const WARM_SHARE_MIN: f32 = 0.1;
+/// Age up to which a report is recent, in times that a speed lasts.
+const RECENT_LASTS: f32 = 2.0;
+/// The most of that age, in milliseconds; a service whose targets never changed may begin to.
+const RECENT_MOST_MS: f32 = 2_000.0;
 /// A request counts as overdue past this many typical times.
 const OVERDUE_AFTER: f32 = 2.0;
 
@@ -199,6 +203,13 @@
         self.speed.expected(now, service)
     }
 
+    /// Whether it has said so recently that its speed may well be the same.
+    pub(crate) fn has_recent_report(&self, now: Microseconds, service: &ServiceSpeed) -> bool {
+        let age = self.speed.last().map(|(_, at)| now.saturating_sub(at));
+        let recent_ms = (service.lasting_ms() * RECENT_LASTS).min(RECENT_MOST_MS);
+        age.is_some_and(|age| age.as_ms() as f32 <= recent_ms)
+    }
+
     /// Whether it is still slow from its start.
     pub(crate) fn is_cold(&self, now: Microseconds) -> bool {
         now < self.cold_until
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -169,6 +169,25 @@
     assert_eq!(driven.target(0), 0);
 }
 
+#[test]
+fn an_entry_that_was_told_of_no_speed_lately_sends_and_does_not_refuse() {
+    let service = service(3, 4);
+    // All were slow once, long ago; on average they are three times as slow as usual.
+    for time_ms in (0..20_000).step_by(20) {
+        for target in 0..3 {
+            report(&service, target, time_ms, 3.0);
+        }
+    }
+    let driven = Driven::new(&service, true, 30_000);
+    assert_eq!(driven.attempts.len(), 1);
+    // While that is known it waits for one to turn fast.
+    for target in 0..3 {
+        report(&service, target, 30_000, 3.0);
+    }
+    let driven = Driven::new(&service, true, 30_001);
+    assert_eq!(driven.attempts.len(), 0);
+}
+
 #[test]
 fn requests_of_other_entries_take_slots_too() {
     let service = service(2, 4);
