--- a/crates/pinhaven-stand-in/src/lib.rs
+++ b/crates/pinhaven-stand-in/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod platform;
+pub mod proxy;
 pub mod target;
 
 use bytes::Bytes;
--- /dev/null
+++ b/crates/pinhaven-stand-in/src/proxy.rs
@@ -0,0 +1,151 @@
+//! A loopback proxy that harms the connections that go through it.
+//!
+//! What was swallowed on a connection is lost: that direction stays silent for good, as after a cut that
+//! never heals for connections which were open then, while new ones work.
+
+use parking_lot::Mutex;
+use socket2::SockRef;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes that are read at a time.
+const PIECE_BYTES: usize = 16 * 1024;
+/// How often a quiet connection looks whether it shall be reset.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// What happens to connections.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LinkFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Each piece arrives this much later.
+    Delayed(Duration),
+    /// Nothing arrives at the server.
+    SilentToServer,
+    /// Nothing arrives at the client.
+    SilentToClient,
+    /// Open connections are reset, and new ones at once.
+    Reset,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToServer,
+    ToClient,
+}
+
+/// A running proxy.
+#[derive(Debug, Clone)]
+pub struct FaultProxy {
+    /// Where it listens.
+    pub address: SocketAddr,
+    fault: Arc<Mutex<LinkFault>>,
+}
+
+impl FaultProxy {
+    /// Starts a proxy before a server; it runs until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// The system's error when no address can be had.
+    pub fn start(server: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let proxy = Self {
+            address: listener.local_addr()?,
+            fault: Arc::default(),
+        };
+        let fault = Arc::clone(&proxy.fault);
+        std::thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                // A server that can't be reached shows as a reset.
+                match TcpStream::connect(server) {
+                    Ok(server) => connect(client, server, &fault),
+                    Err(_) => reset(&client),
+                }
+            }
+        });
+        Ok(proxy)
+    }
+
+    /// Sets what happens to connections from now on.
+    pub fn set_fault(&self, fault: LinkFault) {
+        *self.fault.lock() = fault;
+    }
+}
+
+fn connect(client: TcpStream, server: TcpStream, fault: &Arc<Mutex<LinkFault>>) {
+    let ways = [
+        (client.try_clone(), server.try_clone(), Direction::ToServer),
+        (server.try_clone(), client.try_clone(), Direction::ToClient),
+    ];
+    for (from, to, direction) in ways {
+        let (Ok(from), Ok(to)) = (from, to) else {
+            return;
+        };
+        let fault = Arc::clone(fault);
+        std::thread::spawn(move || carry(from, to, direction, &fault));
+    }
+}
+
+/// Carries bytes one way until either side ends or a fault ends the connection.
+fn carry(mut from: TcpStream, mut to: TcpStream, direction: Direction, fault: &Mutex<LinkFault>) {
+    let mut piece = vec![0; PIECE_BYTES];
+    let mut is_silent = false;
+    if from.set_read_timeout(Some(LOOK)).is_err() || to.set_nodelay(true).is_err() {
+        return;
+    }
+    loop {
+        if *fault.lock() == LinkFault::Reset {
+            reset(&from);
+            reset(&to);
+            return;
+        }
+        let length = match from.read(&mut piece) {
+            Ok(0) => break,
+            Ok(length) => length,
+            Err(error) if is_timeout(&error) => continue,
+            Err(_) => break,
+        };
+        let now = *fault.lock();
+        is_silent |= is_silenced(now, direction);
+        if let LinkFault::Delayed(time) = now {
+            std::thread::sleep(time);
+        }
+        if !is_silent && to.write_all(&piece[..length]).is_err() {
+            break;
+        }
+    }
+    if !is_silent {
+        // The other side may be gone already.
+        let _ = to.shutdown(Shutdown::Write);
+    }
+}
+
+fn is_silenced(fault: LinkFault, direction: Direction) -> bool {
+    matches!(
+        (fault, direction),
+        (LinkFault::SilentToServer, Direction::ToServer)
+            | (LinkFault::SilentToClient, Direction::ToClient)
+    )
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(
+        error.kind(),
+        std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut
+    )
+}
+
+/// Makes the other side of a connection see a reset.
+fn reset(stream: &TcpStream) {
+    // A stream that is closed already needs no reset.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Both);
+}
