--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -29,9 +29,9 @@
 /// Entries that an answer names at most; callers take no more.
 const NAMED_MOST: usize = 64;
 /// Entries that speak with the store for the others, at least; each may be cut off from it.
-const KEEPERS_LEAST: usize = 6;
+const DELEGATES_LEAST: usize = 6;
 /// The same in each failure domain.
-const KEEPERS_PER_DOMAIN: usize = 2;
+const DELEGATES_PER_DOMAIN: usize = 2;
 
 /// A member and its place in the order that all entries agree on, the lowest first.
 type Ranked<'row> = ((Reverse<RequestRate>, u64), &'row MemberRow);
@@ -81,15 +81,15 @@
 
     /// Whether this entry is one of the few that speak with the store for all: they follow the
     /// configuration, and their rows are where entries that know nobody find the others.
-    pub fn is_keeper(&self, now: Microseconds) -> bool {
+    pub fn is_delegate(&self, now: Microseconds) -> bool {
         let ranked = self.ranked(now, MemberState::Starting);
-        self.place_among(&ranked) < keepers_per_domain(&ranked)
+        self.place_among(&ranked) < delegates_per_domain(&ranked)
     }
 
     /// Those few, this entry included if it is one.
-    pub fn keepers(&self, now: Microseconds) -> Vec<&MemberRow> {
+    pub fn delegates(&self, now: Microseconds) -> Vec<&MemberRow> {
         let ranked = self.ranked(now, MemberState::Starting);
-        let per_domain = keepers_per_domain(&ranked);
+        let per_domain = delegates_per_domain(&ranked);
         first_of_domains(ranked, per_domain).0
     }
 
@@ -126,12 +126,12 @@
     }
 }
 
-fn keepers_per_domain(ranked: &[Ranked<'_>]) -> usize {
+fn delegates_per_domain(ranked: &[Ranked<'_>]) -> usize {
     let domains: BTreeSet<&FailureDomain> =
         ranked.iter().map(|(_, row)| &row.failure_domain).collect();
-    KEEPERS_LEAST
+    DELEGATES_LEAST
         .div_ceil(domains.len().max(1))
-        .max(KEEPERS_PER_DOMAIN)
+        .max(DELEGATES_PER_DOMAIN)
 }
 
 /// The first `count` of each failure domain, and the rest.
--- a/crates/pinhaven-agree/tests/steering.rs
+++ b/crates/pinhaven-agree/tests/steering.rs
@@ -159,15 +159,15 @@
 
 #[test]
 fn few_entries_speak_with_the_store_and_others_take_their_place() {
-    let keepers = |rows: &[MemberRow]| -> Vec<usize> {
-        let is_keeper = |own: &usize| members_of(*own, rows).is_keeper(NOW);
-        (0..rows.len()).filter(is_keeper).collect()
+    let delegates = |rows: &[MemberRow]| -> Vec<usize> {
+        let is_delegate = |own: &usize| members_of(*own, rows).is_delegate(NOW);
+        (0..rows.len()).filter(is_delegate).collect()
     };
     let mut rows = mixed();
-    assert_eq!(keepers(&rows), [100, 101, 102, 103, 104, 105]);
+    assert_eq!(delegates(&rows), [100, 101, 102, 103, 104, 105]);
     rows[101].state = MemberState::Stopping;
     rows[103].state = MemberState::Gone;
-    let after = keepers(&rows);
+    let after = delegates(&rows);
     assert_eq!(after.len(), 6);
     assert!(!after.contains(&101) && !after.contains(&103));
 }
@@ -180,7 +180,7 @@
         row.state = MemberState::Starting;
     }
     let count = (0..18)
-        .filter(|own| members_of(*own, &rows).is_keeper(NOW))
+        .filter(|own| members_of(*own, &rows).is_delegate(NOW))
         .count();
     assert_eq!(count, 6);
 }
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -32,9 +32,9 @@
 const FAR_SHARE: f32 = 0.10;
 /// The least that it is charged, in milliseconds.
 const FAR_LEAST_MS: f32 = 2.0;
-/// What a target whose home is another entry is charged, as a share of the work. What others have
+/// What a target that another entry owns is charged, as a share of the work. What others have
 /// under way there is known late, and it is they who need it when their own are full.
-const FOREIGN_SHARE: f32 = 0.15;
+const NOT_OWNED_SHARE: f32 = 0.15;
 /// A target that is slower than this is spare: a request that can still meet its aim does not go there
 /// while it may wait, so that one which can't takes nothing from others.
 const SPARE_SLOWDOWN: f32 = 2.0;
@@ -266,8 +266,8 @@
     if !service.is_near(target) {
         rank_ms += (work_ms * FAR_SHARE).max(FAR_LEAST_MS);
     }
-    if !target.is_home() {
-        rank_ms += work_ms * FOREIGN_SHARE;
+    if !target.is_owned() {
+        rank_ms += work_ms * NOT_OWNED_SHARE;
     }
     rank_ms += work_ms * silence(target, now);
     rank_ms * (1.0 + USE_WEIGHT * forecast.load / target.slots())
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -60,7 +60,7 @@
     pub(crate) ejections: AtomicU32,
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
-    is_home: AtomicBool,
+    is_owned: AtomicBool,
 }
 
 /// What is known of a target, for people and metrics.
@@ -118,7 +118,7 @@
             ejections: AtomicU32::new(0),
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
-            is_home: AtomicBool::new(false),
+            is_owned: AtomicBool::new(false),
         }
     }
 
@@ -226,14 +226,14 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Whether this entry is its home, which goes there before others do.
-    pub fn is_home(&self) -> bool {
-        self.is_home.load(Ordering::Relaxed)
+    /// Whether this entry owns it, and goes there before others do.
+    pub fn is_owned(&self) -> bool {
+        self.is_owned.load(Ordering::Relaxed)
     }
 
-    /// Says whether this entry is its home.
-    pub fn set_home(&self, is_home: bool) {
-        self.is_home.store(is_home, Ordering::Relaxed);
+    /// Says whether this entry owns it.
+    pub fn set_owned(&self, is_owned: bool) {
+        self.is_owned.store(is_owned, Ordering::Relaxed);
     }
 
     /// Whether it is ejected at `now`.
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -270,7 +270,7 @@
 #[test]
 fn an_entry_goes_to_targets_of_its_own_first() {
     let service = service(3, 4);
-    service.targets()[2].set_home(true);
+    service.targets()[2].set_owned(true);
     for target in 0..3 {
         report(&service, target, 1_000, 1.0);
     }
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -60,7 +60,7 @@
 const ABSENT_LOOK_MS: u64 = 4_000;
 /// How often an entry that does not follow the configuration looks whether it should, in milliseconds.
 /// The others notice within 2 s that one that did is gone.
-const KEEPER_LOOK_MS: u64 = 100;
+const DELEGATE_LOOK_MS: u64 = 100;
 /// When an entry writes its row, if others shall find it there, and how much later it reads theirs, in
 /// milliseconds. All start at about the same time, so an earlier look would find few.
 const FIRST_ROW_MS: u64 = 1_000;
@@ -109,7 +109,7 @@
             if !self.speaks_with_store(is_in_force) {
                 // What changes until this entry follows again is learned by reading it anew.
                 position = None;
-                sleep_ms(KEEPER_LOOK_MS).await;
+                sleep_ms(DELEGATE_LOOK_MS).await;
                 continue;
             }
             let news = store.next_configuration(position).await;
@@ -156,7 +156,7 @@
         }
         let members = self.members.lock();
         let is_alone = members.live_peers(now).is_empty();
-        is_alone || members.is_keeper(now) || (!has && age >= ASK_PEERS_ONLY)
+        is_alone || members.is_delegate(now) || (!has && age >= ASK_PEERS_ONLY)
     }
 
     /// Reads the list of targets whenever it is this entry's turn, for ever.
@@ -330,7 +330,7 @@
         };
         sleep_ms(FIRST_ROW_MS).await;
         while !self.speaks_with_store(true) {
-            sleep_ms(KEEPER_LOOK_MS).await;
+            sleep_ms(DELEGATE_LOOK_MS).await;
         }
         let mut backoff = Backoff::new();
         while let Err(error) = self.announce(&store).await {
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -114,7 +114,7 @@
         let now = self.now();
         let list_read_at = self.list_read_at(now);
         let has_read_list = list_read_at > sender.list_told_at;
-        let may_be_first = self.is_meeting() || self.is_keeper(now);
+        let may_be_first = self.is_meeting() || self.is_delegate(now);
         let is_first_hand = has_read_list || (is_urgent && may_be_first);
         let is_due = now.saturating_sub(sender.whole_at) >= self.whole_every();
         let is_whole = is_urgent || has_read_list || is_due;
@@ -178,9 +178,9 @@
         self.record_peers(&mut sender.live_peers);
     }
 
-    fn is_keeper(&self, now: Microseconds) -> bool {
+    fn is_delegate(&self, now: Microseconds) -> bool {
         let members = self.members.lock();
-        members.is_keeper(now)
+        members.is_delegate(now)
     }
 
     async fn tell_close(
--- a/crates/pinhaven-entry/src/recipients.rs
+++ b/crates/pinhaven-entry/src/recipients.rs
@@ -55,14 +55,14 @@
             .collect();
         let sends_often = serving.contains(&own.incarnation) || self.in_flight() > 0;
         // Before any entry is ready, those that speak with the store are where the others meet.
-        let keepers: BTreeSet<Incarnation> = members
-            .keepers(now)
+        let delegates: BTreeSet<Incarnation> = members
+            .delegates(now)
             .into_iter()
             .map(|row| row.incarnation)
             .collect();
         let is_close = |row: &MemberRow| {
             let peer = &row.incarnation;
-            serving.contains(peer) || keepers.contains(peer) || active.contains(peer)
+            serving.contains(peer) || delegates.contains(peer) || active.contains(peer)
         };
         let (close, distant): (Vec<&MemberRow>, Vec<&MemberRow>) = members
             .peers_to_ask()
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -1,11 +1,11 @@
 //! Asking targets how fast they are, when their answers don't say it often enough.
 //!
-//! Each target is asked by its home. While entries disagree on who serves, several may ask; so each
+//! Each target is asked by its owner. While entries disagree on who serves, several may ask; so each
 //! entry keeps to an equal part of what all together may send.
 
 use crate::counters::Count;
 use crate::entry::Entry;
-use crate::homes::Homes;
+use crate::owned_targets::OwnedTargets;
 use crate::pool::no_bytes;
 use crate::snapshot::KeyedTarget;
 use http::Request;
@@ -41,18 +41,18 @@
 impl Entry {
     /// Sends probes, for ever.
     pub(crate) async fn probe_speeds(self: Arc<Self>) {
-        let mut homes = Homes::default();
+        let mut owned = OwnedTargets::default();
         let mut probed: HashMap<u32, Probed> = HashMap::new();
         loop {
             let snapshot = self.snapshot.load_full();
-            homes.refresh(&self, &snapshot);
-            if homes.own_keys().is_empty() {
+            owned.refresh(&self, &snapshot);
+            if owned.own_keys().is_empty() {
                 probed.clear();
                 sleep_ms(IDLE_TICK_MS).await;
                 continue;
             }
-            probed.retain(|key, _| homes.own_keys().contains(key));
-            for key in homes.own_keys() {
+            probed.retain(|key, _| owned.own_keys().contains(key));
+            for key in owned.own_keys() {
                 if let Some(keyed) = snapshot.keyed_targets().get(key) {
                     self.probe_speed_if_due(*key, keyed, &mut probed);
                 }
