--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/address.rs
@@ -19,6 +19,7 @@
 use pinhaven_agree::Home;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
+use pinhaven_bundle::Bundle;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::FailureDomain;
@@ -26,6 +27,12 @@
 use serde::Serialize;
 use std::sync::Arc;
 
+/// Aim from which two more round trips of some 20 ms are a small part of it, in milliseconds.
+const LONG_AIM_MS: u64 = 200;
+/// How long answers are kept where all aims are at least that long, in milliseconds. An entry that is lost
+/// is noticed after 1 to 2 s; answers that live no longer than that hardly add to it.
+const KEEP_SHORT_MS: u64 = 2_000;
+
 #[derive(Serialize)]
 struct AddressAnswer {
     service: String,
@@ -91,10 +98,24 @@
     let members = entry.members.lock();
     let (region, domain) = (question.region.as_ref(), question.domain.as_ref());
     let rows = members.named_for(region, domain, fastrand::f32, entry.now());
-    let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
+    let keep_ms = keep_ms(entry.snapshot.load().bundle());
     (rows.into_iter().map(named_entry).collect(), keep_ms)
 }
 
+/// How long an address answer may be kept, in milliseconds.
+///
+/// A caller whose answer has run out asks again before its request, which costs it two round trips. One
+/// that keeps an answer for long tries entries that are gone, a second each. Where the trips are a small
+/// part of every aim, short lives are better.
+fn keep_ms(bundle: &Bundle) -> u64 {
+    let routes = bundle.hosts.iter().flat_map(|host| &host.paths);
+    let shortest_aim_ms = routes.map(|route| route.aim_ms).min();
+    match shortest_aim_ms {
+        Some(aim_ms) if aim_ms >= LONG_AIM_MS => bundle.address_keep_ms.min(KEEP_SHORT_MS),
+        _ => bundle.address_keep_ms,
+    }
+}
+
 fn named_entry(row: &MemberRow) -> NamedEntry {
     debug_assert_eq!(row.state, MemberState::Ready);
     let home = Home {
