--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -66,6 +66,7 @@
 mod speed;
 mod split;
 mod target;
+mod told;
 mod waiting;
 
 pub use budget::TokenBudget;
@@ -92,4 +93,6 @@
 pub use split::Split;
 pub use target::TargetState;
 pub use target::TargetView;
+pub use told::TargetFacts;
+pub use told::ToldTargets;
 pub use waiting::PRIORITY_COUNT;
--- /dev/null
+++ b/crates/pinhaven-decide/src/told.rs
@@ -0,0 +1,77 @@
+//! What an entry has told the others of targets, and so what is worth telling.
+//!
+//! Counts are told by datagrams, which are lost now and then. So a count is told when it changes, and in
+//! whole rounds again for a while, also when it is none any more: else a lost datagram would leave the
+//! others with requests that ended long ago.
+
+use pinhaven_types::Microseconds;
+use std::collections::HashMap;
+
+/// How long a count that changed is told again in whole rounds, though it is none any more; two such
+/// rounds fit in.
+const TOLD_AGAIN_FOR: Microseconds = Microseconds::from_ms(1_100);
+
+/// What is known of a target here.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TargetFacts {
+    /// Requests of this entry that it holds.
+    pub in_flight: u32,
+    /// When it last told this entry how fast it is; zero when it never did.
+    pub report_at: Microseconds,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    facts: TargetFacts,
+    changed_at: Microseconds,
+}
+
+/// What was last told of each target.
+#[derive(Debug, Default)]
+pub struct ToldTargets(HashMap<u32, Told>);
+
+impl ToldTargets {
+    /// Whether what is known of a target is worth telling at `now`; it then counts as told.
+    pub fn is_worth_telling(
+        &mut self,
+        target: u32,
+        facts: TargetFacts,
+        is_whole: bool,
+        now: Microseconds,
+    ) -> bool {
+        let told = self.0.entry(target).or_default();
+        let is_report_new = self::is_report_new(&told.facts, &facts);
+        let has_changed = told.facts.in_flight != facts.in_flight;
+        if has_changed {
+            told.changed_at = now;
+        }
+        told.facts = facts;
+        let is_recent = now.saturating_sub(told.changed_at) < TOLD_AGAIN_FOR;
+        is_report_new || has_changed || (is_whole && (facts.in_flight > 0 || is_recent))
+    }
+
+    /// Whether a report that is known now was not told yet.
+    pub fn is_report_new(&self, target: u32, facts: &TargetFacts) -> bool {
+        let told = self.0.get(&target);
+        is_report_new(&told.copied().unwrap_or_default().facts, facts)
+    }
+
+    /// Forgets all targets but those that are still there.
+    pub fn keep(&mut self, is_there: impl Fn(u32) -> bool) {
+        self.0.retain(|target, _| is_there(*target));
+    }
+
+    /// How many targets something was told of.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether nothing was told yet.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+fn is_report_new(told: &TargetFacts, known: &TargetFacts) -> bool {
+    known.report_at > told.report_at
+}
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -13,11 +13,12 @@
 use crate::gossip_message::identity_of;
 use crate::gossip_message::to_bytes;
 use crate::gossip_message::to_incarnation;
-use crate::news_message::Told;
+use crate::news_message::gather;
 use crate::recipients::Occasion;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
 use pinhaven_agree::MemberRow;
+use pinhaven_decide::ToldTargets;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ListNews;
 use pinhaven_peer::News;
@@ -90,7 +91,7 @@
     whole_at: Microseconds,
     live_peers: LivePeers,
     sends_often: bool,
-    told: Told,
+    told: ToldTargets,
     list_told_at: Option<Microseconds>,
     demand: DemandMeter,
     /// The least time until the next round, so that news stay within their rate.
@@ -129,7 +130,7 @@
         let recipients = self.recipients(occasion, now);
         sender.sends_often = recipients.sends_often;
         let snapshot = self.snapshot.load();
-        let targets = sender.told.gather(&snapshot, now, is_whole);
+        let targets = gather(&mut sender.told, &snapshot, now, is_whole);
         if !is_whole && (!recipients.sends_often || targets.is_empty()) {
             return;
         }
--- a/crates/pinhaven-entry/src/news_message.rs
+++ b/crates/pinhaven-entry/src/news_message.rs
@@ -2,7 +2,9 @@
 
 use crate::snapshot::KeyedTarget;
 use crate::snapshot::Snapshot;
+use pinhaven_decide::TargetFacts;
 use pinhaven_decide::TargetState;
+use pinhaven_decide::ToldTargets;
 use pinhaven_peer::TargetNews;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
@@ -13,46 +15,36 @@
 /// whole datagrams are missing then.
 const COUNTS_HOLD_FOR: Microseconds = Microseconds::from_ms(1_600);
 
-/// What was last said of each target.
-#[derive(Default)]
-pub(crate) struct Told(HashMap<u32, (u32, Microseconds)>);
-
-impl Told {
-    /// What there is to say: of all targets with requests or a report if `is_whole`, else of those
-    /// whose count has changed or that have told this entry something new.
-    pub(crate) fn gather(
-        &mut self,
-        snapshot: &Snapshot,
-        now: Microseconds,
-        is_whole: bool,
-    ) -> Vec<TargetNews> {
-        let mut news = Vec::new();
-        for (key, KeyedTarget { target, .. }) in snapshot.keyed_targets() {
-            let in_flight = target.in_flight();
-            let report = target.own_reported_speed();
-            let report_at = report.map_or(Microseconds::ZERO, |(_, at)| at);
-            let told = self.0.insert(*key, (in_flight, report_at));
-            let (told_in_flight, told_at) = told.unwrap_or_default();
-            let is_report_new = report_at > told_at;
-            let is_worth_it =
-                is_report_new || told_in_flight != in_flight || (is_whole && in_flight > 0);
-            if !is_worth_it {
-                continue;
-            }
-            let fresh = report.filter(|_| is_report_new);
-            news.push(TargetNews {
-                key: *key,
-                in_flight,
-                slowdown_percent: fresh.map_or(0, |(slowdown, _)| (slowdown * 100.0) as u32),
-                age_ms: fresh.map_or(0, |(_, at)| now.saturating_sub(at).as_ms() as u32),
-            });
-        }
-        if self.0.len() > snapshot.keyed_targets().len() {
-            self.0
-                .retain(|key, _| snapshot.keyed_targets().contains_key(key));
+/// What there is to tell of targets: what is worth telling now, as [`ToldTargets`] has it.
+pub(crate) fn gather(
+    told: &mut ToldTargets,
+    snapshot: &Snapshot,
+    now: Microseconds,
+    is_whole: bool,
+) -> Vec<TargetNews> {
+    let targets = snapshot.keyed_targets();
+    let mut news = Vec::new();
+    for (key, KeyedTarget { target, .. }) in targets {
+        let report = target.own_reported_speed();
+        let facts = TargetFacts {
+            in_flight: target.in_flight(),
+            report_at: report.map_or(Microseconds::ZERO, |(_, at)| at),
+        };
+        let fresh = report.filter(|_| told.is_report_new(*key, &facts));
+        if !told.is_worth_telling(*key, facts, is_whole, now) {
+            continue;
         }
-        news
+        news.push(TargetNews {
+            key: *key,
+            in_flight: facts.in_flight,
+            slowdown_percent: fresh.map_or(0, |(slowdown, _)| (slowdown * 100.0) as u32),
+            age_ms: fresh.map_or(0, |(_, at)| now.saturating_sub(at).as_ms() as u32),
+        });
+    }
+    if told.len() > targets.len() {
+        told.keep(|key| targets.contains_key(&key));
     }
+    news
 }
 
 /// The requests that one other entry has at targets.
