Tell news of targets in columns, within 6% of the link

Change: columns of figures (seven bytes a target instead of up to fifteen), 160 targets a datagram, 6% of the link.

--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -22,6 +22,7 @@
 use pinhaven_peer::Beat;
 use pinhaven_peer::ListNews;
 use pinhaven_peer::News;
+use pinhaven_peer::TargetColumns;
 use pinhaven_peer::TargetNews;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::within;
@@ -47,7 +48,7 @@
 /// Time between two whole datagrams, which make good for lost ones.
 const WHOLE_EVERY: Microseconds = Microseconds::from_ms(500);
 /// Share of the link that news may take; rounds get longer when it would be more.
-const NEWS_LINK_SHARE: f64 = 0.03;
+const NEWS_LINK_SHARE: f64 = 0.06;
 /// Bytes a second in a megabit a second.
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Age of an entry until which it meets the others.
@@ -63,7 +64,7 @@
 /// The largest datagram that is taken, in bytes.
 const DATAGRAM_BYTES_MAX: usize = 8 * 1024;
 /// Targets in one datagram, so that it fits into one packet.
-const TARGETS_MAX: usize = 90;
+const TARGETS_MAX: usize = 160;
 /// Pause after a failed receive, in milliseconds.
 const RECEIVE_RETRY_MS: u64 = 20;
 
@@ -144,11 +145,11 @@
                 .tell_close(close, targets, list, is_whole, socket)
                 .await;
         } else if is_whole {
-            let beat = self.message(Vec::new(), list, true);
+            let beat = self.message(&[], list, true);
             bytes += send_all(self, socket, &recipients.close, &beat).await;
         }
         if is_whole {
-            let beat = self.message(Vec::new(), list, true);
+            let beat = self.message(&[], list, true);
             bytes += send_all(self, socket, &recipients.distant, &beat).await;
         }
         let link = self.settings.resources.link_mbps * BYTES_PER_MEGABIT;
@@ -195,12 +196,12 @@
         let fits = targets.len() <= TARGETS_MAX;
         let mut bytes = 0;
         for part in targets.chunks(TARGETS_MAX) {
-            let mut message = self.message(part.to_vec(), list, is_whole);
+            let mut message = self.message(part, list, is_whole);
             message.is_whole &= fits;
             bytes += send_all(self, socket, peers, &message).await;
         }
         if targets.is_empty() {
-            let message = self.message(targets, list, is_whole);
+            let message = self.message(&targets, list, is_whole);
             bytes += send_all(self, socket, peers, &message).await;
         }
         bytes
@@ -254,7 +255,7 @@
         })
     }
 
-    fn message(&self, targets: Vec<TargetNews>, list: Option<ListNews>, is_whole: bool) -> News {
+    fn message(&self, targets: &[TargetNews], list: Option<ListNews>, is_whole: bool) -> News {
         let members = self.members.lock();
         let own = members.own();
         let mut beats = vec![beat_of(own)];
@@ -269,7 +270,7 @@
             identities: Vec::new(),
             wanted: wanted.filter(|_| is_whole).collect(),
             list,
-            targets,
+            targets: (!targets.is_empty()).then(|| TargetColumns::new(targets)),
             is_whole,
         }
     }
@@ -310,7 +311,8 @@
             self.hear_identity(identity, &news.beats);
         }
         self.hear_beats(&news.beats);
-        self.hear_targets(incarnation, &beat, &news.targets, news.is_whole);
+        let targets = news.targets.unwrap_or_default().rows();
+        self.hear_targets(incarnation, &beat, &targets, news.is_whole);
         self.hear_version(peer, BundleVersion::new(beat.version));
         if let Some(list) = news.list {
             let age = list
--- a/crates/pinhaven-entry/src/news_message.rs
+++ b/crates/pinhaven-entry/src/news_message.rs
@@ -37,7 +37,7 @@
         news.push(TargetNews {
             key: *key,
             in_flight: facts.in_flight,
-            slowdown_percent: fresh.map_or(0, |(slowdown, _)| (slowdown * 100.0) as u32),
+            slowdown_tenths: fresh.map_or(0, |(slowdown, _)| (slowdown * 10.0).round() as u32),
             age_ms: fresh.map_or(0, |(_, at)| now.saturating_sub(at).as_ms() as u32),
         });
     }
@@ -117,9 +117,9 @@
             if !is_late {
                 count.set(said.key, target, said.in_flight);
             }
-            if said.slowdown_percent > 0 {
+            if said.slowdown_tenths > 0 {
                 let at = now.saturating_sub(Microseconds::from_ms(u64::from(said.age_ms)));
-                let slowdown = said.slowdown_percent as f32 / 100.0;
+                let slowdown = said.slowdown_tenths as f32 / 10.0;
                 is_speed_news |= service.state.record_speed(target, at, slowdown);
             }
         }
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -7,22 +7,60 @@
 use crate::Identity;
 
 /// What an entry says of a target.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetNews {
     /// Short hash of the target's id.
-    #[prost(fixed32, tag = "1")]
     pub key: u32,
     /// Requests of the sender that the target holds.
-    #[prost(uint32, tag = "2")]
     pub in_flight: u32,
-    /// The target's last word on how long work takes there, 100 as usual; 0 if there is none.
-    #[prost(uint32, tag = "3")]
-    pub slowdown_percent: u32,
+    /// The target's last word on how long work takes there, 10 as usual; 0 if there is none.
+    pub slowdown_tenths: u32,
     /// Age of that word, in milliseconds.
-    #[prost(uint32, tag = "4")]
     pub age_ms: u32,
 }
 
+/// What an entry says of several targets, a column for each figure: seven bytes a target, half of what
+/// a message for each would take, and hundreds are told many times a second.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct TargetColumns {
+    #[prost(fixed32, repeated, tag = "1")]
+    keys: Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    in_flight: Vec<u32>,
+    #[prost(uint32, repeated, tag = "3")]
+    slowdown_tenths: Vec<u32>,
+    #[prost(uint32, repeated, tag = "4")]
+    age_ms: Vec<u32>,
+}
+
+impl TargetColumns {
+    /// These targets in columns.
+    pub fn new(targets: &[TargetNews]) -> Self {
+        let column = |figure: fn(&TargetNews) -> u32| targets.iter().map(figure).collect();
+        Self {
+            keys: column(|target| target.key),
+            in_flight: column(|target| target.in_flight),
+            slowdown_tenths: column(|target| target.slowdown_tenths),
+            age_ms: column(|target| target.age_ms),
+        }
+    }
+
+    /// The targets. Figures that a bad sender left out are missing with their targets.
+    pub fn rows(&self) -> Vec<TargetNews> {
+        let load = self.keys.iter().zip(&self.in_flight);
+        let speed = self.slowdown_tenths.iter().zip(&self.age_ms);
+        let rows = load
+            .zip(speed)
+            .map(|((key, in_flight), (slowdown, age_ms))| TargetNews {
+                key: *key,
+                in_flight: *in_flight,
+                slowdown_tenths: *slowdown,
+                age_ms: *age_ms,
+            });
+        rows.collect()
+    }
+}
+
 /// Which list of targets an entry has.
 #[derive(Clone, Copy, PartialEq, Eq, prost::Message)]
 pub struct ListNews {
@@ -61,8 +99,8 @@
     #[prost(message, optional, tag = "5")]
     pub list: Option<ListNews>,
     /// Targets of which there is something to say.
-    #[prost(message, repeated, tag = "6")]
-    pub targets: Vec<TargetNews>,
+    #[prost(message, optional, tag = "6")]
+    pub targets: Option<TargetColumns>,
     /// Whether the sender has no requests at any target that is not named.
     #[prost(bool, tag = "7")]
     pub is_whole: bool,
