--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -15,8 +15,10 @@
 use pinhaven_types::TargetAddress;
 use std::sync::Arc;
 
-/// Targets that one pick looks at, so that its cost does not grow with the service.
-const LOOKS_MAX: usize = 64;
+/// Targets that one pick looks at, so that its cost does not grow with the service: of the entry's own,
+/// and of the others.
+const OWN_LOOKS_MAX: usize = 48;
+const OTHER_LOOKS_MAX: usize = 32;
 /// Use of a target's slots from which it counts as nearly full.
 const CROWDED_FROM: f32 = 0.8;
 /// How many times longer work takes at a target that has just started. Targets say how long they
@@ -136,11 +138,12 @@
     if targets.is_empty() {
         return None;
     }
+    let own = service.owned();
+    let own_start = random.usize(..own.len().max(1));
+    let own_looks = from(&own, own_start).take(OWN_LOOKS_MAX);
     let start = random.usize(..targets.len());
-    let looked_at = targets[start..]
-        .iter()
-        .chain(&targets[..start])
-        .take(LOOKS_MAX);
+    let others = from(targets, start).filter(|target| !target.is_owned());
+    let looked_at = own_looks.chain(others.take(OTHER_LOOKS_MAX));
     let mut earliest: Option<(f32, Forecast)> = None;
     let mut use_of_usual = Use::default();
     for target in looked_at {
@@ -174,6 +177,11 @@
     earliest.map(|(_, forecast)| forecast)
 }
 
+/// All targets, beginning with the one at `start`.
+fn from(targets: &[Arc<TargetState>], start: usize) -> impl Iterator<Item = &Arc<TargetState>> {
+    targets[start..].iter().chain(&targets[..start])
+}
+
 /// Slots of some targets and how many of them are taken.
 #[derive(Debug, Default)]
 struct Use {
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -9,6 +9,7 @@
 use crate::speed::ServiceSpeed;
 use crate::target::TargetState;
 use crate::waiting::Waiting;
+use arc_swap::ArcSwap;
 use pinhaven_bundle::Policy;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::TargetState as BundledTargetState;
@@ -50,6 +51,8 @@
     priority: u8,
     domain: Option<FailureDomain>,
     targets: Vec<Arc<TargetState>>,
+    /// Those that this entry owns.
+    owned: ArcSwap<Vec<Arc<TargetState>>>,
     listed: Vec<BundledTargetState>,
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
@@ -113,6 +116,7 @@
             priority: service.priority,
             domain: None,
             targets,
+            owned: ArcSwap::default(),
             listed: service.targets.iter().map(|target| target.state).collect(),
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
@@ -144,6 +148,7 @@
         if let Some(previous) = previous {
             state.take_over(previous);
         }
+        state.find_owned();
         state
     }
 
@@ -168,6 +173,18 @@
         &self.targets
     }
 
+    /// The targets that this entry owns, as they were last found.
+    pub(crate) fn owned(&self) -> Arc<Vec<Arc<TargetState>>> {
+        self.owned.load_full()
+    }
+
+    /// Finds the targets that this entry owns, after it was said of some that it does or does not.
+    pub fn find_owned(&self) {
+        let is_owned = |target: &&Arc<TargetState>| target.is_owned();
+        let owned = self.targets.iter().filter(is_owned).cloned().collect();
+        self.owned.store(Arc::new(owned));
+    }
+
     /// The target at an address.
     pub fn target(&self, address: TargetAddress) -> Option<&Arc<TargetState>> {
         self.targets
--- a/crates/pinhaven-entry/src/owned_targets.rs
+++ b/crates/pinhaven-entry/src/owned_targets.rs
@@ -48,6 +48,9 @@
                 self.own_keys.push(*key);
             }
         }
+        for service in snapshot.services.values() {
+            service.state.find_owned();
+        }
         self.candidates = candidates;
         self.keys = keys;
     }
