Ask for the configuration anew once the store answers again

Ruled out: the list of targets (read again within a second), the peers (all waited alike). Change: when a call of an entry to the store is answered after one that was not, the call that waits is dropped and the configuration read anew.

--- a/crates/pinhaven-entry/src/beliefs.rs
+++ b/crates/pinhaven-entry/src/beliefs.rs
@@ -67,6 +67,9 @@
     pub(crate) fn record_store(&self, answers: bool) {
         if self.store_answers.swap(answers, Ordering::Relaxed) != answers {
             self.record_event("store", if answers { "regained" } else { "lost" });
+            if answers {
+                self.store_regained.notify(usize::MAX);
+            }
         }
     }
 
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -112,7 +112,17 @@
                 sleep_ms(DELEGATE_LOOK_MS).await;
                 continue;
             }
-            let news = store.next_configuration(position).await;
+            // A call that began before an outage may never hear anything again.
+            let regained = self.store_regained.listen();
+            let next = async { Some(store.next_configuration(position).await) };
+            let outdated = async {
+                regained.await;
+                None
+            };
+            let Some(news) = futures_lite::future::or(next, outdated).await else {
+                position = None;
+                continue;
+            };
             match self.count_platform(news) {
                 Ok(news) => {
                     backoff = Backoff::new();
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -110,6 +110,8 @@
     pub(crate) is_fetching: AtomicBool,
     pub(crate) is_fetching_list: AtomicBool,
     pub(crate) store_answers: AtomicBool,
+    /// Notified when the store answers again after a call that it did not.
+    pub(crate) store_regained: event_listener::Event,
     /// Age of this process from which it may ask the store.
     pub(crate) asks_store_from: Microseconds,
     /// How long callers' connections may be idle, in milliseconds.
@@ -181,6 +183,7 @@
             is_fetching: AtomicBool::new(false),
             is_fetching_list: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
+            store_regained: event_listener::Event::new(),
             asks_store_from: discovered::asks_store_from(),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
--- a/crates/pinhaven-lab/src/lib.rs
+++ b/crates/pinhaven-lab/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod check;
 pub mod demo;
+pub mod emulate;
 mod lab;
 pub mod measure;
 mod plan;
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -2,7 +2,13 @@
 
 use clap::Parser;
 use clap::Subcommand;
+use clap::ValueEnum as _;
+use clap::builder::PossibleValue;
 use pinhaven_lab::demo;
+use pinhaven_lab::emulate;
+use pinhaven_lab::emulate::Day;
+use pinhaven_lab::emulate::Deployment;
+use pinhaven_lab::emulate::EmulationPlan;
 use pinhaven_lab::measure;
 use pinhaven_lab::measure::MeasureSettings;
 use pinhaven_lab::measure::Part;
@@ -35,6 +41,27 @@
         #[arg(long, default_value_t = 1.0)]
         minutes: f64,
     },
+    /// Play the decisions against emulated targets, in emulated time.
+    Emulate {
+        /// Only these days.
+        #[arg(long, value_enum, value_delimiter = ',')]
+        days: Vec<Day>,
+        /// Only this deployment.
+        #[arg(long, value_enum)]
+        deployment: Option<Deployment>,
+        /// Policies, by their names in a bundle.
+        #[arg(long, value_delimiter = ',', default_value = "two_choices,forecast")]
+        policies: Vec<String>,
+        /// Seed of everything drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Age of a report at which a target is asked, in milliseconds; 0 for never.
+        #[arg(long)]
+        probe_ms: Option<f64>,
+        /// Time between two rounds of news, in milliseconds.
+        #[arg(long)]
+        news_ms: Option<f64>,
+    },
     /// Measure, and write the results to a folder.
     Measure {
         /// Only this part.
@@ -74,6 +101,46 @@
     report.faults.is_empty()
 }
 
+/// Plays all combinations that were asked for and prints them; whether all policies have names.
+fn print_emulations(
+    days: &[Day],
+    deployment: Option<Deployment>,
+    policies: &[String],
+    seed: u64,
+    change: impl Fn(&mut EmulationPlan),
+) -> bool {
+    let name = |value: &dyn Fn() -> Option<PossibleValue>| {
+        value().map_or_else(String::new, |value| value.get_name().to_owned())
+    };
+    let mut rows = Vec::new();
+    for of in Deployment::value_variants()
+        .iter()
+        .filter(|of| deployment.is_none_or(|d| d == **of))
+    {
+        for day in Day::value_variants()
+            .iter()
+            .filter(|day| days.is_empty() || days.contains(day))
+        {
+            for policy in policies {
+                let Ok(known) = serde_json::from_value(serde_json::json!(policy)) else {
+                    eprintln!("There is no policy {policy:?}; see docs/INTERFACES.md.");
+                    return false;
+                };
+                let mut plan = EmulationPlan::new(*of, *day, known, seed);
+                change(&mut plan);
+                let names = [
+                    name(&|| of.to_possible_value()),
+                    name(&|| day.to_possible_value()),
+                    policy.clone(),
+                ];
+                rows.push(emulate::row(names, &emulate::emulate(&plan)));
+            }
+        }
+    }
+    pinhaven_lab::print_table(&emulate::HEADS, &rows);
+    true
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = run_with_threads(THREADS, async {
@@ -83,6 +150,20 @@
                 let report = soak::run(seed, (minutes * 60_000.0) as u64).await?;
                 Ok(print_soak(seed, &report))
             }
+            Command::Emulate {
+                days,
+                deployment,
+                policies,
+                seed,
+                probe_ms,
+                news_ms,
+            } => {
+                let change = |plan: &mut EmulationPlan| {
+                    plan.probe_ms = probe_ms.unwrap_or(plan.probe_ms);
+                    plan.news_ms = news_ms.unwrap_or(plan.news_ms);
+                };
+                Ok(print_emulations(&days, deployment, &policies, seed, change))
+            }
             Command::Measure {
                 part,
                 only,
