--- a/crates/pinhaven-lab/src/emulate/outcome.rs
+++ b/crates/pinhaven-lab/src/emulate/outcome.rs
@@ -109,6 +109,12 @@
         worst.iter().sum::<f64>() / worst.len().max(1) as f64
     }
 
+    /// The same in one window of two seconds, by its number.
+    pub fn window_credit(&self, window: usize) -> f64 {
+        let credit = self.windows.get(window).copied().unwrap_or_default();
+        credit.earned / credit.owed.max(f64::MIN_POSITIVE)
+    }
+
     /// Time of an answer at a quantile, the ways to the caller included, in milliseconds.
     pub fn time_ms(&self, quantile: f64) -> f64 {
         self.times_us.value_at_quantile(quantile) as f64 / 1_000.0
--- a/crates/pinhaven-lab/src/emulate/target.rs
+++ b/crates/pinhaven-lab/src/emulate/target.rs
@@ -1,4 +1,4 @@
-//! A target in emulated time: it shares its speed among nothing, but turns slow and back, slows down
+//! A target in emulated time. It turns slow and back, slows down
 //! when it is nearly full, and turns away or ignores what it can't queue.
 
 use pinhaven_decide::AttemptId;
@@ -120,7 +120,7 @@
         self.fill();
     }
 
-    /// Turns slow or back, and says after how long it does so again, on average, in milliseconds.
+    /// Draws whether it is slow from now on.
     pub(super) fn change_speed(&mut self, random: &mut fastrand::Rng) {
         self.is_slow = random.f64() < self.plan.slow_share;
     }
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -17,6 +17,7 @@
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
 use pinhaven_decide::RouteState;
+use pinhaven_decide::RunState;
 use pinhaven_decide::ServiceState;
 use pinhaven_types::Microseconds;
 use serde_json::json;
@@ -162,13 +163,13 @@
     }
 
     fn plan_first(&mut self) {
-        self.plan_in(self.gap_ms(), What::Arrival);
+        self.plan_arrival();
         self.plan_in(self.plan.news_ms, What::News);
         if self.plan.probe_ms > 0.0 {
             self.plan_in(PROBE_TICK_MS, What::Probes);
         }
         for target in 0..self.plan.targets {
-            let in_ms = self.exponential(self.plan.target.change_ms);
+            let in_ms = self.draw_exponential(self.plan.target.change_ms);
             self.plan_in(in_ms, What::SpeedChanges(target));
         }
         for change in &self.plan.changes {
@@ -196,12 +197,6 @@
         Microseconds::new(((START_MS + self.now_ms) * 1_000.0) as u64)
     }
 
-    fn exponential(&self, mean_ms: f64) -> f64 {
-        // The generator is cloned for a draw that leaves `self` as it is only at the start; later draws
-        // go through `draw`.
-        -mean_ms * (1.0 - self.random.clone().f64()).ln()
-    }
-
     fn draw_exponential(&mut self, mean_ms: f64) -> f64 {
         -mean_ms * (1.0 - self.random.f64()).ln()
     }
@@ -229,8 +224,9 @@
         rate
     }
 
-    fn gap_ms(&self) -> f64 {
-        self.exponential(1.0 / self.rate())
+    fn plan_arrival(&mut self) {
+        let gap_ms = self.draw_exponential(1.0 / self.rate());
+        self.plan_in(gap_ms, What::Arrival);
     }
 
     fn happen(&mut self, what: What) {
@@ -278,8 +274,7 @@
             is_over: false,
         });
         self.begin_try(self.calls.len() - 1);
-        let gap_ms = self.draw_exponential(1.0 / self.rate());
-        self.plan_in(gap_ms, What::Arrival);
+        self.plan_arrival();
     }
 
     fn draw_kind(&mut self) -> usize {
@@ -374,8 +369,7 @@
         let plan = &self.plan.kinds[call.kind];
         let back_ms = refusal.retry_after_ms as f64;
         let has_time = self.now_ms + back_ms < call.first_ms + plan.deadline_ms as f64;
-        let may_come_back =
-            refusal.run_state == pinhaven_decide::RunState::NotRun || plan.is_repeatable;
+        let may_come_back = refusal.run_state == RunState::NotRun || plan.is_repeatable;
         if may_come_back && has_time && call.tries <= COMEBACKS {
             self.plan_in(back_ms, What::Comeback(number));
         } else {
--- /dev/null
+++ b/crates/pinhaven-lab/tests/emulation.rs
@@ -0,0 +1,126 @@
+//! The decisions in emulated time: what must hold of a policy, whatever the machine that plays it.
+
+use pinhaven_bundle::Policy;
+use pinhaven_lab::emulate::Change;
+use pinhaven_lab::emulate::Day;
+use pinhaven_lab::emulate::Deployment;
+use pinhaven_lab::emulate::EmulationPlan;
+use pinhaven_lab::emulate::Tally;
+use pinhaven_lab::emulate::emulate;
+
+/// Long enough for a burst and what follows, short enough for each test run.
+const LENGTH_MS: f64 = 10_000.0;
+
+fn plan(deployment: Deployment, day: Day, policy: Policy) -> EmulationPlan {
+    EmulationPlan {
+        length_ms: LENGTH_MS,
+        ..EmulationPlan::new(deployment, day, policy, 7)
+    }
+}
+
+fn play(deployment: Deployment, day: Day, policy: Policy) -> Tally {
+    emulate(&plan(deployment, day, policy))
+}
+
+/// Requests answered in time in a second.
+fn goodput(tally: &Tally) -> f64 {
+    tally.in_time as f64 * 1_000.0 / LENGTH_MS
+}
+
+#[test]
+fn a_seed_gives_the_same_figures_each_time() {
+    let figures = |tally: Tally| {
+        (
+            tally.asked,
+            tally.in_time,
+            tally.late,
+            tally.refused,
+            tally.added,
+        )
+    };
+    let first = figures(play(Deployment::Short, Day::Burst, Policy::Forecast));
+    let second = figures(play(Deployment::Short, Day::Burst, Policy::Forecast));
+    assert_eq!(first, second);
+}
+
+#[test]
+fn every_request_ends() {
+    for deployment in [Deployment::Long, Deployment::Short] {
+        let tally = play(deployment, Day::Overload, Policy::Forecast);
+        assert_eq!(tally.asked, tally.in_time + tally.late + tally.refused);
+        assert!(tally.asked > 1_000);
+    }
+}
+
+#[test]
+fn forecasts_serve_more_in_time_than_two_choices_on_every_day() {
+    for deployment in [Deployment::Long, Deployment::Short] {
+        for day in [
+            Day::Quiet,
+            Day::Busy,
+            Day::Burst,
+            Day::Overload,
+            Day::ThirdLeaves,
+        ] {
+            let forecast = play(deployment, day, Policy::Forecast);
+            let two_choices = play(deployment, day, Policy::TwoChoices);
+            assert!(
+                forecast.credit() > two_choices.credit() + 0.05,
+                "{deployment:?} {day:?}: {:.3} against {:.3}",
+                forecast.credit(),
+                two_choices.credit()
+            );
+            assert!(forecast.worst_credit() > two_choices.worst_credit());
+        }
+    }
+}
+
+#[test]
+fn an_overload_does_not_lower_what_is_served_in_time() {
+    for deployment in [Deployment::Long, Deployment::Short] {
+        let at_load = |load: f64| {
+            let plan = plan(deployment, Day::Busy, Policy::Forecast);
+            goodput(&emulate(&EmulationPlan { load, ..plan }))
+        };
+        let (busy, over, far_over) = (at_load(0.7), at_load(1.3), at_load(2.5));
+        assert!(
+            over > busy * 0.8,
+            "{deployment:?}: {over:.0}/s after {busy:.0}/s"
+        );
+        assert!(
+            far_over > over * 0.8,
+            "{deployment:?}: {far_over:.0}/s after {over:.0}/s"
+        );
+    }
+}
+
+#[test]
+fn service_is_as_before_soon_after_a_burst() {
+    for deployment in [Deployment::Long, Deployment::Short] {
+        let quiet = plan(deployment, Day::Quiet, Policy::Forecast);
+        let between_ms = (2_000.0, 4_000.0);
+        let burst = EmulationPlan {
+            changes: vec![Change::Burst {
+                factor: 4.0,
+                between_ms,
+            }],
+            ..quiet.clone()
+        };
+        let after = emulate(&burst).window_credit(3);
+        let usual = emulate(&quiet).window_credit(3);
+        assert!(
+            after > usual - 0.1,
+            "{deployment:?}: {after:.3}, {usual:.3} without a burst"
+        );
+    }
+}
+
+#[test]
+fn old_counts_of_slots_cost_what_fresh_ones_save() {
+    let fresh = plan(Deployment::Short, Day::Busy, Policy::Forecast);
+    let old = EmulationPlan {
+        news_ms: 400.0,
+        ..fresh.clone()
+    };
+    assert!(emulate(&fresh).credit() > emulate(&old).credit());
+}
