--- a/crates/pinhaven-lab/src/emulate/plan.rs
+++ b/crates/pinhaven-lab/src/emulate/plan.rs
@@ -76,6 +76,8 @@
     Long,
     /// Few slots, short requests, targets that slow down when nearly full and fall silent when full.
     Short,
+    /// Few slots, as before, and requests that take long.
+    LongOnFew,
 }
 
 /// A kind of day.
@@ -125,6 +127,7 @@
         let plan = match deployment {
             Deployment::Long => long(),
             Deployment::Short => short(),
+            Deployment::LongOnFew => long_on_few(),
         };
         Self {
             load,
@@ -168,6 +171,16 @@
     }
 }
 
+fn long_on_few() -> EmulationPlan {
+    EmulationPlan {
+        kinds: vec![
+            kind(0.64, 260.0, 600, true, 1),
+            kind(0.36, 340.0, 800, false, 2),
+        ],
+        ..short()
+    }
+}
+
 fn short() -> EmulationPlan {
     EmulationPlan {
         target: TargetPlan {
--- a/crates/pinhaven-lab/tests/emulation.rs
+++ b/crates/pinhaven-lab/tests/emulation.rs
@@ -11,6 +11,8 @@
 /// Long enough for a burst and what follows, short enough for each test run.
 const LENGTH_MS: f64 = 10_000.0;
 
+const DEPLOYMENTS: [Deployment; 3] = [Deployment::Long, Deployment::Short, Deployment::LongOnFew];
+
 fn plan(deployment: Deployment, day: Day, policy: Policy) -> EmulationPlan {
     EmulationPlan {
         length_ms: LENGTH_MS,
@@ -45,7 +47,7 @@
 
 #[test]
 fn every_request_ends() {
-    for deployment in [Deployment::Long, Deployment::Short] {
+    for deployment in DEPLOYMENTS {
         let tally = play(deployment, Day::Overload, Policy::Forecast);
         assert_eq!(tally.asked, tally.in_time + tally.late + tally.refused);
         assert!(tally.asked > 1_000);
@@ -54,7 +56,7 @@
 
 #[test]
 fn forecasts_serve_more_in_time_than_two_choices_on_every_day() {
-    for deployment in [Deployment::Long, Deployment::Short] {
+    for deployment in DEPLOYMENTS {
         for day in [
             Day::Quiet,
             Day::Busy,
@@ -77,7 +79,7 @@
 
 #[test]
 fn an_overload_does_not_lower_what_is_served_in_time() {
-    for deployment in [Deployment::Long, Deployment::Short] {
+    for deployment in DEPLOYMENTS {
         let at_load = |load: f64| {
             let plan = plan(deployment, Day::Busy, Policy::Forecast);
             goodput(&emulate(&EmulationPlan { load, ..plan }))
@@ -96,7 +98,7 @@
 
 #[test]
 fn service_is_as_before_soon_after_a_burst() {
-    for deployment in [Deployment::Long, Deployment::Short] {
+    for deployment in DEPLOYMENTS {
         let quiet = plan(deployment, Day::Quiet, Policy::Forecast);
         let between_ms = (2_000.0, 4_000.0);
         let burst = EmulationPlan {
