Learn work and crowding as medians, and leave the last usable slot of a target to its owner

Change: medians that are learned by steps, long ones first; where a nearly full target does less, an entry leaves the last usable slot of targets that it does not own.

--- a/crates/pinhaven-decide/src/atomic.rs
+++ b/crates/pinhaven-decide/src/atomic.rs
@@ -34,3 +34,45 @@
         self.update(|value| value + (sample - value) * weight);
     }
 }
+
+/// A median that is learned: each sample moves it a step up or down, however far off the sample is, so
+/// that some samples which measure something else hardly count. The first steps are long.
+#[derive(Debug)]
+pub(crate) struct LearnedMedian {
+    value: AtomicF32,
+    samples: AtomicU32,
+}
+
+impl LearnedMedian {
+    /// A median that is thought to be `first`, as sure as `samples` samples would make it.
+    pub(crate) fn new(first: f32, samples: u32) -> Self {
+        Self {
+            value: AtomicF32::new(first),
+            samples: AtomicU32::new(samples),
+        }
+    }
+
+    pub(crate) fn get(&self) -> f32 {
+        self.value.get()
+    }
+
+    /// Takes a sample in; the step, as a share of the value, is never shorter than `step_least`.
+    pub(crate) fn record(&self, sample: f32, step_least: f32) {
+        let before = self.samples.fetch_add(1, Ordering::Relaxed);
+        let step = 1.0 + (1.0 / (before as f32 + 1.0)).max(step_least);
+        self.value.update(|value| {
+            if sample > value {
+                (value * step).min(sample)
+            } else {
+                (value / step).max(sample)
+            }
+        });
+    }
+
+    /// Goes on from what another has learned.
+    pub(crate) fn take_over(&self, other: &Self) {
+        self.value.set(other.value.get());
+        let samples = other.samples.load(Ordering::Relaxed);
+        self.samples.store(samples, Ordering::Relaxed);
+    }
+}
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -37,6 +37,9 @@
 /// What a target that another entry owns is charged, as a share of the work. What others have
 /// under way there is known late, and it is they who need it when their own are full.
 const NOT_OWNED_SHARE: f32 = 0.15;
+/// Slots of a target that are left to its owner: others hear of a slot that came free when it may be
+/// taken again.
+const LEFT_TO_OWNER: f32 = 1.0;
 /// A target that is slower than this is spare: a request that can still meet its aim does not go there
 /// while it may wait, so that one which can't takes nothing from others.
 const SPARE_SLOWDOWN: f32 = 2.0;
@@ -211,10 +214,16 @@
     let slots = target.slots();
     let uncrowded = (slots * CROWDED_FROM).ceil() - 1.0;
     let is_crowding_worth_it = slots / service.crowding.get() > uncrowded * CROWDING_GAIN;
-    if is_crowding_worth_it || uncrowded < 1.0 {
+    let usable = if is_crowding_worth_it || uncrowded < 1.0 {
         slots
     } else {
         uncrowded
+    };
+    let is_overfilling_cheap = usable == slots;
+    if target.is_owned() || !service.has_owned() || is_overfilling_cheap {
+        usable
+    } else {
+        (usable - LEFT_TO_OWNER).max(1.0)
     }
 }
 
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -226,9 +226,9 @@
         }
         if progress.is_crowded {
             let factor = (progress.done_ms / route.work_ms()).min(CROWDING_MOST);
-            let crowding = &self.service.crowding;
-            crowding.blend(factor, CROWDING_WEIGHT);
-            crowding.update(|crowding| crowding.clamp(1.0, CROWDING_MOST));
+            self.service
+                .crowding
+                .record(factor.max(1.0), CROWDING_WEIGHT);
         } else {
             route.record_work(progress.done_ms);
         }
--- a/crates/pinhaven-decide/src/route.rs
+++ b/crates/pinhaven-decide/src/route.rs
@@ -1,6 +1,6 @@
 //! What an entry has learned of one route: how long its requests work.
 
-use crate::atomic::AtomicF32;
+use crate::atomic::LearnedMedian;
 use pinhaven_types::Microseconds;
 use std::sync::atomic::AtomicI32;
 use std::sync::atomic::AtomicU64;
@@ -8,6 +8,8 @@
 
 /// Share of a route's aim that its work is thought to take until it has been measured.
 const WORK_FIRST_SHARE: f32 = 0.33;
+/// How sure that is, in answers.
+const WORK_FIRST_SAMPLES: u32 = 4;
 /// Weight of one answer in the route's work.
 const WORK_WEIGHT: f32 = 0.03;
 /// An answer counts for at most this many times the work so far, so that a few stuck requests don't
@@ -25,7 +27,7 @@
 #[derive(Debug)]
 pub struct RouteState {
     aim: Microseconds,
-    work_ms: AtomicF32,
+    work_ms: LearnedMedian,
     usual_deadline_us: AtomicU64,
     usual_lead: AtomicI32,
 }
@@ -35,7 +37,10 @@
     pub fn new(aim_ms: u64) -> Self {
         Self {
             aim: Microseconds::from_ms(aim_ms),
-            work_ms: AtomicF32::new((aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS)),
+            work_ms: LearnedMedian::new(
+                (aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS),
+                WORK_FIRST_SAMPLES,
+            ),
             usual_deadline_us: AtomicU64::new(0),
             usual_lead: AtomicI32::new(0),
         }
@@ -43,7 +48,7 @@
 
     /// The same with what was learned of the route in an earlier version.
     pub fn with_learned(self, previous: &Self) -> Self {
-        self.work_ms.set(previous.work_ms.get());
+        self.work_ms.take_over(&previous.work_ms);
         let deadline_us = previous.usual_deadline_us.load(Ordering::Relaxed);
         self.usual_deadline_us.store(deadline_us, Ordering::Relaxed);
         let lead = previous.usual_lead.load(Ordering::Relaxed);
@@ -89,6 +94,6 @@
     pub(crate) fn record_work(&self, work_ms: f32) {
         let most_ms = self.work_ms.get() * WORK_SAMPLE_MOST;
         let sample_ms = work_ms.clamp(WORK_LEAST_MS, most_ms);
-        self.work_ms.blend(sample_ms, WORK_WEIGHT);
+        self.work_ms.record(sample_ms, WORK_WEIGHT);
     }
 }
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::InFlightLimit;
 use crate::atomic::AtomicF32;
+use crate::atomic::LearnedMedian;
 use crate::budget::TokenBudget;
 use crate::health;
 use crate::hedge::HedgeDelay;
@@ -30,6 +31,8 @@
 const TYPICAL_WEIGHT: f32 = 0.01;
 /// How many times longer work is thought to take at a nearly full target before it was measured.
 const CROWDING_FIRST: f32 = 1.2;
+/// How sure that is, in samples.
+const CROWDING_FIRST_SAMPLES: u32 = 4;
 /// Slowdown from which a target counts as slow in a summary.
 const SLOW_FROM: f32 = 2.0;
 /// Weight of one report in the mean load of the others.
@@ -57,7 +60,7 @@
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
     pub(crate) speed: ServiceSpeed,
-    pub(crate) crowding: AtomicF32,
+    pub(crate) crowding: LearnedMedian,
     typical_ms: AtomicF32,
     mean_others: AtomicF32,
     refused_share: AtomicF32,
@@ -121,7 +124,7 @@
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
             speed: ServiceSpeed::new(),
-            crowding: AtomicF32::new(CROWDING_FIRST),
+            crowding: LearnedMedian::new(CROWDING_FIRST, CROWDING_FIRST_SAMPLES),
             typical_ms: AtomicF32::new(typical_ms),
             mean_others: AtomicF32::new(0.0),
             refused_share: AtomicF32::new(0.0),
@@ -158,7 +161,7 @@
         self.limit.take_over(&previous.limit);
         self.hedge_delay.take_over(&previous.hedge_delay);
         self.speed.take_over(&previous.speed);
-        self.crowding.set(previous.crowding.get());
+        self.crowding.take_over(&previous.crowding);
         self.hedge_budget.take_over(&previous.hedge_budget);
         self.retry_budget.take_over(&previous.retry_budget);
     }
@@ -178,6 +181,11 @@
         self.owned.load_full()
     }
 
+    /// Whether this entry owns any target.
+    pub(crate) fn has_owned(&self) -> bool {
+        !self.owned.load().is_empty()
+    }
+
     /// Finds the targets that this entry owns, after it was said of some that it does or does not.
     pub fn find_owned(&self) {
         let is_owned = |target: &&Arc<TargetState>| target.is_owned();
