--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -60,6 +60,7 @@
 mod refusal;
 mod report;
 mod request;
+mod request_end;
 mod request_forecast;
 mod route;
 mod service;
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -14,16 +14,13 @@
 use crate::event::Action;
 use crate::event::Attempt;
 use crate::event::AttemptId;
-use crate::event::AttemptOutcome;
 use crate::event::ChoiceFacts;
 use crate::event::Event;
 use crate::event::Step;
-use crate::forecast::Lane;
 use crate::progress::Progress;
-use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
-use crate::report::LoadReport;
+use crate::request_end::UNSENT_MOST;
 use crate::route::RouteState;
 use crate::service::ServiceState;
 use crate::target::TargetState;
@@ -34,7 +31,6 @@
 use pinhaven_types::TargetAddress;
 use pinhaven_types::require_promise;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// Attempts that a request may make when its caller names no number.
 pub const ATTEMPTS_DEFAULT: u32 = 3;
@@ -42,8 +38,6 @@
 const WAIT_MAX: f32 = 4.0;
 /// The longest queue at a target that a request joins, in typical times.
 const QUEUE_MAX: f32 = 4.0;
-/// Attempts without a connection that cost nothing of what may be added.
-const UNSENT_MOST: u32 = 3;
 /// Share of the remaining time that may be spent on waiting.
 const WAIT_SHARE_MAX: f32 = 0.5;
 /// Use of the entry from which the lowest priority is refused.
@@ -86,9 +80,9 @@
 /// An attempt as the request remembers it.
 #[derive(Debug)]
 pub(crate) struct Sent {
-    id: AttemptId,
+    pub(crate) id: AttemptId,
     pub(crate) target: Arc<TargetState>,
-    at: Microseconds,
+    pub(crate) at: Microseconds,
     pub(crate) is_ended: bool,
     /// How far the target has come with it; kept by the forecasting policy.
     pub(crate) progress: Option<Progress>,
@@ -111,11 +105,11 @@
     pub(crate) phase: Phase,
     pub(crate) sent: Vec<Sent>,
     pub(crate) tried: Vec<TargetAddress>,
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
     /// Attempts that were never sent, as no connection came up.
-    unsent: u32,
+    pub(crate) unsent: u32,
     pub(crate) hedge_at: Option<Microseconds>,
-    has_outlasted: bool,
+    pub(crate) has_outlasted: bool,
 }
 
 impl RequestState {
@@ -216,11 +210,11 @@
         }
     }
 
-    fn is_under_way(&self) -> bool {
+    pub(crate) fn is_under_way(&self) -> bool {
         self.sent.iter().any(|sent| !sent.is_ended)
     }
 
-    fn run_state(&self) -> RunState {
+    pub(crate) fn run_state(&self) -> RunState {
         if self.may_have_run || self.is_under_way() {
             RunState::Unknown
         } else {
@@ -235,7 +229,7 @@
     pub(crate) service: &'turn Arc<ServiceState>,
     pub(crate) now: Microseconds,
     pub(crate) random: &'turn mut fastrand::Rng,
-    actions: &'turn mut Vec<Action>,
+    pub(crate) actions: &'turn mut Vec<Action>,
 }
 
 impl Turn<'_> {
@@ -260,7 +254,7 @@
     }
 
     /// Whether the service's policy is the forecasting one.
-    fn forecasts(&self) -> bool {
+    pub(crate) fn forecasts(&self) -> bool {
         self.service.policy() == Policy::Forecast
     }
 
@@ -344,7 +338,7 @@
             .min(typical_ms * most)
     }
 
-    fn choose(&mut self) -> Option<Choice> {
+    pub(crate) fn choose(&mut self) -> Option<Choice> {
         let wanted = Wanted {
             is_repeatable: self.request.facts.is_repeatable,
             tried: &self.request.tried,
@@ -435,182 +429,6 @@
         }
         made < self.request.facts.attempts_most
     }
-
-    /// Sends a request whose last attempt never reached a target. No target has seen that attempt, so
-    /// it costs nothing of what may be added.
-    fn send_elsewhere(&mut self) -> bool {
-        if !self.request.facts.is_replayable || self.now >= self.request.facts.deadline {
-            return false;
-        }
-        let Some(forecast) = self.earliest(Lane::Any) else {
-            return false;
-        };
-        let facts = forecast.facts(self.now);
-        self.send(forecast.target, Some(facts));
-        true
-    }
-
-    fn attempt_ended(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
-        let Some(sent) = self.request.sent.get_mut(attempt.0 as usize) else {
-            return;
-        };
-        if sent.is_ended {
-            return;
-        }
-        sent.is_ended = true;
-        let target = Arc::clone(&sent.target);
-        let latency = self.now.saturating_sub(sent.at);
-        match outcome {
-            AttemptOutcome::NotSent => {
-                self.service.record_failure(&target, self.now);
-                self.request.unsent += 1;
-                if self.forecasts() && self.request.unsent <= UNSENT_MOST && self.send_elsewhere() {
-                    return;
-                }
-                self.retry_or_refuse(RefusalReason::Unreachable);
-            }
-            AttemptOutcome::Shed { report } => {
-                self.take_shed(&target, report);
-                self.retry_or_refuse(RefusalReason::Shed);
-            }
-            AttemptOutcome::Broken => {
-                self.request.may_have_run = true;
-                self.service.record_failure(&target, self.now);
-                self.retry_or_refuse(RefusalReason::Broken);
-            }
-            AttemptOutcome::Answered {
-                is_server_error: true,
-                ..
-            } => {
-                self.request.may_have_run = true;
-                self.service.record_failure(&target, self.now);
-                self.retry_or_deliver(attempt);
-            }
-            AttemptOutcome::Answered { report, .. } => {
-                self.service
-                    .record_answer(&target, self.now, latency, report.as_ref());
-                self.learn_work(attempt, report.as_ref());
-                self.deliver(attempt);
-            }
-        }
-    }
-
-    fn take_shed(&mut self, target: &TargetState, report: Option<LoadReport>) {
-        if let Some(report) = &report {
-            self.service.record_report(target, self.now, report);
-            self.service
-                .limit
-                .record(report, self.service.slots(), self.service.in_flight());
-        }
-        target.add_penalty(self.now, self.service.slots());
-    }
-
-    /// Whether another attempt may follow; takes it out of the budget if so.
-    fn may_retry(&self) -> bool {
-        let facts = &self.request.facts;
-        let is_safe = facts.is_repeatable || !self.request.may_have_run;
-        is_safe
-            && facts.is_replayable
-            && self.has_attempts_left()
-            && self.now < facts.deadline
-            && self.service.retry_budget.take()
-    }
-
-    fn retry(&mut self) -> bool {
-        if !self.may_retry() {
-            return false;
-        }
-        let target = if self.forecasts() {
-            let in_time = self.earliest(Lane::Any);
-            let forecast = in_time.or_else(|| self.earliest(Lane::Spare));
-            forecast.map(|forecast| {
-                let facts = forecast.facts(self.now);
-                (forecast.target, Some(facts))
-            })
-        } else {
-            self.choose().map(|choice| (choice.target, None))
-        };
-        let Some((target, chosen)) = target else {
-            return false;
-        };
-        self.service.retries.fetch_add(1, Ordering::Relaxed);
-        self.send(target, chosen);
-        true
-    }
-
-    fn retry_or_refuse(&mut self, reason: RefusalReason) {
-        if self.request.is_under_way() || self.retry() {
-            return;
-        }
-        self.refuse(reason);
-    }
-
-    fn retry_or_deliver(&mut self, attempt: AttemptId) {
-        let is_repeatable = self.request.facts.is_repeatable;
-        if is_repeatable && (self.request.is_under_way() || self.retry()) {
-            return;
-        }
-        self.deliver(attempt);
-    }
-
-    fn deliver(&mut self, attempt: AttemptId) {
-        self.request.may_have_run = true;
-        self.close();
-        self.actions.push(Action::Deliver(attempt));
-    }
-
-    pub(crate) fn refuse(&mut self, reason: RefusalReason) {
-        let run_state = self.request.run_state();
-        let is_load = matches!(reason, RefusalReason::Overloaded | RefusalReason::EntryFull);
-        if is_load {
-            self.service.record_admission(true);
-        }
-        self.close();
-        require_promise(
-            Promise::NotRun,
-            run_state != RunState::NotRun || !self.request.may_have_run,
-            || "a request that may have run was said not to have".to_owned(),
-        );
-        let retry_after_ms = self.service.retry_after_ms(self.random);
-        self.actions.push(Action::Refuse(Refusal {
-            reason,
-            run_state,
-            retry_after_ms,
-        }));
-    }
-
-    fn caller_left(&mut self) {
-        if matches!(self.request.phase, Phase::Waiting { .. }) {
-            self.end_wait();
-        }
-        self.close();
-    }
-
-    fn entry_ends(&mut self) {
-        if matches!(self.request.phase, Phase::Waiting { .. }) {
-            self.end_wait();
-        }
-        self.refuse(RefusalReason::EntryStopping);
-    }
-
-    /// Gives up whatever is under way and ends the request.
-    fn close(&mut self) {
-        if !self.request.sent.is_empty() && !self.request.has_outlasted {
-            self.service.hedge_delay.record(false);
-        }
-        for sent in &mut self.request.sent {
-            if sent.is_ended {
-                continue;
-            }
-            sent.is_ended = true;
-            self.request.may_have_run = true;
-            let age = self.now.saturating_sub(sent.at);
-            sent.target.record_censored(self.now, age);
-            self.actions.push(Action::Cancel(sent.id));
-        }
-        self.request.hedge_at = None;
-        self.request.phase = Phase::Over;
-    }
 }
 
 /// Use of the entry up to which a priority is served.
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! request's path reads one snapshot and atomics. Everything else runs beside it in tasks of its own:
 //! following the bundle history, talking to peers, renewing a seat, probing, reporting metrics.
 
+mod added_attempts;
 mod address;
 mod attempt;
 mod beliefs;
@@ -28,6 +29,7 @@
 mod latencies;
 mod leaving;
 mod leaving_news;
+mod listed_targets;
 mod listening;
 mod load_report;
 mod metrics;
@@ -36,6 +38,7 @@
 mod news_message;
 mod once;
 mod owned_targets;
+mod peer_rows;
 mod places;
 mod pool;
 mod probes;
--- /dev/null
+++ b/crates/pinhaven-entry/src/listed_targets.rs
@@ -0,0 +1,166 @@
+//! The list of targets: read from the store by whoever's turn it is, else taken from a peer.
+
+use crate::counters::Count;
+use crate::discovered::Backoff;
+use crate::entry::Entry;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use pinhaven_agree::KnownTargets;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::PeerList;
+use pinhaven_agree::TargetList;
+use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::HttpClient;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_runtime::whole_body;
+use pinhaven_types::Microseconds;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// Where a peer asks for the list of targets.
+pub(crate) const TARGETS_PATH: &str = "/targets";
+/// The shortest and the longest pause before it is asked again whether the list has to be read, in
+/// milliseconds. Ranks change when entries come and go.
+const LIST_PAUSE_MS: (u64, u64) = (5, 200);
+/// How long a peer may take to give its list, in milliseconds.
+const PEER_TIMEOUT_MS: u64 = 500;
+
+impl Entry {
+    /// Reads the list of targets whenever it is this entry's turn, for ever.
+    pub(crate) async fn keep_target_list(self: Arc<Self>) {
+        let mut backoff = Backoff::new();
+        loop {
+            let now = self.now();
+            self.change_targets(|known| known.expire_kept(now));
+            let rank = self.reader_rank();
+            let (due_in, is_known) = {
+                let targets = self.targets.lock();
+                (targets.due_in(rank, self.now()), targets.is_known())
+            };
+            if due_in > Microseconds::ZERO {
+                sleep_ms((due_in.count() / 1_000).clamp(LIST_PAUSE_MS.0, LIST_PAUSE_MS.1)).await;
+            } else if !is_known && !self.speaks_with_store(false) {
+                sleep_ms(LIST_PAUSE_MS.0).await;
+            } else if self.read_targets().await {
+                backoff = Backoff::new();
+            } else {
+                backoff.pause().await;
+            }
+        }
+    }
+
+    /// This entry's place among the readers: first those that serve, in the order that all agree on.
+    fn reader_rank(&self) -> u32 {
+        let members = self.members.lock();
+        let own = members.own().incarnation;
+        let serving = members.serving(self.now());
+        let position = serving.iter().position(|row| row.incarnation == own);
+        position.unwrap_or(serving.len()) as u32
+    }
+
+    /// Returns whether the store gave a list.
+    async fn read_targets(&self) -> bool {
+        let Some(store) = self.store() else {
+            return false;
+        };
+        let began = self.now();
+        let read = store.targets().await;
+        match self.count_platform(read) {
+            Ok(list) => {
+                self.change_targets(|known| known.take_read(list, began));
+                true
+            }
+            Err(error) => {
+                self.targets.lock().take_failure(self.now());
+                log::warn!(target: "targets", "The list of targets can't be read: {error}.");
+                false
+            }
+        }
+    }
+
+    /// Changes what is known of the targets, and uses it if the change matters.
+    fn change_targets(&self, change: impl FnOnce(&mut KnownTargets) -> bool) {
+        let (before, after, has_changed) = {
+            let mut known = self.targets.lock();
+            let before = known.targets();
+            let has_changed = change(&mut known);
+            (before, known.targets(), has_changed)
+        };
+        if !has_changed {
+            return;
+        }
+        self.record_targets(&before, &after);
+        log::info!(
+            target: "targets", "{} targets are known at revision {}.",
+            after.targets.len(), after.revision
+        );
+        self.take_changed_targets();
+        self.news.notify(usize::MAX);
+    }
+
+    /// Takes in which list a peer has, and fetches it if it is newer.
+    pub(crate) fn hear_list(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        revision: u64,
+        digest: u64,
+        age: Option<Microseconds>,
+    ) {
+        let confirmed_at = age.map_or(Microseconds::ZERO, |age| self.now().saturating_sub(age));
+        let heard = self.targets.lock().hear(revision, digest, confirmed_at);
+        if heard != PeerList::Fetch || self.is_fetching_list.swap(true, Ordering::Acquire) {
+            return;
+        }
+        let entry = Arc::clone(self);
+        spawn(async move {
+            entry.fetch_list(peer, confirmed_at).await;
+            entry.is_fetching_list.store(false, Ordering::Release);
+        })
+        .detach();
+    }
+
+    async fn fetch_list(&self, peer: SocketAddr, confirmed_at: Microseconds) {
+        let client = HttpClient::new(peer, PEER_TIMEOUT_MS);
+        let Ok(request) = Request::get(TARGETS_PATH).body(bytes::Bytes::new()) else {
+            return;
+        };
+        let answer = match client.call(request).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::warn!(target: "targets", "{error}.");
+                return;
+            }
+        };
+        match serde_json::from_slice::<TargetList>(answer.body()) {
+            Ok(list) => {
+                let now = self.now();
+                self.change_targets(|known| known.take_peer_list(list, confirmed_at, now));
+            }
+            Err(error) => log::warn!(target: "targets", "The list of {peer} is none: {error}."),
+        }
+    }
+}
+
+/// Answers a peer that asks for the list of targets.
+pub(crate) fn answer_targets(entry: &Entry) -> Response<AnyBody> {
+    entry.counters.add(Count::Exchanges);
+    let known = entry.targets.lock();
+    let mut response = match serde_json::to_vec(&**known.list()) {
+        Ok(body) if known.is_known() => Response::new(whole_body(body)),
+        _ => {
+            let mut response = Response::new(whole_body(""));
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            response
+        }
+    };
+    if entry.state() >= MemberState::Stopping {
+        let close = http::HeaderValue::from_static("close");
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
+    }
+    response
+}
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -1,12 +1,12 @@
 //! Starting an entry and running it until it is told to stop.
 
 use crate::directory::serve_directory;
-use crate::discovered;
 use crate::entry::Entry;
 use crate::entry::EntryEnvironment;
 use crate::error::EntryError;
 use crate::error::EntryStep;
 use crate::gossip::PeerAnswers;
+use crate::listed_targets;
 use crate::listening::listen;
 use crate::metrics;
 use crate::metrics_text;
@@ -143,7 +143,7 @@
     match request.uri().path() {
         status::PATH => return status::answer(entry),
         metrics_text::PATH => return Response::new(whole_body(metrics_text::text(entry))),
-        discovered::TARGETS_PATH => return discovered::answer_targets(entry),
+        listed_targets::TARGETS_PATH => return listed_targets::answer_targets(entry),
         _ => {}
     }
     answer_peer(answers, request).await
--- a/crates/pinhaven-lab/src/emulate/mod.rs
+++ b/crates/pinhaven-lab/src/emulate/mod.rs
@@ -6,8 +6,10 @@
 //! refusal. What is not: processor time, connections, losses, the store. Where that leads to other
 //! figures than the users' bench, docs/MEASUREMENTS.md says.
 
+mod entry;
 mod outcome;
 mod plan;
+mod queue;
 mod target;
 mod world;
 
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -1,10 +1,14 @@
 //! Entries, targets and callers in emulated time. The entries' decisions are the product's own; what is
 //! emulated is what they meet.
 
+use super::entry::EmulatedEntry;
+use super::entry::entry_of;
 use super::outcome::Outcome;
 use super::outcome::Tally;
 use super::plan::Change;
 use super::plan::EmulationPlan;
+use super::queue::Queue;
+use super::queue::What;
 use super::target::EmulatedTarget;
 use super::target::Taken;
 use super::target::Work;
@@ -16,83 +20,26 @@
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
-use pinhaven_decide::RouteState;
 use pinhaven_decide::RunState;
-use pinhaven_decide::ServiceState;
 use pinhaven_types::Microseconds;
-use serde_json::json;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 /// Way between an entry and a target, in milliseconds.
 const WAY_MS: f64 = 0.7;
 /// Way between a caller and an entry and back, in milliseconds; it counts against the aim.
-const CALLER_WAYS_MS: f64 = 17.0;
+pub(super) const CALLER_WAYS_MS: f64 = 17.0;
 /// Spread of the work of one kind (sigma of its logarithm).
 const WORK_SIGMA: f64 = 0.3;
 /// Times that a caller comes back after a refusal.
 const COMEBACKS: u32 = 2;
 /// Where the emulated clock begins; zero means never in the product.
-const START_MS: f64 = 1_000_000.0;
+pub(super) const START_MS: f64 = 1_000_000.0;
 /// Time between two looks for targets to ask, in milliseconds.
 const PROBE_TICK_MS: f64 = 15.0;
 /// Where emulated targets are said to listen: one address each.
-const FIRST_PORT: usize = 10_000;
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum What {
-    Arrival,
-    Comeback(usize),
-    Reaches {
-        request: usize,
-        attempt: AttemptId,
-        target: usize,
-    },
-    TargetEnds {
-        target: usize,
-        generation: u64,
-    },
-    Ended {
-        request: usize,
-        attempt: AttemptId,
-        outcome: AttemptOutcome,
-    },
-    Wake(usize),
-    SpeedChanges(usize),
-    News,
-    Probes,
-    TargetsLeave(f64),
-}
-
-/// An event and its time; those of one time come in the order in which they were planned.
-struct Planned {
-    at_us: u64,
-    number: u64,
-    what: What,
-}
-
-impl PartialEq for Planned {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_us, self.number) == (other.at_us, other.number)
-    }
-}
-
-impl Eq for Planned {}
-
-impl PartialOrd for Planned {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Planned {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_us, self.number).cmp(&(other.at_us, other.number))
-    }
-}
+pub(super) const FIRST_PORT: usize = 10_000;
 
 /// One request of a caller, over all its tries.
 struct Call {
@@ -106,22 +53,12 @@
     is_over: bool,
 }
 
-/// An entry: its own view of the service and of the routes.
-struct EmulatedEntry {
-    service: Arc<ServiceState>,
-    routes: Vec<Arc<RouteState>>,
-    waiting: VecDeque<usize>,
-    /// Counts that the others were told.
-    told: Vec<u32>,
-}
-
 /// The whole emulation.
 pub(super) struct World<'plan> {
     plan: &'plan EmulationPlan,
     random: fastrand::Rng,
     now_ms: f64,
-    events: BinaryHeap<Reverse<Planned>>,
-    planned: u64,
+    queue: Queue,
     targets: Vec<EmulatedTarget>,
     entries: Vec<EmulatedEntry>,
     calls: Vec<Call>,
@@ -142,8 +79,7 @@
             plan,
             random,
             now_ms: 0.0,
-            events: BinaryHeap::new(),
-            planned: 0,
+            queue: Queue::default(),
             calls: Vec::new(),
             tally: Tally::new(plan),
         }
@@ -152,9 +88,9 @@
     /// Plays the whole plan.
     pub(super) fn run(mut self) -> Tally {
         self.plan_first();
-        while let Some(Reverse(next)) = self.events.pop() {
-            self.now_ms = next.at_us as f64 / 1_000.0;
-            self.happen(next.what);
+        while let Some((at_us, what)) = self.queue.next() {
+            self.now_ms = at_us as f64 / 1_000.0;
+            self.happen(what);
         }
         for entry in &self.entries {
             self.tally.count_added(entry.service.counts());
@@ -184,13 +120,7 @@
     }
 
     fn plan_at_us(&mut self, at_us: u64, what: What) {
-        self.planned += 1;
-        let number = self.planned;
-        self.events.push(Reverse(Planned {
-            at_us,
-            number,
-            what,
-        }));
+        self.queue.plan(at_us, what);
     }
 
     fn now(&self) -> Microseconds {
@@ -555,39 +485,3 @@
         }
     }
 }
-
-/// An entry of a plan. Each owns every so many-th target.
-fn entry_of(plan: &EmulationPlan, number: usize) -> EmulatedEntry {
-    let targets: Vec<serde_json::Value> = (0..plan.targets)
-        .map(|target| {
-            let address = format!("127.0.0.1:{}", FIRST_PORT + target);
-            json!({"address": address, "failure_domain": format!("domain-{}", target % 3)})
-        })
-        .collect();
-    let service = json!({
-        "name": "emulated", "hosts": ["emulated"], "slots": plan.target.slots,
-        "policy": plan.policy, "targets": targets, "entries_named": plan.entries,
-        "hedge_budget_percent": 10.0, "retry_budget_percent": 10.0,
-    });
-    let service = serde_json::from_value(service)
-        .unwrap_or_else(|error| unreachable!("the service is written above: {error}"));
-    let state = ServiceState::new(
-        &service,
-        None,
-        Microseconds::new((START_MS * 1_000.0) as u64),
-    );
-    for (target, known) in state.targets().iter().enumerate() {
-        known.set_owned(target % plan.entries == number);
-    }
-    state.find_owned();
-    EmulatedEntry {
-        service: Arc::new(state),
-        routes: plan
-            .kinds
-            .iter()
-            .map(|kind| Arc::new(RouteState::new(kind.aim_ms - CALLER_WAYS_MS as u64)))
-            .collect(),
-        waiting: VecDeque::new(),
-        told: vec![0; plan.targets],
-    }
-}
