Mark targets that a new list lacks, also for requests that began before

A request keeps the state of the service that it began with; servers that say `draining` are marked there too, as both states share the target, but one whose entry just goes is only missing from the new one. Ruled out: an old list (the entry had read and told newer ones). Change: the targets that a new state lacks are marked as leaving. Test: decide `a_request_that_began_before_a_target_was_gone_does_not_go_there_any_more`; two attempts before, one after.

--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -19,6 +19,7 @@
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
@@ -150,6 +151,7 @@
         };
         if let Some(previous) = previous {
             state.take_over(previous);
+            state.end_missing(previous);
         }
         state.find_owned();
         state
@@ -166,6 +168,16 @@
         self.retry_budget.take_over(&previous.retry_budget);
     }
 
+    /// Marks targets that are gone as leaving: requests that began with `previous` choose among its
+    /// targets until they end.
+    fn end_missing(&self, previous: &Self) {
+        let kept: HashSet<*const TargetState> = self.targets.iter().map(Arc::as_ptr).collect();
+        let is_gone = |target: &&Arc<TargetState>| !kept.contains(&Arc::as_ptr(target));
+        for target in previous.targets.iter().filter(is_gone) {
+            target.leave();
+        }
+    }
+
     /// Name of the service.
     pub fn name(&self) -> &ServiceName {
         &self.name
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -298,6 +298,32 @@
     assert_ne!(driven.target(0), 2);
 }
 
+#[test]
+fn a_request_that_began_before_a_target_was_gone_does_not_go_there_any_more() {
+    let two = service_with(2, json!({"policy": "forecast", "slots": 4}));
+    let before = Arc::new(ServiceState::new(&two, None, at_ms(0)));
+    let mut request = Driven::new(&before, true, 1_000);
+    // Wherever it went, the other target is missing from the next list.
+    let mut one = two.clone();
+    one.targets.remove(1 - request.target(0));
+    let after = ServiceState::new(&one, Some(&before), at_ms(1_010));
+    assert_eq!(after.targets().len(), 1);
+    let outcome = AttemptOutcome::Shed { report: None };
+    let id = request.attempts[0].take().unwrap().id;
+    request.handle(
+        1_020,
+        Event::AttemptEnded {
+            attempt: id,
+            outcome,
+        },
+    );
+    assert_eq!(
+        request.attempts.len(),
+        1,
+        "there is no target for a second attempt"
+    );
+}
+
 #[test]
 fn a_repeatable_request_is_hedged_when_its_target_turns_slow() {
     let service = service(2, 4);
