--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -55,6 +55,9 @@
         /// Seed of everything drawn.
         #[arg(long, default_value_t = 1)]
         seed: u64,
+        /// Load, as a share of what all slots of the targets that are not slow do.
+        #[arg(long)]
+        load: Option<f64>,
         /// Age of a report at which a target is asked, in milliseconds; 0 for never.
         #[arg(long)]
         probe_ms: Option<f64>,
@@ -155,10 +158,12 @@
                 deployment,
                 policies,
                 seed,
+                load,
                 probe_ms,
                 news_ms,
             } => {
                 let change = |plan: &mut EmulationPlan| {
+                    plan.load = load.unwrap_or(plan.load);
                     plan.probe_ms = probe_ms.unwrap_or(plan.probe_ms);
                     plan.news_ms = news_ms.unwrap_or(plan.news_ms);
                 };
