Notice connections that fell silent: to peers, and the call that waits at the store

Trace: the entry that reads the list noticed (its call timed out, it followed anew and told all); the others fetched the version over connections to it that were silent too, and waited 5 s. Calls that wait at the store would wait 22 s. Change: a connection to a peer is used again for 2 s after its last answer; a fetch takes 1 s at the most where configurations are small; the waiting call's connection is kept alive by the system (about 110 bytes a second, delegates only); an entry whose peer has had a version for 1.5 s that the store has not brought asks anew.

--- a/crates/pinhaven-entry/src/beliefs.rs
+++ b/crates/pinhaven-entry/src/beliefs.rs
@@ -68,7 +68,8 @@
         if self.store_answers.swap(answers, Ordering::Relaxed) != answers {
             self.record_event("store", if answers { "regained" } else { "lost" });
             if answers {
-                self.store_regained.notify(usize::MAX);
+                // A call that began before the outage is answered by nobody.
+                self.follow_anew.notify(usize::MAX);
             }
         }
     }
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/bundles.rs
@@ -35,6 +35,8 @@
 const HEAD_POLL_SLOW_FACTOR: u64 = 10;
 /// How long a peer may take to give a bundle.
 const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// The same where a configuration has no targets in it and is small; another peer may have it too.
+const FETCH_SMALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 impl Entry {
     /// Looks at the head for ever, and makes this entry ready once a version is in force.
@@ -174,7 +176,12 @@
         let request = FetchBundleRequest {
             held_version: held.number(),
         };
-        match self.peers.fetch_bundle(peer, FETCH_TIMEOUT, request).await {
+        let timeout = if self.discovery.is_some() {
+            FETCH_SMALL_TIMEOUT
+        } else {
+            FETCH_TIMEOUT
+        };
+        match self.peers.fetch_bundle(peer, timeout, request).await {
             Ok(response) if response.head.is_empty() => {}
             Ok(response) => {
                 self.adopt(move |entry| entry.take_fetched(response)).await;
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -13,6 +13,7 @@
 use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 /// Pause after a failed call to the store, in milliseconds, doubled with each failure in a row.
 const RETRY_FIRST_MS: u64 = 150;
@@ -20,6 +21,9 @@
 const RETRY_MOST_MS: u64 = 800;
 /// How long the store may take to bring a configuration that a peer has already, in milliseconds.
 const STORE_HEAD_START_MS: u64 = 200;
+/// How much later than a peer an entry may learn of a version from the store before its own call there
+/// counts as dead, in milliseconds. A slow store takes up to 400.
+const STORE_BEHIND_MOST_MS: u64 = 1_500;
 /// The least and the most age, in milliseconds, until which an entry asks only its seeds, drawn by each.
 /// A seed that lives answers within a few milliseconds. When all have just started, the first few ask the
 /// store and tell the others, which takes some 100 ms.
@@ -76,11 +80,10 @@
                 sleep_ms(DELEGATE_LOOK_MS).await;
                 continue;
             }
-            // A call that began before an outage may never hear anything again.
-            let regained = self.store_regained.listen();
+            let anew = self.follow_anew.listen();
             let next = async { Some(store.next_configuration(position).await) };
             let outdated = async {
-                regained.await;
+                anew.await;
                 None
             };
             let Some(news) = futures_lite::future::or(next, outdated).await else {
@@ -113,6 +116,8 @@
         let Some(bundle) = news.bundle else {
             return;
         };
+        self.version_from_store
+            .fetch_max(bundle.version.number(), Ordering::Relaxed);
         if bundle.version <= self.version.lock().version() {
             return;
         }
@@ -148,7 +153,19 @@
             if version > entry.version.lock().version() {
                 entry.fetch_from(peer).await;
             }
+            if follows {
+                entry.expect_from_store(version).await;
+            }
         })
         .detach();
     }
+
+    /// Follows the configuration anew if the store does not bring a version that a peer has.
+    async fn expect_from_store(&self, version: BundleVersion) {
+        sleep_ms(STORE_BEHIND_MOST_MS).await;
+        if self.version_from_store.load(Ordering::Relaxed) < version.number() {
+            log::info!(target: "bundle", "The store has not brought version {version}; it is asked anew.");
+            self.follow_anew.notify(usize::MAX);
+        }
+    }
 }
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -110,8 +110,10 @@
     pub(crate) is_fetching: AtomicBool,
     pub(crate) is_fetching_list: AtomicBool,
     pub(crate) store_answers: AtomicBool,
-    /// Notified when the store answers again after a call that it did not.
-    pub(crate) store_regained: event_listener::Event,
+    /// Notified when the call that waits for a new configuration may never hear anything.
+    pub(crate) follow_anew: event_listener::Event,
+    /// The newest version that the store itself has given to this entry.
+    pub(crate) version_from_store: AtomicU64,
     /// Age of this process from which it may ask the store.
     pub(crate) asks_store_from: Microseconds,
     /// How long callers' connections may be idle, in milliseconds.
@@ -183,7 +185,8 @@
             is_fetching: AtomicBool::new(false),
             is_fetching_list: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
-            store_regained: event_listener::Event::new(),
+            follow_anew: event_listener::Event::new(),
+            version_from_store: AtomicU64::new(0),
             asks_store_from: discovered::asks_store_from(),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
--- a/crates/pinhaven-peer/src/client.rs
+++ b/crates/pinhaven-peer/src/client.rs
@@ -15,9 +15,14 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 /// The largest message from a peer, in bytes.
 const MESSAGE_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// How long a connection is used again after it last brought an answer. Networks drop connections
+/// without a word; a new one costs a round trip, a call on a dead one its whole timeout. Exchanges come
+/// several times a second, so this concerns the calls that are rare.
+const TRUSTED_FOR: Duration = Duration::from_secs(2);
 
 /// The call that failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
@@ -48,7 +53,19 @@
 /// Connections to peers, made when they are first needed.
 #[derive(Default)]
 pub struct PeerClients {
-    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    channels: Mutex<HashMap<SocketAddr, Held>>,
+}
+
+/// A connection and when it last showed that it works.
+struct Held {
+    channel: Channel,
+    answered_at: Instant,
+}
+
+impl Held {
+    fn is_trusted(&self) -> bool {
+        !self.channel.is_closed() && self.answered_at.elapsed() < TRUSTED_FOR
+    }
 }
 
 impl PeerClients {
@@ -138,7 +155,12 @@
                 .map_err(|status| error(step, status.message().to_owned()))
         };
         match within(timeout, whole_call).await {
-            Some(Ok(response)) => Ok(response.into_inner()),
+            Some(Ok(response)) => {
+                if let Some(held) = self.channels.lock().get_mut(&peer) {
+                    held.answered_at = Instant::now();
+                }
+                Ok(response.into_inner())
+            }
             Some(Err(error)) => Err(error),
             None => {
                 // The connection may be dead without a sign of it; the next call makes a new one.
@@ -149,14 +171,19 @@
     }
 
     async fn channel(&self, peer: SocketAddr) -> Result<Channel, String> {
-        let held = self.channels.lock().get(&peer).cloned();
-        if let Some(channel) = held.filter(|channel| !channel.is_closed()) {
-            return Ok(channel);
+        if let Some(held) = self.channels.lock().get(&peer)
+            && held.is_trusted()
+        {
+            return Ok(held.channel.clone());
         }
         let channel = Channel::connect(peer)
             .await
             .map_err(|error| error.to_string())?;
-        self.channels.lock().insert(peer, channel.clone());
+        let held = Held {
+            channel: channel.clone(),
+            answered_at: Instant::now(),
+        };
+        self.channels.lock().insert(peer, held);
         Ok(channel)
     }
 
--- a/crates/pinhaven-runtime/src/client.rs
+++ b/crates/pinhaven-runtime/src/client.rs
@@ -17,6 +17,8 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use smol_hyper::rt::FuturesIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -24,6 +26,11 @@
 
 /// The largest answer to a control call, in bytes.
 const CONTROL_ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
+/// How long nothing may come on a connection of a client with keep-alive before the system asks its peer
+/// whether it is there, and the time between two such questions. Each costs a packet either way.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// Such questions without an answer after which a connection counts as broken.
+const KEEP_ALIVE_ASKED_MOST: u32 = 2;
 /// Idle connections that a client keeps unless told otherwise.
 const IDLE_CONNECTIONS_DEFAULT: usize = 4;
 
@@ -71,6 +78,21 @@
     Ok(stream)
 }
 
+/// Connects a stream that breaks within 3 s when its peer is no longer there, also while nothing is sent.
+///
+/// # Errors
+///
+/// The system's error when the peer can't be reached.
+pub async fn connect_kept_alive(peer: SocketAddr) -> std::io::Result<Async<TcpStream>> {
+    let stream = connect_stream(peer).await?;
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE)
+        .with_interval(KEEP_ALIVE)
+        .with_retries(KEEP_ALIVE_ASKED_MOST);
+    SockRef::from(stream.get_ref()).set_tcp_keepalive(&keep_alive)?;
+    Ok(stream)
+}
+
 /// Connects to a peer that speaks HTTP/1.1.
 ///
 /// # Errors
@@ -82,7 +104,15 @@
     B::Data: Send,
     B::Error: Into<crate::BoxError>,
 {
-    let stream = connect_stream(peer).await?;
+    http1_over(connect_stream(peer).await?).await
+}
+
+async fn http1_over<B>(stream: Async<TcpStream>) -> Result<http1::SendRequest<B>, crate::BoxError>
+where
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<crate::BoxError>,
+{
     let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
     spawn(async move {
         // The sender's side reports what goes wrong here.
@@ -97,6 +127,7 @@
     peer: SocketAddr,
     timeout: Duration,
     idle_most: usize,
+    is_kept_alive: bool,
     idle: Mutex<Vec<http1::SendRequest<AnyBody>>>,
 }
 
@@ -107,6 +138,7 @@
             peer,
             timeout: Duration::from_millis(timeout_ms),
             idle_most: IDLE_CONNECTIONS_DEFAULT,
+            is_kept_alive: false,
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -117,6 +149,12 @@
         self
     }
 
+    /// Notices within 3 s that a connection is dead, for calls whose answers may take long.
+    pub fn with_keep_alive(mut self) -> Self {
+        self.is_kept_alive = true;
+        self
+    }
+
     /// The peer.
     pub fn peer(&self) -> SocketAddr {
         self.peer
@@ -181,10 +219,14 @@
                 return Ok(sender);
             }
         }
-        match http1_sender(self.peer).await {
-            Ok(sender) => Ok(sender),
-            Err(error) => Err(self.error(CallStep::Connect, error)),
-        }
+        let connected = if self.is_kept_alive {
+            connect_kept_alive(self.peer).await
+        } else {
+            connect_stream(self.peer).await
+        };
+        let stream = connected.map_err(|error| self.error(CallStep::Connect, error))?;
+        let sender = http1_over(stream).await;
+        sender.map_err(|error| self.error(CallStep::Connect, error))
     }
 
     fn take_idle(&self) -> Option<http1::SendRequest<AnyBody>> {
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -11,6 +11,7 @@
 pub use client::CallError;
 pub use client::CallStep;
 pub use client::HttpClient;
+pub use client::connect_kept_alive;
 pub use client::connect_stream;
 pub use client::http1_sender;
 pub use executor::HyperExecutor;
--- a/crates/pinhaven-stand-in/src/proxy.rs
+++ b/crates/pinhaven-stand-in/src/proxy.rs
@@ -12,6 +12,8 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Bytes that are read at a time.
@@ -46,7 +48,15 @@
 pub struct FaultProxy {
     /// Where it listens.
     pub address: SocketAddr,
-    fault: Arc<Mutex<LinkFault>>,
+    state: Arc<ProxyState>,
+}
+
+/// What the connections of a proxy look at.
+#[derive(Debug, Default)]
+struct ProxyState {
+    fault: Mutex<LinkFault>,
+    /// How often all open connections were silenced.
+    silenced: AtomicU64,
 }
 
 impl FaultProxy {
@@ -59,14 +69,14 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let proxy = Self {
             address: listener.local_addr()?,
-            fault: Arc::default(),
+            state: Arc::default(),
         };
-        let fault = Arc::clone(&proxy.fault);
+        let state = Arc::clone(&proxy.state);
         std::thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 // A server that can't be reached shows as a reset.
                 match TcpStream::connect(server) {
-                    Ok(server) => connect(client, server, &fault),
+                    Ok(server) => connect(client, server, &state),
                     Err(_) => reset(&client),
                 }
             }
@@ -76,11 +86,16 @@
 
     /// Sets what happens to connections from now on.
     pub fn set_fault(&self, fault: LinkFault) {
-        *self.fault.lock() = fault;
+        *self.state.fault.lock() = fault;
+    }
+
+    /// Nothing more arrives either way on the connections that are open now; new ones work.
+    pub fn silence_open(&self) {
+        self.state.silenced.fetch_add(1, Ordering::Relaxed);
     }
 }
 
-fn connect(client: TcpStream, server: TcpStream, fault: &Arc<Mutex<LinkFault>>) {
+fn connect(client: TcpStream, server: TcpStream, state: &Arc<ProxyState>) {
     let ways = [
         (client.try_clone(), server.try_clone(), Direction::ToServer),
         (server.try_clone(), client.try_clone(), Direction::ToClient),
@@ -89,20 +104,27 @@
         let (Ok(from), Ok(to)) = (from, to) else {
             return;
         };
-        let fault = Arc::clone(fault);
-        std::thread::spawn(move || carry(from, to, direction, &fault));
+        let state = Arc::clone(state);
+        let silenced_before = state.silenced.load(Ordering::Relaxed);
+        std::thread::spawn(move || carry(from, to, direction, &state, silenced_before));
     }
 }
 
 /// Carries bytes one way until either side ends or a fault ends the connection.
-fn carry(mut from: TcpStream, mut to: TcpStream, direction: Direction, fault: &Mutex<LinkFault>) {
+fn carry(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    direction: Direction,
+    state: &ProxyState,
+    silenced_before: u64,
+) {
     let mut piece = vec![0; PIECE_BYTES];
     let mut is_silent = false;
     if from.set_read_timeout(Some(LOOK)).is_err() || to.set_nodelay(true).is_err() {
         return;
     }
     loop {
-        if *fault.lock() == LinkFault::Reset {
+        if *state.fault.lock() == LinkFault::Reset {
             reset(&from);
             reset(&to);
             return;
@@ -113,8 +135,9 @@
             Err(error) if is_timeout(&error) => continue,
             Err(_) => break,
         };
-        let now = *fault.lock();
+        let now = *state.fault.lock();
         is_silent |= is_silenced(now, direction);
+        is_silent |= state.silenced.load(Ordering::Relaxed) > silenced_before;
         if let LinkFault::Delayed(time) = now {
             std::thread::sleep(time);
         }
