Take small answers in whole before they are passed on, and record cut answers

Ruled out: the count (`answer.cut` was right); the promise (the cut never looked whole). Change: answers of at most 64 KB that name their length are taken in whole; a cut is an attempt that broke (outcome `cut`), tried elsewhere if the request may be repeated, else 502 at once. Larger ones go on as they come; their cut is recorded as `answer_cut`. Bodies of answers have a file of their own, and so has what each line of a request says.

--- a/crates/pinhaven-entry/src/attempt.rs
+++ b/crates/pinhaven-entry/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt at one target.
 
-use crate::body::is_bounded;
+use crate::answer_body::ReceivedBody;
+use crate::answer_body::is_bounded;
 use crate::counters::Count;
 use crate::dialect::AnswerFacts;
 use crate::dialect::AttemptFacts;
@@ -17,6 +18,7 @@
 use http::Request;
 use http::Response;
 use http::Uri;
+use http::response::Parts;
 use hyper::body::Incoming;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::TargetState;
@@ -27,9 +29,10 @@
 /// Connections that closed while idle and that one attempt may meet.
 const STALE_CONNECTIONS_MAX: usize = 8;
 
-/// A whole head of an answer, with what came along.
+/// An answer, with what came along.
 pub(crate) struct Answer {
-    pub(crate) response: Response<Incoming>,
+    pub(crate) head: Parts,
+    pub(crate) body: ReceivedBody,
     pub(crate) sender: Sender,
     pub(crate) facts: AnswerFacts,
 }
@@ -40,6 +43,8 @@
     /// Another target has the address now and did not run the request.
     OtherTarget,
     Broken,
+    /// The answer ended before its declared end.
+    Cut,
     Answer(Box<Answer>),
 }
 
@@ -87,7 +92,7 @@
     })
 }
 
-/// Sends one attempt and waits for the head of its answer.
+/// Sends one attempt and waits for its answer: all of a small one, the head of a large one.
 pub(crate) async fn run_attempt(
     entry: Arc<Entry>,
     service: Arc<ServiceEntry>,
@@ -110,7 +115,11 @@
         }
         match pool::send(connected.sender, request).await {
             Sent::Answer(response, sender) => {
-                return check_answer(&entry, &service, &target, response, sender, id.as_ref());
+                let id = id.as_ref();
+                return match check_answer(&entry, &service, &target, &response, id) {
+                    Ok(facts) => receive(&entry, response, sender, facts).await,
+                    Err(end) => end,
+                };
             }
             Sent::Unsent(unsent) => request = *unsent,
             Sent::Broken(error) => {
@@ -122,20 +131,20 @@
     AttemptEnd::NotSent
 }
 
-/// Takes an answer only if it belongs to the request and its end can be told from a cut.
+/// Reads the head of an answer, and takes it only if it belongs to the request and its end can be told
+/// from a cut.
 fn check_answer(
     entry: &Entry,
     service: &ServiceEntry,
     target: &TargetState,
-    response: Response<Incoming>,
-    sender: Sender,
+    response: &Response<Incoming>,
     id: Option<&HeaderValue>,
-) -> AttemptEnd {
+) -> Result<AnswerFacts, AttemptEnd> {
     let (status, headers) = (response.status(), response.headers());
     let facts = entry.dialect.read_answer(status, headers, &service.config);
     if facts.is_other_target {
         // The report is the other target's.
-        return AttemptEnd::OtherTarget;
+        return Err(AttemptEnd::OtherTarget);
     }
     if !entry.dialect.is_answer_to(headers, id, &service.config) {
         entry.counters.add(Count::AttemptCrossed);
@@ -144,24 +153,40 @@
             service.state.record_report(target, entry.now(), report);
         }
         log::warn!(target: "proxy", "An answer belonged to another request; it was dropped.");
-        return AttemptEnd::Broken;
+        return Err(AttemptEnd::Broken);
     }
     if facts.promises_too_much {
         entry.counters.add(Count::AttemptBroken);
         log::warn!(target: "proxy", "A target answered {status} without proof that it ran nothing.");
-        return AttemptEnd::Broken;
+        return Err(AttemptEnd::Broken);
     }
     if status.is_success() && !facts.is_genuine {
         entry.counters.add(Count::AttemptForged);
         log::warn!(target: "proxy", "A success lacked the mark of a target's answer; it was dropped.");
-        return AttemptEnd::Broken;
+        return Err(AttemptEnd::Broken);
     }
     if !service.config.unbounded_answers && !is_bounded(headers, response.body()) {
         entry.counters.add(Count::AttemptUnbounded);
-        return AttemptEnd::Broken;
+        return Err(AttemptEnd::Broken);
     }
+    Ok(facts)
+}
+
+/// Takes the body of an answer in.
+async fn receive(
+    entry: &Entry,
+    response: Response<Incoming>,
+    sender: Sender,
+    facts: AnswerFacts,
+) -> AttemptEnd {
+    let (head, body) = response.into_parts();
+    let Some(body) = ReceivedBody::receive(body).await else {
+        entry.counters.add(Count::AnswerCut);
+        return AttemptEnd::Cut;
+    };
     AttemptEnd::Answer(Box::new(Answer {
-        response,
+        head,
+        body,
         sender,
         facts,
     }))
--- a/crates/pinhaven-entry/src/body.rs
+++ b/crates/pinhaven-entry/src/body.rs
@@ -1,15 +1,11 @@
-//! Bodies of requests and answers.
+//! Bodies of requests.
 
 use crate::counters::Count;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::hold::CallerHold;
-use crate::places::Places;
-use crate::pool::ReturnSender;
 use crate::problem::Problem;
 use bytes::Bytes;
 use bytes::BytesMut;
-use http::HeaderMap;
 use http::StatusCode;
 use http_body::Body;
 use http_body::Frame;
@@ -17,12 +13,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use pinhaven_decide::Attempt;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
 use pinhaven_runtime::whole_body;
-use pinhaven_types::Promise;
-use pinhaven_types::require_promise;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
@@ -165,128 +158,3 @@
         "the body ended before its declared end",
     )
 }
-
-/// Collects an answer's body; `None` when it is cut or larger than `most` bytes.
-pub(crate) async fn collect_answer(mut body: AnyBody, most: usize) -> Option<Bytes> {
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.ok()?;
-        if let Some(data) = frame.data_ref() {
-            if collected.len() + data.len() > most {
-                return None;
-            }
-            collected.extend_from_slice(data);
-        }
-    }
-    Some(collected.freeze())
-}
-
-/// Whether the end of an answer's body can be told from a cut.
-pub(crate) fn is_bounded(headers: &HeaderMap, body: &Incoming) -> bool {
-    body.is_end_stream()
-        || body.size_hint().exact().is_some()
-        || headers.contains_key(http::header::TRANSFER_ENCODING)
-}
-
-/// What is held while an answer's body is passed on.
-pub(crate) struct Held {
-    pub(crate) entry: Arc<Entry>,
-    pub(crate) attempt: Option<Attempt>,
-    pub(crate) place_freed: Arc<Places>,
-    pub(crate) sender: ReturnSender,
-    /// Kept only to be dropped with the rest.
-    pub(crate) _hold: CallerHold,
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        // The place is given back before the next request is told of it.
-        self.attempt = None;
-        self.place_freed.notify(1);
-    }
-}
-
-/// An answer's body, passed on as it comes. It ends well only if the target's did.
-pub(crate) struct AnswerBody {
-    body: Incoming,
-    declared: Option<u64>,
-    passed: u64,
-    held: Option<Held>,
-}
-
-impl AnswerBody {
-    pub(crate) fn new(body: Incoming, held: Held) -> Self {
-        let declared = body.size_hint().exact();
-        let mut answer = Self {
-            body,
-            declared,
-            passed: 0,
-            held: Some(held),
-        };
-        if answer.body.is_end_stream() {
-            answer.finish();
-        }
-        answer
-    }
-
-    /// The target's answer has ended. Returns whether it was whole.
-    fn finish(&mut self) -> bool {
-        let passed = self.passed;
-        let is_whole = self.declared.is_none_or(|declared| declared == passed);
-        let holds = require_promise(Promise::WholeOwnAnswer, is_whole, || {
-            format!("an answer ended after {passed} bytes")
-        });
-        if let Some(mut held) = self.held.take()
-            && holds
-        {
-            held.sender.finished();
-        }
-        holds
-    }
-}
-
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) else {
-            return Poll::Pending;
-        };
-        match frame {
-            Some(Ok(frame)) => {
-                self.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
-                if self.body.is_end_stream() {
-                    self.finish();
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Some(Err(error)) => {
-                if let Some(held) = self.held.take() {
-                    held.entry.counters.add(Count::AnswerCut);
-                }
-                // The error makes the server break the caller's connection, so that the caller
-                // can't take what it has for the whole.
-                Poll::Ready(Some(Err(error.into())))
-            }
-            None => {
-                if self.held.is_none() || self.finish() {
-                    Poll::Ready(None)
-                } else {
-                    Poll::Ready(Some(Err("the answer was cut".into())))
-                }
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -2,12 +2,12 @@
 //!
 //! Events go to a [`RequestState`], and the actions that come back are carried out.
 
+use crate::answer_body::AnswerBody;
+use crate::answer_body::Held;
 use crate::attempt::Answer;
 use crate::attempt::AttemptEnd;
 use crate::attempt::request_for;
 use crate::attempt::run_attempt;
-use crate::body::AnswerBody;
-use crate::body::Held;
 use crate::counters::Count;
 use crate::header;
 use crate::hold::CallerHold;
@@ -15,6 +15,7 @@
 use crate::latencies::Outcome;
 use crate::pool::ReturnSender;
 use crate::problem::Problem;
+use crate::subject::Subject;
 use event_listener::EventListener;
 use http::Response;
 use http::StatusCode;
@@ -177,27 +178,14 @@
     fn record(&mut self) {
         let entry = &self.job.entry;
         self.record_latency();
-        let Some(recorder) = &entry.recorder else {
+        let Some(subject) = Subject::new(self.job) else {
             return;
         };
-        let now = entry.now();
         let trace = std::mem::take(&mut self.trace);
-        let route = self.job.routed.config();
-        let took_us = now.saturating_sub(self.began).plus(self.job.waited).count();
-        let importance = trace.importance(took_us, route.map(|route| route.aim_ms * 1_000));
-        let facts = [
-            (
-                "route",
-                route.map_or_else(String::new, |route| route.name.to_string()),
-            ),
-            ("service", self.job.service.config.name.to_string()),
-            ("version", entry.snapshot.load().version.to_string()),
-        ];
-        let id = entry
-            .dialect
-            .request_id(&self.job.headers)
-            .unwrap_or_default();
-        recorder.record_trace(trace, now.count(), importance, &id, &facts);
+        let aim_us = self.job.routed.config().map(|route| route.aim_ms * 1_000);
+        let took = entry.now().saturating_sub(self.began).plus(self.job.waited);
+        let importance = trace.importance(took.count(), aim_us);
+        subject.record_trace(entry, trace, importance);
     }
 
     fn record_latency(&self) {
@@ -284,7 +272,7 @@
                 self.free_place(attempt, Count::AttemptNotSent);
                 AttemptOutcome::NotSent
             }
-            AttemptEnd::Broken => {
+            AttemptEnd::Broken | AttemptEnd::Cut => {
                 self.free_place(attempt, Count::AttemptBroken);
                 AttemptOutcome::Broken
             }
@@ -311,8 +299,9 @@
             AttemptEnd::NotSent => ("not_sent", None),
             AttemptEnd::OtherTarget => ("misdirected", None),
             AttemptEnd::Broken => ("broken", None),
+            AttemptEnd::Cut => ("cut", None),
             AttemptEnd::Answer(answer) => {
-                let status = answer.response.status();
+                let status = answer.head.status;
                 let outcome = match () {
                     () if answer.facts.is_not_run => "shed",
                     () if status.is_server_error() => "failed",
@@ -345,7 +334,7 @@
             return AttemptOutcome::Shed { report };
         }
         AttemptOutcome::Answered {
-            is_server_error: answer.response.status().is_server_error(),
+            is_server_error: answer.head.status.is_server_error(),
             report,
         }
     }
@@ -364,7 +353,7 @@
         self.job.entry.counters.add(Count::Answered);
         self.note(TraceEvent::Delivered {
             attempt: id.0,
-            status: answer.response.status().as_u16(),
+            status: answer.head.status.as_u16(),
         });
         let pool = self.job.service.pools.get(&attempt.target.address());
         let held = Held {
@@ -372,14 +361,15 @@
             place_freed: Arc::clone(&self.job.service.place_freed),
             sender: ReturnSender::new(pool.cloned().unwrap_or_default(), answer.sender),
             attempt: Some(attempt),
+            subject: Subject::new(self.job),
             _hold: std::mem::take(&mut self.hold),
         };
-        let (mut head, body) = answer.response.into_parts();
+        let mut head = answer.head;
         header::remove_connection_fields(&mut head.headers);
         let dialect = &self.job.entry.dialect;
         dialect.pass_answer(&self.job.headers, &mut head.headers);
         head.version = http::Version::default();
-        Response::from_parts(head, AnswerBody::new(body, held).boxed_unsync())
+        Response::from_parts(head, AnswerBody::new(answer.body, held).boxed_unsync())
     }
 }
 
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod added_attempts;
 mod address;
+mod answer_body;
 mod attempt;
 mod beliefs;
 mod body;
@@ -55,6 +56,7 @@
 mod start;
 mod status;
 mod stop;
+mod subject;
 
 pub use dialect::AddressQuestion;
 pub use dialect::AnswerFacts;
--- a/crates/pinhaven-entry/src/once.rs
+++ b/crates/pinhaven-entry/src/once.rs
@@ -3,8 +3,8 @@
 //! The request's home dispatches it, whichever entry the caller sent it to. The work goes on when the
 //! caller leaves, so that a repeated key finds the answer.
 
+use crate::answer_body::collect_answer;
 use crate::body::RequestBody;
-use crate::body::collect_answer;
 use crate::body::too_large;
 use crate::claims;
 use crate::counters::Count;
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -50,7 +50,7 @@
     Ended {
         /// Number of the attempt.
         attempt: u32,
-        /// How: `answered`, `failed`, `shed`, `not_sent`, `broken` or `misdirected`.
+        /// How: `answered`, `failed`, `shed`, `not_sent`, `broken`, `cut` or `misdirected`.
         outcome: &'static str,
         /// Status of the answer, if there was one.
         status: Option<u16>,
@@ -79,6 +79,13 @@
         /// What was known of the targets, where they were looked at.
         targets: Option<TargetCounts>,
     },
+    /// Its answer broke off when a part of it had been passed on.
+    AnswerCut {
+        /// Number of the attempt.
+        attempt: u32,
+        /// How much of the answer's body the caller got, in bytes.
+        passed_bytes: u64,
+    },
     /// It was answered.
     Delivered {
         /// Number of the attempt whose answer it was.
@@ -108,7 +115,9 @@
     /// How important the trace is, for a request that took `took_us` and should have taken `aim_us`.
     pub fn importance(&self, took_us: u64, aim_us: Option<u64>) -> Importance {
         let has_failed = self.events.iter().any(|(_, event)| match event {
-            TraceEvent::Refused { .. } | TraceEvent::CallerLeft => true,
+            TraceEvent::Refused { .. } | TraceEvent::CallerLeft | TraceEvent::AnswerCut { .. } => {
+                true
+            }
             TraceEvent::Delivered { status, .. } => *status >= 400,
             _ => false,
         });
@@ -146,6 +155,7 @@
         TraceEvent::Cancelled { .. } => "cancelled",
         TraceEvent::CallerLeft => "caller_left",
         TraceEvent::Refused { .. } => "refused",
+        TraceEvent::AnswerCut { .. } => "answer_cut",
         TraceEvent::Delivered { .. } => "delivered",
     }
 }
@@ -180,6 +190,12 @@
                 .with_number("held_ms", held_ms),
             targets,
         ),
+        TraceEvent::AnswerCut {
+            attempt,
+            passed_bytes,
+        } => line
+            .with("attempt", attempt)
+            .with("passed_bytes", passed_bytes),
         TraceEvent::Delivered { attempt, status } => {
             line.with("attempt", attempt).with("status", status)
         }
