Measure what the record costs, and tell times of attempts by target

Ruled out as a measure of "without": a text log (it records as well); the recorder was taken out in a trial build instead. Change: measure part `record`; histograms `pinhaven_attempt_ms` by target and outcome, 64 at the most, the rest as `other`.

--- a/crates/pinhaven-decide/src/event.rs
+++ b/crates/pinhaven-decide/src/event.rs
@@ -80,6 +80,13 @@
     pub(crate) started: Microseconds,
 }
 
+impl Attempt {
+    /// When it began.
+    pub fn started(&self) -> Microseconds {
+        self.started
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         self.service.end(&self.target, self.started);
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/dispatch.rs
@@ -29,6 +29,7 @@
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
 use pinhaven_decide::Step;
+use pinhaven_decide::TargetState;
 use pinhaven_record::Chosen;
 use pinhaven_record::TargetCounts;
 use pinhaven_record::Trace;
@@ -191,8 +192,9 @@
     fn record_latency(&self) {
         let route = self.job.routed.config().map(|route| route.name.as_str());
         let took = self.job.entry.now().saturating_sub(self.began);
-        let latencies = &self.job.entry.latencies;
-        latencies.record(route.unwrap_or_default(), self.outcome, took.as_ms() as u64);
+        let times = &self.job.entry.request_times;
+        let outcome = self.outcome.name();
+        times.record(route.unwrap_or_default(), outcome, took.as_ms() as u64);
     }
 
     fn send(&mut self, attempt: Attempt) {
@@ -266,7 +268,7 @@
     fn ended(&mut self, index: usize, end: AttemptEnd) -> Event {
         let UnderWay { attempt, .. } = self.under_way.swap_remove(index);
         let id = attempt.id;
-        self.note_end(id, &end);
+        self.note_end(&attempt, &end);
         let outcome = match end {
             AttemptEnd::NotSent => {
                 self.free_place(attempt, Count::AttemptNotSent);
@@ -294,7 +296,7 @@
         }
     }
 
-    fn note_end(&mut self, id: AttemptId, end: &AttemptEnd) {
+    fn note_end(&mut self, attempt: &Attempt, end: &AttemptEnd) {
         let (outcome, status) = match end {
             AttemptEnd::NotSent => ("not_sent", None),
             AttemptEnd::OtherTarget => ("misdirected", None),
@@ -310,8 +312,11 @@
                 (outcome, Some(status.as_u16()))
             }
         };
+        let took = self.job.entry.now().saturating_sub(attempt.started());
+        let times = &self.job.entry.attempt_times;
+        times.record(&name_of(&attempt.target), outcome, took.as_ms() as u64);
         self.note(TraceEvent::Ended {
-            attempt: id.0,
+            attempt: attempt.id.0,
             outcome,
             status,
         });
@@ -375,14 +380,18 @@
 
 /// What decided the choice of an attempt's target.
 fn chosen(attempt: &Attempt) -> Chosen {
-    let target = &attempt.target;
-    let name = target.id().map(ToString::to_string);
     let facts = attempt.chosen;
     Chosen {
-        target: name.unwrap_or_else(|| target.address().to_string()),
+        target: name_of(&attempt.target),
         forecast_ms: facts.map_or(0.0, |facts| facts.answer_ms),
         load: facts.map_or(0.0, |facts| facts.load),
         slowdown: facts.map_or(1.0, |facts| facts.slowdown),
         report_age_ms: facts.and_then(|facts| facts.report_age_ms),
     }
 }
+
+/// A target's id, or its address if it has none.
+fn name_of(target: &TargetState) -> String {
+    let id = target.id().map(ToString::to_string);
+    id.unwrap_or_else(|| target.address().to_string())
+}
--- a/crates/pinhaven-entry/src/latencies.rs
+++ b/crates/pinhaven-entry/src/latencies.rs
@@ -1,4 +1,4 @@
-//! How long requests took, by route and outcome.
+//! How long requests took, by route and outcome, and attempts, by target and outcome.
 
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
@@ -8,10 +8,11 @@
 const LONGEST_MS: u64 = 60_000;
 /// Digits that are kept of a time.
 const DIGITS: u8 = 1;
-/// Routes that have histograms of their own; those that come later share one.
-const ROUTES_MAX: usize = 64;
+/// Names and outcomes that have histograms of their own; those that come later share one an outcome. Each
+/// takes about 1 KB.
+const HISTOGRAMS_MAX: usize = 64;
 /// Name under which they share it.
-const OTHER_ROUTES: &str = "other";
+const OTHER_NAMES: &str = "other";
 /// Shares of requests whose time is told.
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
 
@@ -27,7 +28,7 @@
 }
 
 impl Outcome {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Answered => "answered",
             Self::Refused => "refused",
@@ -36,18 +37,32 @@
     }
 }
 
-/// Histograms of the times of requests.
-#[derive(Default)]
-pub(crate) struct Latencies(Mutex<BTreeMap<(String, Outcome), Histogram<u32>>>);
+/// Histograms of times, by a name and an outcome.
+pub(crate) struct Latencies {
+    /// What the histograms are called outside.
+    metric: &'static str,
+    /// What their names are names of.
+    label: &'static str,
+    histograms: Mutex<BTreeMap<(String, &'static str), Histogram<u32>>>,
+}
 
 impl Latencies {
-    /// Takes a request in that took `took_ms`.
-    pub(crate) fn record(&self, route: &str, outcome: Outcome, took_ms: u64) {
-        let mut histograms = self.0.lock();
-        let is_full = histograms.len() >= ROUTES_MAX;
-        let key = (route.to_owned(), outcome);
+    /// None yet.
+    pub(crate) fn new(metric: &'static str, label: &'static str) -> Self {
+        Self {
+            metric,
+            label,
+            histograms: Mutex::default(),
+        }
+    }
+
+    /// Takes in that something took `took_ms`.
+    pub(crate) fn record(&self, name: &str, outcome: &'static str, took_ms: u64) {
+        let mut histograms = self.histograms.lock();
+        let is_full = histograms.len() >= HISTOGRAMS_MAX;
+        let key = (name.to_owned(), outcome);
         let key = if is_full && !histograms.contains_key(&key) {
-            (OTHER_ROUTES.to_owned(), outcome)
+            (OTHER_NAMES.to_owned(), outcome)
         } else {
             key
         };
@@ -65,17 +80,18 @@
 
     /// All of them as lines of the Prometheus text format.
     pub(crate) fn lines(&self) -> Vec<String> {
+        let (metric, label) = (self.metric, self.label);
         let mut lines = Vec::new();
-        for ((route, outcome), histogram) in &*self.0.lock() {
-            let labels = format!("route=\"{route}\",outcome=\"{}\"", outcome.name());
+        for ((name, outcome), histogram) in &*self.histograms.lock() {
+            let labels = format!("{label}=\"{name}\",outcome=\"{outcome}\"");
             for quantile in QUANTILES {
                 let time_ms = histogram.value_at_quantile(quantile);
                 lines.push(format!(
-                    "pinhaven_request_ms{{{labels},quantile=\"{quantile}\"}} {time_ms}"
+                    "{metric}{{{labels},quantile=\"{quantile}\"}} {time_ms}"
                 ));
             }
             let count = histogram.len();
-            lines.push(format!("pinhaven_request_ms_count{{{labels}}} {count}"));
+            lines.push(format!("{metric}_count{{{labels}}} {count}"));
         }
         lines
     }
--- a/crates/pinhaven-entry/src/metrics_text.rs
+++ b/crates/pinhaven-entry/src/metrics_text.rs
@@ -31,7 +31,8 @@
     lines.extend(gauges(entry));
     lines.extend(service_lines(entry));
     lines.extend(record_lines(entry));
-    lines.extend(entry.latencies.lines());
+    lines.extend(entry.request_times.lines());
+    lines.extend(entry.attempt_times.lines());
     lines.push(String::new());
     lines.join("\n")
 }
--- a/crates/pinhaven-lab/src/measure/mod.rs
+++ b/crates/pinhaven-lab/src/measure/mod.rs
@@ -11,6 +11,7 @@
 mod overload;
 mod pick;
 mod plot;
+mod record;
 mod slopes;
 mod spread;
 
@@ -39,12 +40,14 @@
     Once,
     /// Time until a version is in force everywhere.
     Spread,
+    /// What the record of decisions costs a request.
+    Record,
     /// Slopes for the capacity page.
     Slopes,
 }
 
 impl Part {
-    const ALL: [Self; 9] = [
+    const ALL: [Self; 10] = [
         Self::Pick,
         Self::Added,
         Self::Idle,
@@ -53,6 +56,7 @@
         Self::Overload,
         Self::Budget,
         Self::Choice,
+        Self::Record,
         Self::Slopes,
     ];
 }
@@ -98,6 +102,7 @@
             Part::Idle => idle::run(settings).await?,
             Part::Once => once::run(settings).await?,
             Part::Spread => spread::run(settings).await?,
+            Part::Record => record::run(settings)?,
             Part::Slopes => slopes::run(settings).await?,
         }
     }
