Unfold five import circles of file pairs

Cause: constants and types stood with the file that uses them last: the pace of calls to the store, a service's entry, the taking of relayed requests, the emulator's ways and clock, the attempts without a connection. Change: `store_pace.rs`, `service_entry.rs`, `relayed.rs`; constants where they are counted. No change of behaviour. One circle is left (health and service of the decisions: one type's methods in two files).

--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -20,7 +20,6 @@
 use crate::progress::Progress;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
-use crate::request_end::UNSENT_MOST;
 use crate::route::RouteState;
 use crate::service::ServiceState;
 use crate::target::TargetState;
@@ -32,6 +31,9 @@
 use pinhaven_types::require_promise;
 use std::sync::Arc;
 
+/// Attempts without a connection that cost nothing of what may be added.
+pub(crate) const UNSENT_MOST: u32 = 3;
+
 /// Attempts that a request may make when its caller names no number.
 pub const ATTEMPTS_DEFAULT: u32 = 3;
 /// The longest wait at this entry, in typical times.
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -10,15 +10,13 @@
 use crate::report::LoadReport;
 use crate::request::Phase;
 use crate::request::Turn;
+use crate::request::UNSENT_MOST;
 use crate::target::TargetState;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// Attempts without a connection that cost nothing of what may be added.
-pub(crate) const UNSENT_MOST: u32 = 3;
-
 impl Turn<'_> {
     /// Sends a request whose last attempt never reached a target. No target has seen that attempt, so
     /// it costs nothing of what may be added.
--- a/crates/pinhaven-entry/src/attempt.rs
+++ b/crates/pinhaven-entry/src/attempt.rs
@@ -13,7 +13,7 @@
 use crate::pool::IDLE_MOST_ONCE;
 use crate::pool::Sender;
 use crate::pool::Sent;
-use crate::snapshot::ServiceEntry;
+use crate::service_entry::ServiceEntry;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -4,6 +4,7 @@
 //! away lives on what its peers know, and one that has no peers asks the store itself.
 
 use crate::entry::Entry;
+use crate::store_pace::Backoff;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_platform::ConfigurationNews;
 use pinhaven_platform::Discovery;
@@ -15,19 +16,11 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// Pause after a failed call to the store, in milliseconds, doubled with each failure in a row.
-const RETRY_FIRST_MS: u64 = 150;
-/// The longest such pause, in milliseconds; the store's return must be noticed within a second.
-const RETRY_MOST_MS: u64 = 800;
 /// How long the store may take to bring a configuration that a peer has already, in milliseconds.
 const STORE_HEAD_START_MS: u64 = 200;
 /// How much later than a peer an entry may learn of a version from the store before its own call there
 /// counts as dead, in milliseconds. A slow store takes up to 400.
 const STORE_BEHIND_MOST_MS: u64 = 1_500;
-/// The least and the most age, in milliseconds, until which an entry asks only its seeds, drawn by each.
-/// A seed that lives answers within a few milliseconds. When all have just started, the first few ask the
-/// store and tell the others, which takes some 100 ms.
-const ASK_PEERS_FIRST_MS: (u64, u64) = (20, 220);
 /// Age until which an entry that others speak with the store for waits for what they have. When all
 /// start together, those have it after a few hundred milliseconds.
 const ASK_PEERS_ONLY: Microseconds = Microseconds::from_ms(700);
@@ -38,27 +31,6 @@
 /// The others notice within 2 s that one that did is gone.
 pub(crate) const DELEGATE_LOOK_MS: u64 = 100;
 
-/// A pause that grows with each failure in a row.
-pub(crate) struct Backoff(u64);
-
-impl Backoff {
-    pub(crate) const fn new() -> Self {
-        Self(RETRY_FIRST_MS)
-    }
-
-    pub(crate) async fn pause(&mut self) {
-        let pause_ms = self.0 / 2 + fastrand::u64(0..=self.0);
-        sleep_ms(pause_ms).await;
-        self.0 = (self.0 * 2).min(RETRY_MOST_MS);
-    }
-}
-
-/// Age at which an entry may first ask the store.
-pub(crate) fn asks_store_from() -> Microseconds {
-    let (least, most) = ASK_PEERS_FIRST_MS;
-    Microseconds::from_ms(fastrand::u64(least..most))
-}
-
 impl Entry {
     /// The store that holds everything, if there is one.
     pub(crate) fn store(&self) -> Option<Arc<dyn Discovery>> {
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -6,12 +6,12 @@
 use crate::counters::Count;
 use crate::counters::Counters;
 use crate::dialect::Dialect;
-use crate::discovered;
 use crate::latencies::Latencies;
 use crate::leaving_news::LeavingNews;
 use crate::news_message::PeerCounts;
 use crate::recent_deltas::RecentDeltas;
 use crate::snapshot::Snapshot;
+use crate::store_pace;
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use pinhaven_agree::Home;
@@ -188,7 +188,7 @@
             store_answers: AtomicBool::new(true),
             follow_anew: event_listener::Event::new(),
             version_from_store: AtomicU64::new(0),
-            asks_store_from: discovered::asks_store_from(),
+            asks_store_from: store_pace::asks_store_from(),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/gossip.rs
@@ -14,7 +14,7 @@
 use crate::gossip_message::to_bytes;
 use crate::gossip_message::to_incarnation;
 use crate::gossip_message::with_beat;
-use crate::relay;
+use crate::relayed;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ExchangeRequest;
@@ -274,7 +274,7 @@
         &self,
         request: Request<RelayOnceRequest>,
     ) -> Result<Response<RelayOnceResponse>, Status> {
-        let answer = relay::answer_relayed(&self.0, request.into_inner()).await;
+        let answer = relayed::answer_relayed(&self.0, request.into_inner()).await;
         Ok(Response::new(answer))
     }
 }
--- a/crates/pinhaven-entry/src/job.rs
+++ b/crates/pinhaven-entry/src/job.rs
@@ -3,7 +3,7 @@
 use crate::body::RequestBody;
 use crate::entry::Entry;
 use crate::routes::Routed;
-use crate::snapshot::ServiceEntry;
+use crate::service_entry::ServiceEntry;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -48,14 +48,17 @@
 mod recent_deltas;
 mod recipients;
 mod relay;
+mod relayed;
 mod reload;
 mod routes;
 mod seats;
+mod service_entry;
 mod snapshot;
 mod speed_probes;
 mod start;
 mod status;
 mod stop;
+mod store_pace;
 mod subject;
 
 pub use dialect::AddressQuestion;
--- a/crates/pinhaven-entry/src/listed_targets.rs
+++ b/crates/pinhaven-entry/src/listed_targets.rs
@@ -1,8 +1,8 @@
 //! The list of targets: read from the store by whoever's turn it is, else taken from a peer.
 
 use crate::counters::Count;
-use crate::discovered::Backoff;
 use crate::entry::Entry;
+use crate::store_pace::Backoff;
 use http::Request;
 use http::Response;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/peer_rows.rs
+++ b/crates/pinhaven-entry/src/peer_rows.rs
@@ -2,9 +2,9 @@
 //!
 //! Few entries keep one: those that speak with the store for all.
 
-use crate::discovered::Backoff;
 use crate::discovered::DELEGATE_LOOK_MS;
 use crate::entry::Entry;
+use crate::store_pace::Backoff;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::PlatformError;
 use pinhaven_runtime::sleep_ms;
--- a/crates/pinhaven-entry/src/probes.rs
+++ b/crates/pinhaven-entry/src/probes.rs
@@ -7,7 +7,7 @@
 use crate::entry::Entry;
 use crate::load_report;
 use crate::pool::no_bytes;
-use crate::snapshot::ServiceEntry;
+use crate::service_entry::ServiceEntry;
 use http::Request;
 use pinhaven_agree::seat_of;
 use pinhaven_decide::ProbeBudget;
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/proxy.rs
@@ -15,7 +15,7 @@
 use crate::once;
 use crate::problem::Problem;
 use crate::routes::Routed;
-use crate::snapshot::ServiceEntry;
+use crate::service_entry::ServiceEntry;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
--- a/crates/pinhaven-entry/src/relay.rs
+++ b/crates/pinhaven-entry/src/relay.rs
@@ -1,21 +1,16 @@
-//! Handing a once-only request to its home.
+//! Handing a once-only request to its home, on this entry's side.
 
-use crate::body::RequestBody;
 use crate::counters::Count;
 use crate::entry::Entry;
 use crate::header;
-use crate::hold::CallerHold;
 use crate::job::Job;
-use crate::once;
 use crate::problem::Problem;
-use crate::routes::Routed;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt as _;
 use pinhaven_agree::Home;
 use pinhaven_agree::MemberState;
 use pinhaven_decide::RunState;
@@ -25,10 +20,7 @@
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::Digest;
-use pinhaven_types::Microseconds;
-use pinhaven_types::ServiceName;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Hands a request to its home and waits for the answer.
@@ -69,98 +61,11 @@
 }
 
 /// The home may have dispatched the request before it was lost, so nobody may dispatch it again.
-fn home_lost(entry: &Entry, detail: &str) -> Problem {
+pub(crate) fn home_lost(entry: &Entry, detail: &str) -> Problem {
     entry.counters.add(Count::OnceUnknown);
     Problem::unknown(StatusCode::BAD_GATEWAY, "outcome_unknown", detail)
 }
 
-/// Answers a request that another entry relayed.
-pub(crate) async fn answer_relayed(
-    entry: &Arc<Entry>,
-    request: RelayOnceRequest,
-) -> RelayOnceResponse {
-    let response = match take_relayed(entry, request) {
-        Err(problem) => problem.into_response(),
-        Ok(relayed) => {
-            let hold = CallerHold {
-                _in_flight: Some(entry.enter()),
-                _memory: None,
-            };
-            let Relayed {
-                job,
-                home,
-                key,
-                bytes,
-            } = relayed;
-            once::run_at_home(job, hold, home.epoch, key, bytes).await
-        }
-    };
-    to_answer(response).await
-}
-
-struct Relayed {
-    job: Job,
-    home: Home,
-    key: Digest,
-    bytes: Bytes,
-}
-
-fn take_relayed(entry: &Arc<Entry>, request: RelayOnceRequest) -> Result<Relayed, Problem> {
-    let bad = |what: &str| {
-        entry.counters.add(Count::BadRequest);
-        Problem::not_run(StatusCode::BAD_REQUEST, "bad_relay", what)
-    };
-    let home: Home = request.home.parse().map_err(|_| bad("bad home"))?;
-    if home.incarnation != entry.incarnation {
-        return Err(home_lost(
-            entry,
-            "its home was replaced by another instance",
-        ));
-    }
-    let name: ServiceName = request.service.parse().map_err(|_| bad("bad service"))?;
-    let key: Digest = request.key_digest.parse().map_err(|_| bad("bad key"))?;
-    let method = request.method.parse().map_err(|_| bad("bad method"))?;
-    let uri = request
-        .path_and_query
-        .parse()
-        .map_err(|_| bad("bad path"))?;
-    let snapshot = entry.snapshot.load();
-    let service = snapshot.services.get(&name).cloned();
-    let service = service.ok_or_else(|| bad("unknown service"))?;
-    let bytes = Bytes::from(request.body);
-    let deadline = Microseconds::from_ms(request.deadline_ms);
-    let job = Job {
-        entry: Arc::clone(entry),
-        service,
-        routed: Routed::default(),
-        method,
-        uri,
-        headers: from_fields(request.headers),
-        deadline: entry.now().plus(deadline),
-        waited: Microseconds::ZERO,
-        is_repeatable: false,
-        attempts_most: None,
-        body: RequestBody::Whole(bytes.clone()),
-    };
-    Ok(Relayed {
-        job,
-        home,
-        key,
-        bytes,
-    })
-}
-
-async fn to_answer(response: Response<AnyBody>) -> RelayOnceResponse {
-    let (head, body) = response.into_parts();
-    // Answers of once-only requests are whole before they are relayed.
-    let body = body.collect().await.map(|body| body.to_bytes());
-    RelayOnceResponse {
-        status: u32::from(head.status.as_u16()),
-        headers: to_fields(&head.headers),
-        body: body.unwrap_or_default().to_vec(),
-    }
-}
-
 fn from_answer(answer: RelayOnceResponse) -> Response<AnyBody> {
     let status = u16::try_from(answer.status).ok();
     let Some(status) = status.and_then(|status| StatusCode::from_u16(status).ok()) else {
@@ -180,7 +85,7 @@
     response
 }
 
-fn to_fields(headers: &HeaderMap) -> Vec<Header> {
+pub(crate) fn to_fields(headers: &HeaderMap) -> Vec<Header> {
     let field = |(name, value): (&HeaderName, &HeaderValue)| Header {
         name: name.to_string(),
         value: value.as_bytes().to_vec(),
@@ -188,7 +93,7 @@
     headers.iter().map(field).collect()
 }
 
-fn from_fields(fields: Vec<Header>) -> HeaderMap {
+pub(crate) fn from_fields(fields: Vec<Header>) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for field in fields {
         let name = HeaderName::try_from(field.name);
--- /dev/null
+++ b/crates/pinhaven-entry/src/relayed.rs
@@ -0,0 +1,112 @@
+//! Taking a once-only request that another entry relayed to its home, this entry.
+
+use crate::body::RequestBody;
+use crate::counters::Count;
+use crate::entry::Entry;
+use crate::hold::CallerHold;
+use crate::job::Job;
+use crate::once;
+use crate::problem::Problem;
+use crate::relay::from_fields;
+use crate::relay::home_lost;
+use crate::relay::to_fields;
+use crate::routes::Routed;
+use bytes::Bytes;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt as _;
+use pinhaven_agree::Home;
+use pinhaven_peer::RelayOnceRequest;
+use pinhaven_peer::RelayOnceResponse;
+use pinhaven_runtime::AnyBody;
+use pinhaven_types::Digest;
+use pinhaven_types::Microseconds;
+use pinhaven_types::ServiceName;
+use std::sync::Arc;
+
+/// Answers a request that another entry relayed.
+pub(crate) async fn answer_relayed(
+    entry: &Arc<Entry>,
+    request: RelayOnceRequest,
+) -> RelayOnceResponse {
+    let response = match take_relayed(entry, request) {
+        Err(problem) => problem.into_response(),
+        Ok(relayed) => {
+            let hold = CallerHold {
+                _in_flight: Some(entry.enter()),
+                _memory: None,
+            };
+            let Relayed {
+                job,
+                home,
+                key,
+                bytes,
+            } = relayed;
+            once::run_at_home(job, hold, home.epoch, key, bytes).await
+        }
+    };
+    to_answer(response).await
+}
+
+struct Relayed {
+    job: Job,
+    home: Home,
+    key: Digest,
+    bytes: Bytes,
+}
+
+fn take_relayed(entry: &Arc<Entry>, request: RelayOnceRequest) -> Result<Relayed, Problem> {
+    let bad = |what: &str| {
+        entry.counters.add(Count::BadRequest);
+        Problem::not_run(StatusCode::BAD_REQUEST, "bad_relay", what)
+    };
+    let home: Home = request.home.parse().map_err(|_| bad("bad home"))?;
+    if home.incarnation != entry.incarnation {
+        return Err(home_lost(
+            entry,
+            "its home was replaced by another instance",
+        ));
+    }
+    let name: ServiceName = request.service.parse().map_err(|_| bad("bad service"))?;
+    let key: Digest = request.key_digest.parse().map_err(|_| bad("bad key"))?;
+    let method = request.method.parse().map_err(|_| bad("bad method"))?;
+    let uri = request
+        .path_and_query
+        .parse()
+        .map_err(|_| bad("bad path"))?;
+    let snapshot = entry.snapshot.load();
+    let service = snapshot.services.get(&name).cloned();
+    let service = service.ok_or_else(|| bad("unknown service"))?;
+    let bytes = Bytes::from(request.body);
+    let deadline = Microseconds::from_ms(request.deadline_ms);
+    let job = Job {
+        entry: Arc::clone(entry),
+        service,
+        routed: Routed::default(),
+        method,
+        uri,
+        headers: from_fields(request.headers),
+        deadline: entry.now().plus(deadline),
+        waited: Microseconds::ZERO,
+        is_repeatable: false,
+        attempts_most: None,
+        body: RequestBody::Whole(bytes.clone()),
+    };
+    Ok(Relayed {
+        job,
+        home,
+        key,
+        bytes,
+    })
+}
+
+async fn to_answer(response: Response<AnyBody>) -> RelayOnceResponse {
+    let (head, body) = response.into_parts();
+    // Answers of once-only requests are whole before they are relayed.
+    let body = body.collect().await.map(|body| body.to_bytes());
+    RelayOnceResponse {
+        status: u32::from(head.status.as_u16()),
+        headers: to_fields(&head.headers),
+        body: body.unwrap_or_default().to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-entry/src/service_entry.rs
@@ -0,0 +1,53 @@
+//! A service as a request finds it: its configuration, what is known of its targets, and connections.
+
+use crate::places::Places;
+use crate::pool::TargetPool;
+use pinhaven_bundle::Service;
+use pinhaven_bundle::Target;
+use pinhaven_decide::ServiceState;
+use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetAddress;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A service in one version.
+pub(crate) struct ServiceEntry {
+    pub(crate) config: Service,
+    pub(crate) state: Arc<ServiceState>,
+    pub(crate) pools: HashMap<TargetAddress, Arc<TargetPool>>,
+    /// Notified when a request of the service leaves its place.
+    pub(crate) place_freed: Arc<Places>,
+}
+
+/// A service of a new version, with what is known from the one before.
+pub(crate) fn service_entry(
+    service: &Service,
+    domain: &FailureDomain,
+    previous: Option<&Arc<ServiceEntry>>,
+    now: Microseconds,
+) -> Arc<ServiceEntry> {
+    if let Some(previous) = previous.filter(|previous| previous.config == *service) {
+        return Arc::clone(previous);
+    }
+    let state = ServiceState::new(service, previous.map(|p| &*p.state), now).with_domain(domain);
+    let pool_of = |target: &Target| {
+        // Connections to another target that had the address before are of no use.
+        let is_same = |previous: &&Arc<ServiceEntry>| {
+            let known = previous.state.target(target.address);
+            known.is_some_and(|known| known.id() == target.id.as_ref())
+        };
+        let known = previous
+            .filter(is_same)
+            .and_then(|previous| previous.pools.get(&target.address));
+        (target.address, known.cloned().unwrap_or_default())
+    };
+    Arc::new(ServiceEntry {
+        config: service.clone(),
+        state: Arc::new(state),
+        pools: service.targets.iter().map(pool_of).collect(),
+        place_freed: previous
+            .map(|previous| Arc::clone(&previous.place_freed))
+            .unwrap_or_default(),
+    })
+}
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/snapshot.rs
@@ -1,9 +1,9 @@
 //! What a request's path reads: one snapshot of the version in force, replaced as a whole.
 
-use crate::places::Places;
-use crate::pool::TargetPool;
 use crate::routes::RouteEntry;
 use crate::routes::RouteTable;
+use crate::service_entry::ServiceEntry;
+use crate::service_entry::service_entry;
 use pinhaven_agree::ListedTarget;
 use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
@@ -12,13 +12,11 @@
 use pinhaven_bundle::Service;
 use pinhaven_bundle::Target;
 use pinhaven_bundle::TargetState;
-use pinhaven_decide::ServiceState;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Digest;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
-use pinhaven_types::TargetAddress;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::LazyLock;
@@ -36,15 +34,6 @@
     limits: None,
 });
 
-/// A service in one version.
-pub(crate) struct ServiceEntry {
-    pub(crate) config: Service,
-    pub(crate) state: Arc<ServiceState>,
-    pub(crate) pools: HashMap<TargetAddress, Arc<TargetPool>>,
-    /// Notified when a request of the service leaves its place.
-    pub(crate) place_freed: Arc<Places>,
-}
-
 /// All services in one version.
 pub(crate) struct Snapshot {
     pub(crate) version: BundleVersion,
@@ -226,34 +215,3 @@
         ..Target::new(listed.address, listed.failure_domain.clone())
     }
 }
-
-fn service_entry(
-    service: &Service,
-    domain: &FailureDomain,
-    previous: Option<&Arc<ServiceEntry>>,
-    now: Microseconds,
-) -> Arc<ServiceEntry> {
-    if let Some(previous) = previous.filter(|previous| previous.config == *service) {
-        return Arc::clone(previous);
-    }
-    let state = ServiceState::new(service, previous.map(|p| &*p.state), now).with_domain(domain);
-    let pool_of = |target: &Target| {
-        // Connections to another target that had the address before are of no use.
-        let is_same = |previous: &&Arc<ServiceEntry>| {
-            let known = previous.state.target(target.address);
-            known.is_some_and(|known| known.id() == target.id.as_ref())
-        };
-        let known = previous
-            .filter(is_same)
-            .and_then(|previous| previous.pools.get(&target.address));
-        (target.address, known.cloned().unwrap_or_default())
-    };
-    Arc::new(ServiceEntry {
-        config: service.clone(),
-        state: Arc::new(state),
-        pools: service.targets.iter().map(pool_of).collect(),
-        place_freed: previous
-            .map(|previous| Arc::clone(&previous.place_freed))
-            .unwrap_or_default(),
-    })
-}
--- a/crates/pinhaven-lab/src/emulate/entry.rs
+++ b/crates/pinhaven-lab/src/emulate/entry.rs
@@ -1,9 +1,6 @@
 //! An entry in emulated time: the product's own state of a service.
 
 use super::plan::EmulationPlan;
-use super::world::CALLER_WAYS_MS;
-use super::world::FIRST_PORT;
-use super::world::START_MS;
 use pinhaven_decide::RouteState;
 use pinhaven_decide::ServiceState;
 use pinhaven_types::Microseconds;
@@ -11,6 +8,13 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+/// Way between a caller and an entry and back, in milliseconds; it counts against the aim.
+pub(super) const CALLER_WAYS_MS: f64 = 17.0;
+/// Where the emulated clock begins; zero means never in the product.
+pub(super) const START_MS: f64 = 1_000_000.0;
+/// Where emulated targets are said to listen: one address each.
+pub(super) const FIRST_PORT: usize = 10_000;
+
 /// An entry: its own view of the service and of the routes.
 pub(super) struct EmulatedEntry {
     pub(super) service: Arc<ServiceState>,
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -1,7 +1,10 @@
 //! Entries, targets and callers in emulated time. The entries' decisions are the product's own; what is
 //! emulated is what they meet.
 
+use super::entry::CALLER_WAYS_MS;
 use super::entry::EmulatedEntry;
+use super::entry::FIRST_PORT;
+use super::entry::START_MS;
 use super::entry::entry_of;
 use super::outcome::Outcome;
 use super::outcome::Tally;
@@ -28,18 +31,12 @@
 
 /// Way between an entry and a target, in milliseconds.
 const WAY_MS: f64 = 0.7;
-/// Way between a caller and an entry and back, in milliseconds; it counts against the aim.
-pub(super) const CALLER_WAYS_MS: f64 = 17.0;
 /// Spread of the work of one kind (sigma of its logarithm).
 const WORK_SIGMA: f64 = 0.3;
 /// Times that a caller comes back after a refusal.
 const COMEBACKS: u32 = 2;
-/// Where the emulated clock begins; zero means never in the product.
-pub(super) const START_MS: f64 = 1_000_000.0;
 /// Time between two looks for targets to ask, in milliseconds.
 const PROBE_TICK_MS: f64 = 15.0;
-/// Where emulated targets are said to listen: one address each.
-pub(super) const FIRST_PORT: usize = 10_000;
 
 /// One request of a caller, over all its tries.
 struct Call {
