Split the lab and the stand-in caller by their jobs

The lab: start, bundles, entries, faults, observing, each in a file under `lab/`; the caller: settings, report and the caller itself. No change of behaviour; lines are moved as they were.

--- /dev/null
+++ b/crates/pinhaven-lab/src/lab/entries.rs
@@ -0,0 +1,133 @@
+//! The entries of a lab: started, found and ended.
+
+use super::Lab;
+use super::LabError;
+use super::bundles::SIGNER;
+use crate::process::Process;
+use crate::process::sibling;
+use serde_json::Value;
+use serde_json::json;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+impl Lab {
+    /// Name of the entry with an index.
+    pub fn entry_name(index: usize) -> String {
+        format!("entry-{index}")
+    }
+
+    /// Starts the entry with an index, anew if it ran before.
+    ///
+    /// # Errors
+    ///
+    /// [`LabError`] when the process can't be started.
+    pub fn start_entry(&mut self, index: usize) -> Result<(), LabError> {
+        self.start_entry_process(index, &json!({}))
+    }
+
+    /// Starts an entry with more settings at a peer address that is known beforehand, so that it can
+    /// be asked while the platform is down.
+    ///
+    /// # Errors
+    ///
+    /// [`LabError`] when the process can't be started.
+    pub fn start_entry_with(
+        &mut self,
+        index: usize,
+        settings: Value,
+    ) -> Result<SocketAddr, LabError> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(LabError::new)?;
+        let address = listener.local_addr().map_err(LabError::new)?;
+        drop(listener);
+        let mut settings = settings;
+        settings["peer_address"] = json!(address);
+        self.start_entry_process(index, &settings)?;
+        self.peer_addresses.insert(Self::entry_name(index), address);
+        Ok(address)
+    }
+
+    /// Where the entry with an index listened for peers when the lab last looked.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it was never ready.
+    pub fn peer_address(&self, index: usize) -> SocketAddr {
+        self.peer_addresses[&Self::entry_name(index)]
+    }
+
+    pub(super) fn start_entry_process(
+        &mut self,
+        index: usize,
+        more: &Value,
+    ) -> Result<(), LabError> {
+        let name = Self::entry_name(index);
+        let domain = &self.plan.domains[index % self.plan.domains.len()];
+        let mut settings = json!({
+            "instance_id": name,
+            "failure_domain": domain,
+            "caller_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "table_address": self.platform,
+            "object_address": self.platform,
+            "trusted_signers": [{"name": SIGNER, "public_key": self.public_key}],
+            "head_poll_ms": 200,
+            "gossip_ms": 200,
+        });
+        for fields in [&self.plan.settings, more] {
+            if let (Some(all), Some(fields)) = (settings.as_object_mut(), fields.as_object()) {
+                all.extend(fields.clone());
+            }
+        }
+        let file = self.folder.join(format!("{name}.json"));
+        std::fs::write(&file, settings.to_string()).map_err(LabError::new)?;
+        let arguments = [
+            "entry".to_owned(),
+            "--settings".to_owned(),
+            file.display().to_string(),
+        ];
+        let log = self.folder.join(format!("{name}.log"));
+        let (process, _) = Process::start(&sibling("pinhaven"), &arguments, &log, false)
+            .map_err(|error| LabError::new(format!("starting {name}: {error}")))?;
+        self.entries.insert(name, process);
+        Ok(())
+    }
+
+    /// The process of the entry with an index.
+    ///
+    /// # Panics
+    ///
+    /// Panics when it was never started.
+    pub fn entry(&mut self, index: usize) -> &mut Process {
+        let name = Self::entry_name(index);
+        let process = self.entries.get_mut(&name);
+        process.unwrap_or_else(|| panic!("{name} was never started"))
+    }
+
+    /// The processes of all entries.
+    pub fn entry_processes(&self) -> impl Iterator<Item = &Process> {
+        self.entries.values()
+    }
+
+    /// Freezes, lets go or ends the targets of the service with this index.
+    pub fn target_process(&mut self, service: usize) -> &mut Process {
+        &mut self.target_processes[service]
+    }
+
+    /// Processor time of all entries so far, in seconds.
+    pub fn entries_cpu_s(&self) -> f64 {
+        let times = self.entry_processes().map(Process::cpu_time);
+        times.map(|time| time.as_secs_f64()).sum()
+    }
+
+    /// Memory of the entry that holds most, in millions of bytes.
+    pub fn entry_memory_mb(&self) -> f64 {
+        let most = self.entry_processes().map(Process::memory_bytes).max();
+        most.unwrap_or_default() as f64 / 1e6
+    }
+
+    /// Kills the entry with an index and forgets it.
+    pub fn kill_entry(&mut self, index: usize) {
+        self.entries.remove(&Self::entry_name(index));
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/lab/error.rs
@@ -0,0 +1,22 @@
+//! Why a lab could not do something.
+
+use std::fmt;
+
+/// Why a lab could not do something.
+#[derive(Debug)]
+pub struct LabError(String);
+
+impl LabError {
+    /// An error with a message.
+    pub fn new(message: impl fmt::Display) -> Self {
+        Self(message.to_string())
+    }
+}
+
+impl fmt::Display for LabError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for LabError {}
--- a/crates/pinhaven-stand-in/src/caller.rs
+++ b/crates/pinhaven-stand-in/src/caller/mod.rs
@@ -3,8 +3,15 @@
 //! Requests leave at the times of a Poisson process whether or not earlier ones were answered, and
 //! each is timed from the moment it was due. Every answer is checked to be whole and the caller's own.
 
+mod report;
+mod settings;
+
+pub use report::CallerReport;
+pub use report::ClassReport;
+pub use report::Outcome;
+pub use settings::CallerSettings;
+
 use bytes::Bytes;
-use hdrhistogram::Histogram;
 use http::HeaderMap;
 use http::Method;
 use http::Request;
@@ -16,8 +23,8 @@
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
+use report::Class;
 use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -39,189 +46,6 @@
 const ASK_AGAIN_TIMES: usize = 20;
 /// Entries that a caller remembers.
 const KNOWN_MAX: usize = 32;
-/// The longest latency that is told apart, in microseconds.
-const LATENCY_US_MAX: u64 = 60_000_000;
-
-/// What a caller does.
-#[derive(Debug, Clone)]
-pub struct CallerSettings {
-    /// Entries to ask first.
-    pub seeds: Vec<SocketAddr>,
-    /// Targets to call without an entry; entries are used when it is empty.
-    pub direct: Vec<SocketAddr>,
-    /// Name of the service.
-    pub service: String,
-    /// Value of the `Host` header.
-    pub host: String,
-    /// Failure domain of the caller.
-    pub domain: String,
-    /// Requests a second.
-    pub rate_per_s: f64,
-    /// Time during which requests are sent, in milliseconds.
-    pub duration_ms: u64,
-    /// Time at the start whose requests are not counted, in milliseconds.
-    pub warm_up_ms: u64,
-    /// Share of requests that may not be repeated, in percent.
-    pub once_percent: u8,
-    /// Whether once-only requests name a home.
-    pub names_home: bool,
-    /// Deadline of each request, in milliseconds.
-    pub deadline_ms: u64,
-    /// Bytes in the body of a once-only request.
-    pub body_bytes: usize,
-    /// Seed of its randomness.
-    pub seed: u64,
-}
-
-impl CallerSettings {
-    /// A caller of a service that sends `rate_per_s` for `duration_ms`.
-    pub fn new(seeds: Vec<SocketAddr>, service: &str, rate_per_s: f64, duration_ms: u64) -> Self {
-        Self {
-            seeds,
-            direct: Vec::new(),
-            service: service.to_owned(),
-            host: service.to_owned(),
-            domain: "none".to_owned(),
-            rate_per_s,
-            duration_ms,
-            warm_up_ms: 0,
-            once_percent: 0,
-            names_home: true,
-            deadline_ms: 1_000,
-            body_bytes: 64,
-            seed: 1,
-        }
-    }
-}
-
-/// How a request ended for its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Outcome {
-    /// A whole answer of its own.
-    Answered,
-    /// Refused, with the reason and whether it ran.
-    Refused {
-        /// The reason's name.
-        reason: String,
-        /// `run`, `not-run` or `unknown`.
-        run: String,
-        /// Whether it was told when to come back.
-        has_retry_after: bool,
-    },
-    /// An answer that was cut, seen to be cut.
-    Cut,
-    /// An answer that belonged to another request, or was not whole but looked so.
-    Wrong,
-    /// No entry could be reached.
-    Unreachable,
-    /// No answer at all.
-    Silent,
-}
-
-/// What became of the requests of one kind.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct ClassReport {
-    /// Requests sent.
-    pub sent: u64,
-    /// Whole answers.
-    pub answered: u64,
-    /// Whole answers before the deadline.
-    pub in_time: u64,
-    /// Refusals by reason and run state.
-    pub refused: BTreeMap<String, u64>,
-    /// Refusals that did not say when to come back.
-    pub without_retry_after: u64,
-    /// Answers seen to be cut.
-    pub cut: u64,
-    /// Answers that were another's, or cut without a sign.
-    pub wrong: u64,
-    /// Requests that found no entry.
-    pub unreachable: u64,
-    /// Requests that got no answer at all.
-    pub silent: u64,
-    /// Median latency of answers, in milliseconds.
-    pub p50_ms: f64,
-    /// 99th percentile, in milliseconds.
-    pub p99_ms: f64,
-    /// 99.9th percentile, in milliseconds.
-    pub p999_ms: f64,
-    /// The longest time to a refusal, in milliseconds.
-    pub refusal_most_ms: f64,
-}
-
-/// What became of all requests.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
-pub struct CallerReport {
-    /// Those that may be repeated.
-    pub repeatable: ClassReport,
-    /// Those that may not.
-    pub once: ClassReport,
-    /// What was said of each once-only request, by key: `run`, `not-run` or `unknown`.
-    pub once_said: BTreeMap<String, String>,
-}
-
-impl CallerReport {
-    /// Whether every answer was whole and its caller's own.
-    pub fn is_clean(&self) -> bool {
-        [&self.repeatable, &self.once]
-            .iter()
-            .all(|class| class.wrong == 0)
-    }
-}
-
-struct Class {
-    report: ClassReport,
-    latency: Histogram<u64>,
-    refusal_most: Duration,
-}
-
-impl Class {
-    fn new() -> Self {
-        let latency = Histogram::new_with_max(LATENCY_US_MAX, 3);
-        Self {
-            report: ClassReport::default(),
-            latency: latency.unwrap_or_else(|_| unreachable!("the bounds are constants")),
-            refusal_most: Duration::ZERO,
-        }
-    }
-
-    fn record(&mut self, outcome: &Outcome, latency: Duration, deadline: Duration) {
-        let report = &mut self.report;
-        report.sent += 1;
-        match outcome {
-            Outcome::Answered => {
-                report.answered += 1;
-                report.in_time += u64::from(latency <= deadline);
-                let latency_us = latency.as_micros() as u64;
-                self.latency.saturating_record(latency_us.max(1));
-            }
-            Outcome::Refused {
-                reason,
-                run,
-                has_retry_after,
-            } => {
-                *report.refused.entry(format!("{reason}/{run}")).or_default() += 1;
-                report.without_retry_after += u64::from(!has_retry_after);
-                self.refusal_most = self.refusal_most.max(latency);
-            }
-            Outcome::Cut => report.cut += 1,
-            Outcome::Wrong => report.wrong += 1,
-            Outcome::Unreachable => report.unreachable += 1,
-            Outcome::Silent => report.silent += 1,
-        }
-    }
-
-    fn into_report(self) -> ClassReport {
-        let at = |quantile| self.latency.value_at_quantile(quantile) as f64 / 1_000.0;
-        ClassReport {
-            p50_ms: at(0.5),
-            p99_ms: at(0.99),
-            p999_ms: at(0.999),
-            refusal_most_ms: self.refusal_most.as_secs_f64() * 1_000.0,
-            ..self.report
-        }
-    }
-}
 
 /// An entry as an address answer names it.
 #[derive(Debug, Clone, Deserialize)]
