--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -8,8 +8,10 @@
 mod demand;
 mod ledger;
 mod membership;
+mod retry_pause;
 mod seat;
 mod steering;
+mod store_lag;
 mod target_list;
 mod version;
 
@@ -29,10 +31,12 @@
 pub use membership::MemberRow;
 pub use membership::MemberState;
 pub use membership::Membership;
+pub use retry_pause::RetryPause;
 pub use seat::SeatAction;
 pub use seat::SeatKeeper;
 pub use seat::SeatRow;
 pub use seat::seat_of;
+pub use store_lag::StoreLag;
 pub use target_list::KnownTargets;
 pub use target_list::ListedTarget;
 pub use target_list::PeerList;
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -221,7 +221,8 @@
         self.peer_steady_since = self
             .peer_steady_since
             .map_or(Some(since), |known| Some(known.min(since)));
-        if self.was_cut_off() && self.keep_until.is_some() {
+        // A further failure of this entry's own puts the end off, but tells nothing of the store.
+        if self.was_cut_off() && !self.kept.is_empty() {
             self.keep_until = Some(Microseconds::ZERO);
         }
     }
@@ -247,14 +248,18 @@
 
     /// Forgets targets that had time to return and did not. Returns whether there were any.
     pub fn expire_kept(&mut self, now: Microseconds) -> bool {
-        let is_over = self.keep_until.is_some_and(|until| now >= until);
-        if !is_over {
+        if !self.has_expired(now) {
             return false;
         }
         self.keep_until = None;
         !std::mem::take(&mut self.kept).is_empty()
     }
 
+    /// Whether targets that are kept had time to return.
+    pub fn has_expired(&self, now: Microseconds) -> bool {
+        self.keep_until.is_some_and(|until| now >= until)
+    }
+
     /// What is to be done about a list of a peer, to whom the store confirmed it at `confirmed_at`;
     /// [`Microseconds::ZERO`] if the peer has it from others.
     pub fn hear(&mut self, revision: u64, digest: u64, confirmed_at: Microseconds) -> PeerList {
--- /dev/null
+++ b/crates/pinhaven-agree/tests/store_pace.rs
@@ -0,0 +1,59 @@
+//! How entries ask the store when it fails them.
+
+use pinhaven_agree::RetryPause;
+use pinhaven_agree::StoreLag;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
+
+const OUTAGE: Microseconds = Microseconds::from_ms(3_000);
+
+/// Calls that an entry makes in an outage, at the middle of what is drawn.
+fn calls_in_outage(rank: u32) -> u32 {
+    let mut pause = RetryPause::default();
+    let mut spent = Microseconds::ZERO;
+    let mut calls = 0;
+    while spent < OUTAGE {
+        calls += 1;
+        spent = spent.plus(pause.next(rank, 0.5));
+    }
+    calls
+}
+
+#[test]
+fn the_first_entries_notice_the_return_of_the_store_within_a_second() {
+    for rank in 0..8 {
+        let mut pause = RetryPause::default();
+        for _ in 0..10 {
+            assert!(pause.next(rank, 0.5) <= Microseconds::from_ms(1_000));
+        }
+    }
+}
+
+#[test]
+fn the_more_entries_fail_the_less_each_of_the_later_ones_calls() {
+    let first = calls_in_outage(0);
+    let all: u32 = (0..100).map(calls_in_outage).sum();
+    assert!(first >= 4, "{first}");
+    assert!(all < 300, "{all} calls of 100 entries in an outage of 3 s");
+}
+
+#[test]
+fn a_version_that_many_peers_tell_of_is_expected_from_the_store_once() {
+    let mut lag = StoreLag::default();
+    let (third, fourth) = (BundleVersion::new(3), BundleVersion::new(4));
+    let told = (0..50).filter(|_| lag.expect(third)).count();
+    assert_eq!(told, 1);
+    assert!(lag.lacks(third));
+    lag.take(third);
+    assert!(!lag.lacks(third));
+    assert!(lag.expect(fourth));
+    assert!(!lag.expect(third), "what the store brought is not expected");
+}
+
+#[test]
+fn a_newer_version_from_the_store_stands_for_those_before() {
+    let mut lag = StoreLag::default();
+    lag.take(BundleVersion::new(9));
+    assert!(!lag.expect(BundleVersion::new(8)));
+    assert!(!lag.lacks(BundleVersion::new(8)));
+}
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -174,6 +174,23 @@
     assert_eq!(ids(&known), ["i-1"]);
 }
 
+#[test]
+fn what_is_kept_is_let_go_when_only_this_entry_goes_on_failing() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [1, 2]), at_ms(0));
+    known.take_failure(at_ms(2_800));
+    // A peer that has begun to read only now proves nothing yet.
+    known.hear_steady(at_ms(1_600));
+    assert!(known.take_peer_list(list(9, [1]), at_ms(4_700), at_ms(4_780)));
+    assert_eq!(ids(&known), ["i-1", "i-2"]);
+    known.take_failure(at_ms(4_860));
+    assert!(!known.expire_kept(at_ms(4_870)));
+    // It has read on while this entry failed again.
+    known.hear_steady(at_ms(1_600));
+    assert!(known.expire_kept(at_ms(4_900)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
 #[test]
 fn lapsed_targets_are_kept_though_others_regained_the_store_a_little_sooner() {
     let mut known = KnownTargets::new();
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/discovered.rs
@@ -4,7 +4,9 @@
 //! away lives on what its peers know, and one that has no peers asks the store itself.
 
 use crate::entry::Entry;
-use crate::store_pace::Backoff;
+use crate::store_pace::FIRST_RANK;
+use crate::store_pace::pause_before_retry;
+use pinhaven_agree::RetryPause;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_platform::ConfigurationNews;
 use pinhaven_platform::Discovery;
@@ -14,7 +16,6 @@
 use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 /// How long the store may take to bring a configuration that a peer has already, in milliseconds.
 const STORE_HEAD_START_MS: u64 = 200;
@@ -43,7 +44,7 @@
             return;
         };
         let mut position = None;
-        let mut backoff = Backoff::new();
+        let mut pause = RetryPause::default();
         loop {
             let is_in_force = self.version.lock().version() > BundleVersion::NONE;
             if !self.speaks_with_store(is_in_force) {
@@ -64,7 +65,7 @@
             };
             match self.count_platform(news) {
                 Ok(news) => {
-                    backoff = Backoff::new();
+                    pause = RetryPause::default();
                     position = Some(news.position);
                     let is_there = news.bundle.is_some();
                     self.take_configuration(news).await;
@@ -78,7 +79,7 @@
                     log::warn!(target: "bundle", "The configuration can't be read: {error}.");
                     // What was missed meanwhile may be gone from the history.
                     position = None;
-                    backoff.pause().await;
+                    pause_before_retry(&mut pause, FIRST_RANK).await;
                 }
             }
         }
@@ -88,8 +89,7 @@
         let Some(bundle) = news.bundle else {
             return;
         };
-        self.version_from_store
-            .fetch_max(bundle.version.number(), Ordering::Relaxed);
+        self.store_lag.lock().take(bundle.version);
         if bundle.version <= self.version.lock().version() {
             return;
         }
@@ -125,17 +125,17 @@
             if version > entry.version.lock().version() {
                 entry.fetch_from(peer).await;
             }
-            if follows {
-                entry.expect_from_store(version).await;
+            if follows && entry.store_lag.lock().expect(version) {
+                entry.watch_store_for(version).await;
             }
         })
         .detach();
     }
 
     /// Follows the configuration anew if the store does not bring a version that a peer has.
-    async fn expect_from_store(&self, version: BundleVersion) {
+    async fn watch_store_for(&self, version: BundleVersion) {
         sleep_ms(STORE_BEHIND_MOST_MS).await;
-        if self.version_from_store.load(Ordering::Relaxed) < version.number() {
+        if self.store_lag.lock().lacks(version) {
             log::info!(target: "bundle", "The store has not brought version {version}; it is asked anew.");
             self.follow_anew.notify(usize::MAX);
         }
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -22,6 +22,7 @@
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Membership;
 use pinhaven_agree::SeatKeeper;
+use pinhaven_agree::StoreLag;
 use pinhaven_agree::VersionInForce;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
@@ -112,8 +113,8 @@
     pub(crate) store_answers: AtomicBool,
     /// Notified when the call that waits for a new configuration may never hear anything.
     pub(crate) follow_anew: event_listener::Event,
-    /// The newest version that the store itself has given to this entry.
-    pub(crate) version_from_store: AtomicU64,
+    /// What the store has brought, against what peers have.
+    pub(crate) store_lag: Mutex<StoreLag>,
     /// Age of this process from which it may ask the store.
     pub(crate) asks_store_from: Microseconds,
     /// How long callers' connections may be idle, in milliseconds.
@@ -187,7 +188,7 @@
             is_fetching_list: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
             follow_anew: event_listener::Event::new(),
-            version_from_store: AtomicU64::new(0),
+            store_lag: Mutex::default(),
             asks_store_from: store_pace::asks_store_from(),
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
--- a/crates/pinhaven-entry/src/listed_targets.rs
+++ b/crates/pinhaven-entry/src/listed_targets.rs
@@ -2,13 +2,14 @@
 
 use crate::counters::Count;
 use crate::entry::Entry;
-use crate::store_pace::Backoff;
+use crate::store_pace::pause_before_retry;
 use http::Request;
 use http::Response;
 use http::StatusCode;
 use pinhaven_agree::KnownTargets;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::PeerList;
+use pinhaven_agree::RetryPause;
 use pinhaven_agree::TargetList;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::HttpClient;
@@ -31,10 +32,9 @@
 impl Entry {
     /// Reads the list of targets whenever it is this entry's turn, for ever.
     pub(crate) async fn keep_target_list(self: Arc<Self>) {
-        let mut backoff = Backoff::new();
+        let mut pause = RetryPause::default();
         loop {
-            let now = self.now();
-            self.change_targets(|known| known.expire_kept(now));
+            self.expire_targets();
             let rank = self.reader_rank();
             let (due_in, is_known) = {
                 let targets = self.targets.lock();
@@ -45,9 +45,9 @@
             } else if !is_known && !self.speaks_with_store(false) {
                 sleep_ms(LIST_PAUSE_MS.0).await;
             } else if self.read_targets().await {
-                backoff = Backoff::new();
+                pause = RetryPause::default();
             } else {
-                backoff.pause().await;
+                pause_before_retry(&mut pause, rank).await;
             }
         }
     }
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Lets go of targets that had time to return and did not.
+    pub(crate) fn expire_targets(&self) {
+        let now = self.now();
+        let has_expired = self.targets.lock().has_expired(now);
+        if has_expired {
+            self.change_targets(|known| known.expire_kept(now));
+        }
+    }
+
     /// Changes what is known of the targets, and uses it if the change matters.
     fn change_targets(&self, change: impl FnOnce(&mut KnownTargets) -> bool) {
         let (before, after, has_changed) = {
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -323,6 +323,7 @@
                 let steady = Microseconds::from_ms(u64::from(steady_ms));
                 let since = self.now().saturating_sub(steady);
                 self.targets.lock().hear_steady(since);
+                self.expire_targets();
             }
         }
         if is_new || !news.wanted.is_empty() {
--- a/crates/pinhaven-entry/src/peer_rows.rs
+++ b/crates/pinhaven-entry/src/peer_rows.rs
@@ -4,7 +4,9 @@
 
 use crate::discovered::DELEGATE_LOOK_MS;
 use crate::entry::Entry;
-use crate::store_pace::Backoff;
+use crate::store_pace::FIRST_RANK;
+use crate::store_pace::pause_before_retry;
+use pinhaven_agree::RetryPause;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::PlatformError;
 use pinhaven_runtime::sleep_ms;
@@ -30,10 +32,10 @@
         while !self.speaks_with_store(true) {
             sleep_ms(DELEGATE_LOOK_MS).await;
         }
-        let mut backoff = Backoff::new();
+        let mut pause = RetryPause::default();
         while let Err(error) = self.announce(&store).await {
             log::warn!(target: "members", "The own row is not written: {error}.");
-            backoff.pause().await;
+            pause_before_retry(&mut pause, FIRST_RANK).await;
         }
         sleep_ms(FIRST_MEMBER_LOOK_MS).await;
         let mut looks: u32 = 0;
