--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -12,6 +12,7 @@
 use crate::membership::MemberState;
 use crate::membership::Membership;
 use pinhaven_types::FailureDomain;
+use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Region;
 use pinhaven_types::RequestRate;
@@ -98,6 +99,26 @@
         self.place_among(&self.ranked(now, MemberState::Starting))
     }
 
+    /// How many entries come before this one: first those that serve, then the others, best first.
+    pub fn place_among_all(&self, now: Microseconds) -> usize {
+        let own = self.own().incarnation;
+        let serving: Vec<Incarnation> = self
+            .serving(now)
+            .into_iter()
+            .map(|row| row.incarnation)
+            .collect();
+        if let Some(position) = serving.iter().position(|serves| *serves == own) {
+            return position;
+        }
+        let ranked = self.ranked(now, MemberState::Starting);
+        let stand_by = ranked
+            .iter()
+            .map(|(_, row)| row.incarnation)
+            .take_while(|incarnation| *incarnation != own)
+            .filter(|incarnation| !serving.contains(incarnation));
+        serving.len() + stand_by.count()
+    }
+
     fn place_among(&self, ranked: &[Ranked<'_>]) -> usize {
         let own = self.own();
         ranked
--- a/crates/pinhaven-agree/tests/steering.rs
+++ b/crates/pinhaven-agree/tests/steering.rs
@@ -196,3 +196,20 @@
     let lull = meter.record(400, at(11_000)).per_second();
     assert!((95..=105).contains(&lull), "{lull}");
 }
+
+#[test]
+fn each_entry_has_a_place_of_its_own_and_those_that_serve_come_first() {
+    let rows = mixed();
+    let mut places: Vec<usize> = (0..rows.len())
+        .map(|own| {
+            let members = members_of(own, &rows);
+            let place = members.place_among_all(NOW);
+            let serving = members.serving(NOW);
+            let serves = serving.iter().any(|row| **row == rows[own]);
+            assert_eq!(serves, place < serving.len(), "entry {own} at {place}");
+            place
+        })
+        .collect();
+    places.sort_unstable();
+    assert_eq!(places, (0..rows.len()).collect::<Vec<_>>());
+}
--- a/crates/pinhaven-entry/src/listed_targets.rs
+++ b/crates/pinhaven-entry/src/listed_targets.rs
@@ -47,7 +47,8 @@
             } else if self.read_targets().await {
                 pause = RetryPause::default();
             } else {
-                pause_before_retry(&mut pause, rank).await;
+                let place = self.members.lock().place_among_all(self.now());
+                pause_before_retry(&mut pause, place as u32).await;
             }
         }
     }
