--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -346,6 +346,23 @@
     assert_eq!(service.counts().hedges, 1);
 }
 
+#[test]
+fn a_request_is_hedged_only_while_the_budget_has_something_left() {
+    for (at_once, hedges) in [(1.0, 1), (0.0, 0)] {
+        let service = service(2, 4);
+        service.set_added_at_once(at_once, 0.0);
+        report(&service, 0, 1_000, 1.0);
+        report(&service, 1, 1_000, 3.0);
+        let mut driven = Driven::new(&service, true, 1_001);
+        for time_ms in (1_010..1_060).step_by(10) {
+            report(&service, 0, time_ms, 9.0);
+            report(&service, 1, time_ms, 1.0);
+            driven.wait(time_ms);
+        }
+        assert_eq!(driven.attempts.len(), 1 + hedges, "{at_once} at once");
+    }
+}
+
 #[test]
 fn a_request_that_may_not_be_repeated_is_never_hedged() {
     let service = service(2, 4);
