--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -68,6 +68,7 @@
 mod split;
 mod target;
 mod told;
+mod usual_deadline;
 mod waiting;
 
 pub use budget::TokenBudget;
--- a/crates/pinhaven-decide/src/route.rs
+++ b/crates/pinhaven-decide/src/route.rs
@@ -1,10 +1,8 @@
 //! What an entry has learned of one route: how long its requests work.
 
 use crate::atomic::LearnedMedian;
+use crate::usual_deadline::UsualDeadline;
 use pinhaven_types::Microseconds;
-use std::sync::atomic::AtomicI32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 /// Share of a route's aim that its work is thought to take until it has been measured.
 const WORK_FIRST_SHARE: f32 = 0.33;
@@ -18,18 +16,12 @@
 /// The shortest work, in milliseconds; a time of zero would make all targets alike.
 const WORK_LEAST_MS: f32 = 0.2;
 
-/// Lead that a deadline must have over all others before it counts as the usual one, in requests.
-const USUAL_LEAD: i32 = 20;
-/// The most lead that is kept, so that another usual deadline is learned within seconds.
-const USUAL_LEAD_MOST: i32 = 200;
-
 /// A route as one entry sees it.
 #[derive(Debug)]
 pub struct RouteState {
     aim: Microseconds,
     work_ms: LearnedMedian,
-    usual_deadline_us: AtomicU64,
-    usual_lead: AtomicI32,
+    deadlines: UsualDeadline,
 }
 
 impl RouteState {
@@ -41,18 +33,14 @@
                 (aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS),
                 WORK_FIRST_SAMPLES,
             ),
-            usual_deadline_us: AtomicU64::new(0),
-            usual_lead: AtomicI32::new(0),
+            deadlines: UsualDeadline::new(),
         }
     }
 
     /// The same with what was learned of the route in an earlier version.
     pub fn with_learned(self, previous: &Self) -> Self {
         self.work_ms.take_over(&previous.work_ms);
-        let deadline_us = previous.usual_deadline_us.load(Ordering::Relaxed);
-        self.usual_deadline_us.store(deadline_us, Ordering::Relaxed);
-        let lead = previous.usual_lead.load(Ordering::Relaxed);
-        self.usual_lead.store(lead, Ordering::Relaxed);
+        self.deadlines.take_over(&previous.deadlines);
         self
     }
 
@@ -60,24 +48,9 @@
     /// tries that failed. Callers of a route begin with one deadline and name what is left of it on
     /// each further try.
     pub fn waited_before(&self, deadline: Microseconds) -> Microseconds {
-        let usual_us = self.usual_deadline_us.load(Ordering::Relaxed);
-        let lead = self.usual_lead.load(Ordering::Relaxed);
-        if deadline.count() == usual_us {
-            let lead = (lead + 1).min(USUAL_LEAD_MOST);
-            self.usual_lead.store(lead, Ordering::Relaxed);
-            return Microseconds::ZERO;
-        }
-        if lead <= 0 {
-            self.usual_deadline_us
-                .store(deadline.count(), Ordering::Relaxed);
-            self.usual_lead.store(1, Ordering::Relaxed);
-            return Microseconds::ZERO;
-        }
-        self.usual_lead.store(lead - 1, Ordering::Relaxed);
-        if lead < USUAL_LEAD {
-            return Microseconds::ZERO;
-        }
-        Microseconds::new(usual_us).saturating_sub(deadline)
+        self.deadlines.record(deadline);
+        let usual = self.deadlines.usual().unwrap_or(deadline);
+        usual.saturating_sub(deadline)
     }
 
     /// The time within which an answer is worth all it can be.
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -522,6 +522,21 @@
     assert_eq!(waited(700), Microseconds::from_ms(100));
 }
 
+#[test]
+fn how_long_callers_have_waited_is_known_soon_where_most_come_back() {
+    // After an outage three of four requests are further tries, each with what is left of its deadline.
+    let route = RouteState::new(AIM_MS);
+    let mut random = fastrand::Rng::with_seed(3);
+    for _ in 0..10 {
+        for _ in 0..3 {
+            route.waited_before(Microseconds::from_ms(random.u64(300..3_700)));
+        }
+        route.waited_before(Microseconds::from_ms(4_000));
+    }
+    let waited = route.waited_before(Microseconds::from_ms(2_500));
+    assert_eq!(waited, Microseconds::from_ms(1_500));
+}
+
 /// Whatever the weights and wherever it begins, each part gets its share of a few hundred requests.
 #[test]
 fn a_split_keeps_its_weights_over_a_few_hundred_requests() {
