--- a/crates/pinhaven-decide/src/speed.rs
+++ b/crates/pinhaven-decide/src/speed.rs
@@ -11,6 +11,7 @@
 
 use crate::atomic::AtomicF32;
 use pinhaven_types::Microseconds;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -28,17 +29,17 @@
 const MEMORY_MS: f32 = 60_000.0;
 /// Changes that count as seen before any was, so that the first ones don't decide alone.
 const CHANGES_PRIOR: f32 = 4.0;
-/// Logarithm of the odds that work keeps its speed, before any answer told.
-const KEPT_FIRST: f32 = -2.0;
-/// How much more those odds count where work would begin at a slow target. That is the dearer mistake: it
-/// holds a slot for as many times longer as the target is slow. While nothing is known the odds are even.
-const KEPT_CARE: f32 = 2.0;
-/// The most that one answer moves the odds, and the farthest they go, as logarithms: so that no single
-/// answer decides, and another habit of the targets is learned within some ten answers.
-const KEPT_STEP_MOST: f32 = 1.0;
-const KEPT_MOST: f32 = 6.0;
-/// Spread of the work of one route, as the deviation of its logarithm; 0.3 was seen.
-const WORK_SPREAD: f32 = 0.4;
+/// The least weight of one answer in how likely work is to keep its speed. The first answers weigh more:
+/// the second brings the likelihood to two thirds.
+const KEPT_WEIGHT: f32 = 0.05;
+/// Answers until which both are taken to be as likely where work would begin at a slow target. That is the
+/// dearer mistake: it holds a slot for as many times longer as the target is slow.
+const KEPT_SAMPLES_LEAST: u32 = 8;
+/// Shares of answers between which it is in doubt. Some answers tell the wrong thing: those whose target
+/// changed its speed unseen, or was slowed by others.
+const KEPT_DOUBT: (f32, f32) = (0.15, 1.0);
+/// How many times apart the two explanations of an answer's time must be for it to tell which holds.
+const KEPT_APART: f32 = 1.4;
 /// Weight of one report in the mean slowdown of a service.
 const MEAN_WEIGHT: f32 = 0.01;
 
@@ -98,7 +99,8 @@
     mean: AtomicF32,
     observed_ms: AtomicF32,
     changes: AtomicF32,
-    kept_odds: AtomicF32,
+    kept_share: AtomicF32,
+    kept_samples: AtomicU32,
 }
 
 impl ServiceSpeed {
@@ -107,7 +109,8 @@
             mean: AtomicF32::new(1.0),
             observed_ms: AtomicF32::new(LASTING_FIRST_MS * CHANGES_PRIOR),
             changes: AtomicF32::new(CHANGES_PRIOR),
-            kept_odds: AtomicF32::new(KEPT_FIRST),
+            kept_share: AtomicF32::new(0.0),
+            kept_samples: AtomicU32::new(0),
         }
     }
 
@@ -115,30 +118,44 @@
         self.mean.set(previous.mean.get());
         self.observed_ms.set(previous.observed_ms.get());
         self.changes.set(previous.changes.get());
-        self.kept_odds.set(previous.kept_odds.get());
+        self.kept_share.set(previous.kept_share.get());
+        let kept_samples = previous.kept_samples.load(Ordering::Relaxed);
+        self.kept_samples.store(kept_samples, Ordering::Relaxed);
+    }
+
+    /// How likely work is to keep the speed with which it began, from 0 to 1. Until an answer has told,
+    /// it is thought to follow its target's speed.
+    pub(crate) fn kept_share(&self) -> f32 {
+        self.kept_share.get()
     }
 
     /// Whether work rather keeps its speed than follows its target's.
     pub(crate) fn keeps_speed(&self) -> bool {
-        self.kept_odds.get() > 0.0
+        self.kept_share() > 0.5
     }
 
     /// Takes in an answer after `work_ms` were expected: what was done if work follows the target's speed,
-    /// and what was done if it keeps its first one. The likelier of the two gains by how much likelier it
-    /// makes that answer.
+    /// and what was done if it keeps its first one.
     pub(crate) fn record_work(&self, work_ms: f32, done: WorkDone) {
         let (followed, kept) = (off(done.followed_ms, work_ms), off(done.kept_ms, work_ms));
-        let gain = (followed * followed - kept * kept) / (2.0 * WORK_SPREAD * WORK_SPREAD);
-        let step = gain.clamp(-KEPT_STEP_MOST, KEPT_STEP_MOST);
-        self.kept_odds
-            .update(|odds| (odds + step).clamp(-KEPT_MOST, KEPT_MOST));
+        if off(done.followed_ms, done.kept_ms) < KEPT_APART.ln() {
+            return;
+        }
+        let sample = if kept < followed { 1.0 } else { 0.0 };
+        let before = self.kept_samples.fetch_add(1, Ordering::Relaxed);
+        let weight = 1.0 / (before as f32 + 2.0);
+        self.kept_share.blend(sample, weight.max(KEPT_WEIGHT));
     }
 
     /// Time that `work_ms` takes at a target that is slow by `slowdown` when it begins, in milliseconds.
     pub(crate) fn time_for(&self, work_ms: f32, slowdown: f32) -> f32 {
         let followed_ms = self.time_if_followed(work_ms, slowdown);
         let kept_ms = work_ms * slowdown.max(1.0);
-        mean(followed_ms, kept_ms, self.kept_odds.get() + KEPT_CARE)
+        let known = self.blend_kept(followed_ms, kept_ms);
+        if self.kept_samples.load(Ordering::Relaxed) < KEPT_SAMPLES_LEAST {
+            return known.max((followed_ms + kept_ms) / 2.0);
+        }
+        known
     }
 
     /// The same if work follows its target's speed: it is slow for as long as a speed lasts.
@@ -157,12 +174,14 @@
         let slowdown = slowdown.max(1.0);
         let followed = tail_share(self.lasting_ms() / slowdown, work_ms);
         let kept = slowdown * tail_share(self.lasting_ms(), work_ms * slowdown);
-        mean(followed, kept, self.kept_odds.get() + KEPT_CARE)
+        self.blend_kept(followed, kept)
     }
 
-    /// The mean of two figures, by how likely work is to keep its speed.
+    /// The mean of two figures, by how sure it is that work keeps its speed.
     pub(crate) fn blend_kept(&self, if_followed: f32, if_kept: f32) -> f32 {
-        mean(if_followed, if_kept, self.kept_odds.get())
+        let (from, to) = KEPT_DOUBT;
+        let weight = ((self.kept_share() - from) / (to - from)).clamp(0.0, 1.0);
+        if_followed + (if_kept - if_followed) * weight
     }
 
     /// How long a speed lasts on average, in milliseconds.
@@ -197,11 +216,6 @@
     pub(crate) kept_ms: f32,
 }
 
-/// The mean of two figures, where the logarithm of the odds of the second is `odds`.
-fn mean(if_not: f32, if_so: f32, odds: f32) -> f32 {
-    if_not + (if_so - if_not) / (1.0 + (-odds).exp())
-}
-
 /// How far two times are apart, as the logarithm of their ratio.
 fn off(left_ms: f32, right_ms: f32) -> f32 {
     (left_ms.max(0.1) / right_ms.max(0.1)).ln().abs()
--- a/crates/pinhaven-lab/tests/emulation.rs
+++ b/crates/pinhaven-lab/tests/emulation.rs
@@ -127,21 +127,22 @@
     assert!(emulate(&fresh).credit() > emulate(&old).credit());
 }
 
+/// Credit of a day, the mean of some seeds.
+fn mean_credit(deployment: Deployment, day: Day) -> f64 {
+    const SEEDS: [u64; 5] = [7, 8, 9, 10, 11];
+    let credit = |seed| {
+        let plan = EmulationPlan::new(deployment, day, Policy::Forecast, seed);
+        emulate(&plan).credit()
+    };
+    SEEDS.into_iter().map(credit).sum::<f64>() / SEEDS.len() as f64
+}
+
 #[test]
 fn work_that_keeps_its_speed_is_not_begun_at_slow_targets_in_an_overload() {
-    // Work that begins at a slow target holds its slot five times as long there. If that is not learned,
-    // the credit is 0.38, 0.63 and 0.27.
-    for (day, least) in [(Day::Busy, 0.6), (Day::Burst, 0.8), (Day::Overload, 0.4)] {
-        let tally = emulate(&EmulationPlan::new(
-            Deployment::Kept,
-            day,
-            Policy::Forecast,
-            7,
-        ));
-        assert!(
-            tally.credit() > least,
-            "{day:?}: {:.3} of the credit",
-            tally.credit()
-        );
+    // Work that begins at a slow target holds its slot five times as long there. Where that is not
+    // learned, the credit is 0.46, 0.66 and 0.28 (mean of five seeds).
+    for (day, least) in [(Day::Busy, 0.7), (Day::Burst, 0.8), (Day::Overload, 0.4)] {
+        let credit = mean_credit(Deployment::Kept, day);
+        assert!(credit > least, "{day:?}: {credit:.3} of the credit");
     }
 }
