Ask targets for their speed by how long a speed lasts

Change: the age of a report at which its target is asked is 0.08 of the time that a speed lasts, 20 to 90 ms.

--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -34,6 +34,16 @@
 const CROWDING_FIRST: f32 = 1.2;
 /// How sure that is, in samples.
 const CROWDING_FIRST_SAMPLES: u32 = 4;
+/// Age of a report at which a target should be asked for its speed, as a share of the typical time of
+/// requests. A choice is wrong when the speed has changed since the report, or changes while the request
+/// works; asking much more often than that would mend the smaller of the two.
+const REPORT_AGE_TYPICAL: f32 = 0.6;
+/// The same as a share of the time that a speed lasts: requests that begin at a target which has turned slow
+/// since are late where work keeps its speed. Where a speed lasts 0.4 s, answers within the aim rise from
+/// 0.945 to 0.958 of the requests of a calm day, for 0.6 times more probes.
+const REPORT_AGE_LASTS: f32 = 0.08;
+/// The least and the most of that age, in milliseconds.
+const REPORT_AGE_MS: (f32, f32) = (20.0, 90.0);
 /// Slowdown from which a target counts as slow in a summary.
 const SLOW_FROM: f32 = 2.0;
 /// Weight of one report in the mean load of the others.
@@ -290,6 +300,14 @@
         self.speed.lasting_ms()
     }
 
+    /// The age of a report at which a target should be asked for its speed.
+    pub fn report_age_wanted(&self) -> Microseconds {
+        let age_ms = (self.typical_ms() * REPORT_AGE_TYPICAL)
+            .min(self.speed_lasts_ms() * REPORT_AGE_LASTS)
+            .clamp(REPORT_AGE_MS.0, REPORT_AGE_MS.1);
+        Microseconds::new((age_ms * 1_000.0) as u64)
+    }
+
     /// Sets how many added attempts this entry may make at once. What all entries may together is
     /// divided among them by whoever knows them.
     pub fn set_added_at_once(&self, hedges: f32, retries: f32) {
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -502,6 +502,27 @@
     assert!((150.0..250.0).contains(&lasting_ms), "{lasting_ms}");
 }
 
+#[test]
+fn targets_are_asked_for_their_speed_the_more_often_the_shorter_it_lasts() {
+    let fields = json!({"policy": "forecast", "slots": 4, "typical_ms": 500});
+    let age_where_speeds_last = |rounds: u64| {
+        let service = Arc::new(ServiceState::new(
+            &service_with(1, fields.clone()),
+            None,
+            at_ms(0),
+        ));
+        for step in 0..2_000 {
+            let slowdown = if (step / rounds) % 2 == 0 { 1.0 } else { 5.0 };
+            report(&service, 0, 1_000 + step * 50, slowdown);
+        }
+        service.report_age_wanted()
+    };
+    assert_eq!(age_where_speeds_last(200), Microseconds::from_ms(90));
+    let short = age_where_speeds_last(8);
+    let expected = Microseconds::from_ms(25)..Microseconds::from_ms(40);
+    assert!(expected.contains(&short), "{short}");
+}
+
 #[test]
 fn how_long_a_caller_has_waited_is_told_by_its_deadline() {
     let route = RouteState::new(AIM_MS);
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/speed_probes.rs
@@ -20,12 +20,6 @@
 
 /// Time between two looks for targets that are due, in milliseconds.
 const TICK_MS: u64 = 15;
-/// Age of a report at which a target is asked, as a share of the typical time of the service's
-/// requests. A choice is wrong when the speed has changed since the report, or changes while the
-/// request works; asking much more often than that would mend the smaller of the two.
-const REPORT_AGE_SHARE: f32 = 0.6;
-/// The least and the most of that age, in milliseconds.
-const REPORT_AGE_MS: (f32, f32) = (30.0, 90.0);
 /// The same for an entry that asks none, in milliseconds.
 const IDLE_TICK_MS: u64 = 200;
 /// How long a target may take to answer, in milliseconds.
@@ -75,9 +69,8 @@
         let age = target
             .reported_speed()
             .map(|(_, at)| now.saturating_sub(at));
-        let wanted_ms = keyed.service.state.typical_ms() * REPORT_AGE_SHARE;
-        let wanted_ms = f64::from(wanted_ms.clamp(REPORT_AGE_MS.0, REPORT_AGE_MS.1));
-        if target.is_leaving() || age.is_some_and(|age| age.as_ms() < wanted_ms) {
+        let wanted = keyed.service.state.report_age_wanted();
+        if target.is_leaving() || age.is_some_and(|age| age < wanted) {
             return;
         }
         let most = self.settings.discovery.as_ref();
