--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -512,7 +512,11 @@
             at_ms(0),
         ));
         for step in 0..2_000 {
-            let slowdown = if (step / rounds) % 2 == 0 { 1.0 } else { 5.0 };
+            let slowdown = if (step / rounds).is_multiple_of(2) {
+                1.0
+            } else {
+                5.0
+            };
             report(&service, 0, 1_000 + step * 50, slowdown);
         }
         service.report_age_wanted()
