--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -44,7 +44,7 @@
 /// How many times longer that is for receivers in other failure domains while targets have room: each target
 /// has an owner in its own domain, and others send there only when theirs are full. News were all but a
 /// tenth of the traffic between domains on a calm day.
-const FAR_ROUND_FACTOR: f32 = 4.0;
+const FAR_ROUND_FACTOR: f32 = 2.5;
 /// Time between two rounds of an entry that has nothing to tell but that it lives.
 const ROUND_OF_IDLE: Duration = Duration::from_millis(250);
 /// Use of a service's slots from which rounds get shorter, and at which they are shortest.
@@ -175,7 +175,11 @@
             },
             false => Extent::Round,
         };
-        let (near, far) = (extent(BEATS_PASSED_ON), extent(BEATS_PASSED_ON_FAR));
+        let passed_on_far = match self.is_meeting() {
+            true => BEATS_PASSED_ON,
+            false => BEATS_PASSED_ON_FAR,
+        };
+        let (near, far) = (extent(BEATS_PASSED_ON), extent(passed_on_far));
         let mut bytes = self
             .tell_close(&recipients.close, &mut sender.near, near, socket)
             .await;
