--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -69,6 +69,8 @@
     pub(crate) slowdown: f32,
     /// Time until the answer if the target is as fast as usual, where nothing is known of its speed.
     hopeful_ms: Option<f32>,
+    /// Whether it takes a slot that is left empty else, to measure what that costs.
+    pub(crate) is_trial: bool,
 }
 
 /// Which targets a request may go to.
@@ -124,6 +126,7 @@
         load,
         slowdown,
         hopeful_ms: hopeful_ms.map(with_queue),
+        is_trial: false,
     }
 }
 
@@ -148,17 +151,20 @@
     let looked_at = own_looks.chain(others.take(OTHER_LOOKS_MAX));
     let mut earliest: Option<(f32, Forecast)> = None;
     let mut use_of_usual = Use::default();
+    let is_trial_due = lane == Lane::Any && service.is_crowding_trial_due(now);
     for target in looked_at {
         if !is_usable(service, target, now, tried) {
             continue;
         }
-        let forecast = forecast(service, target, now, work_ms);
+        let mut forecast = forecast(service, target, now, work_ms);
         let is_spare = forecast.slowdown >= SPARE_SLOWDOWN;
-        let slots = usable_slots(service, target);
+        let slots = usable_slots(service, target, now);
         if !is_spare {
             use_of_usual.add(&forecast, slots);
         }
-        if forecast.load >= slots || (lane == Lane::Spare && !is_spare) {
+        forecast.is_trial = forecast.load >= slots;
+        let may_try = is_trial_due && target.is_owned() && forecast.load < target.slots();
+        if forecast.is_trial && !may_try || (lane == Lane::Spare && !is_spare) {
             continue;
         }
         let rank_ms = rank_ms(service, &forecast, now, work_ms);
@@ -208,10 +214,10 @@
 /// Slots of a target that are worth using. Where a nearly full target slows down so much that it does
 /// less in all, its last slots stay empty. That holds for slow targets too: they turn fast again, and
 /// then work on what they have.
-fn usable_slots(service: &ServiceState, target: &TargetState) -> f32 {
+fn usable_slots(service: &ServiceState, target: &TargetState, now: Microseconds) -> f32 {
     let slots = target.slots();
     let uncrowded = (slots * CROWDED_FROM).ceil() - 1.0;
-    let is_crowding_worth_it = slots / service.crowding.get() > uncrowded * CROWDING_GAIN;
+    let is_crowding_worth_it = slots / service.crowding_to_fill(now) > uncrowded * CROWDING_GAIN;
     let usable = if is_crowding_worth_it || uncrowded < 1.0 {
         slots
     } else {
