--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -55,6 +55,7 @@
 mod forecast;
 mod health;
 mod hedge;
+mod in_time;
 mod measuring;
 mod progress;
 mod refusal;
--- a/crates/pinhaven-decide/src/progress.rs
+++ b/crates/pinhaven-decide/src/progress.rs
@@ -5,6 +5,7 @@
 //! exactly: the last report before it and the first one after it are weighed by how near they are.
 
 use crate::forecast::Forecast;
+use crate::in_time::Work;
 use crate::speed::ServiceSpeed;
 use crate::speed::WorkDone;
 use crate::target::TargetState;
@@ -105,6 +106,12 @@
         service.blend_kept(followed_ms, kept_ms)
     }
 
+    /// Chance that the target does not answer within another `left_ms`, if work keeps its speed.
+    pub(crate) fn miss_chance(&self, work: Work, left_ms: f32, service: &ServiceSpeed) -> f32 {
+        let time_ms = self.at.saturating_sub(self.began_at).as_ms() as f32;
+        work.miss_chance(time_ms, left_ms, self.begin_slowdown, service)
+    }
+
     /// The work that the request needed, in milliseconds of a target of usual speed, if its answer tells.
     /// `is_crowded` says whether the target is nearly full at the end.
     pub(crate) fn work_told_ms(&self, service: &ServiceSpeed, is_crowded: bool) -> Option<f32> {
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -42,6 +42,12 @@
 const HEDGE_GAIN_SHARE: f32 = 0.25;
 /// A hedge of a request that is late either way must be this many times faster.
 const LATE_HEDGE_FACTOR: f32 = 3.0;
+/// By how much a hedge must raise the chance of an answer in time, while all slots are free.
+const HEDGE_CHANCE: f32 = 0.12;
+/// Time for the way to a target and its answer's way back, in milliseconds.
+const WAY_MS: f32 = 4.0;
+/// Time for the answer's way to the caller, in milliseconds; timers fire late.
+const WAY_BACK_MS: f32 = 16.0;
 /// Weight of one answer in the measure of how full targets slow down.
 const CROWDING_WEIGHT: f32 = 0.02;
 /// The most that full targets are taken to slow down.
@@ -157,7 +163,11 @@
     /// Looks at the request's attempts, and sends a hedge if the aim would be missed without.
     pub(crate) fn look_at_attempts(&mut self) {
         self.advance_progress();
-        if let Some(hedge) = self.hedge_worth_it()
+        let hedge = match self.likely_hedge() {
+            Some(hedge) => Some(hedge),
+            None => self.hedge_worth_it(),
+        };
+        if let Some(hedge) = hedge
             && self.service.hedge_budget.take()
         {
             self.service.count_hedge();
@@ -176,6 +186,30 @@
         }
     }
 
+    /// A hedge by the chances that the attempts under way and another one are in time, where work keeps its
+    /// speed. The fewer slots are free, the more it must bring.
+    fn likely_hedge(&mut self) -> Option<Forecast> {
+        let speed = &self.service.speed;
+        let route = self.request.route.as_ref()?;
+        if !speed.keeps_speed() {
+            return None;
+        }
+        let (work, left_ms) = (route.work(), self.request.to_aim_ms(self.now) - WAY_BACK_MS);
+        let chances = self.request.sent.iter().filter(|sent| !sent.is_ended);
+        let chances = chances.filter_map(|sent| sent.progress);
+        let miss: f32 = chances
+            .map(|progress| progress.miss_chance(work, left_ms, speed))
+            .product();
+        let least = HEDGE_CHANCE / (1.0 - self.service.use_share()).max(HEDGE_CHANCE);
+        if miss <= least {
+            return None;
+        }
+        let earliest = self.earliest(Lane::Any)?;
+        let slowdown = earliest.slowdown;
+        let hedge_miss = work.miss_chance(0.0, left_ms - WAY_MS, slowdown, &self.service.speed);
+        (miss * (1.0 - hedge_miss) > least).then_some(earliest)
+    }
+
     fn hedge_worth_it(&mut self) -> Option<Forecast> {
         let work_ms = self.work_ms();
         let left_ms = self.least_left_ms(work_ms)?;
--- a/crates/pinhaven-decide/src/route.rs
+++ b/crates/pinhaven-decide/src/route.rs
@@ -1,6 +1,7 @@
 //! What an entry has learned of one route: how long its requests work.
 
 use crate::atomic::LearnedMedian;
+use crate::in_time::Work;
 use crate::usual_deadline::UsualDeadline;
 use pinhaven_types::Microseconds;
 
@@ -10,6 +11,11 @@
 const WORK_FIRST_SAMPLES: u32 = 4;
 /// Weight of one answer in the route's work.
 const WORK_WEIGHT: f32 = 0.03;
+/// How far works are from the median until that has been measured, and the least, as logarithms.
+const WORK_OFF_FIRST: f32 = 0.25;
+const WORK_OFF_LEAST: f32 = 0.05;
+/// Median distance from the mean in a normal distribution, as a share of its deviation.
+const MEDIAN_OFF_SHARE: f32 = 0.674;
 /// An answer counts for at most this many times the work so far, so that a few stuck requests don't
 /// move it.
 const WORK_SAMPLE_MOST: f32 = 3.0;
@@ -21,6 +27,8 @@
 pub struct RouteState {
     aim: Microseconds,
     work_ms: LearnedMedian,
+    /// Median of how far works are from the median work, as the absolute logarithm of their ratio.
+    work_off: LearnedMedian,
     deadlines: UsualDeadline,
 }
 
@@ -33,6 +41,7 @@
                 (aim_ms as f32 * WORK_FIRST_SHARE).max(WORK_LEAST_MS),
                 WORK_FIRST_SAMPLES,
             ),
+            work_off: LearnedMedian::new(WORK_OFF_FIRST, WORK_FIRST_SAMPLES),
             deadlines: UsualDeadline::new(),
         }
     }
@@ -40,6 +49,7 @@
     /// The same with what was learned of the route in an earlier version.
     pub fn with_learned(self, previous: &Self) -> Self {
         self.work_ms.take_over(&previous.work_ms);
+        self.work_off.take_over(&previous.work_off);
         self.deadlines.take_over(&previous.deadlines);
         self
     }
@@ -63,10 +73,20 @@
         self.work_ms.get()
     }
 
+    /// What is known of the work of its requests.
+    pub(crate) fn work(&self) -> Work {
+        Work {
+            median_ms: self.work_ms.get(),
+            spread: self.work_off.get() / MEDIAN_OFF_SHARE,
+        }
+    }
+
     /// Takes in that a request needed `work_ms` of a target of usual speed.
     pub(crate) fn record_work(&self, work_ms: f32) {
         let most_ms = self.work_ms.get() * WORK_SAMPLE_MOST;
         let sample_ms = work_ms.clamp(WORK_LEAST_MS, most_ms);
+        let off = (sample_ms / self.work_ms.get()).ln().abs();
+        self.work_off.record(off.max(WORK_OFF_LEAST), WORK_WEIGHT);
         self.work_ms.record(sample_ms, WORK_WEIGHT);
     }
 }
--- a/crates/pinhaven-decide/src/speed.rs
+++ b/crates/pinhaven-decide/src/speed.rs
@@ -40,6 +40,12 @@
 const KEPT_DOUBT: (f32, f32) = (0.15, 1.0);
 /// How many times apart the two explanations of an answer's time must be for it to tell which holds.
 const KEPT_APART: f32 = 1.4;
+/// How slow slow targets are thought to be before any was seen.
+const SLOW_FIRST: f32 = 4.0;
+/// Weight of one report in that.
+const SLOW_WEIGHT: f32 = 0.02;
+/// Chance that work began at a slow target though its reports before and after that say that it was fast.
+const UNSEEN_SLOW: f32 = 0.02;
 /// Weight of one report in the mean slowdown of a service.
 const MEAN_WEIGHT: f32 = 0.01;
 
@@ -97,6 +103,7 @@
 #[derive(Debug)]
 pub(crate) struct ServiceSpeed {
     mean: AtomicF32,
+    slow: AtomicF32,
     observed_ms: AtomicF32,
     changes: AtomicF32,
     kept_share: AtomicF32,
@@ -107,6 +114,7 @@
     pub(crate) fn new() -> Self {
         Self {
             mean: AtomicF32::new(1.0),
+            slow: AtomicF32::new(SLOW_FIRST),
             observed_ms: AtomicF32::new(LASTING_FIRST_MS * CHANGES_PRIOR),
             changes: AtomicF32::new(CHANGES_PRIOR),
             kept_share: AtomicF32::new(0.0),
@@ -116,6 +124,7 @@
 
     pub(crate) fn take_over(&self, previous: &Self) {
         self.mean.set(previous.mean.get());
+        self.slow.set(previous.slow.get());
         self.observed_ms.set(previous.observed_ms.get());
         self.changes.set(previous.changes.get());
         self.kept_share.set(previous.kept_share.get());
@@ -129,6 +138,17 @@
         self.kept_share.get()
     }
 
+    /// How many times longer work takes at slow targets, on average.
+    pub(crate) fn slow_factor(&self) -> f32 {
+        self.slow.get().max(CHANGE_FACTOR)
+    }
+
+    /// Chance that a target of which `slowdown` is expected is slow.
+    pub(crate) fn slow_chance(&self, slowdown: f32) -> f32 {
+        let share = (slowdown - 1.0) / (self.slow_factor() - 1.0);
+        share.clamp(UNSEEN_SLOW, 1.0)
+    }
+
     /// Whether work rather keeps its speed than follows its target's.
     pub(crate) fn keeps_speed(&self) -> bool {
         self.kept_share() > 0.5
@@ -192,6 +212,9 @@
 
     fn record(&self, before: f32, after: f32, gap_ms: f32) {
         self.mean.blend(after, MEAN_WEIGHT);
+        if after >= CHANGE_FACTOR {
+            self.slow.blend(after, SLOW_WEIGHT);
+        }
         if gap_ms > GAP_MOST_MS {
             return;
         }
