Hedge by the chance of an answer in time, never past the attempts that a request may make

Cause of the broken rule: a look that was planned before a retry took the last attempt sent a hedge all the same, and an attempt without progress counted as certainly late. Test seen to fail (3 targets of 2).

--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -162,6 +162,10 @@
 
     /// Looks at the request's attempts, and sends a hedge if the aim would be missed without.
     pub(crate) fn look_at_attempts(&mut self) {
+        if !self.has_attempts_left() {
+            // The attempt that was left when this look was planned went to a retry.
+            return;
+        }
         self.advance_progress();
         let hedge = match self.likely_hedge() {
             Some(hedge) => Some(hedge),
@@ -195,11 +199,11 @@
             return None;
         }
         let (work, left_ms) = (route.work(), self.request.to_aim_ms(self.now) - WAY_BACK_MS);
-        let chances = self.request.sent.iter().filter(|sent| !sent.is_ended);
-        let chances = chances.filter_map(|sent| sent.progress);
-        let miss: f32 = chances
-            .map(|progress| progress.miss_chance(work, left_ms, speed))
-            .product();
+        let under_way = self.request.sent.iter().filter(|sent| !sent.is_ended);
+        let chances = under_way
+            .filter_map(|sent| sent.progress)
+            .map(|progress| progress.miss_chance(work, left_ms, speed));
+        let miss = chances.reduce(|all, one| all * one)?;
         let least = HEDGE_CHANCE / (1.0 - self.service.use_share()).max(HEDGE_CHANCE);
         if miss <= least {
             return None;
--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -633,3 +633,26 @@
         assert_eq!(at_target.count(), sent, "{age_ms} ms old");
     }
 }
+
+#[test]
+fn a_request_whose_attempt_broke_is_sent_to_no_more_targets_than_it_may() {
+    let service = service_whose_work_took(100);
+    let wide = service_with(
+        4,
+        json!({"policy": "forecast", "slots": 4, "hedge_budget_percent": 20.0}),
+    );
+    let service = Arc::new(ServiceState::new(&wide, Some(&service), at_ms(90_000)));
+    let mut driven = Driven::with_facts(&service, 100_000, |facts| facts.attempts_most = 2);
+    let id = driven.attempts[0].take().unwrap().id;
+    let outcome = AttemptOutcome::Broken;
+    driven.handle(
+        100_005,
+        Event::AttemptEnded {
+            attempt: id,
+            outcome,
+        },
+    );
+    assert_eq!(driven.attempts.len(), 2, "it is tried again");
+    driven.wait(101_000);
+    assert_eq!(driven.attempts.len(), 2);
+}
