--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -27,7 +27,8 @@
         let Some(forecast) = self.earliest(Lane::Any) else {
             return false;
         };
-        self.send_and_follow(forecast);
+        let facts = forecast.facts(self.now);
+        self.send(forecast.target, Some(facts));
         true
     }
 
@@ -101,24 +102,21 @@
         if !self.may_retry() {
             return false;
         }
-        if self.forecasts() {
-            return self.retry_by_forecast();
-        }
-        let Some(choice) = self.choose() else {
-            return false;
+        let target = if self.forecasts() {
+            let in_time = self.earliest(Lane::Any);
+            let forecast = in_time.or_else(|| self.earliest(Lane::Spare));
+            forecast.map(|forecast| {
+                let facts = forecast.facts(self.now);
+                (forecast.target, Some(facts))
+            })
+        } else {
+            self.choose().map(|choice| (choice.target, None))
         };
-        self.service.retries.fetch_add(1, Ordering::Relaxed);
-        self.send(choice.target, None);
-        true
-    }
-
-    fn retry_by_forecast(&mut self) -> bool {
-        let in_time = self.earliest(Lane::Any);
-        let Some(forecast) = in_time.or_else(|| self.earliest(Lane::Spare)) else {
+        let Some((target, chosen)) = target else {
             return false;
         };
         self.service.retries.fetch_add(1, Ordering::Relaxed);
-        self.send_and_follow(forecast);
+        self.send(target, chosen);
         true
     }
 
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -90,11 +90,6 @@
 
     fn send_by_forecast(&mut self, forecast: Forecast) {
         self.service.record_admission(false);
-        self.send_and_follow(forecast);
-    }
-
-    /// Sends the request and follows how far the target comes with it.
-    pub(crate) fn send_and_follow(&mut self, forecast: Forecast) {
         let progress = Progress::begin(&forecast, self.now);
         let facts = forecast.facts(self.now);
         self.send(forecast.target, Some(facts));
