--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod metrics;
 mod metrics_text;
 mod news;
+mod news_hearing;
 mod news_message;
 mod once;
 mod owned_targets;
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/news.rs
@@ -1,8 +1,9 @@
-//! News between entries, as datagrams.
+//! Telling other entries the news, as datagrams.
 //!
 //! The entries that serve tell each other every few milliseconds what they have under way and how
-//! fast the targets say they are. To the others they only tell now and then that they live. An entry
-//! that does not serve tells one that does, which passes it on.
+//! fast the targets say they are; those of other failure domains less often while targets have room. To
+//! the others they only tell now and then that they live. An entry that does not serve tells one that does,
+//! which passes it on.
 
 use crate::beliefs::LivePeers;
 use crate::counters::Count;
@@ -12,9 +13,9 @@
 use crate::gossip_message::beat_of;
 use crate::gossip_message::identity_of;
 use crate::gossip_message::to_bytes;
-use crate::gossip_message::to_incarnation;
 use crate::news_message::gather;
 use crate::recipients::Occasion;
+use crate::recipients::Recipients;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
 use pinhaven_agree::MemberRow;
@@ -24,10 +25,7 @@
 use pinhaven_peer::News;
 use pinhaven_peer::TargetColumns;
 use pinhaven_peer::TargetNews;
-use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::within;
-use pinhaven_types::BundleVersion;
-use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use prost::Message as _;
 use std::net::SocketAddr;
@@ -68,13 +66,9 @@
 /// Time between two descriptions of this entry in its datagrams. Who knows only its beat asks for one.
 const IDENTITY_EVERY: Microseconds = Microseconds::from_ms(2_000);
 /// Entries described or asked about in one datagram, so that it fits into one packet.
-const IDENTITIES_MAX: usize = 6;
-/// The largest datagram that is taken, in bytes.
-const DATAGRAM_BYTES_MAX: usize = 8 * 1024;
+pub(crate) const IDENTITIES_MAX: usize = 6;
 /// Targets in one datagram, so that it fits into one packet.
 const TARGETS_MAX: usize = 160;
-/// Pause after a failed receive, in milliseconds.
-const RECEIVE_RETRY_MS: u64 = 20;
 
 /// The socket for news.
 pub(crate) type NewsSocket = Async<UdpSocket>;
@@ -164,36 +158,56 @@
         }
         self.count_beat();
         sender.list_told_at = list_read_at;
-        let has_identity = is_urgent || now.saturating_sub(sender.identity_at) >= IDENTITY_EVERY;
-        if is_whole && has_identity {
+        let bytes = self
+            .tell_recipients(&recipients, sender, is_whole, is_urgent, socket)
+            .await;
+        let link = self.settings.resources.link_mbps * BYTES_PER_MEGABIT;
+        sender.pause_least = Duration::from_secs_f64(bytes as f64 / (link * NEWS_LINK_SHARE));
+    }
+
+    /// Tells all who are to hear this round. Returns the bytes that were sent.
+    async fn tell_recipients(
+        &self,
+        recipients: &Recipients,
+        sender: &mut Sender,
+        is_whole: bool,
+        is_urgent: bool,
+        socket: &NewsSocket,
+    ) -> usize {
+        let now = self.now();
+        if !is_whole {
+            let round = Extent::Round;
+            let near = &recipients.close;
+            let mut bytes = self.tell_close(near, &mut sender.near, round, socket).await;
+            if now.saturating_sub(sender.far.told_at) >= self.far_round() {
+                let far = &recipients.close_far;
+                bytes += self.tell_close(far, &mut sender.far, round, socket).await;
+            }
+            return bytes;
+        }
+        let is_meeting = self.is_meeting();
+        let is_due = now.saturating_sub(sender.identity_at) >= IDENTITY_EVERY;
+        let has_identity = is_urgent || is_meeting || is_due;
+        if has_identity {
             sender.identity_at = now;
         }
-        let extent = |beats_passed_on| match is_whole {
-            true => Extent::Whole {
-                beats_passed_on,
-                has_identity: has_identity || self.is_meeting(),
-            },
-            false => Extent::Round,
+        let whole = |beats_passed_on| Extent::Whole {
+            beats_passed_on,
+            has_identity,
         };
-        let passed_on_far = match self.is_meeting() {
-            true => BEATS_PASSED_ON,
-            false => BEATS_PASSED_ON_FAR,
+        let near = whole(BEATS_PASSED_ON);
+        let far = match is_meeting {
+            true => near,
+            false => whole(BEATS_PASSED_ON_FAR),
         };
-        let (near, far) = (extent(BEATS_PASSED_ON), extent(passed_on_far));
         let mut bytes = self
             .tell_close(&recipients.close, &mut sender.near, near, socket)
             .await;
-        if is_whole || now.saturating_sub(sender.far.told_at) >= self.far_round() {
-            bytes += self
-                .tell_close(&recipients.close_far, &mut sender.far, far, socket)
-                .await;
-        }
-        if is_whole {
-            let beat = self.message(&[], far);
-            bytes += send_all(self, socket, &recipients.distant, &beat).await;
-        }
-        let link = self.settings.resources.link_mbps * BYTES_PER_MEGABIT;
-        sender.pause_least = Duration::from_secs_f64(bytes as f64 / (link * NEWS_LINK_SHARE));
+        bytes += self
+            .tell_close(&recipients.close_far, &mut sender.far, far, socket)
+            .await;
+        let beat = self.message(&[], far);
+        bytes + send_all(self, socket, &recipients.distant, &beat).await
     }
 
     fn whole_every(&self) -> Microseconds {
@@ -264,18 +278,16 @@
         if !sender.sends_often && self.in_flight() == 0 {
             return ROUND_OF_IDLE;
         }
-        let busy = self.busy();
-        let round_ms = ROUND_MOST_MS + (ROUND_LEAST_MS - ROUND_MOST_MS) * busy;
+        let round_ms = round_ms(self.busy());
         Duration::from_micros((round_ms * 1_000.0) as u64).max(sender.pause_least)
     }
 
     /// Time between two rounds for the other failure domains.
     fn far_round(&self) -> Microseconds {
         let busy = self.busy();
-        let round_ms = ROUND_MOST_MS + (ROUND_LEAST_MS - ROUND_MOST_MS) * busy;
         let factor = 1.0 + (FAR_ROUND_FACTOR - 1.0) * (1.0 - busy);
-        // A round that comes a little early is not left out for that.
-        Microseconds::new((round_ms * (factor - 0.5) * 1_000.0) as u64)
+        // A round that comes up to half a round early is not left out for that.
+        Microseconds::new((round_ms(busy) * (factor - 0.5) * 1_000.0) as u64)
     }
 
     /// How near the fullest service's targets are to being full, from 0 to 1, as far as rounds go by it.
@@ -342,104 +354,11 @@
         news.is_whole = true;
         news
     }
+}
 
-    /// Takes news in, for ever.
-    pub(crate) async fn hear_news(self: Arc<Self>, socket: Arc<NewsSocket>) {
-        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
-        loop {
-            let (length, peer) = match socket.recv_from(&mut buffer).await {
-                Ok(received) => received,
-                Err(error) => {
-                    log::debug!(target: "news", "Receiving failed: {error}.");
-                    sleep_ms(RECEIVE_RETRY_MS).await;
-                    continue;
-                }
-            };
-            self.counters.add_many(Count::PeerBytes, length as u64);
-            match News::decode(&buffer[..length]) {
-                Ok(news) => self.hear(news, peer, &socket).await,
-                Err(error) => log::warn!(target: "news", "A datagram of {peer} is none: {error}."),
-            }
-        }
-    }
-
-    async fn hear(self: &Arc<Self>, news: News, peer: SocketAddr, socket: &NewsSocket) {
-        let Some(beat) = news.beats.first().cloned() else {
-            return;
-        };
-        let Some(incarnation) = to_incarnation(&beat.incarnation) else {
-            return;
-        };
-        if incarnation == self.incarnation {
-            return;
-        }
-        let is_new = self.members.lock().member(incarnation).is_none();
-        self.hear_sender(news.sender, &news.beats);
-        for identity in news.identities {
-            self.hear_identity(identity, &news.beats);
-        }
-        self.hear_beats(&news.beats);
-        let targets = news.targets.unwrap_or_default().rows();
-        self.hear_targets(incarnation, &beat, &targets, news.is_whole);
-        self.hear_version(peer, BundleVersion::new(beat.version));
-        if let Some(list) = news.list {
-            let age = list
-                .age_ms
-                .map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
-            self.hear_list(peer, list.revision, list.digest, age);
-            if let Some(steady_ms) = list.steady_ms {
-                let steady = Microseconds::from_ms(u64::from(steady_ms));
-                let since = self.now().saturating_sub(steady);
-                self.targets.lock().hear_steady(since);
-                self.expire_targets();
-            }
-        }
-        if is_new || !news.wanted.is_empty() {
-            let answer = self.introduction(&news.wanted);
-            send_all(self, socket, &[peer], &answer).await;
-        }
-    }
-
-    fn hear_targets(&self, peer: Incarnation, beat: &Beat, news: &[TargetNews], is_whole: bool) {
-        let snapshot = self.snapshot.load();
-        let mut counts = self.peer_counts.lock();
-        let is_speed_news =
-            counts.hear(peer, beat.heartbeat, news, is_whole, &snapshot, self.now());
-        drop(counts);
-        if is_speed_news {
-            self.wake_waiting();
-        }
-    }
-
-    /// Lets one request of each service that has some waiting look again.
-    fn wake_waiting(&self) {
-        for service in self.snapshot.load().services.values() {
-            if service.state.waiting() > 0 {
-                service.place_freed.notify(1);
-            }
-        }
-    }
-
-    /// Describes this entry, those that were asked about, and some more.
-    fn introduction(&self, wanted: &[Vec<u8>]) -> News {
-        let wanted: Vec<Incarnation> = wanted
-            .iter()
-            .take(IDENTITIES_MAX)
-            .filter_map(|bytes| to_incarnation(bytes))
-            .collect();
-        let members = self.members.lock();
-        let mut rows = members.live_peers(self.now());
-        fastrand::shuffle(&mut rows);
-        rows.sort_by_key(|row| !wanted.contains(&row.incarnation));
-        rows.truncate(IDENTITIES_MAX);
-        let beats = std::iter::once(members.own()).chain(rows.iter().copied());
-        News {
-            sender: Some(identity_of(members.own())),
-            beats: beats.map(beat_of).collect(),
-            identities: rows.into_iter().map(identity_of).collect(),
-            ..News::default()
-        }
-    }
+/// Time between two rounds when targets are `busy`, in milliseconds.
+fn round_ms(busy: f32) -> f32 {
+    ROUND_MOST_MS + (ROUND_LEAST_MS - ROUND_MOST_MS) * busy
 }
 
 fn some_live_beats(live: &[&MemberRow], count: usize) -> Vec<Beat> {
@@ -449,7 +368,7 @@
 }
 
 /// Sends a message to several peers. Returns the bytes that were sent.
-async fn send_all(
+pub(crate) async fn send_all(
     entry: &Entry,
     socket: &NewsSocket,
     peers: &[SocketAddr],
