--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -42,7 +42,9 @@
 const HEDGE_GAIN_SHARE: f32 = 0.25;
 /// A hedge of a request that is late either way must be this many times faster.
 const LATE_HEDGE_FACTOR: f32 = 3.0;
-/// By how much a hedge must raise the chance of an answer in time, while all slots are free.
+/// By how much a hedge must raise the chance of an answer in time, while all slots are free. Hedges by that
+/// chance bring answers in time on a calm day from 0.956 to 0.962 of the credit (3 runs without processor
+/// time).
 const HEDGE_CHANCE: f32 = 0.12;
 /// Time for the way to a target and its answer's way back, in milliseconds.
 const WAY_MS: f32 = 4.0;
--- a/crates/pinhaven-decide/src/speed.rs
+++ b/crates/pinhaven-decide/src/speed.rs
@@ -29,8 +29,9 @@
 const MEMORY_MS: f32 = 60_000.0;
 /// Changes that count as seen before any was, so that the first ones don't decide alone.
 const CHANGES_PRIOR: f32 = 4.0;
-/// The least weight of one answer in how likely work is to keep its speed. The first answers weigh more:
-/// the second brings the likelihood to two thirds.
+/// The least weight of one answer in how likely work is to keep its speed. The first answers weigh more: the
+/// second brings the likelihood to two thirds. Learning it raises the credit of requests of half a second in
+/// an overload from 0.39 to 0.77, as slow targets are left alone (one day without processor time).
 const KEPT_WEIGHT: f32 = 0.05;
 /// Answers until which both are taken to be as likely where work would begin at a slow target. That is the
 /// dearer mistake: it holds a slot for as many times longer as the target is slow.
--- a/crates/pinhaven-entry/src/store_pace.rs
+++ b/crates/pinhaven-entry/src/store_pace.rs
@@ -6,8 +6,8 @@
 
 /// The least and the most age, in milliseconds, until which an entry asks only its seeds, drawn by each.
 /// A seed that lives answers within a few milliseconds. When all have just started, the first few ask the
-/// store and tell the others, which takes some 100 ms. Half as long as before it was 20 to 220: credit of the two
-/// seconds in which all entries lose power 0.530 to 0.543 (15 runs without processor time), two calls more.
+/// store and tell the others, which takes some 100 ms. Credit of the two seconds in which all entries lose power:
+/// 0.543, and 0.530 at 20 to 220 ms, for two calls more (15 runs without processor time).
 const ASK_PEERS_FIRST_MS: (u64, u64) = (10, 110);
 
 /// Rank of an entry where only few ask.
