--- a/crates/pinhaven-decide/tests/forecast.rs
+++ b/crates/pinhaven-decide/tests/forecast.rs
@@ -656,3 +656,25 @@
     driven.wait(101_000);
     assert_eq!(driven.attempts.len(), 2);
 }
+
+/// A calm moment: a target turns slow about when a request begins there, another one is idle and fast.
+#[test]
+fn a_request_that_may_have_begun_at_a_slow_target_is_hedged_while_that_can_be_in_time() {
+    for (slowdown, attempts) in [(5.0, 2), (1.0, 1)] {
+        let learned = service_whose_work_took(100);
+        let fields = json!({"policy": "forecast", "slots": 4, "hedge_budget_percent": 20.0});
+        let service = ServiceState::new(&service_with(2, fields), Some(&learned), at_ms(90_000));
+        let service = Arc::new(service);
+        service.set_added_at_once(4.0, 0.0);
+        for target in 0..2 {
+            report(&service, target, 99_990, 1.0);
+        }
+        let mut driven = Driven::new(&service, true, 100_000);
+        let begun_at = driven.target(0);
+        report(&service, begun_at, 100_020, slowdown);
+        report(&service, 1 - begun_at, 100_020, 1.0);
+        // Half of the aim has passed, and work that began at usual speed would mostly be done.
+        driven.wait(100_150);
+        assert_eq!(driven.attempts.len(), attempts, "said to be {slowdown}");
+    }
+}
