Give the entry's files folders by what a request meets on its way

59 files stood on one level; nine stay at the top, the others in eight folders, each with a head that says what comes in, what goes out and who calls it.

--- a/crates/pinhaven-entry/src/address.rs
+++ b/crates/pinhaven-entry/src/callers/address.rs
@@ -4,12 +4,12 @@
 //! nearest first, each with the home that once-only requests sent to it carry. `Cache-Control` says how
 //! long the answer may be kept.
 
-use crate::counters::Count;
-use crate::dialect::AddressQuestion;
-use crate::dialect::NamedEntry;
-use crate::dialect::query_value;
 use crate::entry::Entry;
-use crate::problem::Problem;
+use crate::watch::counters::Count;
+use crate::wire::dialect::AddressQuestion;
+use crate::wire::dialect::NamedEntry;
+use crate::wire::dialect::query_value;
+use crate::wire::problem::Problem;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
--- a/crates/pinhaven-entry/src/body.rs
+++ b/crates/pinhaven-entry/src/callers/body.rs
@@ -1,9 +1,9 @@
 //! Bodies of requests.
 
-use crate::counters::Count;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::problem::Problem;
+use crate::watch::counters::Count;
+use crate::wire::problem::Problem;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/directory.rs
+++ b/crates/pinhaven-entry/src/callers/directory.rs
@@ -1,12 +1,12 @@
 //! The addresses beside the callers' own: readiness and metrics, and which entries to use.
 
-use crate::address;
-use crate::counters::Count;
+use crate::callers::address;
 use crate::entry::Entry;
 use crate::error::EntryError;
 use crate::error::EntryStep;
 use crate::listening::listen;
-use crate::metrics_text;
+use crate::watch::counters::Count;
+use crate::watch::metrics_text;
 
 use bytes::Bytes;
 use http::HeaderValue;
--- a/crates/pinhaven-entry/src/job.rs
+++ b/crates/pinhaven-entry/src/callers/job.rs
@@ -1,9 +1,9 @@
 //! A request on its way through an entry, once its route is known.
 
-use crate::body::RequestBody;
+use crate::callers::body::RequestBody;
+use crate::callers::routes::Routed;
 use crate::entry::Entry;
-use crate::routes::Routed;
-use crate::service_entry::ServiceEntry;
+use crate::versions::service_entry::ServiceEntry;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
--- a/crates/pinhaven-entry/src/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -1,21 +1,21 @@
 //! A caller's request, from its head to the decision how it is dispatched.
 
-use crate::address;
-use crate::body::BodyLimits;
-use crate::body::take_body;
-use crate::counters::Count;
-use crate::dialect;
-use crate::dialect::CallerFacts;
-use crate::dispatch::dispatch;
+use crate::callers::address;
+use crate::callers::body::BodyLimits;
+use crate::callers::body::take_body;
+use crate::callers::hold::CallerHold;
+use crate::callers::job::Job;
+use crate::callers::routes::Routed;
 use crate::entry::BodyMemory;
 use crate::entry::Entry;
-use crate::header;
-use crate::hold::CallerHold;
-use crate::job::Job;
-use crate::once;
-use crate::problem::Problem;
-use crate::routes::Routed;
-use crate::service_entry::ServiceEntry;
+use crate::once_only::once;
+use crate::request::dispatch::dispatch;
+use crate::versions::service_entry::ServiceEntry;
+use crate::watch::counters::Count;
+use crate::wire::dialect;
+use crate::wire::dialect::CallerFacts;
+use crate::wire::header;
+use crate::wire::problem::Problem;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
--- a/crates/pinhaven-entry/src/routes.rs
+++ b/crates/pinhaven-entry/src/callers/routes.rs
@@ -1,6 +1,6 @@
 //! Finding the route of a request, and the service that its route sends it to.
 
-use crate::service_entry::ServiceEntry;
+use crate::versions::service_entry::ServiceEntry;
 use pinhaven_bundle::HostRoutes;
 use pinhaven_bundle::PathRoute;
 use pinhaven_decide::RouteState;
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -1,17 +1,17 @@
 //! What all parts of an entry share.
 
 use crate::capacity::capacity_of;
-use crate::claim_rate::ClaimRate;
 use crate::clock::Clock;
-use crate::counters::Count;
-use crate::counters::Counters;
-use crate::dialect::Dialect;
-use crate::latencies::Latencies;
-use crate::leaving_news::LeavingNews;
-use crate::news_message::PeerCounts;
-use crate::recent_deltas::RecentDeltas;
-use crate::snapshot::Snapshot;
-use crate::store_pace;
+use crate::once_only::claim_rate::ClaimRate;
+use crate::peers::news_message::PeerCounts;
+use crate::targets::leaving_news::LeavingNews;
+use crate::versions::recent_deltas::RecentDeltas;
+use crate::versions::snapshot::Snapshot;
+use crate::versions::store_pace;
+use crate::watch::counters::Count;
+use crate::watch::counters::Counters;
+use crate::watch::latencies::Latencies;
+use crate::wire::dialect::Dialect;
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use pinhaven_agree::Home;
@@ -83,7 +83,7 @@
 impl Default for EntryEnvironment {
     fn default() -> Self {
         Self {
-            dialect: Arc::new(crate::dialect::OwnDialect),
+            dialect: Arc::new(crate::wire::dialect::OwnDialect),
             discovery: None,
             recorder: None,
             reread: None,
--- a/crates/pinhaven-entry/src/claims.rs
+++ b/crates/pinhaven-entry/src/once_only/claims.rs
@@ -4,9 +4,9 @@
 //! answer is lost is settled by reading back. Claims cost a write each, so they are limited in rate
 //! and refused as "not run" past that.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::problem::Problem;
+use crate::watch::counters::Count;
+use crate::wire::problem::Problem;
 use displaydoc::Display as DisplayDoc;
 use http::StatusCode;
 use pinhaven_agree::Home;
--- a/crates/pinhaven-entry/src/once.rs
+++ b/crates/pinhaven-entry/src/once_only/once.rs
@@ -3,17 +3,17 @@
 //! The request's home dispatches it, whichever entry the caller sent it to. The work goes on when the
 //! caller leaves, so that a repeated key finds the answer.
 
-use crate::answer_body::collect_answer;
-use crate::body::RequestBody;
-use crate::body::too_large;
-use crate::claims;
-use crate::counters::Count;
-use crate::dispatch::dispatch;
-use crate::header;
-use crate::hold::CallerHold;
-use crate::job::Job;
-use crate::problem::Problem;
-use crate::relay;
+use crate::callers::body::RequestBody;
+use crate::callers::body::too_large;
+use crate::callers::hold::CallerHold;
+use crate::callers::job::Job;
+use crate::once_only::claims;
+use crate::once_only::relay;
+use crate::request::answer_body::collect_answer;
+use crate::request::dispatch::dispatch;
+use crate::watch::counters::Count;
+use crate::wire::header;
+use crate::wire::problem::Problem;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
--- a/crates/pinhaven-entry/src/relay.rs
+++ b/crates/pinhaven-entry/src/once_only/relay.rs
@@ -1,10 +1,10 @@
 //! Handing a once-only request to its home, on this entry's side.
 
-use crate::counters::Count;
+use crate::callers::job::Job;
 use crate::entry::Entry;
-use crate::header;
-use crate::job::Job;
-use crate::problem::Problem;
+use crate::watch::counters::Count;
+use crate::wire::header;
+use crate::wire::problem::Problem;
 use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderName;
--- a/crates/pinhaven-entry/src/relayed.rs
+++ b/crates/pinhaven-entry/src/once_only/relayed.rs
@@ -1,16 +1,16 @@
 //! Taking a once-only request that another entry relayed to its home, this entry.
 
-use crate::body::RequestBody;
-use crate::counters::Count;
+use crate::callers::body::RequestBody;
+use crate::callers::hold::CallerHold;
+use crate::callers::job::Job;
+use crate::callers::routes::Routed;
 use crate::entry::Entry;
-use crate::hold::CallerHold;
-use crate::job::Job;
-use crate::once;
-use crate::problem::Problem;
-use crate::relay::from_fields;
-use crate::relay::home_lost;
-use crate::relay::to_fields;
-use crate::routes::Routed;
+use crate::once_only::once;
+use crate::once_only::relay::from_fields;
+use crate::once_only::relay::home_lost;
+use crate::once_only::relay::to_fields;
+use crate::watch::counters::Count;
+use crate::wire::problem::Problem;
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -3,18 +3,18 @@
 //! Each round an entry talks to one peer, drawn by lot; news goes to several at once. A message names
 //! a bounded number of members, so that its size does not grow with the number of entries.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::gossip_message::BEATS_MAX;
-use crate::gossip_message::beat_of;
-use crate::gossip_message::identity_of;
-use crate::gossip_message::peer_address_of;
-use crate::gossip_message::row_of;
-use crate::gossip_message::some_beats;
-use crate::gossip_message::to_bytes;
-use crate::gossip_message::to_incarnation;
-use crate::gossip_message::with_beat;
-use crate::relayed;
+use crate::once_only::relayed;
+use crate::peers::gossip_message::BEATS_MAX;
+use crate::peers::gossip_message::beat_of;
+use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::peer_address_of;
+use crate::peers::gossip_message::row_of;
+use crate::peers::gossip_message::some_beats;
+use crate::peers::gossip_message::to_bytes;
+use crate::peers::gossip_message::to_incarnation;
+use crate::peers::gossip_message::with_beat;
+use crate::watch::counters::Count;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ExchangeRequest;
--- a/crates/pinhaven-entry/src/news.rs
+++ b/crates/pinhaven-entry/src/peers/news.rs
@@ -5,17 +5,17 @@
 //! the others they only tell now and then that they live. An entry that does not serve tells one that does,
 //! which passes it on.
 
-use crate::beliefs::LivePeers;
-use crate::counters::Count;
 use crate::entry::Entry;
 use crate::error::EntryError;
 use crate::error::EntryStep;
-use crate::gossip_message::beat_of;
-use crate::gossip_message::identity_of;
-use crate::gossip_message::to_bytes;
-use crate::news_message::gather;
-use crate::recipients::Occasion;
-use crate::recipients::Recipients;
+use crate::peers::gossip_message::beat_of;
+use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::to_bytes;
+use crate::peers::news_message::gather;
+use crate::peers::recipients::Occasion;
+use crate::peers::recipients::Recipients;
+use crate::watch::beliefs::LivePeers;
+use crate::watch::counters::Count;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
 use pinhaven_agree::MemberRow;
--- a/crates/pinhaven-entry/src/news_hearing.rs
+++ b/crates/pinhaven-entry/src/peers/news_hearing.rs
@@ -1,13 +1,13 @@
 //! Taking in what other entries say in their datagrams, and answering who asks about entries.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::gossip_message::beat_of;
-use crate::gossip_message::identity_of;
-use crate::gossip_message::to_incarnation;
-use crate::news::IDENTITIES_MAX;
-use crate::news::NewsSocket;
-use crate::news::send_all;
+use crate::peers::gossip_message::beat_of;
+use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::to_incarnation;
+use crate::peers::news::IDENTITIES_MAX;
+use crate::peers::news::NewsSocket;
+use crate::peers::news::send_all;
+use crate::watch::counters::Count;
 use pinhaven_peer::Beat;
 use pinhaven_peer::News;
 use pinhaven_peer::TargetNews;
--- a/crates/pinhaven-entry/src/news_message.rs
+++ b/crates/pinhaven-entry/src/peers/news_message.rs
@@ -1,7 +1,7 @@
 //! Gathering what this entry has to say of targets, and taking in what others say.
 
-use crate::snapshot::KeyedTarget;
-use crate::snapshot::Snapshot;
+use crate::versions::snapshot::KeyedTarget;
+use crate::versions::snapshot::Snapshot;
 use pinhaven_decide::TargetFacts;
 use pinhaven_decide::TargetState;
 use pinhaven_decide::ToldTargets;
--- a/crates/pinhaven-entry/src/peer_rows.rs
+++ b/crates/pinhaven-entry/src/peers/peer_rows.rs
@@ -2,10 +2,10 @@
 //!
 //! Few entries keep one: those that speak with the store for all.
 
-use crate::discovered::DELEGATE_LOOK_MS;
 use crate::entry::Entry;
-use crate::store_pace::FIRST_RANK;
-use crate::store_pace::pause_before_retry;
+use crate::versions::discovered::DELEGATE_LOOK_MS;
+use crate::versions::store_pace::FIRST_RANK;
+use crate::versions::store_pace::pause_before_retry;
 use pinhaven_agree::RetryPause;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::PlatformError;
--- a/crates/pinhaven-entry/src/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -4,12 +4,12 @@
 //! can still be tried elsewhere. Larger ones are passed on as they come; a cut of those is a cut for the
 //! caller.
 
-use crate::counters::Count;
+use crate::callers::hold::CallerHold;
 use crate::entry::Entry;
-use crate::hold::CallerHold;
-use crate::places::Places;
-use crate::pool::ReturnSender;
-use crate::subject::Subject;
+use crate::request::places::Places;
+use crate::request::subject::Subject;
+use crate::targets::pool::ReturnSender;
+use crate::watch::counters::Count;
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
--- a/crates/pinhaven-entry/src/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -1,19 +1,19 @@
 //! One attempt at one target.
 
-use crate::answer_body::ReceivedBody;
-use crate::answer_body::is_bounded;
-use crate::counters::Count;
-use crate::dialect::AnswerFacts;
-use crate::dialect::AttemptFacts;
+use crate::callers::job::Job;
 use crate::entry::Entry;
-use crate::header;
-use crate::job::Job;
-use crate::pool;
-use crate::pool::IDLE_MOST;
-use crate::pool::IDLE_MOST_ONCE;
-use crate::pool::Sender;
-use crate::pool::Sent;
-use crate::service_entry::ServiceEntry;
+use crate::request::answer_body::ReceivedBody;
+use crate::request::answer_body::is_bounded;
+use crate::targets::pool;
+use crate::targets::pool::IDLE_MOST;
+use crate::targets::pool::IDLE_MOST_ONCE;
+use crate::targets::pool::Sender;
+use crate::targets::pool::Sent;
+use crate::versions::service_entry::ServiceEntry;
+use crate::watch::counters::Count;
+use crate::wire::dialect::AnswerFacts;
+use crate::wire::dialect::AttemptFacts;
+use crate::wire::header;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
--- a/crates/pinhaven-entry/src/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -2,20 +2,20 @@
 //!
 //! Events go to a [`RequestState`], and the actions that come back are carried out.
 
-use crate::answer_body::AnswerBody;
-use crate::answer_body::Held;
-use crate::attempt::Answer;
-use crate::attempt::AttemptEnd;
-use crate::attempt::request_for;
-use crate::attempt::run_attempt;
-use crate::counters::Count;
-use crate::header;
-use crate::hold::CallerHold;
-use crate::job::Job;
-use crate::latencies::Outcome;
-use crate::pool::ReturnSender;
-use crate::problem::Problem;
-use crate::subject::Subject;
+use crate::callers::hold::CallerHold;
+use crate::callers::job::Job;
+use crate::request::answer_body::AnswerBody;
+use crate::request::answer_body::Held;
+use crate::request::attempt::Answer;
+use crate::request::attempt::AttemptEnd;
+use crate::request::attempt::request_for;
+use crate::request::attempt::run_attempt;
+use crate::request::subject::Subject;
+use crate::targets::pool::ReturnSender;
+use crate::watch::counters::Count;
+use crate::watch::latencies::Outcome;
+use crate::wire::header;
+use crate::wire::problem::Problem;
 use event_listener::EventListener;
 use http::Response;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/subject.rs
+++ b/crates/pinhaven-entry/src/request/subject.rs
@@ -1,7 +1,7 @@
 //! What the record says of a request in each of its lines.
 
+use crate::callers::job::Job;
 use crate::entry::Entry;
-use crate::job::Job;
 use pinhaven_record::Importance;
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -1,20 +1,20 @@
 //! Starting an entry and running it until it is told to stop.
 
-use crate::directory::serve_directory;
+use crate::callers::directory::serve_directory;
+use crate::callers::proxy::answer_caller;
 use crate::entry::Entry;
 use crate::entry::EntryEnvironment;
 use crate::error::EntryError;
 use crate::error::EntryStep;
-use crate::gossip::PeerAnswers;
-use crate::listed_targets;
 use crate::listening::listen;
-use crate::metrics;
-use crate::metrics_text;
-use crate::news;
-use crate::proxy::answer_caller;
-use crate::status;
+use crate::peers::gossip::PeerAnswers;
+use crate::peers::news;
 use crate::stop::Servers;
 use crate::stop::stop;
+use crate::targets::listed_targets;
+use crate::watch::metrics;
+use crate::watch::metrics_text;
+use crate::watch::status;
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::StreamExt as _;
--- a/crates/pinhaven-entry/src/leaving_news.rs
+++ b/crates/pinhaven-entry/src/targets/leaving_news.rs
@@ -1,6 +1,6 @@
 //! Targets known to be leaving.
 
-use crate::snapshot::Snapshot;
+use crate::versions::snapshot::Snapshot;
 use pinhaven_peer::Leaving;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
--- a/crates/pinhaven-entry/src/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -1,8 +1,8 @@
 //! The list of targets: read from the store by whoever's turn it is, else taken from a peer.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::store_pace::pause_before_retry;
+use crate::versions::store_pace::pause_before_retry;
+use crate::watch::counters::Count;
 use http::Request;
 use http::Response;
 use http::StatusCode;
--- a/crates/pinhaven-entry/src/owned_targets.rs
+++ b/crates/pinhaven-entry/src/targets/owned_targets.rs
@@ -6,7 +6,7 @@
 //! that less crosses domains.
 
 use crate::entry::Entry;
-use crate::snapshot::Snapshot;
+use crate::versions::snapshot::Snapshot;
 use pinhaven_types::Digest;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Incarnation;
--- a/crates/pinhaven-entry/src/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -3,11 +3,11 @@
 //! Probes find what replies can't: that an idle target has begun to drain, or to answer again. They
 //! are sent one after another, each after the seat and the budget were asked.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::load_report;
-use crate::pool::no_bytes;
-use crate::service_entry::ServiceEntry;
+use crate::targets::pool::no_bytes;
+use crate::versions::service_entry::ServiceEntry;
+use crate::watch::counters::Count;
+use crate::wire::load_report;
 use http::Request;
 use pinhaven_agree::seat_of;
 use pinhaven_decide::ProbeBudget;
--- a/crates/pinhaven-entry/src/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -3,11 +3,11 @@
 //! Each target is asked by its owner. While entries disagree on who serves, several may ask; so each
 //! entry keeps to an equal part of what all together may send.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::owned_targets::OwnedTargets;
-use crate::pool::no_bytes;
-use crate::snapshot::KeyedTarget;
+use crate::targets::owned_targets::OwnedTargets;
+use crate::targets::pool::no_bytes;
+use crate::versions::snapshot::KeyedTarget;
+use crate::watch::counters::Count;
 use http::Request;
 use pinhaven_decide::ProbePace;
 use pinhaven_runtime::HttpClient;
--- a/crates/pinhaven-entry/src/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -4,10 +4,10 @@
 //! versions from their peers. The body comes from the object store or from a peer, and is verified
 //! here whichever way it came.
 
-use crate::counters::Count;
 use crate::entry::Entry;
-use crate::snapshot::Snapshot;
-use crate::snapshot::Surroundings;
+use crate::versions::snapshot::Snapshot;
+use crate::versions::snapshot::Surroundings;
+use crate::watch::counters::Count;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Offer;
 use pinhaven_agree::Verified;
--- a/crates/pinhaven-entry/src/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -4,8 +4,8 @@
 //! away lives on what its peers know, and one that has no peers asks the store itself.
 
 use crate::entry::Entry;
-use crate::store_pace::FIRST_RANK;
-use crate::store_pace::pause_before_retry;
+use crate::versions::store_pace::FIRST_RANK;
+use crate::versions::store_pace::pause_before_retry;
 use pinhaven_agree::RetryPause;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_platform::ConfigurationNews;
--- a/crates/pinhaven-entry/src/service_entry.rs
+++ b/crates/pinhaven-entry/src/versions/service_entry.rs
@@ -1,7 +1,7 @@
 //! A service as a request finds it: its configuration, what is known of its targets, and connections.
 
-use crate::places::Places;
-use crate::pool::TargetPool;
+use crate::request::places::Places;
+use crate::targets::pool::TargetPool;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::Target;
 use pinhaven_decide::ServiceState;
--- a/crates/pinhaven-entry/src/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -1,9 +1,9 @@
 //! What a request's path reads: one snapshot of the version in force, replaced as a whole.
 
-use crate::routes::RouteEntry;
-use crate::routes::RouteTable;
-use crate::service_entry::ServiceEntry;
-use crate::service_entry::service_entry;
+use crate::callers::routes::RouteEntry;
+use crate::callers::routes::RouteTable;
+use crate::versions::service_entry::ServiceEntry;
+use crate::versions::service_entry::service_entry;
 use pinhaven_agree::ListedTarget;
 use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
--- a/crates/pinhaven-entry/src/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -1,7 +1,7 @@
 //! Metrics as text, for whoever asks: the Prometheus exposition format.
 
 use crate::entry::Entry;
-use crate::status;
+use crate::watch::status;
 use pinhaven_types::Promise;
 use pinhaven_types::promise_check_count;
 use pinhaven_types::promise_violation_count;
--- a/crates/pinhaven-entry/src/dialect.rs
+++ b/crates/pinhaven-entry/src/wire/dialect.rs
@@ -4,8 +4,8 @@
 //! request. A [`Dialect`] reads these from header fields and writes them there. The entry has one of
 //! its own; a deployment whose callers and targets use other names brings another.
 
-use crate::header;
-use crate::load_report;
+use crate::wire::header;
+use crate::wire::load_report;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
--- a/crates/pinhaven-entry/src/load_report.rs
+++ b/crates/pinhaven-entry/src/wire/load_report.rs
@@ -1,6 +1,6 @@
 //! Load reports in the published form (ORCA): the header `endpoint-load-metrics: JSON {...}`.
 
-use crate::header;
+use crate::wire::header;
 use http::HeaderMap;
 use pinhaven_decide::LoadReport;
 use serde::Deserialize;
--- a/crates/pinhaven-entry/src/problem.rs
+++ b/crates/pinhaven-entry/src/wire/problem.rs
@@ -2,7 +2,7 @@
 //!
 //! Each says whether the request ran, and each says when to come back.
 
-use crate::header;
+use crate::wire::header;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
