Split the tests of the forecasting policy by what they show

680 lines with four jobs: where requests go, added attempts, what is learned, and splits. The bodies of all 26 tests are the same to the letter (compared by a script); 72 tests pass before and after.

--- a/crates/pinhaven-decide/tests/common/mod.rs
+++ b/crates/pinhaven-decide/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! What the tests of the decisions share.
 #![allow(dead_code)]
 
+pub mod driven;
+
 use pinhaven_bundle::Service;
 use pinhaven_decide::Action;
 use pinhaven_decide::Attempt;
