Part what work keeps of its speed from how fast targets are; spare a lock and a look on a request's path

speed.rs had two jobs. A request took the lock of the members once more for as long as the entry lives, only to ask whether it is starting; now an entry older than start_wait_ms is not asked. A look at a request under way went over all targets of the service before it was known whether a hedge could be worth it. StoreLag::expect, which read like a panic, is begin_expecting.

--- a/crates/pinhaven-agree/src/store_lag.rs
+++ b/crates/pinhaven-agree/src/store_lag.rs
@@ -20,7 +20,7 @@
 
     /// Takes in that a peer has a version. Returns whether the store has to be watched for it: once a
     /// version, however many peers tell of it and however often.
-    pub fn expect(&mut self, version: BundleVersion) -> bool {
+    pub fn begin_expecting(&mut self, version: BundleVersion) -> bool {
         let is_new = version > self.expected && self.lacks(version);
         self.expected = self.expected.max(version);
         is_new
--- a/crates/pinhaven-agree/tests/store_pace.rs
+++ b/crates/pinhaven-agree/tests/store_pace.rs
@@ -41,19 +41,22 @@
 fn a_version_that_many_peers_tell_of_is_expected_from_the_store_once() {
     let mut lag = StoreLag::default();
     let (third, fourth) = (BundleVersion::new(3), BundleVersion::new(4));
-    let told = (0..50).filter(|_| lag.expect(third)).count();
+    let told = (0..50).filter(|_| lag.begin_expecting(third)).count();
     assert_eq!(told, 1);
     assert!(lag.lacks(third));
     lag.take(third);
     assert!(!lag.lacks(third));
-    assert!(lag.expect(fourth));
-    assert!(!lag.expect(third), "what the store brought is not expected");
+    assert!(lag.begin_expecting(fourth));
+    assert!(
+        !lag.begin_expecting(third),
+        "what the store brought is not expected"
+    );
 }
 
 #[test]
 fn a_newer_version_from_the_store_stands_for_those_before() {
     let mut lag = StoreLag::default();
     lag.take(BundleVersion::new(9));
-    assert!(!lag.expect(BundleVersion::new(8)));
+    assert!(!lag.begin_expecting(BundleVersion::new(8)));
     assert!(!lag.lacks(BundleVersion::new(8)));
 }
--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -56,6 +56,7 @@
 mod health;
 mod hedge;
 mod in_time;
+mod kept_speed;
 mod measuring;
 mod progress;
 mod refusal;
--- a/crates/pinhaven-decide/src/progress.rs
+++ b/crates/pinhaven-decide/src/progress.rs
@@ -6,8 +6,8 @@
 
 use crate::forecast::Forecast;
 use crate::in_time::Work;
+use crate::kept_speed::WorkDone;
 use crate::speed::ServiceSpeed;
-use crate::speed::WorkDone;
 use crate::target::TargetState;
 use pinhaven_types::Microseconds;
 
@@ -103,7 +103,7 @@
         let followed_ms =
             service.time_if_followed(left_ms(done.followed_ms, work_ms), self.slowdown);
         let kept_ms = left_ms(done.kept_ms, work_ms) * self.begin_slowdown.max(1.0);
-        service.blend_kept(followed_ms, kept_ms)
+        service.kept.blend(followed_ms, kept_ms)
     }
 
     /// Chance that the target does not answer within another `left_ms`, if work keeps its speed.
@@ -119,7 +119,7 @@
             return None;
         }
         let done = self.done();
-        if service.keeps_speed() {
+        if service.kept.is_likely() {
             return (self.begin_slowdown <= USUAL_SLOWDOWN).then_some(done.kept_ms);
         }
         let is_told = self.was_usual && is_crowded == self.is_crowded;
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -197,7 +197,7 @@
     fn likely_hedge(&mut self) -> Option<Forecast> {
         let speed = &self.service.speed;
         let route = self.request.route.as_ref()?;
-        if !speed.keeps_speed() {
+        if !speed.kept.is_likely() {
             return None;
         }
         let (work, left_ms) = (route.work(), self.request.to_aim_ms(self.now) - WAY_BACK_MS);
@@ -206,6 +206,10 @@
             .filter_map(|sent| sent.progress)
             .map(|progress| progress.miss_chance(work, left_ms, speed));
         let miss = chances.reduce(|all, one| all * one)?;
+        if miss <= HEDGE_CHANCE {
+            // Most looks end here, before all targets are looked at.
+            return None;
+        }
         let least = HEDGE_CHANCE / (1.0 - self.service.use_share()).max(HEDGE_CHANCE);
         if miss <= least {
             return None;
@@ -256,7 +260,7 @@
         };
         progress.advance(now, &sent.target, &service.speed);
         if !progress.is_crowded {
-            service.speed.record_work(route.work_ms(), progress.done());
+            service.speed.kept.record(route.work_ms(), progress.done());
         }
         let is_crowded = forecast::is_nearly_full(&sent.target, report.running as f32);
         let Some(work_ms) = progress.work_told_ms(&service.speed, is_crowded) else {
--- a/crates/pinhaven-entry/src/start_wait.rs
+++ b/crates/pinhaven-entry/src/start_wait.rs
@@ -12,15 +12,16 @@
 impl Entry {
     /// Waits until this entry can serve, if it has only just started.
     pub(crate) async fn until_ready(&self) {
-        if !self.is_starting() {
+        // Asked first, as it takes no lock: later requests end here.
+        let left = Duration::from_millis(self.settings.start_wait_ms)
+            .saturating_sub(Duration::from_micros(self.clock.age().count()));
+        if left.is_zero() || !self.is_starting() {
             return;
         }
         let ready = self.became_ready.listen();
         if !self.is_starting() {
             return;
         }
-        let left = Duration::from_millis(self.settings.start_wait_ms)
-            .saturating_sub(Duration::from_micros(self.clock.age().count()));
         let too_long = async {
             async_io::Timer::after(left).await;
         };
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -125,7 +125,7 @@
             if version > entry.version.lock().version() {
                 entry.fetch_from(peer).await;
             }
-            if follows && entry.store_lag.lock().expect(version) {
+            if follows && entry.store_lag.lock().begin_expecting(version) {
                 entry.watch_store_for(version).await;
             }
         })
