--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -125,7 +125,9 @@
     pub(crate) leaving: Mutex<LeavingNews>,
     pub(crate) unknown_members: Mutex<BTreeSet<Incarnation>>,
     pub(crate) news: event_listener::Event,
-    /// Notified when this entry knows all that it needs to serve.
+    /// Whether this entry has known all that it needs to serve.
+    pub(crate) is_ready: AtomicBool,
+    /// Notified when it does.
     pub(crate) became_ready: event_listener::Event,
     /// Set and notified when requests under way must have their final answers.
     pub(crate) ending: Ending,
@@ -199,6 +201,7 @@
             leaving: Mutex::new(LeavingNews::default()),
             unknown_members: Mutex::new(BTreeSet::new()),
             news: event_listener::Event::new(),
+            is_ready: AtomicBool::new(false),
             became_ready: event_listener::Event::new(),
             ending: Ending::default(),
             table: HttpTableService::new(settings.table_address, timeout_ms),
--- a/crates/pinhaven-entry/src/start_wait.rs
+++ b/crates/pinhaven-entry/src/start_wait.rs
@@ -7,21 +7,22 @@
 
 use crate::entry::Entry;
 use pinhaven_agree::MemberState;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 impl Entry {
     /// Waits until this entry can serve, if it has only just started.
     pub(crate) async fn until_ready(&self) {
-        // Asked first, as it takes no lock: later requests end here.
-        let left = Duration::from_millis(self.settings.start_wait_ms)
-            .saturating_sub(Duration::from_micros(self.clock.age().count()));
-        if left.is_zero() || !self.is_starting() {
+        // All but the first requests end here, without the lock that the state stands behind.
+        if self.is_ready.load(Ordering::Relaxed) || !self.is_starting() {
             return;
         }
         let ready = self.became_ready.listen();
         if !self.is_starting() {
             return;
         }
+        let left = Duration::from_millis(self.settings.start_wait_ms)
+            .saturating_sub(Duration::from_micros(self.clock.age().count()));
         let too_long = async {
             async_io::Timer::after(left).await;
         };
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -331,6 +331,7 @@
         if members.own().state == MemberState::Starting && knows_version && knows_targets {
             members.advance(MemberState::Ready);
             drop(members);
+            self.is_ready.store(true, Ordering::Relaxed);
             self.became_ready.notify(usize::MAX);
         }
     }
