--- a/crates/pinhaven-decide/tests/forecast_attempts.rs
+++ b/crates/pinhaven-decide/tests/forecast_attempts.rs
@@ -67,6 +67,7 @@
         driven.wait(time_ms);
     }
     assert_eq!(driven.attempts.len(), 1);
+    assert!(!driven.request.is_over(), "its one attempt goes on");
 }
 
 #[test]
