Tell which version an entry knows of, how long it has been behind and why its last try failed

Cause: an entry that can't get a version said nothing of it (a failed try was told at debug level only), so that its logs can't tell it from one that never heard of the version. Change: the newest version known, the time behind, the failed tries and the last reason are kept, told in the log (first failure, then each time their number doubles), recorded, counted, and shown in status and metrics. Logic of getting a version is as before.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -14,6 +14,7 @@
 mod store_lag;
 mod target_list;
 mod version;
+mod version_lag;
 
 pub use demand::DemandMeter;
 pub use ledger::Begin;
@@ -46,3 +47,4 @@
 pub use version::OlderVersion;
 pub use version::Verified;
 pub use version::VersionInForce;
+pub use version_lag::VersionLag;
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -24,6 +24,7 @@
 use pinhaven_agree::SeatKeeper;
 use pinhaven_agree::StoreLag;
 use pinhaven_agree::VersionInForce;
+use pinhaven_agree::VersionLag;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::HttpObjectStore;
@@ -106,6 +107,8 @@
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
     pub(crate) version: Mutex<VersionInForce>,
+    /// Which versions this entry knows to exist, and why it lacks the newest.
+    pub(crate) version_lag: Mutex<VersionLag>,
     pub(crate) recent_deltas: Mutex<RecentDeltas>,
     pub(crate) adopting: Mutex<()>,
     pub(crate) is_fetching: AtomicBool,
@@ -186,6 +189,7 @@
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
             version: Mutex::new(VersionInForce::new()),
+            version_lag: Mutex::default(),
             recent_deltas: Mutex::new(RecentDeltas::default()),
             adopting: Mutex::new(()),
             is_fetching: AtomicBool::new(false),
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -122,6 +122,7 @@
         self.counters.add_many(Count::PeerBytes, received);
         let newest = self.take_response(response);
         if newest > self.version.lock().version() {
+            self.version_lag.lock().hear(newest, self.now());
             self.fetch_from(peer).await;
         }
     }
@@ -253,6 +254,7 @@
         if newest > entry.version.lock().version()
             && let Some(peer) = sender
         {
+            entry.version_lag.lock().hear(newest, entry.now());
             let entry = Arc::clone(entry);
             pinhaven_runtime::spawn(async move { entry.fetch_from(peer).await }).detach();
         }
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -186,7 +186,7 @@
             Ok(response) => {
                 self.adopt(move |entry| entry.take_fetched(response)).await;
             }
-            Err(error) => log::debug!(target: "bundle", "{error}."),
+            Err(error) => self.miss_version(&error.to_string()),
         }
         self.is_fetching.store(false, Ordering::Release);
     }
@@ -291,6 +291,7 @@
                 .store(limits.idle_timeout_ms, Ordering::Relaxed);
         }
         self.counters.add(Count::BundleInForce);
+        self.version_lag.lock().put_in_force(number, self.now());
         self.record_version("in_force", number);
         log::info!(target: "bundle", "Version {number}, signed off by {signer}, is in force.");
         self.become_ready();
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -90,6 +90,7 @@
             return;
         };
         self.store_lag.lock().take(bundle.version);
+        self.version_lag.lock().hear(bundle.version, self.now());
         if bundle.version <= self.version.lock().version() {
             return;
         }
@@ -116,6 +117,7 @@
         if version <= self.version.lock().version() {
             return;
         }
+        self.version_lag.lock().hear(version, self.now());
         let entry = Arc::clone(self);
         let follows = self.speaks_with_store(true);
         spawn(async move {
--- a/crates/pinhaven-entry/src/watch/beliefs.rs
+++ b/crates/pinhaven-entry/src/watch/beliefs.rs
@@ -1,6 +1,7 @@
 //! Recording what this entry comes to believe: of versions, targets, peers and the store.
 
 use crate::entry::Entry;
+use crate::watch::counters::Count;
 use pinhaven_agree::ListedTarget;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::TargetList;
@@ -29,6 +30,29 @@
         self.record_line(|| Line::new("bundle", event, 0).with("version", version.to_string()));
     }
 
+    /// Takes in that a try to get a newer version failed, and tells so now and then.
+    pub(crate) fn miss_version(&self, why: &str) {
+        self.counters.add(Count::BundleFetchFailed);
+        let mut lag = self.version_lag.lock();
+        if !lag.take_failure(why.to_owned()) {
+            return;
+        }
+        let behind_ms = lag.behind_for(self.now()).unwrap_or_default().as_ms();
+        let (known, tries) = (lag.known(), lag.failed_tries());
+        drop(lag);
+        log::warn!(
+            target: "bundle",
+            "Version {known} is known for {behind_ms:.0} ms and not in force here; try {tries} failed: {why}."
+        );
+        self.record_line(|| {
+            Line::new("bundle", "behind", 0)
+                .with("version", known.to_string())
+                .with("behind_ms", behind_ms)
+                .with("tries", u64::from(tries))
+                .with("why", why)
+        });
+    }
+
     /// Records which targets came, began to leave, are gone or came back between two lists.
     pub(crate) fn record_targets(&self, before: &TargetList, after: &TargetList) {
         if self.recorder.is_none() {
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -77,6 +77,8 @@
     BundleInForce,
     /// Bundle versions refused.
     BundleRefused,
+    /// Tries to get a version from a peer that failed.
+    BundleFetchFailed,
     /// Exchanges with peers.
     Exchanges,
     /// Exchanges that failed.
@@ -89,7 +91,7 @@
     PeerBytes,
 }
 
-const COUNT_NAMES: [&str; 39] = [
+const COUNT_NAMES: [&str; 40] = [
     "requests",
     "answered",
     "addresses",
@@ -124,6 +126,7 @@
     "claim.failed",
     "bundle.in_force",
     "bundle.refused",
+    "bundle.fetch_failed",
     "exchanges",
     "exchange.failed",
     "platform.calls",
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -44,10 +44,18 @@
         let known = entry.targets.lock();
         (known.age(now), known.list().revision)
     };
+    let (known, behind_ms, failed_tries) = {
+        let lag = entry.version_lag.lock();
+        let behind = lag.behind_for(now).unwrap_or_default();
+        (lag.known(), behind.as_ms(), lag.failed_tries())
+    };
     let members = entry.members.lock();
     let mut lines = vec![
         format!("pinhaven_in_flight {}", entry.in_flight()),
         format!("pinhaven_version {version}"),
+        format!("pinhaven_version_known {}", known.number()),
+        format!("pinhaven_version_behind_ms {behind_ms:.0}"),
+        format!("pinhaven_version_failed_tries {failed_tries}"),
         format!("pinhaven_list_revision {list_revision}"),
         format!("pinhaven_live_peers {}", members.live_peers(now).len()),
         format!("pinhaven_state {}", members.own().state as u8),
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -23,6 +23,9 @@
 pub struct InstanceStatus {
     /// What it says of itself.
     pub own: MemberRow,
+    /// The versions that it knows of.
+    #[serde(default)]
+    pub versions: VersionStatus,
     /// Requests under way.
     pub in_flight: u32,
     /// Records of once-only requests.
@@ -39,6 +42,21 @@
     pub services: Vec<ServiceStatus>,
 }
 
+/// Which version an entry has, and how far it is behind.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct VersionStatus {
+    /// The version in force.
+    pub in_force: u64,
+    /// The newest that it knows to exist.
+    pub known: u64,
+    /// How long it has known of one that it lacks, in milliseconds; nothing when it has the newest.
+    pub behind_ms: Option<f64>,
+    /// Tries to get it that failed.
+    pub failed_tries: u32,
+    /// Why the last one failed.
+    pub last_failure: Option<String>,
+}
+
 /// How a promise fares.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub struct PromiseStatus {
@@ -127,6 +145,7 @@
     drop(members);
     InstanceStatus {
         own,
+        versions: versions_of(entry),
         in_flight: entry.in_flight(),
         ledger_records: entry.ledger.lock().record_count(),
         seat: entry.seats.lock().seat(now),
@@ -137,6 +156,18 @@
     }
 }
 
+fn versions_of(entry: &Entry) -> VersionStatus {
+    let in_force = entry.version.lock().version();
+    let lag = entry.version_lag.lock();
+    VersionStatus {
+        in_force: in_force.number(),
+        known: lag.known().number(),
+        behind_ms: lag.behind_for(entry.now()).map(|behind| behind.as_ms()),
+        failed_tries: lag.failed_tries(),
+        last_failure: lag.last_failure().map(str::to_owned),
+    }
+}
+
 fn promises() -> BTreeMap<String, PromiseStatus> {
     let status = |promise: Promise| PromiseStatus {
         checks: promise_check_count(promise),
