--- a/crates/pinhaven-entry/src/peers/news.rs
+++ b/crates/pinhaven-entry/src/peers/news.rs
@@ -78,8 +78,7 @@
 /// # Errors
 ///
 /// [`EntryError`] when the address can't be had.
-pub(crate) fn listen(entry: &Entry) -> Result<Arc<NewsSocket>, EntryError> {
-    let address = entry.members.lock().own().peer_address;
+pub(crate) fn listen(address: SocketAddr) -> Result<Arc<NewsSocket>, EntryError> {
     let socket = Async::<UdpSocket>::bind(address);
     socket.map(Arc::new).map_err(|error| EntryError::System {
         step: EntryStep::ListenForNews,
--- a/crates/pinhaven-entry/src/peers/news_hearing.rs
+++ b/crates/pinhaven-entry/src/peers/news_hearing.rs
@@ -63,12 +63,13 @@
         self.hear_beats(&news.beats);
         let targets = news.targets.unwrap_or_default().rows();
         self.hear_targets(incarnation, &beat, &targets, news.is_whole);
-        self.hear_version(peer, BundleVersion::new(beat.version));
+        let calls_at = self.calls_at(incarnation).unwrap_or(peer);
+        self.hear_version(calls_at, BundleVersion::new(beat.version));
         if let Some(list) = news.list {
             let age = list
                 .age_ms
                 .map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
-            self.hear_list(peer, list.revision, list.digest, age);
+            self.hear_list(calls_at, list.revision, list.digest, age);
             if let Some(steady_ms) = list.steady_ms {
                 let steady = Microseconds::from_ms(u64::from(steady_ms));
                 let since = self.now().saturating_sub(steady);
@@ -82,6 +83,13 @@
         }
     }
 
+    /// Where a peer takes calls, as it says itself.
+    fn calls_at(&self, incarnation: Incarnation) -> Option<SocketAddr> {
+        let members = self.members.lock();
+        let member = members.member(incarnation)?;
+        Some(member.row.peer_address)
+    }
+
     fn hear_targets(&self, peer: Incarnation, beat: &Beat, news: &[TargetNews], is_whole: bool) {
         let snapshot = self.snapshot.load();
         let mut counts = self.peer_counts.lock();
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -30,6 +30,7 @@
 use pinhaven_runtime::spawn;
 use pinhaven_runtime::whole_body;
 use pinhaven_settings::Settings;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Connections from peers and operators at a time.
@@ -79,12 +80,13 @@
         Some(address) => Some(metrics::connect(address)?),
         None => None,
     };
+    let peer_address = settings.advertised_peer_address;
     let entry = Entry::new(
         settings,
         environment,
         callers.local_address(),
         callers.idle_ms(),
-        peers.local_address(),
+        peer_address.unwrap_or_else(|| peers.local_address()),
     );
     log::info!(
         target: "entry",
@@ -99,7 +101,7 @@
     serve(&entry, &servers);
     if entry.discovery.is_some() {
         serve_directory(&entry)?;
-        run_beside_discovered(&entry)?;
+        run_beside_discovered(&entry, servers.peers.local_address())?;
     } else {
         run_beside(&entry);
     }
@@ -160,8 +162,8 @@
 }
 
 /// Starts what runs beside the requests where a store holds everything.
-fn run_beside_discovered(entry: &Arc<Entry>) -> Result<(), EntryError> {
-    let socket = news::listen(entry)?;
+fn run_beside_discovered(entry: &Arc<Entry>, news_address: SocketAddr) -> Result<(), EntryError> {
+    let socket = news::listen(news_address)?;
     spawn(Arc::clone(entry).follow_configuration()).detach();
     spawn(Arc::clone(entry).keep_target_list()).detach();
     spawn(Arc::clone(entry).keep_membership()).detach();
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -35,6 +35,9 @@
     pub caller_address: SocketAddr,
     /// Where other entries connect.
     pub peer_address: SocketAddr,
+    /// Where other entries reach this one, if that is another address than the one it listens at.
+    #[serde(default)]
+    pub advertised_peer_address: Option<SocketAddr>,
     /// The platform's table service; not used with `discovery`.
     #[serde(default = "no_address")]
     pub table_address: SocketAddr,
--- a/crates/pinhaven-stand-in/src/proxy.rs
+++ b/crates/pinhaven-stand-in/src/proxy.rs
@@ -29,6 +29,8 @@
     None,
     /// Each piece arrives this much later.
     Delayed(Duration),
+    /// Each connection carries this many bytes a second either way.
+    Throttled(u32),
     /// Nothing arrives at the server.
     SilentToServer,
     /// Nothing arrives at the client.
@@ -138,9 +140,7 @@
         let now = *state.fault.lock();
         is_silent |= is_silenced(now, direction);
         is_silent |= state.silenced.load(Ordering::Relaxed) > silenced_before;
-        if let LinkFault::Delayed(time) = now {
-            std::thread::sleep(time);
-        }
+        std::thread::sleep(time_on_link(now, length));
         if !is_silent && to.write_all(&piece[..length]).is_err() {
             break;
         }
@@ -151,6 +151,17 @@
     }
 }
 
+/// How long a piece of this many bytes is under way.
+fn time_on_link(fault: LinkFault, length: usize) -> Duration {
+    match fault {
+        LinkFault::Delayed(time) => time,
+        LinkFault::Throttled(bytes_per_s) => {
+            Duration::from_secs_f64(length as f64 / f64::from(bytes_per_s))
+        }
+        _ => Duration::ZERO,
+    }
+}
+
 fn is_silenced(fault: LinkFault, direction: Direction) -> bool {
     matches!(
         (fault, direction),
