Don't call a version failed that the store brought meanwhile

Cause: an entry whose store brought a version while a peer gave it told that the peer's could not be put in force.

--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -171,12 +171,15 @@
     async fn adopt_arrived(self: &Arc<Self>, peer: SocketAddr, arrived: Arrived) -> Outcome {
         let before = self.version.lock().version();
         let is_taken = self.adopt(move |entry| entry.take_arrived(arrived)).await;
+        if !is_taken {
+            self.miss_version(&format!("what {peer} gave can't be put in force"));
+            return Outcome::TryAnother;
+        }
         // A peer that gives what is here already must not be asked for it again and again.
-        if is_taken && self.version.lock().version() > before {
-            return Outcome::InForce;
+        match self.version.lock().version() > before {
+            true => Outcome::InForce,
+            false => Outcome::TryAnother,
         }
-        self.miss_version(&format!("what {peer} gave can't be put in force"));
-        Outcome::TryAnother
     }
 
     /// Only [`Self::adopt`] may call this.
