Keep the steps that led to a version, so that all entries can give the same ones

Cause: an entry that took several versions at once kept one difference over all of them. Peers that held a version in between were given a whole body, and a package begun at one entry was another one at the next.

--- a/crates/pinhaven-entry/src/versions/packages.rs
+++ b/crates/pinhaven-agree/src/packages.rs
@@ -10,28 +10,31 @@
 const PACKAGES_KEPT: usize = 8;
 
 /// What a package starts from: a version that the peer holds, or nothing.
-pub(crate) type Start = Option<BundleVersion>;
+pub type PackageStart = Option<BundleVersion>;
 
 /// Packages, the one that was asked for last at the end.
-#[derive(Default)]
-pub(crate) struct Packages(VecDeque<(Start, Arc<BundlePackage>)>);
+#[derive(Debug, Default)]
+pub struct Packages(VecDeque<(PackageStart, Arc<BundlePackage>)>);
 
 impl Packages {
     /// The package with this digest, if it is still kept.
-    pub(crate) fn named(&mut self, digest: Digest) -> Option<Arc<BundlePackage>> {
+    pub fn named(&mut self, digest: Digest) -> Option<Arc<BundlePackage>> {
         self.find(|_, package| package.digest() == digest)
     }
 
     /// The package that leads from a start to a version, if it is kept.
-    pub(crate) fn leading(
+    pub fn leading(
         &mut self,
-        start: Start,
+        start: PackageStart,
         to: BundleVersion,
     ) -> Option<Arc<BundlePackage>> {
         self.find(|from, package| from == start && package.version() == to)
     }
 
-    fn find(&mut self, fits: impl Fn(Start, &BundlePackage) -> bool) -> Option<Arc<BundlePackage>> {
+    fn find(
+        &mut self,
+        fits: impl Fn(PackageStart, &BundlePackage) -> bool,
+    ) -> Option<Arc<BundlePackage>> {
         let index = self
             .0
             .iter()
@@ -43,7 +46,7 @@
     }
 
     /// Keeps a package, in place of the one that was not asked for the longest.
-    pub(crate) fn keep(&mut self, start: Start, package: Arc<BundlePackage>) {
+    pub fn keep(&mut self, start: PackageStart, package: Arc<BundlePackage>) {
         self.0.push_back((start, package));
         if self.0.len() > PACKAGES_KEPT {
             self.0.pop_front();
--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -192,10 +192,7 @@
             }
         };
         match unpacked {
-            Ok(UnpackedPackage { head, content }) => {
-                let body = self.body_of(&head, content);
-                body.is_some_and(|body| self.take_from_peer(head, body))
-            }
+            Ok(unpacked) => self.take_unpacked(unpacked),
             Err(error) => {
                 log::error!(target: "bundle", "A package can't be used: {error}.");
                 false
@@ -203,6 +200,20 @@
         }
     }
 
+    fn take_unpacked(&self, unpacked: UnpackedPackage) -> bool {
+        let UnpackedPackage { head, content } = unpacked;
+        let steps = match &content {
+            PackageContent::Differences(deltas) => deltas.clone(),
+            PackageContent::Whole(_) => Vec::new(),
+        };
+        let body = self.body_of(&head, content);
+        let is_taken = body.is_some_and(|body| self.take_from_peer(head, body));
+        if is_taken {
+            self.recent_deltas.lock().refine_last(steps);
+        }
+        is_taken
+    }
+
     fn body_of(&self, head: &BundleHead, content: PackageContent) -> Option<CanonicalBundle> {
         let deltas = match content {
             PackageContent::Whole(body) => return Some(body),
--- a/crates/pinhaven-entry/src/versions/give.rs
+++ b/crates/pinhaven-entry/src/versions/give.rs
@@ -1,10 +1,10 @@
 //! Giving the version in force to peers that lack it, part by part.
 
 use crate::entry::Entry;
-use crate::versions::packages::Start;
 use crate::watch::counters::Count;
 use pinhaven_agree::Offer;
 use pinhaven_agree::PART_BYTES_MAX;
+use pinhaven_agree::PackageStart;
 use pinhaven_agree::Verified;
 use pinhaven_bundle::BundleDelta;
 use pinhaven_bundle::BundlePackage;
@@ -57,7 +57,7 @@
         let differences = deltas
             .since(held)
             .filter(|differences| !request.needs_whole && are_smaller(differences, offer));
-        let start: Start = differences.is_some().then_some(held);
+        let start: PackageStart = differences.is_some().then_some(held);
         if let Some(package) = packages.leading(start, offer.head().version) {
             return Ok(package);
         }
--- a/crates/pinhaven-entry/src/versions/mod.rs
+++ b/crates/pinhaven-entry/src/versions/mod.rs
@@ -7,8 +7,6 @@
 pub(crate) mod discovered;
 pub(crate) mod fetch;
 pub(crate) mod give;
-pub(crate) mod packages;
-pub(crate) mod recent_deltas;
 pub(crate) mod reload;
 pub(crate) mod service_entry;
 pub(crate) mod snapshot;
