Let few peers take a version at a time, and leave nothing that can keep an entry behind

A part with a wrong length spoiled what had been begun for good; a peer's word to stay away was not bounded; a slow answer of the store was dropped when a peer had the version; heartbeats of the product's own exchange waited for a transfer; an entry always some versions behind seemed to be behind for a short time; large answers were let go on at every client. Change: a package is paid for as a whole when it is begun, within half of the link, and further askers go to other holders and come back in rounds; useless parts drop what was begun; bounds on parts, packages and pauses; the flag of a fetch is released whatever ends it; packages are made outside of the locks; large answers are opted into.

--- a/crates/pinhaven-agree/src/giving.rs
+++ b/crates/pinhaven-agree/src/giving.rs
@@ -1,18 +1,18 @@
-//! How much of a link goes to giving versions to peers.
+//! How much of a link goes to giving versions to peers, and to how many at a time.
 //!
-//! When a version comes, all entries that lack it ask the few that have it. Without a bound their answers
-//! queue up behind each other at a small link until every asker's timeout has passed, and callers' answers
-//! wait behind them too. So an entry gives up to a share of its link and sends the rest of the askers to
-//! others; each that has got the version gives it on.
+//! When a version comes, all entries that lack it ask the few that have it. If all were served at once, their
+//! parts would queue up behind each other at a small link, all would end late and none could give it on
+//! meanwhile. So a package is paid for as a whole when it is begun: what was begun goes on at full speed, and
+//! further askers are sent to others until it is paid off. Each that has got the version gives it on.
 
 use pinhaven_types::Microseconds;
 
 /// Share of the link that goes to it.
-const LINK_SHARE: f64 = 0.25;
-/// What may be given at once after a quiet time, as the time in which that share of the link carries it.
-const BURST: Microseconds = Microseconds::from_ms(200);
+const LINK_SHARE: f64 = 0.5;
+/// What may be begun at once after a quiet time, as the time in which that share of the link carries it.
+const BURST: Microseconds = Microseconds::from_ms(50);
 /// The longest that an asker is told to stay away.
-const AWAY_MOST: Microseconds = Microseconds::from_ms(500);
+pub const AWAY_MOST: Microseconds = Microseconds::from_ms(500);
 /// Bytes a second in a megabit a second.
 const BYTES_PER_MEGABIT: f64 = 125_000.0;
 /// Microseconds in a second.
@@ -37,13 +37,12 @@
         }
     }
 
-    /// Takes `bytes` out.
+    /// Begins to give `bytes`. The budget may be overdrawn by one package, however large that is.
     ///
     /// # Errors
     ///
-    /// How long the asker should stay away when there is nothing left. The budget may be overdrawn by
-    /// one part, so that a part larger than a burst can be given at all.
-    pub fn take(&mut self, bytes: usize, now: Microseconds) -> Result<(), Microseconds> {
+    /// How long the asker should stay away when those before it are not paid off yet.
+    pub fn begin(&mut self, bytes: usize, now: Microseconds) -> Result<(), Microseconds> {
         let passed = now.saturating_sub(self.filled_at);
         let filled = passed.count() as f64 / MICROSECONDS * self.bytes_per_s;
         self.left_bytes = (self.left_bytes + filled).min(burst_bytes(self.bytes_per_s));
--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -21,6 +21,7 @@
 mod version_lag;
 
 pub use demand::DemandMeter;
+pub use giving::AWAY_MOST;
 pub use giving::GivingBudget;
 pub use ledger::Begin;
 pub use ledger::Claim;
--- a/crates/pinhaven-agree/src/version_fetch.rs
+++ b/crates/pinhaven-agree/src/version_fetch.rs
@@ -14,6 +14,8 @@
 /// The most bytes of a part. At 16 kB a second it comes within one second, the least that
 /// [`PART_TIMEOUT`] asks of a link.
 pub const PART_BYTES_MAX: usize = 16 * 1024;
+/// The most bytes of a package.
+const PACKAGE_BYTES_MAX: u64 = 64 * 1024 * 1024;
 /// How long a peer may take for a part. A peer that is gone is noticed after this time.
 pub const PART_TIMEOUT: Microseconds = Microseconds::from_ms(1_000);
 
@@ -52,19 +54,47 @@
     More,
     /// All bytes of a package, which have its digest.
     Package(Vec<u8>),
-    /// The part fits nothing: it is empty, misplaced, or the whole does not have its digest.
+    /// The part fits nothing: it is empty, too large or misplaced, or the whole does not have its digest.
     Useless,
 }
 
 /// A package that has come in part.
 #[derive(Debug)]
 struct Begun {
+    /// The version in force when it was begun; differences lead on from that one only.
+    held: BundleVersion,
     version: BundleVersion,
     package: Digest,
     total_bytes: u64,
     bytes: Vec<u8>,
 }
 
+impl Begun {
+    fn new(held: BundleVersion, part: &Part) -> Self {
+        Self {
+            held,
+            version: part.version,
+            package: part.package,
+            total_bytes: part.total_bytes,
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Whether a part is the next one of this package.
+    fn is_next(&self, part: &Part) -> bool {
+        let is_of_it = part.package == self.package
+            && part.version == self.version
+            && part.total_bytes == self.total_bytes;
+        let end = part.offset.checked_add(part.bytes.len() as u64);
+        is_of_it
+            && part.offset == self.bytes.len() as u64
+            && !part.bytes.is_empty()
+            && part.bytes.len() <= PART_BYTES_MAX
+            && self.total_bytes <= PACKAGE_BYTES_MAX
+            && end.is_some_and(|end| end <= self.total_bytes)
+    }
+}
+
 /// What one entry has of a newer version.
 #[derive(Debug, Default)]
 pub struct VersionFetch {
@@ -74,8 +104,12 @@
 
 impl VersionFetch {
     /// What to ask the next peer for, while `held` is in force.
-    pub fn request(&self, held: BundleVersion) -> PartRequest {
-        let begun = self.begun.as_ref().filter(|begun| begun.version > held);
+    pub fn request(&mut self, held: BundleVersion) -> PartRequest {
+        if self.begun.as_ref().is_some_and(|begun| begun.held != held) {
+            // Differences that were begun lead on from a version that is no longer in force here.
+            self.begun = None;
+        }
+        let begun = self.begun.as_ref();
         PartRequest {
             held,
             package: begun.map(|begun| begun.package),
@@ -84,24 +118,17 @@
         }
     }
 
-    /// Takes a part in. A peer that no longer holds the package that was begun gives the first part of another.
-    pub fn take(&mut self, part: Part) -> Fetched {
+    /// Takes in the answer to a request. A peer that no longer holds the package that was begun gives the first
+    /// part of another. After a part that fits nothing the next request begins anew, as it can't be told
+    /// which of the parts was wrong.
+    pub fn take(&mut self, request: PartRequest, part: Part) -> Fetched {
         if part.offset == 0 {
-            self.begun = Some(Begun {
-                version: part.version,
-                package: part.package,
-                total_bytes: part.total_bytes,
-                bytes: Vec::new(),
-            });
+            self.begun = Some(Begun::new(request.held, &part));
         }
-        let Some(begun) = &mut self.begun else {
+        let Some(begun) = self.begun.as_mut().filter(|begun| begun.is_next(&part)) else {
+            self.begun = None;
             return Fetched::Useless;
         };
-        let follows = part.package == begun.package && part.offset == begun.bytes.len() as u64;
-        let fits = part.offset + part.bytes.len() as u64 <= begun.total_bytes;
-        if !follows || !fits || part.bytes.is_empty() {
-            return Fetched::Useless;
-        }
         begun.bytes.extend_from_slice(&part.bytes);
         if (begun.bytes.len() as u64) < begun.total_bytes {
             return Fetched::More;
@@ -126,15 +153,9 @@
     }
 
     /// Takes in that a newer version is in force.
-    pub fn put_in_force(&mut self, version: BundleVersion) {
+    pub fn put_in_force(&mut self) {
         self.needs_whole = false;
-        if self
-            .begun
-            .as_ref()
-            .is_some_and(|begun| begun.version <= version)
-        {
-            self.begun = None;
-        }
+        self.begun = None;
     }
 }
 
--- a/crates/pinhaven-agree/src/version_lag.rs
+++ b/crates/pinhaven-agree/src/version_lag.rs
@@ -6,13 +6,18 @@
 
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
+use std::collections::BTreeMap;
+
+/// Missing versions that are remembered with the time at which they were heard of.
+const MISSING_MOST: usize = 64;
 
 /// What an entry knows of versions, in force or not.
 #[derive(Debug, Clone, Default)]
 pub struct VersionLag {
     in_force: BundleVersion,
+    /// Versions that are known and not in force, and when each was first heard of.
+    missing: BTreeMap<BundleVersion, Microseconds>,
     known: BundleVersion,
-    behind_since: Option<Microseconds>,
     failed_tries: u32,
     last_failure: Option<String>,
 }
@@ -21,16 +26,22 @@
     /// Takes in that a version exists.
     pub fn hear(&mut self, version: BundleVersion, now: Microseconds) {
         self.known = self.known.max(version);
-        if self.known > self.in_force {
-            self.behind_since.get_or_insert(now);
+        if version <= self.in_force || self.missing.contains_key(&version) {
+            return;
+        }
+        if self.missing.len() >= MISSING_MOST {
+            // The oldest says how long this entry has been behind.
+            self.missing.pop_last();
         }
+        self.missing.insert(version, now);
     }
 
-    /// Takes in that a version is in force here. An entry that is still behind a newer one counts from now on.
-    pub fn put_in_force(&mut self, version: BundleVersion, now: Microseconds) {
+    /// Takes in that a version is in force here.
+    pub fn put_in_force(&mut self, version: BundleVersion) {
         self.in_force = self.in_force.max(version);
         self.known = self.known.max(version);
-        self.behind_since = (self.known > self.in_force).then_some(now);
+        let in_force = self.in_force;
+        self.missing.retain(|missing, _| *missing > in_force);
         self.failed_tries = 0;
         self.last_failure = None;
     }
@@ -50,7 +61,8 @@
 
     /// How long this entry has known of a version that it does not have; `None` when it has the newest.
     pub fn behind_for(&self, now: Microseconds) -> Option<Microseconds> {
-        self.behind_since.map(|since| now.saturating_sub(since))
+        let first = self.missing.values().min()?;
+        Some(now.saturating_sub(*first))
     }
 
     /// Tries that failed since a version was last put in force.
--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -96,11 +96,12 @@
         }
     }
 
-    /// Services and routes that it names: what it takes to keep and to send it.
+    /// Services, targets and routes that it names: what it takes to keep and to send it.
     pub fn size(&self) -> usize {
         let whole_hosts = self.hosts.iter().flatten();
         let whole_routes: usize = whole_hosts.map(|host| host.paths.len()).sum();
-        self.changed.len() + self.removed.len() + whole_routes + self.routes.size()
+        let changed: usize = self.changed.iter().map(|s| 1 + s.targets.len()).sum();
+        changed + self.removed.len() + whole_routes + self.routes.size()
     }
 
     /// Applies the difference and checks what comes out against the signed digest.
--- a/crates/pinhaven-bundle/src/package.rs
+++ b/crates/pinhaven-bundle/src/package.rs
@@ -67,7 +67,7 @@
 struct PackedForm<'package> {
     head: &'package BundleHead,
     #[serde(skip_serializing_if = "Option::is_none")]
-    differences: Option<&'package [&'package BundleDelta]>,
+    differences: Option<&'package [BundleDelta]>,
     #[serde(skip_serializing_if = "Option::is_none")]
     whole: Option<&'package Bundle>,
 }
@@ -102,7 +102,7 @@
     /// [`PackageError::Pack`] when it can't be written.
     pub fn with_differences(
         head: &BundleHead,
-        differences: &[&BundleDelta],
+        differences: &[BundleDelta],
     ) -> Result<Self, PackageError> {
         Self::pack(&PackedForm {
             head,
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -206,6 +206,18 @@
     Forecast,
 }
 
+impl Bundle {
+    /// Services, targets and routes that it names.
+    pub fn size(&self) -> usize {
+        let services = self
+            .services
+            .iter()
+            .map(|service| 1 + service.targets.len());
+        let routes = self.hosts.iter().map(|host| host.paths.len());
+        services.chain(routes).sum()
+    }
+}
+
 impl Service {
     /// A service without hosts and targets, with every other field at its default.
     pub fn new(name: ServiceName, slots: u32) -> Self {
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -123,7 +123,9 @@
         let newest = self.take_response(response);
         if newest > self.version.lock().version() {
             self.version_lag.lock().hear(newest, self.now());
-            self.fetch_from(peer).await;
+            // A large version may take long; heartbeats must go on meanwhile.
+            let entry = Arc::clone(self);
+            pinhaven_runtime::spawn(async move { entry.fetch_from(peer).await }).detach();
         }
     }
 
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -136,7 +136,8 @@
     }
 
     async fn fetch_list(&self, peer: SocketAddr, confirmed_at: Microseconds) {
-        let client = HttpClient::new(peer, PEER_TIMEOUT_MS).with_whole_timeout(LIST_TIMEOUT_MS);
+        let client = HttpClient::new(peer, PEER_TIMEOUT_MS)
+            .with_large_answers(PEER_TIMEOUT_MS, LIST_TIMEOUT_MS);
         let Ok(request) = Request::get(TARGETS_PATH).body(bytes::Bytes::new()) else {
             return;
         };
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -242,8 +242,8 @@
                 .store(limits.idle_timeout_ms, Ordering::Relaxed);
         }
         self.counters.add(Count::BundleInForce);
-        self.version_lag.lock().put_in_force(number, self.now());
-        self.version_fetch.lock().put_in_force(number);
+        self.version_lag.lock().put_in_force(number);
+        self.version_fetch.lock().put_in_force();
         self.record_version("in_force", number);
         log::info!(target: "bundle", "Version {number}, signed off by {signer}, is in force.");
         self.become_ready();
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -141,7 +141,11 @@
     /// Follows the configuration anew if the store does not bring a version that a peer has.
     async fn watch_store_for(&self, version: BundleVersion) {
         sleep_ms(STORE_BEHIND_MOST_MS).await;
-        if self.store_lag.lock().lacks(version) {
+        let is_coming = self
+            .store()
+            .is_some_and(|store| store.is_receiving_configuration());
+        // An answer that comes slowly over a small link would begin anew.
+        if self.store_lag.lock().lacks(version) && !is_coming {
             log::info!(target: "bundle", "The store has not brought version {version}; it is asked anew.");
             self.follow_anew.notify(usize::MAX);
         }
--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::Entry;
 use crate::watch::counters::Count;
+use pinhaven_agree::AWAY_MOST;
 use pinhaven_agree::Fetched;
 use pinhaven_agree::PART_BYTES_MAX;
 use pinhaven_agree::PART_TIMEOUT;
@@ -22,24 +23,26 @@
 use pinhaven_runtime::sleep_ms;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Digest;
+use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Peers that are asked one after the other before the next news of a version starts anew.
+/// Peers that are asked one after the other in a round.
 const PEERS_TRIED_MOST: usize = 3;
+/// Rounds in which all were busy before the next news of a version starts anew.
+const ROUNDS_MOST: u32 = 20;
 /// How often a package may be begun anew at one peer. It is when the peer has another one than was begun.
 const RESTARTS_MOST: u32 = 2;
-/// How often a peer that is busy is waited for once it has given a part.
-const WAITS_MOST: u32 = 40;
-
 /// How asking a peer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
     /// A newer version is in force.
     InForce,
-    /// The peer has none, has no room, or failed.
+    /// The peer has one and no room to give it for so long.
+    Busy(Duration),
+    /// The peer has none, or failed.
     TryAnother,
 }
 
@@ -56,9 +59,8 @@
 /// What to do after a reply.
 enum Next {
     Ask,
-    AskAfter(Duration),
     Adopt(Arrived),
-    Leave,
+    Leave(Outcome),
 }
 
 /// A version that has come whole.
@@ -71,26 +73,67 @@
 struct Asking {
     peer: SocketAddr,
     restarts: u32,
-    waits: u32,
+}
+
+/// The one fetch that may be under way; others may begin once this is dropped.
+struct Fetching(Arc<Entry>);
+
+impl Fetching {
+    /// Begins, unless one is under way.
+    fn begin(entry: &Arc<Entry>) -> Option<Self> {
+        let is_under_way = entry.is_fetching.swap(true, Ordering::Acquire);
+        (!is_under_way).then(|| Self(Arc::clone(entry)))
+    }
+}
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        self.0.is_fetching.store(false, Ordering::Release);
+    }
 }
 
 impl Entry {
     /// Takes a newer version from a peer or from others that have it. While one is being taken this does
     /// nothing; the next news shows whether there is still something to take.
     pub(crate) async fn fetch_from(self: &Arc<Self>, peer: SocketAddr) {
-        if self.is_fetching.swap(true, Ordering::Acquire) {
+        let Some(_fetching) = Fetching::begin(self) else {
             return;
+        };
+        let mut first = Some(peer);
+        for _ in 0..ROUNDS_MOST {
+            let Some(away) = self.ask_round(first.take()).await else {
+                return;
+            };
+            // Askers that were sent away at the same time come back at different ones.
+            let pause = away.mul_f64(1.0 + fastrand::f64());
+            sleep_ms(pause.as_millis() as u64).await;
         }
+    }
+
+    /// Asks a few peers one after the other. Returns how long to stay away when the last ones that have what is
+    /// missing were busy.
+    async fn ask_round(self: &Arc<Self>, first: Option<SocketAddr>) -> Option<Duration> {
         let mut tried = Vec::new();
-        let mut next = Some(peer);
+        let mut away: Option<Duration> = None;
+        let mut next = first.or_else(|| self.next_holder(&tried));
         while let Some(peer) = next {
             match self.fetch_package(peer).await {
-                Outcome::InForce => tried.clear(),
+                Outcome::InForce => {
+                    tried.clear();
+                    away = None;
+                }
+                Outcome::Busy(time) => {
+                    tried.push(peer);
+                    away = Some(away.map_or(time, |least| least.min(time)));
+                }
                 Outcome::TryAnother => tried.push(peer),
             }
             next = self.next_holder(&tried);
         }
-        self.is_fetching.store(false, Ordering::Release);
+        if away.is_some() {
+            self.miss_version("all that were asked are busy");
+        }
+        away
     }
 
     /// Another peer that has what this entry lacks.
@@ -105,11 +148,7 @@
 
     /// Takes a package from a peer, part by part, and what it leads to.
     async fn fetch_package(self: &Arc<Self>, peer: SocketAddr) -> Outcome {
-        let mut asking = Asking {
-            peer,
-            restarts: 0,
-            waits: 0,
-        };
+        let mut asking = Asking { peer, restarts: 0 };
         loop {
             let request = self.part_request();
             let next = match self.ask_for_part(peer, request).await {
@@ -118,9 +157,8 @@
             };
             match next {
                 Next::Ask => {}
-                Next::AskAfter(pause) => sleep_ms(pause.as_millis() as u64).await,
                 Next::Adopt(arrived) => return self.adopt_arrived(peer, arrived).await,
-                Next::Leave => return Outcome::TryAnother,
+                Next::Leave(outcome) => return outcome,
             }
         }
     }
@@ -141,8 +179,8 @@
     fn take_reply(&self, asking: &mut Asking, request: PartRequest, reply: Reply) -> Next {
         let peer = asking.peer;
         match reply {
-            Reply::NothingNewer => Next::Leave,
-            Reply::Busy(away) => wait_for(asking, request, away),
+            Reply::NothingNewer => Next::Leave(Outcome::TryAnother),
+            Reply::Busy(away) => Next::Leave(Outcome::Busy(away)),
             Reply::Part(part) => self.take_part(asking, request, part),
             Reply::Unpacked(unpacked) => Next::Adopt(Arrived::Unpacked(unpacked)),
             Reply::Unreadable(why) => self.leave(&format!("{why}, from {peer}")),
@@ -155,7 +193,7 @@
         if asking.restarts > RESTARTS_MOST {
             return self.leave(&format!("{peer} gives another package each time"));
         }
-        match self.version_fetch.lock().take(part) {
+        match self.version_fetch.lock().take(request, part) {
             Fetched::More => Next::Ask,
             Fetched::Package(bytes) => Next::Adopt(Arrived::Package(bytes)),
             Fetched::Useless => self.leave(&format!("a part from {peer} fits nothing")),
@@ -165,7 +203,7 @@
     /// Leaves a peer that failed.
     fn leave(&self, why: &str) -> Next {
         self.miss_version(why);
-        Next::Leave
+        Next::Leave(Outcome::TryAnother)
     }
 
     async fn adopt_arrived(self: &Arc<Self>, peer: SocketAddr, arrived: Arrived) -> Outcome {
@@ -227,16 +265,6 @@
     }
 }
 
-/// A peer that is busy is waited for only once a package was begun: others may have room.
-fn wait_for(asking: &mut Asking, request: PartRequest, away: Duration) -> Next {
-    if request.package.is_none() || asking.waits >= WAITS_MOST {
-        return Next::Leave;
-    }
-    asking.waits += 1;
-    // Askers that were sent away at the same time come back at different ones.
-    Next::AskAfter(away.mul_f64(1.0 + fastrand::f64()))
-}
-
 fn message_of(request: PartRequest) -> FetchBundleRequest {
     let package = request.package.map(|digest| digest.as_bytes().to_vec());
     FetchBundleRequest {
@@ -250,7 +278,8 @@
 
 fn reply_of(response: FetchBundleResponse) -> Reply {
     if response.busy_ms > 0 {
-        return Reply::Busy(Duration::from_millis(u64::from(response.busy_ms)));
+        let away = Microseconds::from_ms(u64::from(response.busy_ms)).min(AWAY_MOST);
+        return Reply::Busy(Duration::from_micros(away.count()));
     }
     let unpacked = |content: PackageContent| match serde_json::from_slice(&response.head) {
         Ok(head) => Reply::Unpacked(Box::new(UnpackedPackage { head, content })),
--- a/crates/pinhaven-entry/src/versions/give.rs
+++ b/crates/pinhaven-entry/src/versions/give.rs
@@ -49,16 +49,15 @@
         offer: &Offer<Verified>,
     ) -> Result<Arc<BundlePackage>, PackageError> {
         let begun = Digest::from_bytes(&request.package);
-        let mut packages = self.packages.lock();
-        if let Some(package) = begun.and_then(|digest| packages.named(digest)) {
+        if let Some(package) = begun.and_then(|digest| self.packages.lock().named(digest)) {
             return Ok(package);
         }
-        let deltas = self.recent_deltas.lock();
-        let differences = deltas
-            .since(held)
-            .filter(|differences| !request.needs_whole && are_smaller(differences, offer));
+        let differences = match request.needs_whole {
+            true => None,
+            false => self.differences_to(offer, held),
+        };
         let start: PackageStart = differences.is_some().then_some(held);
-        if let Some(package) = packages.leading(start, offer.head().version) {
+        if let Some(package) = self.packages.lock().leading(start, offer.head().version) {
             return Ok(package);
         }
         let package = match differences {
@@ -66,10 +65,23 @@
             None => BundlePackage::with_whole(offer.head(), offer.body())?,
         };
         let package = Arc::new(package);
-        packages.keep(start, Arc::clone(&package));
+        self.packages.lock().keep(start, Arc::clone(&package));
         Ok(package)
     }
 
+    /// The differences from a version on, if they are here and less than the whole.
+    fn differences_to(
+        &self,
+        offer: &Offer<Verified>,
+        held: BundleVersion,
+    ) -> Option<Vec<BundleDelta>> {
+        let deltas = self.recent_deltas.lock();
+        let differences = deltas.since(held)?;
+        let leads_there = differences.last().map(|last| last.to) == Some(offer.head().version);
+        (leads_there && are_smaller(&differences, offer))
+            .then(|| differences.into_iter().cloned().collect())
+    }
+
     fn give_part(
         &self,
         request: &FetchBundleRequest,
@@ -77,22 +89,25 @@
     ) -> FetchBundleResponse {
         let has_begun = request.package == package.digest().as_bytes();
         let offset = if has_begun { request.offset } else { 0 };
-        let rest = package.bytes().get(offset as usize..).unwrap_or_default();
-        let length = rest
-            .len()
-            .min(request.bytes_most as usize)
-            .min(PART_BYTES_MAX);
-        if let Err(away) = self.giving.lock().take(length, self.now()) {
+        let all = package.bytes();
+        if offset == 0
+            && let Err(away) = self.giving.lock().begin(all.len(), self.now())
+        {
             return FetchBundleResponse {
                 busy_ms: away.as_ms().ceil() as u32,
                 ..FetchBundleResponse::default()
             };
         }
+        let rest = all.get(offset as usize..).unwrap_or_default();
+        let length = rest
+            .len()
+            .min(request.bytes_most as usize)
+            .min(PART_BYTES_MAX);
         self.counters.add_many(Count::PeerBytes, length as u64);
         let part = BundlePart {
             version: package.version().number(),
             package: package.digest().as_bytes().to_vec(),
-            total_bytes: package.bytes().len() as u64,
+            total_bytes: all.len() as u64,
             offset,
             bytes: rest[..length].to_vec(),
         };
@@ -106,9 +121,7 @@
 /// Whether differences name less than there is in all.
 fn are_smaller(differences: &[&BundleDelta], offer: &Offer<Verified>) -> bool {
     let named: usize = differences.iter().map(|delta| delta.size()).sum();
-    let bundle = offer.body().bundle();
-    let routes: usize = bundle.hosts.iter().map(|host| host.paths.len()).sum();
-    named <= bundle.services.len() + routes
+    named <= offer.body().bundle().size()
 }
 
 /// The answer to a peer that knows no parts.
--- a/crates/pinhaven-platform/src/discovery.rs
+++ b/crates/pinhaven-platform/src/discovery.rs
@@ -36,6 +36,9 @@
         position: Option<FeedPosition>,
     ) -> Result<ConfigurationNews, PlatformError>;
 
+    /// Whether a new configuration is coming in at this moment.
+    fn is_receiving_configuration(&self) -> bool;
+
     /// Reads the list of targets.
     ///
     /// # Errors
--- a/crates/pinhaven-runtime/src/client.rs
+++ b/crates/pinhaven-runtime/src/client.rs
@@ -23,6 +23,8 @@
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// The largest answer to a control call, in bytes.
@@ -32,8 +34,6 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
 /// Such questions without an answer after which a connection counts as broken.
 const KEEP_ALIVE_ASKED_MOST: u32 = 2;
-/// How many times longer than the next piece of it a whole answer may take, unless a client is told otherwise.
-const WHOLE_TIMEOUTS: u32 = 20;
 /// Idle connections that a client keeps unless told otherwise.
 const IDLE_CONNECTIONS_DEFAULT: usize = 4;
 
@@ -136,36 +136,50 @@
     idle_most: usize,
     is_kept_alive: bool,
     idle: Mutex<Vec<http1::SendRequest<AnyBody>>>,
+    /// Answers that have begun and go on.
+    receiving: AtomicUsize,
+}
+
+/// An answer that has begun, until it is dropped.
+struct Receiving<'client>(&'client AtomicUsize);
+
+impl<'client> Receiving<'client> {
+    fn new(count: &'client AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl HttpClient {
-    /// A client of `peer` that waits at most `timeout_ms` for an answer to begin and for each further piece of it.
-    ///
-    /// A large answer on a small link takes longer than that as a whole, and giving it up while it still comes
-    /// only asks for the same bytes again: with 1.5 s for all of it, a configuration of 4,200 routes never came over
-    /// a link of 300 kB a second; now it comes in 3.7 s (stand-in store behind a throttled link).
+    /// A client of `peer` whose calls take at most `timeout_ms`.
     pub fn new(peer: SocketAddr, timeout_ms: u64) -> Self {
         let timeout = Duration::from_millis(timeout_ms);
         Self {
             peer,
             timeout,
             piece_timeout: timeout,
-            whole_timeout: timeout * WHOLE_TIMEOUTS,
+            whole_timeout: timeout,
             idle_most: IDLE_CONNECTIONS_DEFAULT,
             is_kept_alive: false,
             idle: Mutex::new(Vec::new()),
+            receiving: AtomicUsize::new(0),
         }
     }
 
-    /// Waits at most `timeout_ms` for each piece of an answer that has begun.
-    pub fn with_piece_timeout(mut self, timeout_ms: u64) -> Self {
-        self.piece_timeout = Duration::from_millis(timeout_ms);
-        self
-    }
-
-    /// Gives a whole answer up after `timeout_ms`, also while it still comes.
-    pub fn with_whole_timeout(mut self, timeout_ms: u64) -> Self {
-        self.whole_timeout = Duration::from_millis(timeout_ms);
+    /// Lets an answer that has begun go on while its pieces come at most `piece_ms` apart, for at most `whole_ms` in all.
+    ///
+    /// A large answer on a small link takes long as a whole, and giving it up while it still comes only asks for
+    /// the same bytes again: with 1.5 s for all of it, a configuration of 4,200 routes never came over a
+    /// link of 300 kB a second; now it comes in 3.7 s (stand-in store behind a throttled link).
+    pub fn with_large_answers(mut self, piece_ms: u64, whole_ms: u64) -> Self {
+        self.piece_timeout = Duration::from_millis(piece_ms);
+        self.whole_timeout = Duration::from_millis(whole_ms);
         self
     }
 
@@ -186,6 +200,11 @@
         self.peer
     }
 
+    /// Whether an answer has begun and goes on.
+    pub fn is_receiving(&self) -> bool {
+        self.receiving.load(Ordering::Relaxed) > 0
+    }
+
     /// Makes one call.
     ///
     /// # Errors
@@ -221,6 +240,7 @@
 
     /// Takes a body in while its pieces keep coming.
     async fn receive(&self, body: Incoming) -> Result<Bytes, CallError> {
+        let _receiving = Receiving::new(&self.receiving);
         let mut body = Limited::new(body, CONTROL_ANSWER_BYTES_MAX);
         let mut whole = BytesMut::new();
         loop {
