--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -15,6 +15,7 @@
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
 use pinhaven_types::TargetId;
+use pinhaven_types::TargetIncarnation;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -41,6 +42,9 @@
 pub struct ListedTarget {
     /// Its id.
     pub id: TargetId,
+    /// Its run, if it tells its start.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<TargetIncarnation>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
--- /dev/null
+++ b/crates/pinhaven-agree/tests/restarted_targets.rs
@@ -0,0 +1,193 @@
+//! Targets that start again under their id, as lists tell of them.
+
+use pinhaven_agree::KnownTargets;
+use pinhaven_agree::ListedTarget;
+use pinhaven_agree::PeerList;
+use pinhaven_agree::TargetList;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetIncarnation;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+/// The ports of an earlier and a later run; each run of these tests gets a port of its own.
+const EARLIER: u64 = 1;
+const LATER: u64 = 2;
+
+fn at_ms(time_ms: u64) -> Microseconds {
+    Microseconds::from_ms(1_000_000 + time_ms)
+}
+
+/// A run of the one target.
+fn run(number: u64) -> ListedTarget {
+    ListedTarget {
+        id: "i-1".parse().unwrap(),
+        incarnation: Some(TargetIncarnation::new(1_764_720_000_000 + number)),
+        service: "quote".parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        failure_domain: "vienna-1".parse().unwrap(),
+        slots: 6,
+        is_leaving: false,
+        warm_up_ms: 0,
+    }
+}
+
+fn list(revision: u64, targets: impl IntoIterator<Item = ListedTarget>) -> TargetList {
+    TargetList::new(revision, targets)
+}
+
+/// What an entry uses of the one target.
+fn used(known: &KnownTargets) -> Option<ListedTarget> {
+    known.targets().targets.into_values().next()
+}
+
+fn used_run(known: &KnownTargets) -> Option<TargetIncarnation> {
+    used(known).and_then(|target| target.incarnation)
+}
+
+#[test]
+fn lists_with_different_runs_of_a_target_are_different() {
+    let mut later_at_same_address = run(EARLIER);
+    later_at_same_address.incarnation = run(LATER).incarnation;
+    let (before, after) = (
+        list(1, [run(EARLIER)]),
+        list(2, [later_at_same_address.clone()]),
+    );
+    assert_ne!(before.digest(), after.digest());
+    let mut known = KnownTargets::new();
+    known.take_read(before, at_ms(0));
+    assert_eq!(known.hear(2, after.digest(), at_ms(100)), PeerList::Fetch);
+    assert!(known.take_peer_list(after, at_ms(100), at_ms(110)));
+    assert_eq!(used(&known), Some(later_at_same_address));
+}
+
+/// Lists of targets that tell no start have the digest that entries of older versions find.
+#[test]
+fn the_digest_of_targets_without_a_start_stays_what_it_was() {
+    let mut old = run(EARLIER);
+    old.incarnation = None;
+    let text = serde_json::to_string(&list(1, [old.clone()])).unwrap();
+    assert!(!text.contains("incarnation"), "{text}");
+    assert_eq!(list(1, [old]).digest(), 12_366_829_204_709_453_449);
+}
+
+#[test]
+fn a_late_entry_of_an_earlier_run_changes_nothing() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [run(EARLIER)]), at_ms(0));
+    known.take_read(list(2, [run(LATER)]), at_ms(600));
+    known.take_read(list(3, [run(EARLIER)]), at_ms(1_200));
+    assert_eq!(used(&known), Some(run(LATER)));
+    // What the store gave is told to others as it is, so that all agree on its digest.
+    assert_eq!(**known.list(), list(3, [run(EARLIER)]));
+    known.take_read(list(4, [run(EARLIER)]), at_ms(1_800));
+    assert_eq!(used(&known), Some(run(LATER)));
+    known.take_read(list(5, [run(LATER)]), at_ms(2_400));
+    assert_eq!(used(&known), Some(run(LATER)));
+    known.take_read(list(6, []), at_ms(3_000));
+    assert_eq!(used(&known), None);
+}
+
+#[test]
+fn a_list_of_a_peer_brings_no_earlier_run_back() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(2, [run(LATER)]), at_ms(0));
+    // The peer's store has not seen the later start yet, though its reading is the younger one.
+    known.take_peer_list(list(2, [run(EARLIER)]), at_ms(500), at_ms(510));
+    assert_eq!(used(&known), Some(run(LATER)));
+}
+
+#[test]
+fn an_earlier_run_is_not_used_after_the_later_one_lapsed() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [run(LATER)]), at_ms(0));
+    known.take_read(list(1, []), at_ms(600));
+    known.take_read(list(2, [run(EARLIER)]), at_ms(1_200));
+    assert_eq!(used(&known), None, "neither is known to live");
+}
+
+#[test]
+fn what_is_kept_over_an_outage_gives_way_to_a_later_run_and_not_to_an_earlier_one() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [run(LATER)]), at_ms(0));
+    known.take_failure(at_ms(1_000));
+    known.take_read(list(2, []), at_ms(5_000));
+    assert_eq!(used(&known), Some(run(LATER)), "it may only have lapsed");
+    known.take_read(list(3, [run(EARLIER)]), at_ms(5_600));
+    assert_eq!(used(&known), Some(run(LATER)));
+    known.take_read(list(4, [run(3)]), at_ms(6_200));
+    assert_eq!(used(&known), Some(run(3)));
+    known.expire_kept(at_ms(9_000));
+    assert_eq!(used(&known), Some(run(3)));
+}
+
+#[test]
+fn a_run_that_left_is_not_revived_by_a_stale_entry() {
+    let mut leaving = run(EARLIER);
+    leaving.is_leaving = true;
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [leaving]), at_ms(0));
+    known.take_read(list(2, [run(EARLIER)]), at_ms(600));
+    assert!(used(&known).unwrap().is_leaving);
+    known.take_read(list(3, []), at_ms(1_200));
+    known.take_read(list(4, [run(EARLIER)]), at_ms(1_800));
+    assert!(used(&known).unwrap().is_leaving);
+    known.take_read(list(5, [run(LATER)]), at_ms(2_400));
+    assert_eq!(used(&known), Some(run(LATER)));
+}
+
+#[test]
+fn a_later_run_is_slow_from_its_own_start() {
+    let mut warming = run(EARLIER);
+    warming.warm_up_ms = 3_000;
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [warming]), at_ms(0));
+    let mut again = run(LATER);
+    again.warm_up_ms = 5_000;
+    known.take_read(list(2, [again.clone()]), at_ms(600));
+    assert_eq!(used(&known).unwrap().warm_up_ms, 5_000);
+    again.warm_up_ms = 4_400;
+    assert!(!known.take_read(list(3, [again]), at_ms(1_200)));
+    assert_eq!(used(&known).unwrap().warm_up_ms, 5_000);
+}
+
+#[test]
+fn a_target_that_tells_no_start_is_taken_as_it_is_listed() {
+    let mut old = run(EARLIER);
+    old.incarnation = None;
+    let mut moved = run(LATER);
+    moved.incarnation = None;
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, [run(LATER)]), at_ms(0));
+    for (revision, target) in [(2, old), (3, moved)] {
+        known.take_read(list(revision, [target.clone()]), at_ms(revision * 600));
+        assert_eq!(used(&known), Some(target));
+    }
+}
+
+/// Whatever order lists come in, from the store or from peers, a run that was known is followed by later
+/// ones only.
+#[test]
+fn an_entry_never_goes_back_to_an_earlier_run() {
+    fn never_goes_back(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut known = KnownTargets::new();
+        let mut latest = None;
+        let mut is_right = true;
+        for (step, (number, revision, is_read)) in steps.into_iter().enumerate() {
+            let now = at_ms(600 * (step as u64 + 1));
+            let target = (number % 4 > 0).then(|| run(u64::from(number % 4)));
+            let list = list(u64::from(revision % 8), target);
+            match is_read {
+                true => known.take_read(list, now),
+                false => known.take_peer_list(list, now, now),
+            };
+            let used = used_run(&known);
+            is_right &= used.is_none() || used >= latest;
+            latest = latest.max(used);
+        }
+        is_right
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(24, 43))
+        .tests(2_000)
+        .quickcheck(never_goes_back as fn(Vec<(u8, u8, bool)>) -> bool);
+}
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -15,6 +15,7 @@
 fn target(number: u16) -> ListedTarget {
     ListedTarget {
         id: format!("i-{number}").parse().unwrap(),
+        incarnation: None,
         service: "quote".parse().unwrap(),
         address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
         failure_domain: "vienna-1".parse().unwrap(),
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -8,6 +8,7 @@
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
 use pinhaven_types::TargetId;
+use pinhaven_types::TargetIncarnation;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -154,6 +155,9 @@
     /// Its id, by which another target at the same address is told from it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub id: Option<TargetId>,
+    /// Its run, by which it is told from an earlier one with its id.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<TargetIncarnation>,
     /// Requests that it works on at a time, where that differs from the service's.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub slots: Option<u32>,
@@ -170,6 +174,7 @@
             failure_domain,
             state: TargetState::Live,
             id: None,
+            incarnation: None,
             slots: None,
             warm_up_ms: 0,
         }
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -9,6 +9,7 @@
 use crate::speed::ReportedSpeed;
 use crate::speed::ServiceSpeed;
 use pinhaven_bundle::Target;
+use pinhaven_types::Digest;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
@@ -137,6 +138,12 @@
         self.id.as_ref()
     }
 
+    /// Short key by which entries name it among themselves; `None` without an id.
+    pub fn key(&self) -> Option<u32> {
+        let id = self.id.as_ref()?;
+        Some(Digest::of(id.as_str().as_bytes()).short() as u32)
+    }
+
     /// Requests that it works on at a time.
     pub fn slots(&self) -> f32 {
         self.slots
--- a/crates/pinhaven-entry/src/versions/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -13,7 +13,6 @@
 use pinhaven_bundle::Target;
 use pinhaven_bundle::TargetState;
 use pinhaven_types::BundleVersion;
-use pinhaven_types::Digest;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
@@ -165,10 +164,9 @@
     let mut by_key = HashMap::new();
     for service in services.values() {
         for target in service.state.targets() {
-            let Some(id) = target.id() else {
+            let Some(key) = target.key() else {
                 continue;
             };
-            let key = Digest::of(id.as_str().as_bytes()).short() as u32;
             let keyed = KeyedTarget {
                 service: Arc::clone(service),
                 target: Arc::clone(target),
@@ -210,6 +208,7 @@
             TargetState::Live
         },
         id: Some(listed.id.clone()),
+        incarnation: listed.incarnation,
         slots: Some(listed.slots),
         warm_up_ms: listed.warm_up_ms,
         ..Target::new(listed.address, listed.failure_domain.clone())
--- a/crates/pinhaven-types/src/lib.rs
+++ b/crates/pinhaven-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod name;
 mod promise;
 mod quantity;
+mod target_incarnation;
 
 pub use digest::Digest;
 pub use incarnation::Incarnation;
@@ -31,6 +32,7 @@
 pub use quantity::Percent;
 pub use quantity::RequestRate;
 pub use quantity::TargetAddress;
+pub use target_incarnation::TargetIncarnation;
 
 /// Advice that goes with an error.
 pub trait Help {
--- a/crates/pinhaven-types/src/quantity.rs
+++ b/crates/pinhaven-types/src/quantity.rs
@@ -18,6 +18,8 @@
     Version(String),
     /// {0:?} is not a whole number of requests a second, such as "120/s"
     Rate(String),
+    /// {0:?} is not a Unix time in whole milliseconds
+    Start(String),
 }
 
 impl std::error::Error for ParseQuantityError {}
--- a/crates/pinhaven-types/tests/types.rs
+++ b/crates/pinhaven-types/tests/types.rs
@@ -6,6 +6,7 @@
 use pinhaven_types::Promise;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
+use pinhaven_types::TargetIncarnation;
 use pinhaven_types::promise_check_count;
 use pinhaven_types::promise_violation_count;
 use pinhaven_types::require_promise;
@@ -66,3 +67,13 @@
     assert_eq!(promise_check_count(promise), 2);
     assert_eq!(promise_violation_count(promise), 1);
 }
+
+#[test]
+fn a_run_of_a_target_is_a_unix_time_and_a_later_one_is_greater() {
+    let earlier: TargetIncarnation = "1764720000000".parse().unwrap();
+    assert_eq!(earlier.to_string(), "1764720000000");
+    assert!(TargetIncarnation::new(1_764_720_000_001) > earlier);
+    for bad in ["", "-1", "1.5", "x", "99999999999999999999"] {
+        assert!(bad.parse::<TargetIncarnation>().is_err(), "{bad:?}");
+    }
+}
