Take nothing that was learned of an earlier run of a target for a later one

Cause: a target's state, pool and key went by address and id, so a target that started again was as full, slow, failing or gone as before, and late news between entries named it. A crash loop took a full share after each start.

Change: state and pools are taken over within one run only; the key that entries use among themselves covers the run (owners, counts, speeds, what was told). A run that left is not put back by a later live. Ruled out: remembering failures over starts, as a sound restart must not pay for them.

--- a/crates/pinhaven-decide/src/choice.rs
+++ b/crates/pinhaven-decide/src/choice.rs
@@ -152,7 +152,7 @@
 ) -> bool {
     !target.is_leaving()
         && !target.is_ejected(now)
-        && target.in_flight() < service.connections_per_target()
+        && target.has_place(service.connections_per_target())
         && !wanted.tried.contains(&target.address())
 }
 
--- a/crates/pinhaven-decide/src/health.rs
+++ b/crates/pinhaven-decide/src/health.rs
@@ -32,6 +32,7 @@
 /// Takes a good answer of a target in.
 pub(crate) fn record_success(target: &TargetState, now: Microseconds) {
     target.record_heard(now);
+    target.earn();
     if target.failures_in_row.load(Ordering::Relaxed) != 0 {
         target.failures_in_row.store(0, Ordering::Relaxed);
     }
--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -59,6 +59,7 @@
 mod kept_speed;
 mod measuring;
 mod progress;
+mod recent_runs;
 mod refusal;
 mod report;
 mod request;
--- /dev/null
+++ b/crates/pinhaven-decide/src/recent_runs.rs
@@ -0,0 +1,51 @@
+//! Runs of targets that a service had lately.
+//!
+//! They tell a target that has started again from one that is new, also when it was missing from the list
+//! in between, as one that crashes is.
+
+use crate::target::TargetState;
+use pinhaven_bundle::Target;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetId;
+use pinhaven_types::TargetIncarnation;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// How long a run is remembered after it was gone. Who starts again after longer is taken for new.
+const REMEMBERED_FOR: Microseconds = Microseconds::from_ms(60_000);
+
+#[derive(Debug, Clone, Copy)]
+struct RecentRun {
+    incarnation: TargetIncarnation,
+    gone_at: Microseconds,
+}
+
+/// The last run of each target that tells its start.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RecentRuns(HashMap<TargetId, RecentRun>);
+
+impl RecentRuns {
+    /// The runs at the end of a version at `now`: those that were recent in it, and its targets.
+    pub(crate) fn at_end(&self, targets: &[Arc<TargetState>], now: Microseconds) -> Self {
+        let mut runs = self.clone();
+        runs.0
+            .retain(|_, run| now.saturating_sub(run.gone_at) < REMEMBERED_FOR);
+        for target in targets {
+            let (Some(id), Some(incarnation)) = (target.id(), target.incarnation()) else {
+                continue;
+            };
+            let run = RecentRun {
+                incarnation,
+                gone_at: now,
+            };
+            runs.0.insert(id.clone(), run);
+        }
+        runs
+    }
+
+    /// Whether an earlier run of the target was there lately.
+    pub(crate) fn has_earlier(&self, target: &Target) -> bool {
+        let recent = target.id.as_ref().and_then(|id| self.0.get(id));
+        recent.is_some_and(|run| target.incarnation > Some(run.incarnation))
+    }
+}
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -6,6 +6,7 @@
 use crate::budget::TokenBudget;
 use crate::health;
 use crate::hedge::HedgeDelay;
+use crate::recent_runs::RecentRuns;
 use crate::report::LoadReport;
 use crate::speed::ServiceSpeed;
 use crate::target::TargetState;
@@ -13,6 +14,7 @@
 use arc_swap::ArcSwap;
 use pinhaven_bundle::Policy;
 use pinhaven_bundle::Service;
+use pinhaven_bundle::Target;
 use pinhaven_bundle::TargetState as BundledTargetState;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
@@ -75,6 +77,7 @@
     /// Those that this entry owns.
     owned: ArcSwap<Vec<Arc<TargetState>>>,
     listed: Vec<BundledTargetState>,
+    recent_runs: RecentRuns,
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
     pub(crate) speed: ServiceSpeed,
@@ -125,7 +128,10 @@
     /// with all that is known of them; other targets are cold when there was a `previous`.
     pub fn new(service: &Service, previous: Option<&Self>, now: Microseconds) -> Self {
         let typical_ms = service.typical_ms as f32;
-        let targets = targets_of(service, previous, now);
+        let recent_runs = previous
+            .map(|previous| previous.recent_runs.at_end(&previous.targets, now))
+            .unwrap_or_default();
+        let targets = targets_of(service, previous, &recent_runs, now);
         let connections_per_target = (service.connections / service.entries_most).max(1);
         let entries = service.entries_named.min(service.entries_most) as f32;
         let capacity = targets.len() as f32 * service.slots as f32;
@@ -140,6 +146,7 @@
             targets,
             owned: ArcSwap::default(),
             listed: service.targets.iter().map(|target| target.state).collect(),
+            recent_runs,
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
             speed: ServiceSpeed::new(),
@@ -450,6 +457,7 @@
 fn targets_of(
     service: &Service,
     previous: Option<&ServiceState>,
+    recent_runs: &RecentRuns,
     now: Microseconds,
 ) -> Vec<Arc<TargetState>> {
     let known: HashMap<TargetAddress, (&Arc<TargetState>, BundledTargetState)> = previous
@@ -458,14 +466,19 @@
         .map(|(target, listed)| (target.address(), (target, *listed)))
         .collect();
     let cold_since = previous.map(|_| now);
-    let target_of = |target: &pinhaven_bundle::Target| {
+    let new_state = |target: &Target| {
+        let state = TargetState::new(target, service.slots, now, cold_since);
+        match recent_runs.has_earlier(target) {
+            true => state.with_share_to_earn(),
+            false => state,
+        }
+    };
+    let target_of = |target: &Target| {
         let state = match known.get(&target.address) {
-            Some((known, listed))
-                if known.id() == target.id.as_ref() && !comes_back(*listed, target.state) =>
-            {
+            Some((known, listed)) if known.is_same_run(target) && !comes_back(*listed, target) => {
                 Arc::clone(known)
             }
-            _ => Arc::new(TargetState::new(target, service.slots, now, cold_since)),
+            _ => Arc::new(new_state(target)),
         };
         if target.state == BundledTargetState::Leaving {
             state.leave();
@@ -476,7 +489,10 @@
 }
 
 /// Whether operators have put a target back that they had listed as leaving. A target that said so
-/// itself stays away, however often later versions repeat that it is live.
-fn comes_back(before: BundledTargetState, after: BundledTargetState) -> bool {
-    before == BundledTargetState::Leaving && after == BundledTargetState::Live
+/// itself stays away, however often later versions repeat that it is live. So does a run that left: that
+/// it is live was said before.
+fn comes_back(before: BundledTargetState, after: &Target) -> bool {
+    let is_put_back =
+        before == BundledTargetState::Leaving && after.state == BundledTargetState::Live;
+    is_put_back && after.incarnation.is_none()
 }
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -14,6 +14,7 @@
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
 use pinhaven_types::TargetId;
+use pinhaven_types::TargetIncarnation;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -42,6 +43,7 @@
     address: TargetAddress,
     failure_domain: FailureDomain,
     id: Option<TargetId>,
+    incarnation: Option<TargetIncarnation>,
     slots: f32,
     speed: ReportedSpeed,
     own_report_at_us: AtomicU64,
@@ -62,6 +64,8 @@
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
     is_owned: AtomicBool,
+    /// Requests of this entry that it may hold.
+    in_flight_most: AtomicU32,
 }
 
 /// What is known of a target, for people and metrics.
@@ -100,6 +104,7 @@
             address: target.address,
             failure_domain: target.failure_domain.clone(),
             id: target.id.clone(),
+            incarnation: target.incarnation,
             slots: target.slots.unwrap_or(slots) as f32,
             speed: ReportedSpeed::unknown(),
             own_report_at_us: AtomicU64::new(0),
@@ -120,9 +125,17 @@
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             is_owned: AtomicBool::new(false),
+            in_flight_most: AtomicU32::new(u32::MAX),
         }
     }
 
+    /// The same for a target that has started again: it gets one request of this entry, and one more with
+    /// each good answer. One that crashes time and again so takes no more than its answers earn.
+    pub(crate) fn with_share_to_earn(mut self) -> Self {
+        self.in_flight_most = AtomicU32::new(1);
+        self
+    }
+
     /// Where it listens.
     pub fn address(&self) -> TargetAddress {
         self.address
@@ -138,10 +151,25 @@
         self.id.as_ref()
     }
 
-    /// Short key by which entries name it among themselves; `None` without an id.
+    /// Its run, if it tells its start.
+    pub fn incarnation(&self) -> Option<TargetIncarnation> {
+        self.incarnation
+    }
+
+    /// Whether it is the one that is described: the same run of the same target.
+    pub fn is_same_run(&self, described: &Target) -> bool {
+        self.id == described.id && self.incarnation == described.incarnation
+    }
+
+    /// Short key by which entries name it among themselves; `None` without an id. It covers the run, so
+    /// that late news of an earlier one names nothing.
     pub fn key(&self) -> Option<u32> {
-        let id = self.id.as_ref()?;
-        Some(Digest::of(id.as_str().as_bytes()).short() as u32)
+        let id = self.id.as_ref()?.as_str().as_bytes();
+        let digest = match self.incarnation {
+            Some(incarnation) => Digest::of_parts(&[id, incarnation.to_string().as_bytes()]),
+            None => Digest::of(id),
+        };
+        Some(digest.short() as u32)
     }
 
     /// Requests that it works on at a time.
@@ -266,6 +294,22 @@
         }
     }
 
+    /// Whether this entry may send it one more request, by what its answers have earned and by the
+    /// connections that it takes.
+    pub(crate) fn has_place(&self, connections_most: u32) -> bool {
+        let most = self.in_flight_most.load(Ordering::Relaxed);
+        self.in_flight() < most.min(connections_most)
+    }
+
+    /// Takes in that it answered well.
+    pub(crate) fn earn(&self) {
+        let most = self.in_flight_most.load(Ordering::Relaxed);
+        if most != u32::MAX {
+            // Two answers at a time may count as one.
+            self.in_flight_most.store(most + 1, Ordering::Relaxed);
+        }
+    }
+
     /// Counts a request in. The sum of starts is written first and read last, so that a racing
     /// reader sees requests as younger than they are, never older.
     pub(crate) fn begin(&self, now: Microseconds) {
--- a/crates/pinhaven-decide/tests/restarts.rs
+++ b/crates/pinhaven-decide/tests/restarts.rs
@@ -147,6 +147,18 @@
     assert!(Driven::new(&after, true, 1_010).attempts.is_empty());
 }
 
+/// The entry of a target that crashes lapses before the target is back.
+#[test]
+fn a_target_that_was_missing_before_it_started_again_has_to_earn_its_share_too() {
+    let (_, without) = two_versions(&service(Some(EARLIER), "live"), &with_targets([]));
+    let after = next_version(&without, &service(Some(LATER), "live"), 9_000);
+    let _first = Driven::new(&after, true, 9_010);
+    assert!(Driven::new(&after, true, 9_010).attempts.is_empty());
+    let much_later = next_version(&without, &service(Some(LATER), "live"), 90_000);
+    let _first = Driven::new(&much_later, true, 90_010);
+    assert_eq!(Driven::new(&much_later, true, 90_010).attempts.len(), 1);
+}
+
 #[test]
 fn a_target_that_started_again_is_cold_for_a_while() {
     let steady = json!({
--- a/crates/pinhaven-entry/src/versions/service_entry.rs
+++ b/crates/pinhaven-entry/src/versions/service_entry.rs
@@ -32,10 +32,11 @@
     }
     let state = ServiceState::new(service, previous.map(|p| &*p.state), now).with_domain(domain);
     let pool_of = |target: &Target| {
-        // Connections to another target that had the address before are of no use.
+        // Connections to another target that had the address before, or to an earlier run of it, are of
+        // no use.
         let is_same = |previous: &&Arc<ServiceEntry>| {
             let known = previous.state.target(target.address);
-            known.is_some_and(|known| known.id() == target.id.as_ref())
+            known.is_some_and(|known| known.is_same_run(target))
         };
         let known = previous
             .filter(is_same)
