Say of which run a target is leaving, and record that one has started again

Cause: news of leaving targets named an address in a version, so late news of an earlier run took the later one out of use for as long as it was listed.

Change: the news carries the target's key, which covers its run. News without a key, as older entries send it, counts only for targets that tell no start; ruled out: dropping it altogether, as bundles list targets without ids. The record has 'restarted' with the run's start.

--- a/crates/pinhaven-entry/src/targets/leaving.rs
+++ b/crates/pinhaven-entry/src/targets/leaving.rs
@@ -1,9 +1,11 @@
 //! News of leaving targets, passed on to the other entries.
 //!
 //! An entry that learns from a reply or a probe that a target drains tells every peer in its next
-//! exchanges. News only ever says "leaving"; nothing that comes late can bring a target back.
+//! exchanges. News only ever says "leaving"; nothing that comes late can bring a target back. It is of
+//! one run of a target, and says nothing of a later run at the same address.
 
 use crate::entry::Entry;
+use pinhaven_decide::TargetState;
 use pinhaven_peer::Leaving;
 use pinhaven_types::ServiceName;
 
@@ -24,6 +26,7 @@
             let service: ServiceName = service;
             let state = snapshot.services.get(&service);
             if let Some(target) = state.and_then(|entry| entry.state.target(target))
+                && is_of(leaving, target)
                 && !target.is_leaving()
             {
                 log::info!(target: "leaving", "Target {} of {service} is leaving.", target.address());
@@ -36,3 +39,12 @@
         }
     }
 }
+
+/// Whether news is of this run of a target. News without a key, as entries of older versions send it, may
+/// be of an earlier run.
+fn is_of(news: &Leaving, target: &TargetState) -> bool {
+    match news.key {
+        Some(_) => news.key == target.key(),
+        None => target.incarnation().is_none(),
+    }
+}
--- a/crates/pinhaven-entry/src/targets/leaving_news.rs
+++ b/crates/pinhaven-entry/src/targets/leaving_news.rs
@@ -11,6 +11,15 @@
 /// How long news is passed on.
 const PASS_ON_FOR: Microseconds = Microseconds::from_ms(10_000);
 
+/// A run of a target that is leaving.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct LeavingTarget {
+    service: ServiceName,
+    address: TargetAddress,
+    /// Tells it from another target or a later run at the address.
+    key: Option<u32>,
+}
+
 /// Targets known to be leaving in one version, and since when.
 ///
 /// News belongs to a version: a target that left in one may be put back by the next, and must not be
@@ -18,7 +27,7 @@
 #[derive(Default)]
 pub(crate) struct LeavingNews {
     version: BundleVersion,
-    since: BTreeMap<(ServiceName, TargetAddress), Microseconds>,
+    since: BTreeMap<LeavingTarget, Microseconds>,
 }
 
 impl LeavingNews {
@@ -35,8 +44,12 @@
         for (name, service) in &snapshot.services {
             for target in service.state.targets() {
                 if target.is_leaving() {
-                    let key = (name.clone(), target.address());
-                    self.since.entry(key).or_insert(now);
+                    let leaving = LeavingTarget {
+                        service: name.clone(),
+                        address: target.address(),
+                        key: target.key(),
+                    };
+                    self.since.entry(leaving).or_insert(now);
                 }
             }
         }
@@ -48,10 +61,11 @@
         self.since
             .iter()
             .filter(|(_, since)| now.saturating_sub(**since) < PASS_ON_FOR)
-            .map(|((service, target), _)| Leaving {
-                service: service.to_string(),
-                target: target.to_string(),
+            .map(|(leaving, _)| Leaving {
+                service: leaving.service.to_string(),
+                target: leaving.address.to_string(),
                 version: self.version.number(),
+                key: leaving.key,
             })
             .collect()
     }
--- a/crates/pinhaven-entry/src/watch/beliefs.rs
+++ b/crates/pinhaven-entry/src/watch/beliefs.rs
@@ -29,7 +29,8 @@
         self.record_line(|| Line::new("bundle", event, 0).with("version", version.to_string()));
     }
 
-    /// Records which targets came, began to leave, are gone or came back between two lists.
+    /// Records which targets came, started again, began to leave, are gone or came back between two
+    /// lists.
     pub(crate) fn record_targets(&self, before: &TargetList, after: &TargetList) {
         if self.recorder.is_none() {
             return;
@@ -37,6 +38,9 @@
         for (id, target) in &after.targets {
             match before.targets.get(id) {
                 None => self.record_target("seen", target, after.revision),
+                Some(known) if known.incarnation < target.incarnation => {
+                    self.record_target("restarted", target, after.revision);
+                }
                 Some(known) if !known.is_leaving && target.is_leaving => {
                     self.record_target("draining", target, after.revision);
                 }
@@ -55,11 +59,15 @@
 
     fn record_target(&self, event: &str, target: &ListedTarget, revision: u64) {
         self.record_line(|| {
-            Line::new("target", event, 0)
+            let line = Line::new("target", event, 0)
                 .with("target", target.id.as_str())
                 .with("service", target.service.as_str())
                 .with("address", target.address.to_string())
-                .with("revision", revision)
+                .with("revision", revision);
+            match target.incarnation {
+                Some(incarnation) => line.with("incarnation", incarnation.started_unix_ms()),
+                None => line,
+            }
         });
     }
 
