Know a request to be broken when its target has started again

Cause: a machine that restarts may close no connection, so a request in work there was answered at its timeout (504), too late to be repeated.

Change: when a later run of a target is known, attempts at earlier runs of it end at once as broken: one that may be repeated goes elsewhere, one that may not is answered with 502 and never sent again. An answer that is there already still counts, and before anything was written the attempt counts as not sent.

--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -5,6 +5,7 @@
 use crate::once_only::claim_rate::ClaimRate;
 use crate::peers::news_message::PeerCounts;
 use crate::targets::leaving_news::LeavingNews;
+use crate::targets::restarts::Restarts;
 use crate::versions::recent_deltas::RecentDeltas;
 use crate::versions::snapshot::Snapshot;
 use crate::versions::store_pace;
@@ -101,6 +102,7 @@
     /// Peers to ask while none is known; they may change while the entry runs.
     pub(crate) peer_seeds: ArcSwap<Vec<SocketAddr>>,
     pub(crate) targets: Mutex<KnownTargets>,
+    pub(crate) restarts: Restarts,
     pub(crate) peer_counts: Mutex<PeerCounts>,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
@@ -181,6 +183,7 @@
             reread: environment.reread,
             peer_seeds: ArcSwap::from_pointee(settings.peer_seeds.clone()),
             targets: Mutex::new(KnownTargets::new()),
+            restarts: Restarts::default(),
             peer_counts: Mutex::new(PeerCounts::default()),
             incarnation,
             clock: Clock::new(),
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -43,6 +43,8 @@
     /// Another target has the address now and did not run the request.
     OtherTarget,
     Broken,
+    /// The target has started again and knows nothing of the request, which it may have run before.
+    Restarted,
     /// The answer ended before its declared end.
     Cut,
     Answer(Box<Answer>),
@@ -113,11 +115,23 @@
         if connected.is_new {
             entry.counters.add(Count::Connections);
         }
-        match pool::send(connected.sender, request).await {
+        if entry.has_restarted(&target) {
+            return AttemptEnd::NotSent;
+        }
+        let sending = pool::send(connected.sender, request);
+        let Some(sent) = entry.unless_restarted(&target, sending).await else {
+            log::debug!(target: "proxy", "{address} started again with a request under way.");
+            return AttemptEnd::Restarted;
+        };
+        match sent {
             Sent::Answer(response, sender) => {
                 let id = id.as_ref();
                 return match check_answer(&entry, &service, &target, &response, id) {
-                    Ok(facts) => receive(&entry, response, sender, facts).await,
+                    Ok(facts) => {
+                        let receiving = receive(&entry, response, sender, facts);
+                        let received = entry.unless_restarted(&target, receiving).await;
+                        received.unwrap_or(AttemptEnd::Restarted)
+                    }
                     Err(end) => end,
                 };
             }
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -274,7 +274,7 @@
                 self.free_place(attempt, Count::AttemptNotSent);
                 AttemptOutcome::NotSent
             }
-            AttemptEnd::Broken | AttemptEnd::Cut => {
+            AttemptEnd::Broken | AttemptEnd::Restarted | AttemptEnd::Cut => {
                 self.free_place(attempt, Count::AttemptBroken);
                 AttemptOutcome::Broken
             }
@@ -301,6 +301,7 @@
             AttemptEnd::NotSent => ("not_sent", None),
             AttemptEnd::OtherTarget => ("misdirected", None),
             AttemptEnd::Broken => ("broken", None),
+            AttemptEnd::Restarted => ("restarted", None),
             AttemptEnd::Cut => ("cut", None),
             AttemptEnd::Answer(answer) => {
                 let status = answer.head.status;
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -108,6 +108,9 @@
             after.targets.len(), after.revision
         );
         self.take_changed_targets();
+        if has_restarts(&before, &after) {
+            self.restarts.announce();
+        }
         self.news.notify(usize::MAX);
     }
 
@@ -154,6 +157,16 @@
     }
 }
 
+/// Whether a later run of any target is in use than before. One that was missing counts, as an earlier run
+/// may still have requests.
+fn has_restarts(before: &TargetList, after: &TargetList) -> bool {
+    let mut targets = after.targets.values();
+    targets.any(|target| {
+        let known = before.targets.get(&target.id);
+        target.incarnation > known.and_then(|known| known.incarnation)
+    })
+}
+
 /// Answers a peer that asks for the list of targets.
 pub(crate) fn answer_targets(entry: &Entry) -> Response<AnyBody> {
     entry.counters.add(Count::Exchanges);
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -10,5 +10,6 @@
 pub(crate) mod owned_targets;
 pub(crate) mod pool;
 pub(crate) mod probes;
+pub(crate) mod restarts;
 pub(crate) mod seats;
 pub(crate) mod speed_probes;
