Break a large answer off when its target has started again

Change: an answer that is passed on as it comes listens for a restart of its target while it waits for more, and ends as one that was cut.

--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -24,6 +24,7 @@
 use pinhaven_runtime::BoxError;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
+use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::Context;
@@ -122,6 +123,16 @@
 }
 
 impl Held {
+    /// Comes when the target has started again, if that can be told.
+    fn restart(&self) -> Option<Pin<Box<dyn Future<Output = ()> + Send>>> {
+        let target = Arc::clone(&self.attempt.as_ref()?.target);
+        target.incarnation()?;
+        let entry = Arc::clone(&self.entry);
+        Some(Box::pin(async move {
+            entry.wait_for_restart(&target).await;
+        }))
+    }
+
     /// The target broke off after `passed_bytes` of its answer had been passed on.
     fn record_cut(&self, passed_bytes: u64) {
         self.entry.counters.add(Count::AnswerCut);
@@ -150,16 +161,23 @@
     declared: Option<u64>,
     passed: u64,
     held: Option<Held>,
+    /// Comes when the target has started again and will send no more of it.
+    restart: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
 }
 
 impl AnswerBody {
     pub(crate) fn new(body: ReceivedBody, held: Held) -> Self {
         let declared = body.size_hint().exact();
+        let restart = match &body {
+            ReceivedBody::Whole(_) => None,
+            ReceivedBody::Coming(_) => held.restart(),
+        };
         let mut answer = Self {
             body,
             declared,
             passed: 0,
             held: Some(held),
+            restart,
         };
         if answer.body.is_end_stream() {
             answer.finish();
@@ -167,6 +185,23 @@
         answer
     }
 
+    /// Whether the target has started again while more of its answer was awaited.
+    fn poll_restart(&mut self, context: &mut Context<'_>) -> bool {
+        let restart = self.restart.as_mut();
+        restart.is_some_and(|restart| restart.as_mut().poll(context).is_ready())
+    }
+
+    /// The answer broke off. The error makes the server break the caller's connection, so that the caller
+    /// can't take what it has for the whole.
+    fn cut(&mut self, error: BoxError) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        let passed = self.passed;
+        if let Some(held) = self.held.take() {
+            held.record_cut(passed);
+        }
+        self.restart = None;
+        Poll::Ready(Some(Err(error)))
+    }
+
     /// The target's answer has ended. Returns whether it was whole.
     fn finish(&mut self) -> bool {
         let passed = self.passed;
@@ -192,7 +227,10 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) else {
-            return Poll::Pending;
+            return match self.poll_restart(context) {
+                true => self.cut("the target started again".into()),
+                false => Poll::Pending,
+            };
         };
         match frame {
             Some(Ok(frame)) => {
@@ -202,15 +240,7 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Some(Err(error)) => {
-                let passed = self.passed;
-                if let Some(held) = self.held.take() {
-                    held.record_cut(passed);
-                }
-                // The error makes the server break the caller's connection, so that the caller
-                // can't take what it has for the whole.
-                Poll::Ready(Some(Err(error)))
-            }
+            Some(Err(error)) => self.cut(error),
             None => {
                 if self.held.is_none() || self.finish() {
                     Poll::Ready(None)
--- a/crates/pinhaven-entry/src/targets/restarts.rs
+++ b/crates/pinhaven-entry/src/targets/restarts.rs
@@ -44,7 +44,8 @@
         futures_lite::future::or(work, restart).await
     }
 
-    async fn wait_for_restart(&self, target: &TargetState) {
+    /// Comes once a later run of the target is known.
+    pub(crate) async fn wait_for_restart(&self, target: &TargetState) {
         loop {
             // Listening begins before the look, so that no word is missed.
             let word = self.restarts.0.listen();
