Heed the start that a target tells to a probe

Cause: a target tells its start in all that it says of itself, and may answer a probe before the store tells of its later run.

A later run that answers where the target is listed is used at once, cold and with its share to earn, and what the earlier one had is known to be lost; the report of another run is dropped. Ruled out: leaving the target out until the list tells of the run, as the store may be away. The property test, which now has answers of runs too, found that a run between two known ones would have been taken; mended here.

--- a/crates/pinhaven-agree/src/latest_runs.rs
+++ b/crates/pinhaven-agree/src/latest_runs.rs
@@ -40,7 +40,8 @@
             .retain(|_, run| now.saturating_sub(run.listed_at) < REMEMBERED_FOR);
     }
 
-    fn take_target(&mut self, target: &ListedTarget, now: Microseconds) {
+    /// Takes in a target that is known to run at `now`.
+    pub(crate) fn take_target(&mut self, target: &ListedTarget, now: Microseconds) {
         let Some(incarnation) = target.incarnation else {
             return;
         };
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -188,6 +188,34 @@
         self.latest.is_superseded(id, incarnation)
     }
 
+    /// Takes in which run of a target answers where it is listed. A later one than is known is used from
+    /// now on, before the store tells of it. Returns whether it is later.
+    pub fn hear_run(
+        &mut self,
+        id: &TargetId,
+        incarnation: TargetIncarnation,
+        now: Microseconds,
+    ) -> bool {
+        let Some(known) = self.in_use(id) else {
+            return false;
+        };
+        if known.incarnation.is_none() || known.incarnation >= Some(incarnation) {
+            return false;
+        }
+        let run = ListedTarget {
+            incarnation: Some(incarnation),
+            is_leaving: false,
+            warm_up_ms: 0,
+            ..known.clone()
+        };
+        self.latest.take_target(&run, now);
+        match self.kept.get_mut(id) {
+            Some(kept) => *kept = run,
+            None => _ = self.later.insert(id.clone(), run),
+        }
+        true
+    }
+
     /// The list as the store gave it.
     pub fn list(&self) -> &Arc<TargetList> {
         &self.list
@@ -352,20 +380,19 @@
 
     /// Targets whose latest run is in use, but of which `list` names an earlier one.
     fn later_than(&self, list: &TargetList) -> BTreeMap<TargetId, ListedTarget> {
-        let is_superseded =
-            |target: &&ListedTarget| self.is_superseded(&target.id, target.incarnation);
-        let named = list.targets.values().filter(is_superseded);
-        let in_use = named.filter_map(|target| self.in_use(&target.id));
-        in_use
-            .filter(|target| !is_superseded(target))
+        let named = list.targets.values();
+        named
+            .filter(|target| self.is_superseded(&target.id, target.incarnation))
+            .filter_map(|target| self.in_use(&target.id))
             .map(|target| (target.id.clone(), target.clone()))
             .collect()
     }
 
-    /// A target as it is used before the next list is taken in.
+    /// A target as it is used, unless a later run is known.
     fn in_use(&self, id: &TargetId) -> Option<&ListedTarget> {
         let kept = self.kept.get(id).or_else(|| self.later.get(id));
-        kept.or_else(|| self.list.targets.get(id))
+        let known = kept.or_else(|| self.list.targets.get(id));
+        known.filter(|target| !self.is_superseded(id, target.incarnation))
     }
 
     /// Keeps targets that are missing from the first lists after the store could not be read, for as
--- a/crates/pinhaven-agree/tests/restarted_targets.rs
+++ b/crates/pinhaven-agree/tests/restarted_targets.rs
@@ -150,6 +150,32 @@
     assert_eq!(used(&known).unwrap().warm_up_ms, 5_000);
 }
 
+#[test]
+fn a_later_run_that_answered_is_used_before_the_store_tells_of_it() {
+    let mut leaving = run(EARLIER);
+    leaving.is_leaving = true;
+    let (id, later) = (run(LATER).id, run(LATER).incarnation.unwrap());
+    let mut known = KnownTargets::new();
+    assert!(!known.hear_run(&id, later, at_ms(0)), "it is not listed");
+    known.take_read(list(1, [leaving.clone()]), at_ms(0));
+    assert!(known.hear_run(&id, later, at_ms(100)));
+    assert!(!known.hear_run(&id, later, at_ms(110)));
+    assert!(known.is_superseded(&id, leaving.incarnation));
+    known.take_read(list(1, [leaving.clone()]), at_ms(600));
+    let answering = used(&known).unwrap();
+    assert_eq!(
+        (answering.incarnation, answering.address),
+        (Some(later), leaving.address)
+    );
+    assert!(!answering.is_leaving);
+    // A late answer of the earlier run says nothing.
+    assert!(!known.hear_run(&id, leaving.incarnation.unwrap(), at_ms(700)));
+    known.take_read(list(2, [run(LATER)]), at_ms(1_200));
+    assert_eq!(used(&known), Some(run(LATER)));
+    known.take_read(list(3, []), at_ms(1_800));
+    assert_eq!(used(&known), None);
+}
+
 #[test]
 fn a_target_that_tells_no_start_is_taken_as_it_is_listed() {
     let mut old = run(EARLIER);
@@ -178,6 +204,10 @@
             let list = list(u64::from(revision % 8), target);
             match kind % 4 {
                 0 => known.take_failure(now),
+                1 if revision % 3 == 0 => {
+                    let run = run(u64::from(number % 4));
+                    known.hear_run(&run.id, run.incarnation.unwrap(), now);
+                }
                 1 => _ = known.take_peer_list(list, now, now),
                 _ => _ = known.take_read(list, now),
             }
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -11,12 +11,14 @@
 use pinhaven_agree::PeerList;
 use pinhaven_agree::RetryPause;
 use pinhaven_agree::TargetList;
+use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::Microseconds;
+use pinhaven_types::TargetIncarnation;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -108,12 +110,23 @@
             after.targets.len(), after.revision
         );
         self.take_changed_targets();
-        if has_restarts(&before, &after) {
-            self.restarts.announce();
-        }
+        self.restarts.announce();
         self.news.notify(usize::MAX);
     }
 
+    /// Takes in which run of a target has answered.
+    pub(crate) fn hear_run(&self, target: &TargetState, answering: TargetIncarnation) {
+        let Some(id) = target.id() else {
+            return;
+        };
+        if target.incarnation() > Some(answering) {
+            log::debug!(target: "targets", "An earlier run of {id} answered.");
+            return;
+        }
+        let now = self.now();
+        self.change_targets(|known| known.hear_run(id, answering, now));
+    }
+
     /// Takes in which list a peer has, and fetches it if it is newer.
     pub(crate) fn hear_list(
         self: &Arc<Self>,
@@ -157,16 +170,6 @@
     }
 }
 
-/// Whether a later run of any target is in use than before. One that was missing counts, as an earlier run
-/// may still have requests.
-fn has_restarts(before: &TargetList, after: &TargetList) -> bool {
-    let mut targets = after.targets.values();
-    targets.any(|target| {
-        let known = before.targets.get(&target.id);
-        target.incarnation > known.and_then(|known| known.incarnation)
-    })
-}
-
 /// Answers a peer that asks for the list of targets.
 pub(crate) fn answer_targets(entry: &Entry) -> Response<AnyBody> {
     entry.counters.add(Count::Exchanges);
--- a/crates/pinhaven-entry/src/targets/restarts.rs
+++ b/crates/pinhaven-entry/src/targets/restarts.rs
@@ -8,7 +8,7 @@
 use pinhaven_decide::TargetState;
 use std::future::Future;
 
-/// Notified when a later run of some target is known.
+/// Notified when the list of targets has changed, so that a later run of one may be known.
 #[derive(Default)]
 pub(crate) struct Restarts(Event);
 
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -117,6 +117,13 @@
             target.leave();
             return;
         }
+        if let Some(answering) = self.dialect.probed_incarnation(answer.body())
+            && Some(answering) != target.incarnation()
+        {
+            // The report is of another run; a later one is asked again.
+            self.hear_run(target, answering);
+            return;
+        }
         match self.dialect.read_probe(answer.headers(), answer.body()) {
             Some(report) => service.state.record_report(target, self.now(), &report),
             None => self.counters.add(Count::ProbeFailed),
--- a/crates/pinhaven-entry/src/wire/dialect.rs
+++ b/crates/pinhaven-entry/src/wire/dialect.rs
@@ -20,6 +20,7 @@
 use pinhaven_types::Region;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetId;
+use pinhaven_types::TargetIncarnation;
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -143,6 +144,9 @@
     /// The id of the target that answered a probe, if it says so.
     fn probed_target(&self, headers: &HeaderMap) -> Option<TargetId>;
 
+    /// The run of the target that answered a probe, if it tells its start.
+    fn probed_incarnation(&self, body: &[u8]) -> Option<TargetIncarnation>;
+
     /// Reads the question which entries to use; `None` when the request asks something else.
     fn read_question(&self, uri: &Uri) -> Option<AddressQuestion>;
 
@@ -247,6 +251,10 @@
         None
     }
 
+    fn probed_incarnation(&self, _body: &[u8]) -> Option<TargetIncarnation> {
+        None
+    }
+
     fn read_question(&self, uri: &Uri) -> Option<AddressQuestion> {
         (uri.path() == ADDRESS_PATH).then(|| {
             let query = uri.query().unwrap_or_default();
