Count the report to a probe where a target's entry tells no start

Cause: the report was dropped when the run that answered differs from the one that is listed, also where the list tells none.

--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -117,8 +117,9 @@
             target.leave();
             return;
         }
-        if let Some(answering) = self.dialect.probed_incarnation(answer.body())
-            && Some(answering) != target.incarnation()
+        let answering = self.dialect.probed_incarnation(answer.body());
+        if let (Some(answering), Some(known)) = (answering, target.incarnation())
+            && answering != known
         {
             // The report is of another run; a later one is asked again.
             self.hear_run(target, answering);
