--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -156,9 +156,12 @@
         self.incarnation
     }
 
-    /// Whether it is the one that is described: the same run of the same target.
+    /// Whether it is the one that is described: the same run of the same target, as far as the description
+    /// tells its start.
     pub fn is_same_run(&self, described: &Target) -> bool {
-        self.id == described.id && self.incarnation == described.incarnation
+        let is_other_run =
+            described.incarnation.is_some() && described.incarnation != self.incarnation;
+        self.id == described.id && !is_other_run
     }
 
     /// Short key by which entries name it among themselves; `None` without an id. It covers the run, so
--- a/crates/pinhaven-decide/tests/restarts.rs
+++ b/crates/pinhaven-decide/tests/restarts.rs
@@ -92,6 +92,18 @@
     assert!(Arc::ptr_eq(&before.targets()[0], &after.targets()[0]));
 }
 
+/// Lists of entries of older versions, which leave the start out, alternate with others while new entries
+/// are rolled out.
+#[test]
+fn what_is_known_of_a_run_is_kept_when_a_list_leaves_its_start_out() {
+    let (before, without) = two_versions(&service(Some(EARLIER), "live"), &service(None, "live"));
+    let with_it = next_version(&without, &service(Some(EARLIER), "live"), 2_000);
+    let later = next_version(&without, &service(Some(LATER), "live"), 2_000);
+    assert!(Arc::ptr_eq(&before.targets()[0], &without.targets()[0]));
+    assert!(Arc::ptr_eq(&before.targets()[0], &with_it.targets()[0]));
+    assert!(!Arc::ptr_eq(&before.targets()[0], &later.targets()[0]));
+}
+
 #[test]
 fn a_stale_live_never_revives_a_run_that_left() {
     let (_, after) = two_versions(
