--- a/crates/pinhaven-agree/src/latest_runs.rs
+++ b/crates/pinhaven-agree/src/latest_runs.rs
@@ -3,7 +3,7 @@
 //! A write of an earlier run may reach the store after one of a later run, and a list may come late. So
 //! the latest run of an id is remembered, also while the id is missing from the list.
 
-use crate::target_list::ListedTarget;
+use crate::listed_target::ListedTarget;
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetId;
 use pinhaven_types::TargetIncarnation;
--- a/crates/pinhaven-agree/tests/restarted_targets.rs
+++ b/crates/pinhaven-agree/tests/restarted_targets.rs
@@ -9,7 +9,7 @@
 use quickcheck::Gen;
 use quickcheck::QuickCheck;
 
-/// The ports of an earlier and a later run; each run of these tests gets a port of its own.
+/// Numbers of two runs; each run listens at a port of its own.
 const EARLIER: u64 = 1;
 const LATER: u64 = 2;
 
@@ -190,8 +190,8 @@
     }
 }
 
-/// Whatever order lists and failed reads come in, from the store or from peers, a run that was known is followed by later
-/// ones only.
+/// Whatever order lists, failed reads and answers come in, from the store, peers or targets, a run that
+/// was in use is followed by later ones only.
 #[test]
 fn an_entry_never_goes_back_to_an_earlier_run() {
     fn never_goes_back(steps: Vec<(u8, u8, u8)>) -> bool {
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -157,7 +157,7 @@
     }
 
     /// Whether it is the one that is described: the same run of the same target, as far as the description
-    /// tells its start.
+    /// tells its start. Lists of entries of older versions leave that out, and nothing is forgotten for it.
     pub fn is_same_run(&self, described: &Target) -> bool {
         let is_other_run =
             described.incarnation.is_some() && described.incarnation != self.incarnation;
