--- a/crates/pinhaven-agree/src/list_step.rs
+++ b/crates/pinhaven-agree/src/list_step.rs
@@ -3,8 +3,8 @@
 //! A change touches few of many targets. Who asks says which list it has, by its digest; who has the steps from there
 //! on gives those, and anybody else the whole list.
 
-use crate::target_list::ListedTarget;
-use crate::target_list::TargetList;
+use crate::listed_target::ListedTarget;
+use crate::listed_target::TargetList;
 use displaydoc::Display as DisplayDoc;
 use pinhaven_types::TargetId;
 use serde::Deserialize;
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -8,19 +8,21 @@
 //! A target that is missing from a list is gone, with one exception: entries of targets lapse while
 //! the store is away, and are back soon after its return. Until then targets that were there before
 //! the outage are kept.
+//!
+//! A target may start again under its id. Once a later run is known, nothing that is said of an earlier
+//! one counts, whoever says it.
 
+use crate::latest_runs::LatestRuns;
 use crate::list_step::Digested;
 use crate::list_step::ListStep;
 use crate::list_step::ListSteps;
 use crate::list_step::RecentSteps;
-use pinhaven_types::Digest;
-use pinhaven_types::FailureDomain;
+use crate::listed_target::ListedTarget;
+use crate::listed_target::TargetList;
 use pinhaven_types::Microseconds;
-use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
 use pinhaven_types::TargetId;
-use serde::Deserialize;
-use serde::Serialize;
+use pinhaven_types::TargetIncarnation;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -40,63 +42,6 @@
 /// be this entry's own. One that just has not read yet in an outage does within this time.
 const STEADY_BEFORE: Microseconds = Microseconds::from_ms(1_500);
 
-/// A target as the store lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListedTarget {
-    /// Its id.
-    pub id: TargetId,
-    /// The service that it belongs to.
-    pub service: ServiceName,
-    /// Where it listens.
-    pub address: TargetAddress,
-    /// Where it stands.
-    pub failure_domain: FailureDomain,
-    /// Requests that it works on at a time.
-    pub slots: u32,
-    /// Whether it takes no new work.
-    pub is_leaving: bool,
-    /// How much longer it was slow from its start when it was first listed, in milliseconds.
-    pub warm_up_ms: u64,
-}
-
-/// All targets at one moment of the store.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetList {
-    /// The store's revision at that moment; a higher one is newer.
-    pub revision: u64,
-    /// The targets, by id.
-    pub targets: BTreeMap<TargetId, ListedTarget>,
-}
-
-impl TargetList {
-    /// A list read at a revision.
-    pub fn new(revision: u64, targets: impl IntoIterator<Item = ListedTarget>) -> Self {
-        Self {
-            revision,
-            targets: targets
-                .into_iter()
-                .map(|target| (target.id.clone(), target))
-                .collect(),
-        }
-    }
-
-    /// Digest of what matters to routing. Two lists with the same digest lead to the same choices.
-    pub fn digest(&self) -> u64 {
-        let parts: Vec<String> = self
-            .targets
-            .values()
-            .map(|target| {
-                format!(
-                    "{} {} {} {} {}",
-                    target.id, target.service, target.address, target.slots, target.is_leaving
-                )
-            })
-            .collect();
-        let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
-        Digest::of_parts(&parts).short()
-    }
-}
-
 /// What is to be done about a list that a peer knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerList {
@@ -119,6 +64,9 @@
     /// Targets that are missing from the list and may only have lapsed, until they had time to return.
     kept: BTreeMap<TargetId, ListedTarget>,
     keep_until: Option<Microseconds>,
+    latest: LatestRuns,
+    /// Targets of which the list names an earlier run, as they were last listed.
+    later: BTreeMap<TargetId, ListedTarget>,
     /// When the store last said that the list is right, by this entry's clock.
     confirmed_at: Option<Microseconds>,
     /// The same for what the store said to this entry itself.
@@ -149,6 +97,8 @@
             recent: RecentSteps::default(),
             kept: BTreeMap::new(),
             keep_until: None,
+            latest: LatestRuns::default(),
+            later: BTreeMap::new(),
             confirmed_at: None,
             own_confirmed_at: None,
             has_failed: false,
@@ -158,13 +108,52 @@
         }
     }
 
-    /// The targets to use: those of the list, and those that may only have lapsed.
+    /// The targets to use: the latest run of those on the list, and those that may only have lapsed.
     pub fn targets(&self) -> TargetList {
-        let mut targets = (*self.list).clone();
-        for (id, target) in &self.kept {
-            targets.targets.insert(id.clone(), target.clone());
+        let mut list = (*self.list).clone();
+        list.targets
+            .retain(|id, target| !self.is_superseded(id, target.incarnation));
+        for (id, target) in self.kept.iter().chain(&self.later) {
+            list.targets.insert(id.clone(), target.clone());
+        }
+        for target in list.targets.values_mut() {
+            target.is_leaving |= self.latest.has_left(target);
         }
-        targets
+        list
+    }
+
+    /// Whether a later run of the target is known. What is said of this one does not count any more, and
+    /// what it had under way is lost.
+    pub fn is_superseded(&self, id: &TargetId, incarnation: Option<TargetIncarnation>) -> bool {
+        self.latest.is_superseded(id, incarnation)
+    }
+
+    /// Takes in which run of a target answers where it is listed. A later one than is known is used from
+    /// now on, before the store tells of it. Returns whether it is later.
+    pub fn hear_run(
+        &mut self,
+        id: &TargetId,
+        incarnation: TargetIncarnation,
+        now: Microseconds,
+    ) -> bool {
+        let Some(known) = self.in_use(id) else {
+            return false;
+        };
+        if known.incarnation.is_none() || known.incarnation >= Some(incarnation) {
+            return false;
+        }
+        let run = ListedTarget {
+            incarnation: Some(incarnation),
+            is_leaving: false,
+            warm_up_ms: 0,
+            ..known.clone()
+        };
+        self.latest.take_target(&run, now);
+        match self.kept.get_mut(id) {
+            Some(kept) => *kept = run,
+            None => _ = self.later.insert(id.clone(), run),
+        }
+        true
     }
 
     /// The list as the store gave it.
@@ -322,13 +311,17 @@
     fn put(&mut self, mut list: TargetList, confirmed_at: Microseconds, now: Microseconds) -> bool {
         let is_first = !self.is_known();
         for (id, target) in &mut list.targets {
-            if let Some(known) = self.list.targets.get(id) {
+            let known = self.list.targets.get(id);
+            if let Some(known) = known.filter(|known| known.incarnation == target.incarnation) {
                 // What is left of its slow start shrinks all the time; only its beginning counts.
                 target.warm_up_ms = known.warm_up_ms;
             }
         }
         let before = self.kept.len();
+        self.latest.take(list.targets.values(), now);
+        let later = self.later_than(&list);
         self.keep_lapsed(&list, now);
+        self.later = later;
         let digest = list.digest();
         let has_changed = digest != self.digest || self.kept.len() != before;
         let held = Digested {
@@ -346,6 +339,23 @@
         has_changed || is_first
     }
 
+    /// Targets whose latest run is in use, but of which `list` names an earlier one.
+    fn later_than(&self, list: &TargetList) -> BTreeMap<TargetId, ListedTarget> {
+        let named = list.targets.values();
+        named
+            .filter(|target| self.is_superseded(&target.id, target.incarnation))
+            .filter_map(|target| self.in_use(&target.id))
+            .map(|target| (target.id.clone(), target.clone()))
+            .collect()
+    }
+
+    /// A target as it is used, unless a later run is known.
+    fn in_use(&self, id: &TargetId) -> Option<&ListedTarget> {
+        let kept = self.kept.get(id).or_else(|| self.later.get(id));
+        let known = kept.or_else(|| self.list.targets.get(id));
+        known.filter(|target| !self.is_superseded(id, target.incarnation))
+    }
+
     /// Keeps targets that are missing from the first lists after the store could not be read, for as
     /// long as they may take to return. What this entry keeps is its own affair: another one may have
     /// read the store all the time, and must not get back what is really gone.
@@ -363,11 +373,11 @@
         if self.keep_until.is_none_or(|until| now >= until) {
             return;
         }
-        let missing = self
-            .list
-            .targets
-            .values()
-            .filter(|target| may_return(target));
+        let listed = self.list.targets.values();
+        let missing = listed
+            .map(|target| self.later.get(&target.id).unwrap_or(target))
+            .filter(|target| may_return(target))
+            .filter(|target| !self.is_superseded(&target.id, target.incarnation));
         for target in missing.cloned().collect::<Vec<_>>() {
             self.kept.insert(target.id.clone(), target);
         }
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -12,12 +12,14 @@
 use pinhaven_agree::PeerList;
 use pinhaven_agree::RetryPause;
 use pinhaven_agree::TargetList;
+use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::Microseconds;
+use pinhaven_types::TargetIncarnation;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
@@ -116,9 +118,23 @@
             after.targets.len(), after.revision
         );
         self.take_changed_targets();
+        self.restarts.announce();
         self.news.notify(usize::MAX);
     }
 
+    /// Takes in which run of a target has answered.
+    pub(crate) fn hear_run(&self, target: &TargetState, answering: TargetIncarnation) {
+        let Some(id) = target.id() else {
+            return;
+        };
+        if target.incarnation() > Some(answering) {
+            log::debug!(target: "targets", "An earlier run of {id} answered.");
+            return;
+        }
+        let now = self.now();
+        self.change_targets(|known| known.hear_run(id, answering, now));
+    }
+
     /// Takes in which list a peer has, and fetches it if it is newer.
     pub(crate) fn hear_list(
         self: &Arc<Self>,
--- a/crates/pinhaven-entry/src/watch/beliefs.rs
+++ b/crates/pinhaven-entry/src/watch/beliefs.rs
@@ -53,7 +53,8 @@
         });
     }
 
-    /// Records which targets came, began to leave, are gone or came back between two lists.
+    /// Records which targets came, started again, began to leave, are gone or came back between two
+    /// lists.
     pub(crate) fn record_targets(&self, before: &TargetList, after: &TargetList) {
         if self.recorder.is_none() {
             return;
@@ -61,6 +62,9 @@
         for (id, target) in &after.targets {
             match before.targets.get(id) {
                 None => self.record_target("seen", target, after.revision),
+                Some(known) if known.incarnation < target.incarnation => {
+                    self.record_target("restarted", target, after.revision);
+                }
                 Some(known) if !known.is_leaving && target.is_leaving => {
                     self.record_target("draining", target, after.revision);
                 }
@@ -79,11 +83,15 @@
 
     fn record_target(&self, event: &str, target: &ListedTarget, revision: u64) {
         self.record_line(|| {
-            Line::new("target", event, 0)
+            let line = Line::new("target", event, 0)
                 .with("target", target.id.as_str())
                 .with("service", target.service.as_str())
                 .with("address", target.address.to_string())
-                .with("revision", revision)
+                .with("revision", revision);
+            match target.incarnation {
+                Some(incarnation) => line.with("incarnation", incarnation.started_unix_ms()),
+                None => line,
+            }
         });
     }
 
