--- a/crates/pinhaven-entry/src/versions/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -93,7 +93,14 @@
             }
             services.insert(service.name.clone(), entry);
         }
-        let routes = RouteTable::new(&bundle.hosts, &services, &previous.routes);
+        let is_same_body = previous
+            .body
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, &body));
+        let routes = match is_same_body {
+            true => previous.routes.with_services(&services),
+            false => RouteTable::new(&bundle.hosts, &services, &previous.routes),
+        };
         let by_key = keyed(&services);
         Self {
             version: bundle.version,
