--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -225,7 +225,9 @@
         let unpacked = match arrived {
             Arrived::Unpacked(unpacked) => Ok(*unpacked),
             Arrived::Package(bytes) => {
-                self.counters.add_many(Count::PeerBytes, bytes.len() as u64);
+                let length = bytes.len() as u64;
+                self.counters.add_many(Count::PeerBytes, length);
+                self.counters.add_many(Count::BundleBytes, length);
                 BundlePackage::unpack(&bytes)
             }
         };
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -79,6 +79,8 @@
     BundleRefused,
     /// Tries to get a version from a peer that failed.
     BundleFetchFailed,
+    /// Bytes of versions taken from peers.
+    BundleBytes,
     /// Exchanges with peers.
     Exchanges,
     /// Exchanges that failed.
@@ -91,7 +93,7 @@
     PeerBytes,
 }
 
-const COUNT_NAMES: [&str; 40] = [
+const COUNT_NAMES: [&str; 41] = [
     "requests",
     "answered",
     "addresses",
@@ -127,6 +129,7 @@
     "bundle.in_force",
     "bundle.refused",
     "bundle.fetch_failed",
+    "bundle.bytes",
     "exchanges",
     "exchange.failed",
     "platform.calls",
