--- a/crates/pinhaven-record/tests/record.rs
+++ b/crates/pinhaven-record/tests/record.rs
@@ -189,3 +189,30 @@
         .collect();
     assert_eq!(marks, ["bundle in_force 7", "store lost e1"]);
 }
+
+#[test]
+fn a_timeline_marks_each_start_of_a_target_once() {
+    let restarted = |time_s: f64, instance: &str, incarnation: u64| {
+        format!(
+            r#"{{"time_s": {time_s}, "part": "target", "event": "restarted", "target": "i-1", "incarnation": {incarnation}, "instance": "{instance}"}}"#
+        )
+    };
+    let text = [
+        restarted(1.0, "e1", 2_000),
+        restarted(1.5, "e2", 2_000),
+        restarted(4.0, "e1", 5_000),
+    ];
+    let (lines, bad) = read_lines(&text.join("\n"));
+    assert_eq!(bad, 0);
+    let timeline = Timeline::new(&lines);
+    let marks: Vec<(f64, &str)> = timeline
+        .marks
+        .iter()
+        .map(|mark| (mark.at_s, mark.name.as_str()))
+        .collect();
+    let expected = [
+        (0.0, "target restarted i-1 2000"),
+        (3.0, "target restarted i-1 5000"),
+    ];
+    assert_eq!(marks, expected);
+}
