--- a/crates/pinhaven-record/src/timeline.rs
+++ b/crates/pinhaven-record/src/timeline.rs
@@ -45,11 +45,14 @@
                     }
                 }
                 ("request", "refused") => timeline.add_refusal(at_s, line.text("reason")),
-                ("bundle", event) => timeline.add_mark(at_s, line, event, "version"),
+                ("bundle", event) => timeline.add_mark(at_s, line, event, &["version"]),
                 ("target", event @ ("draining" | "gone" | "back")) => {
-                    timeline.add_mark(at_s, line, event, "target");
+                    timeline.add_mark(at_s, line, event, &["target"]);
                 }
-                ("store", event) => timeline.add_mark(at_s, line, event, "instance"),
+                ("target", event @ "restarted") => {
+                    timeline.add_mark(at_s, line, event, &["target", "incarnation"]);
+                }
+                ("store", event) => timeline.add_mark(at_s, line, event, &["instance"]),
                 _ => {}
             }
         }
@@ -66,8 +69,9 @@
         *seconds.entry(at_s as u64).or_default() += 1;
     }
 
-    fn add_mark(&mut self, at_s: f64, line: &ReadLine, event: &str, fact: &str) {
-        let name = format!("{} {event} {}", line.part, line.text(fact));
+    fn add_mark(&mut self, at_s: f64, line: &ReadLine, event: &str, facts: &[&str]) {
+        let facts: Vec<String> = facts.iter().map(|fact| line.text(fact)).collect();
+        let name = format!("{} {event} {}", line.part, facts.join(" "));
         if !self.marks.iter().any(|mark| mark.name == name) {
             self.marks.push(Mark { at_s, name });
         }
