Serve the connections that wait when a server stops

In the soak a caller's new connection was reset 2.705 s and 2.704 s after SIGTERM, when the entry closed its listener; nothing had run. Change: a server that stops takes what waits before it closes its listener, within a bound.

--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -35,6 +35,9 @@
 /// How long a new connection may still bring its first request once the server stops, in
 /// milliseconds.
 const LAST_REQUEST_MS: u64 = 200;
+/// Connections that are still taken once the server stops, at the most: what the system keeps for a server that has not
+/// come to them.
+const LAST_CONNECTIONS_MOST: usize = 4_096;
 /// How long the server waits after a failed accept, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 10;
 
@@ -114,29 +117,46 @@
             return;
         };
         while let Some(accepted) = self.accept(&listener).await {
-            let Ok((stream, _peer)) = accepted else {
-                sleep_ms(ACCEPT_RETRY_MS).await;
-                continue;
-            };
-            if self.open.load(Ordering::Relaxed) >= self.settings.connections_most {
-                continue;
+            match accepted {
+                Ok((stream, _peer)) => self.begin(stream, &handler),
+                Err(_) => sleep_ms(ACCEPT_RETRY_MS).await,
             }
-            self.open.fetch_add(1, Ordering::Relaxed);
-            let open = Arc::clone(&self.open);
-            let stop = self.stop_receiver.clone();
-            let settings = HttpServerSettings {
-                idle_ms: self.idle_ms.load(Ordering::Relaxed),
-                ..self.settings
+        }
+        // Closing the listener would reset the connections that wait, with the requests that they have brought.
+        for _ in 0..LAST_CONNECTIONS_MOST {
+            let Ok((stream, _peer)) = listener.get_ref().accept() else {
+                return;
             };
-            let handler = handler.clone();
-            spawn(async move {
-                serve_connection(stream, settings, stop, handler).await;
-                open.fetch_sub(1, Ordering::Relaxed);
-            })
-            .detach();
+            if let Ok(stream) = Async::new(stream) {
+                self.begin(stream, &handler);
+            }
         }
     }
 
+    /// Begins to serve a connection, if there is room for one more.
+    fn begin<H, F>(&self, stream: Async<TcpStream>, handler: &H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnyBody>> + Send + 'static,
+    {
+        if self.open.load(Ordering::Relaxed) >= self.settings.connections_most {
+            return;
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let open = Arc::clone(&self.open);
+        let stop = self.stop_receiver.clone();
+        let settings = HttpServerSettings {
+            idle_ms: self.idle_ms.load(Ordering::Relaxed),
+            ..self.settings
+        };
+        let handler = handler.clone();
+        spawn(async move {
+            serve_connection(stream, settings, stop, handler).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        })
+        .detach();
+    }
+
     /// The next connection; `None` once the server is told to close.
     async fn accept(
         &self,
