Let a row of another writer cost itself and nothing else

Cause: values were decoded for a read as a whole, so that one that is no base64 or no text failed the list of targets, the members or the configuration; a page without a readable row ended the list early, which makes the targets after it look gone; a key with characters that may not stand in a query failed the page after it. A spoiled entry was logged at each read (about every 600 ms), and one spoiled while the store was away was kept as lapsed.

Lists carry the ids under which other writers' entries stand, so that such a target is gone and not kept, at peers too. A configuration that can't be read counts as none and the feed moves past it. The table service's listings leave out rows without their fields; a seat whose row can't be read counts as held by nobody, so it is taken after it stood still and not while its true holder may rely on it. Commands name rows that they leave out. Each is logged once for a key and reason, counted at each read in pinhaven_foreign_rows_total, and at most 64 are named.

Ruled out: replacing an unreadable seat at once, as its holder relies on it for 9 s; ending a list at a page that brings nothing, as before, since a short list drops targets.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -14,7 +14,9 @@
 use pinhaven_types::RequestRate;
 use pinhaven_types::ServiceName;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
+use serde::de::IntoDeserializer;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -62,6 +64,7 @@
     /// Where other entries connect.
     pub peer_address: SocketAddr,
     /// How far it is in its life.
+    #[serde(deserialize_with = "state_from_name")]
     pub state: MemberState,
     /// Heartbeats so far.
     pub heartbeat: u64,
@@ -71,6 +74,13 @@
     pub epoch: u64,
 }
 
+/// A state from its name. By itself a state is also read from an object with the name as its field, which
+/// only another writer would send.
+fn state_from_name<'de, D: Deserializer<'de>>(deserializer: D) -> Result<MemberState, D::Error> {
+    let name = String::deserialize(deserializer)?;
+    MemberState::deserialize(IntoDeserializer::<D::Error>::into_deserializer(name))
+}
+
 /// An entry as this one sees it.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/crates/pinhaven-agree/src/seat.rs
+++ b/crates/pinhaven-agree/src/seat.rs
@@ -29,6 +29,19 @@
     pub renewals: u64,
 }
 
+impl SeatRow {
+    /// What a row of another writer counts as: a holder that is nobody and never renews. So the seat is
+    /// taken once the row has stood still for long, and not while its true holder may rely on it.
+    pub fn of_nobody(bytes: &[u8]) -> Self {
+        let mut holder = [0; 16];
+        holder[..8].copy_from_slice(&Digest::of(bytes).short().to_le_bytes());
+        Self {
+            holder: Incarnation::from_bytes(holder),
+            renewals: 0,
+        }
+    }
+}
+
 /// What to do about the seats.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SeatAction {
@@ -126,7 +139,9 @@
     }
 
     fn write(&self, seat: u32, listed: Option<SeatRow>) -> SeatAction {
-        let renewals = listed.as_ref().map_or(0, |row| row.renewals) + 1;
+        let before = listed.as_ref().map_or(0, |row| row.renewals);
+        // Another writer may have left the highest number; the row only has to change.
+        let renewals = before.wrapping_add(1);
         SeatAction::Write {
             seat,
             listed,
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -7,7 +7,8 @@
 //!
 //! A target that is missing from a list is gone, with one exception: entries of targets lapse while
 //! the store is away, and are back soon after its return. Until then targets that were there before
-//! the outage are kept.
+//! the outage are kept. A target whose entry is there, but another writer's, has not lapsed: it is gone
+//! until its own entry is back.
 
 use pinhaven_types::Digest;
 use pinhaven_types::FailureDomain;
@@ -62,6 +63,9 @@
     pub revision: u64,
     /// The targets, by id.
     pub targets: BTreeMap<TargetId, ListedTarget>,
+    /// Ids under which the store holds entries of other writers, which name no target.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub foreign_ids: BTreeSet<TargetId>,
 }
 
 impl TargetList {
@@ -73,21 +77,27 @@
                 .into_iter()
                 .map(|target| (target.id.clone(), target))
                 .collect(),
+            foreign_ids: BTreeSet::new(),
         }
     }
 
+    /// The same with ids under which other writers' entries stand.
+    pub fn with_foreign_ids(mut self, ids: impl IntoIterator<Item = TargetId>) -> Self {
+        self.foreign_ids.extend(ids);
+        self
+    }
+
     /// Digest of what matters to routing. Two lists with the same digest lead to the same choices.
     pub fn digest(&self) -> u64 {
-        let parts: Vec<String> = self
-            .targets
-            .values()
-            .map(|target| {
-                format!(
-                    "{} {} {} {} {}",
-                    target.id, target.service, target.address, target.slots, target.is_leaving
-                )
-            })
-            .collect();
+        let targets = self.targets.values().map(|target| {
+            format!(
+                "{} {} {} {} {}",
+                target.id, target.service, target.address, target.slots, target.is_leaving
+            )
+        });
+        // What another entry keeps as lapsed ends with these, so it has to hear of them.
+        let foreign = self.foreign_ids.iter().map(ToString::to_string);
+        let parts: Vec<String> = targets.chain(foreign).collect();
         let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
         Digest::of_parts(&parts).short()
     }
@@ -329,7 +339,9 @@
             list.targets.values().map(|target| target.address).collect();
         let may_return = |target: &ListedTarget| {
             let is_listed = list.targets.contains_key(&target.id);
-            !is_listed && !target.is_leaving && !addresses.contains(&target.address)
+            // An entry that another writer spoiled is there and did not lapse.
+            let is_foreign = list.foreign_ids.contains(&target.id);
+            !is_listed && !is_foreign && !target.is_leaving && !addresses.contains(&target.address)
         };
         self.kept.retain(|_, target| may_return(target));
         if self.keep_until.is_none_or(|until| now >= until) {
--- /dev/null
+++ b/crates/pinhaven-agree/tests/foreign_targets.rs
@@ -0,0 +1,116 @@
+//! Targets whose entries another writer spoils: gone at once, and back with their own entry.
+
+use pinhaven_agree::KnownTargets;
+use pinhaven_agree::ListedTarget;
+use pinhaven_agree::PeerList;
+use pinhaven_agree::TargetList;
+use pinhaven_types::Microseconds;
+use pinhaven_types::TargetId;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use std::collections::BTreeSet;
+
+/// Targets of the lists that are tried.
+const TARGETS: u16 = 8;
+
+fn at_ms(time_ms: u64) -> Microseconds {
+    Microseconds::from_ms(1_000_000 + time_ms)
+}
+
+fn id(number: u16) -> TargetId {
+    format!("i-{number}").parse().unwrap()
+}
+
+fn target(number: u16) -> ListedTarget {
+    ListedTarget {
+        id: id(number),
+        service: "quote".parse().unwrap(),
+        address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+        failure_domain: "vienna-1".parse().unwrap(),
+        slots: 6,
+        is_leaving: false,
+        warm_up_ms: 0,
+    }
+}
+
+fn list(revision: u64, numbers: &[u16], foreign: &[u16]) -> TargetList {
+    TargetList::new(revision, numbers.iter().copied().map(target))
+        .with_foreign_ids(foreign.iter().copied().map(id))
+}
+
+fn ids(known: &KnownTargets) -> Vec<String> {
+    let targets = known.targets().targets;
+    targets.keys().map(ToString::to_string).collect()
+}
+
+#[test]
+fn after_an_outage_a_lapsed_target_is_kept_and_a_spoiled_one_is_gone() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, &[1, 2, 3], &[]), at_ms(0));
+    known.take_failure(at_ms(1_000));
+    known.take_read(list(2, &[1], &[2]), at_ms(5_000));
+    assert_eq!(ids(&known), ["i-1", "i-3"]);
+    assert!(known.take_read(list(3, &[1, 2, 3], &[]), at_ms(6_000)));
+    assert_eq!(ids(&known), ["i-1", "i-2", "i-3"]);
+}
+
+#[test]
+fn a_target_that_is_kept_is_gone_once_its_entry_is_spoiled() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, &[1, 2], &[]), at_ms(0));
+    known.take_failure(at_ms(1_000));
+    known.take_read(list(2, &[1], &[]), at_ms(5_000));
+    assert_eq!(ids(&known), ["i-1", "i-2"]);
+    assert!(known.take_read(list(3, &[1], &[2]), at_ms(5_600)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+/// A spoiled entry changes nothing in the targets of a list, but others may keep what it stood for.
+#[test]
+fn a_peer_that_keeps_a_target_hears_that_its_entry_is_spoiled() {
+    let mut known = KnownTargets::new();
+    known.take_read(list(1, &[1, 2], &[]), at_ms(0));
+    known.take_failure(at_ms(1_000));
+    known.take_read(list(2, &[1], &[]), at_ms(5_000));
+    let newer = list(3, &[1], &[2]);
+    let heard = known.hear(3, newer.digest(), at_ms(5_100));
+    assert_eq!(heard, PeerList::Fetch);
+    let sent = serde_json::to_vec(&newer).unwrap();
+    let came: TargetList = serde_json::from_slice(&sent).unwrap();
+    assert!(known.take_peer_list(came, at_ms(5_100), at_ms(5_110)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+/// Whatever is read and fails in whatever order, an id whose entry is spoiled names no target, and those
+/// that the newest list names are all there.
+#[test]
+fn a_spoiled_entry_never_names_a_target_and_the_others_hold() {
+    fn holds(reads: Vec<(u8, u8, bool)>) -> bool {
+        let mut known = KnownTargets::new();
+        let mut now_ms = 0;
+        for (number, (there, spoiled, fails)) in reads.into_iter().enumerate() {
+            now_ms += 600;
+            if fails {
+                known.take_failure(at_ms(now_ms));
+                continue;
+            }
+            let has = |bits: u8, target: u16| bits & (1 << target) != 0;
+            let foreign: Vec<u16> = (0..TARGETS).filter(|t| has(spoiled, *t)).collect();
+            let own: Vec<u16> = (0..TARGETS)
+                .filter(|t| has(there, *t) && !has(spoiled, *t))
+                .collect();
+            known.take_read(list(number as u64 + 1, &own, &foreign), at_ms(now_ms));
+            let used: BTreeSet<TargetId> = known.targets().targets.into_keys().collect();
+            let names_spoiled = foreign.iter().any(|t| used.contains(&id(*t)));
+            let names_all = own.iter().all(|t| used.contains(&id(*t)));
+            if names_spoiled || !names_all {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 74))
+        .tests(500)
+        .quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
+}
--- a/crates/pinhaven-command/src/bundle/history.rs
+++ b/crates/pinhaven-command/src/bundle/history.rs
@@ -4,6 +4,7 @@
 use crate::output::FormatArguments;
 use crate::output::Row;
 use crate::platform::PlatformArguments;
+use crate::platform::readable;
 use crate::platform::run as run_calls;
 use clap::Args;
 use pinhaven_bundle::BundleHead;
@@ -45,7 +46,9 @@
     let listed = run_calls(async { table.list(HISTORY_PREFIX).await })?;
     let mut rows = Vec::new();
     for row in listed {
-        let head: BundleHead = serde_json::from_str(&row.value).map_err(CommandError::new)?;
+        let Some(head) = readable::<BundleHead>(&row) else {
+            continue;
+        };
         rows.push(VersionRow {
             version: head.version.number(),
             signer: head.signer.to_string(),
--- a/crates/pinhaven-command/src/bundle/roll.rs
+++ b/crates/pinhaven-command/src/bundle/roll.rs
@@ -6,6 +6,7 @@
 
 use crate::CommandError;
 use crate::platform::PlatformArguments;
+use crate::platform::head_of;
 use crate::platform::run as run_calls;
 use clap::Args;
 use pinhaven_bundle::BundleDelta;
@@ -73,8 +74,7 @@
         let (condition, newest) = match &held {
             None => (Condition::Absent, None),
             Some(row) => {
-                let newest: BundleHead =
-                    serde_json::from_str(&row.value).map_err(CommandError::new)?;
+                let newest = head_of(row)?;
                 (Condition::Version(row.version.clone()), Some(newest))
             }
         };
--- a/crates/pinhaven-command/src/bundle/status.rs
+++ b/crates/pinhaven-command/src/bundle/status.rs
@@ -4,10 +4,10 @@
 use crate::output::FormatArguments;
 use crate::output::Row;
 use crate::platform::PlatformArguments;
+use crate::platform::head_of;
 use crate::platform::list_entries;
 use crate::platform::run as run_calls;
 use clap::Args;
-use pinhaven_bundle::BundleHead;
 use pinhaven_platform::BUNDLE_HEAD;
 use pinhaven_platform::TableService;
 use serde::Serialize;
@@ -59,8 +59,7 @@
         let newest = match table.read(BUNDLE_HEAD).await? {
             None => 0,
             Some(row) => {
-                let head: BundleHead =
-                    serde_json::from_str(&row.value).map_err(CommandError::new)?;
+                let head = head_of(&row)?;
                 head.version.number()
             }
         };
--- a/crates/pinhaven-command/src/platform.rs
+++ b/crates/pinhaven-command/src/platform.rs
@@ -3,13 +3,16 @@
 use crate::CommandError;
 use clap::Args;
 use pinhaven_agree::MemberRow;
+use pinhaven_bundle::BundleHead;
 use pinhaven_entry::InstanceStatus;
 use pinhaven_platform::ENTRY_PREFIX;
 use pinhaven_platform::HttpObjectStore;
 use pinhaven_platform::HttpTableService;
 use pinhaven_platform::PlatformError;
+use pinhaven_platform::Row;
 use pinhaven_platform::TableService;
 use pinhaven_runtime::HttpClient;
+use serde::de::DeserializeOwned;
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -51,6 +54,19 @@
     }
 }
 
+/// The head that a row holds, where nothing can be done without it.
+pub(crate) fn head_of(row: &Row) -> Result<BundleHead, CommandError> {
+    serde_json::from_str(&row.value)
+        .map_err(|error| CommandError::new(format!("row {} can't be read: {error}", row.key)))
+}
+
+/// What a row holds; one that can't be read is named and left out.
+pub(crate) fn readable<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    serde_json::from_str(&row.value)
+        .inspect_err(|error| eprintln!("note: row {} is left out: {error}", row.key))
+        .ok()
+}
+
 /// An entry of the platform's list, with its status if it answers.
 pub(crate) struct Listed {
     pub(crate) row: MemberRow,
@@ -61,9 +77,9 @@
 pub(crate) async fn list_entries(table: &HttpTableService) -> Result<Vec<Listed>, CommandError> {
     let mut listed = Vec::new();
     for row in table.list(ENTRY_PREFIX).await? {
-        let row: MemberRow = serde_json::from_str(&row.value).map_err(|error| {
-            CommandError::new(format!("row {} can't be understood: {error}", row.key))
-        })?;
+        let Some(row) = readable::<MemberRow>(&row) else {
+            continue;
+        };
         let status = status_of(row.peer_address).await;
         let status = status.filter(|status| status.own.incarnation == row.incarnation);
         listed.push(Listed { row, status });
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -26,6 +26,7 @@
 use pinhaven_agree::VersionInForce;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
+use pinhaven_platform::ForeignRow;
 use pinhaven_platform::HttpObjectStore;
 use pinhaven_platform::HttpTableService;
 use pinhaven_platform::PlatformError;
@@ -35,6 +36,7 @@
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use pinhaven_types::RequestRate;
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -222,6 +224,14 @@
         self.clock.now()
     }
 
+    /// How often each row of another writer was left out.
+    pub(crate) fn foreign_rows(&self) -> BTreeMap<ForeignRow, u64> {
+        match &self.discovery {
+            Some(store) => store.foreign_rows(),
+            None => self.table.foreign_rows(),
+        }
+    }
+
     /// Whether once-only requests are remembered by their key. Where each request of a caller has an
     /// id of its own and no key comes, there is nothing to remember.
     pub(crate) fn keeps_once_keys(&self) -> bool {
--- a/crates/pinhaven-entry/src/once_only/claims.rs
+++ b/crates/pinhaven-entry/src/once_only/claims.rs
@@ -13,6 +13,7 @@
 use pinhaven_platform::CLAIM_PREFIX;
 use pinhaven_platform::Condition;
 use pinhaven_platform::PlatformError;
+use pinhaven_platform::RowFault;
 use pinhaven_platform::TableService;
 use pinhaven_types::Digest;
 use pinhaven_types::ServiceName;
@@ -75,10 +76,11 @@
 async fn read_home(entry: &Entry, row_key: &str) -> Result<Home, ClaimFailed> {
     let read = entry.table.read(row_key).await;
     match entry.count_platform(read) {
-        Ok(Some(row)) => row
-            .value
-            .parse()
-            .map_err(|_| ClaimFailed(format!("row {row_key} names no home"))),
+        Ok(Some(row)) => row.value.parse().map_err(|error| {
+            let fault = RowFault::form(error);
+            entry.table.leave_out(CLAIM_PREFIX, row_key, &fault);
+            ClaimFailed(format!("row {row_key} names no home"))
+        }),
         Ok(None) => Err(ClaimFailed("the claim could not be settled".to_owned())),
         Err(error) => Err(ClaimFailed(error.to_string())),
     }
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -32,6 +32,7 @@
 use pinhaven_platform::Condition;
 use pinhaven_platform::ENTRY_PREFIX;
 use pinhaven_platform::PlatformError;
+use pinhaven_platform::RowFault;
 use pinhaven_platform::TableService;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::within;
@@ -202,8 +203,14 @@
         let now = self.now();
         let mut members = self.members.lock();
         for row in rows {
-            if let Ok(row) = serde_json::from_str::<MemberRow>(&row.value) {
-                members.hear_of(row, now);
+            match serde_json::from_str::<MemberRow>(&row.value) {
+                Ok(row) => {
+                    members.hear_of(row, now);
+                }
+                Err(error) => {
+                    let fault = RowFault::form(error);
+                    self.table.leave_out(ENTRY_PREFIX, &row.key, &fault);
+                }
             }
         }
     }
--- a/crates/pinhaven-entry/src/targets/seats.rs
+++ b/crates/pinhaven-entry/src/targets/seats.rs
@@ -5,6 +5,7 @@
 use pinhaven_agree::SeatRow;
 use pinhaven_platform::Condition;
 use pinhaven_platform::Row;
+use pinhaven_platform::RowFault;
 use pinhaven_platform::RowVersion;
 use pinhaven_platform::SEAT_PREFIX;
 use pinhaven_platform::TableService;
@@ -47,8 +48,8 @@
         let mut seats = BTreeMap::new();
         let mut versions = BTreeMap::new();
         for row in rows {
-            if let Some((seat, parsed)) = parse_row(&row) {
-                seats.insert(seat, parsed);
+            if let Some(seat) = self.seat_number(&row) {
+                seats.insert(seat, self.seat_row(&row));
                 versions.insert(seat, row.version);
             }
         }
@@ -69,9 +70,21 @@
         let took_effect = self.count_platform(written).is_ok();
         self.seats.lock().take_written(seat, took_effect, asked_at);
     }
-}
 
-fn parse_row(row: &Row) -> Option<(u32, SeatRow)> {
-    let seat = row.key.strip_prefix(SEAT_PREFIX)?.parse().ok()?;
-    Some((seat, serde_json::from_str(&row.value).ok()?))
+    /// The seat that a row's key names.
+    fn seat_number(&self, row: &Row) -> Option<u32> {
+        let number = row.key.strip_prefix(SEAT_PREFIX).unwrap_or_default();
+        let seat = number.parse().map_err(RowFault::key);
+        seat.inspect_err(|fault| self.table.leave_out(SEAT_PREFIX, &row.key, fault))
+            .ok()
+    }
+
+    /// Who holds a seat; nobody if the row is another writer's.
+    fn seat_row(&self, row: &Row) -> SeatRow {
+        serde_json::from_str(&row.value).unwrap_or_else(|error| {
+            let fault = RowFault::form(error);
+            self.table.leave_out(SEAT_PREFIX, &row.key, &fault);
+            SeatRow::of_nobody(row.value.as_bytes())
+        })
+    }
 }
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -19,6 +19,7 @@
 use pinhaven_peer::FetchedBody;
 use pinhaven_platform::BUNDLE_HEAD;
 use pinhaven_platform::ObjectStore;
+use pinhaven_platform::RowFault;
 use pinhaven_platform::TableService;
 use pinhaven_platform::bundle_delta_object;
 use pinhaven_platform::bundle_object;
@@ -67,9 +68,13 @@
                 return false;
             }
         };
-        let Ok(head) = serde_json::from_str::<BundleHead>(&row.value) else {
-            log::error!(target: "bundle", "The head's row can't be understood.");
-            return false;
+        let head = match serde_json::from_str::<BundleHead>(&row.value) {
+            Ok(head) => head,
+            Err(error) => {
+                let fault = RowFault::form(error);
+                self.table.leave_out(BUNDLE_HEAD, &row.key, &fault);
+                return false;
+            }
         };
         if head.version <= self.version.lock().version() {
             return true;
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -28,6 +28,7 @@
             "pinhaven_promise_broken_total{{promise=\"{name}\"}} {broken}"
         ));
     }
+    lines.extend(foreign_row_lines(entry));
     lines.extend(gauges(entry));
     lines.extend(service_lines(entry));
     lines.extend(record_lines(entry));
@@ -37,6 +38,18 @@
     lines.join("\n")
 }
 
+/// How often rows of other writers were left out.
+fn foreign_row_lines(entry: &Entry) -> Vec<String> {
+    let counts = entry.foreign_rows();
+    let lines = counts.iter().map(|(row, count)| {
+        format!(
+            "pinhaven_foreign_rows_total{{table={:?},reason=\"{}\",key={:?}}} {count}",
+            row.table, row.reason, row.key
+        )
+    });
+    lines.collect()
+}
+
 fn gauges(entry: &Entry) -> Vec<String> {
     let now = entry.now();
     let version = entry.snapshot.load().version.number();
--- a/crates/pinhaven-platform/src/discovery.rs
+++ b/crates/pinhaven-platform/src/discovery.rs
@@ -3,11 +3,13 @@
 //! The implementation translates the store's rows; what to do with what it finds is decided by the
 //! entry.
 
+use crate::ForeignRow;
 use crate::PlatformError;
 use async_trait::async_trait;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
+use std::collections::BTreeMap;
 
 /// A place in the store's history of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,7 +32,8 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError`] when the store did not answer, or with something that is no configuration.
+    /// [`PlatformError`] when the store did not answer. What is no configuration counts as none, and the
+    /// position moves past it.
     async fn next_configuration(
         &self,
         position: Option<FeedPosition>,
@@ -40,15 +43,15 @@
     ///
     /// # Errors
     ///
-    /// [`PlatformError`] when the store did not answer. Single entries that can't be understood are
-    /// left out with a log line.
+    /// [`PlatformError`] when the store did not answer. Entries of other writers name no target; the
+    /// others hold.
     async fn targets(&self) -> Result<TargetList, PlatformError>;
 
     /// Reads the rows that entries have written about themselves; many may be out of date.
     ///
     /// # Errors
     ///
-    /// [`PlatformError`] when the store did not answer.
+    /// [`PlatformError`] when the store did not answer. Rows of other writers are left out.
     async fn members(&self) -> Result<Vec<MemberRow>, PlatformError>;
 
     /// Writes the own row.
@@ -58,4 +61,9 @@
     /// [`PlatformError`] when the write had no effect, or nobody can tell. Writing it again is
     /// harmless.
     async fn announce(&self, row: &MemberRow) -> Result<(), PlatformError>;
+
+    /// How often each row of another writer was left out.
+    fn foreign_rows(&self) -> BTreeMap<ForeignRow, u64> {
+        BTreeMap::new()
+    }
 }
--- a/crates/pinhaven-platform/src/error.rs
+++ b/crates/pinhaven-platform/src/error.rs
@@ -19,8 +19,6 @@
     WriteObject,
     /// waiting for changes of
     AwaitChanges,
-    /// decoding
-    Decode,
 }
 
 /// Why a call to the platform gave no result.
--- /dev/null
+++ b/crates/pinhaven-platform/src/foreign.rs
@@ -0,0 +1,143 @@
+//! Rows of other writers: rows that are there and that nobody here could have written.
+//!
+//! Such a row costs itself and nothing else. It is left out, which is counted at every read, and told
+//! in one log line for each key and reason, as a list is read several times a second. Only so many keys
+//! are named, so that a writer of many can fill neither the log nor the memory.
+
+use displaydoc::Display as DisplayDoc;
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+
+/// Rows that are named one by one; all others are counted together.
+const NAMED_MOST: usize = 64;
+/// Key that stands for those others.
+const OTHER_KEYS: &str = "other";
+/// The longest that a key or a message is told, in characters. A message may quote the row, which may
+/// be large.
+const TOLD_CHARS_MOST: usize = 120;
+
+/// What can't be used about a row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, DisplayDoc)]
+pub enum ForeignReason {
+    /// key
+    Key,
+    /// encoding
+    Encoding,
+    /// form
+    Form,
+    /// number
+    Number,
+}
+
+/// Why a row can't be used: {reason}: {message}
+#[derive(Debug, Clone, PartialEq, Eq, DisplayDoc)]
+pub struct RowFault {
+    /// What can't be used about it.
+    pub reason: ForeignReason,
+    /// What is wrong with it.
+    pub message: String,
+}
+
+impl std::error::Error for RowFault {}
+
+impl RowFault {
+    /// The key is no id, or not the one that the row names.
+    pub fn key(message: impl ToString) -> Self {
+        Self::new(ForeignReason::Key, message)
+    }
+
+    /// The bytes can't be had.
+    pub fn encoding(message: impl ToString) -> Self {
+        Self::new(ForeignReason::Encoding, message)
+    }
+
+    /// Fields are missing or of another type, or hold a name that is not known.
+    pub fn form(message: impl ToString) -> Self {
+        Self::new(ForeignReason::Form, message)
+    }
+
+    /// A number can't be.
+    pub fn number(message: impl ToString) -> Self {
+        Self::new(ForeignReason::Number, message)
+    }
+
+    fn new(reason: ForeignReason, message: impl ToString) -> Self {
+        Self {
+            reason,
+            message: message.to_string(),
+        }
+    }
+}
+
+/// A row of another writer.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ForeignRow {
+    /// Its table, or the start of its key where there is one table.
+    pub table: String,
+    /// What can't be used about it.
+    pub reason: ForeignReason,
+    /// Its key, shortened if it is long; `other` for all that are not named one by one.
+    pub key: String,
+}
+
+/// All rows of other writers that were met.
+#[derive(Debug, Default)]
+pub struct ForeignRows {
+    /// How often each was left out.
+    counts: Mutex<BTreeMap<ForeignRow, u64>>,
+}
+
+impl ForeignRows {
+    /// None were met.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in that a read has left a row out.
+    pub fn leave_out(&self, table: &str, key: &str, fault: &RowFault) {
+        let row = ForeignRow {
+            table: table.to_owned(),
+            reason: fault.reason,
+            key: shortened(key),
+        };
+        let mut counts = self.counts.lock();
+        if let Some(count) = counts.get_mut(&row) {
+            *count += 1;
+            return;
+        }
+        if counts.len() < NAMED_MOST {
+            let message = shortened(&fault.message);
+            log::warn!(
+                target: "rows", "Row {:?} of {table} is another writer's and left out, {}: {message}.",
+                row.key, row.reason
+            );
+            counts.insert(row, 1);
+            return;
+        }
+        let other = ForeignRow {
+            key: OTHER_KEYS.to_owned(),
+            ..row
+        };
+        let count = counts.entry(other).or_insert_with(|| {
+            log::warn!(target: "rows", "More rows of {table} are left out; they are only counted.");
+            0
+        });
+        *count += 1;
+    }
+
+    /// How often each row was left out.
+    pub fn counts(&self) -> BTreeMap<ForeignRow, u64> {
+        self.counts.lock().clone()
+    }
+}
+
+/// The beginning of a text, with characters that a log line or a label may not hold replaced.
+fn shortened(text: &str) -> String {
+    let is_plain = |c: &char| c.is_ascii_graphic() || *c == ' ';
+    let chars = text.chars().take(TOLD_CHARS_MOST);
+    let mut told: String = chars.map(|c| if is_plain(&c) { c } else { '?' }).collect();
+    if text.chars().nth(TOLD_CHARS_MOST).is_some() {
+        told.push_str("...");
+    }
+    told
+}
--- a/crates/pinhaven-platform/src/http.rs
+++ b/crates/pinhaven-platform/src/http.rs
@@ -1,10 +1,13 @@
 //! Both interfaces over HTTP conditional requests.
 
 use crate::Condition;
+use crate::ForeignRow;
+use crate::ForeignRows;
 use crate::ObjectStore;
 use crate::PlatformError;
 use crate::PlatformStep;
 use crate::Row;
+use crate::RowFault;
 use crate::RowVersion;
 use crate::TableService;
 use bytes::Bytes;
@@ -17,11 +20,14 @@
 use http::header::IF_NONE_MATCH;
 use pinhaven_runtime::CallError;
 use pinhaven_runtime::HttpClient;
-use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// The table service over HTTP.
-pub struct HttpTableService(Caller);
+pub struct HttpTableService {
+    caller: Caller,
+    foreign: ForeignRows,
+}
 
 /// The object store over HTTP.
 pub struct HttpObjectStore(Caller);
@@ -29,7 +35,20 @@
 impl HttpTableService {
     /// A client of the service at `peer`, each call with a deadline.
     pub fn new(peer: SocketAddr, timeout_ms: u64) -> Self {
-        Self(Caller(HttpClient::new(peer, timeout_ms)))
+        Self {
+            caller: Caller(HttpClient::new(peer, timeout_ms)),
+            foreign: ForeignRows::new(),
+        }
+    }
+
+    /// Takes in that a row was read that is another writer's.
+    pub fn leave_out(&self, table: &str, key: &str, fault: &RowFault) {
+        self.foreign.leave_out(table, key, fault);
+    }
+
+    /// How often each row of another writer was left out.
+    pub fn foreign_rows(&self) -> BTreeMap<ForeignRow, u64> {
+        self.foreign.counts()
     }
 }
 
@@ -40,43 +59,52 @@
     }
 }
 
-/// A row as a listing spells it.
-#[derive(Deserialize)]
-struct ListedRow {
-    key: String,
-    version: String,
-    value: String,
+/// A row as a listing spells it. Each may be another writer's and lack what it should have.
+type ListedRow = serde_json::Value;
+
+/// The row that a listing spells.
+fn listed_row(listed: &ListedRow) -> Result<Row, RowFault> {
+    let text = |field: &str| {
+        let value = listed.get(field).and_then(ListedRow::as_str);
+        value.ok_or_else(|| RowFault::form(format!("its {field} is no text")))
+    };
+    Ok(Row {
+        key: text("key")?.to_owned(),
+        version: RowVersion::new(text("version")?),
+        value: text("value")?.to_owned(),
+    })
 }
 
 impl TableService for HttpTableService {
     async fn read(&self, key: &str) -> Result<Option<Row>, PlatformError> {
         let call = Call::new(PlatformStep::ReadRow, Method::GET, "table", key);
-        let response = self.0.call(&call, Bytes::new()).await?;
+        let response = self.caller.call(&call, Bytes::new()).await?;
         match response.status() {
             StatusCode::NOT_FOUND => Ok(None),
             StatusCode::OK => Ok(Some(Row {
                 key: key.to_owned(),
-                version: self.0.row_version(&call, &response)?,
+                version: self.caller.row_version(&call, &response)?,
                 value: String::from_utf8_lossy(response.body()).into_owned(),
             })),
-            status => Err(self.0.no_effect(&call, status)),
+            status => Err(self.caller.no_effect(&call, status)),
         }
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Row>, PlatformError> {
         let call = Call::new(PlatformStep::ListRows, Method::GET, "list", prefix);
-        let response = self.0.call(&call, Bytes::new()).await?;
+        let response = self.caller.call(&call, Bytes::new()).await?;
         if response.status() != StatusCode::OK {
-            return Err(self.0.no_effect(&call, response.status()));
+            return Err(self.caller.no_effect(&call, response.status()));
         }
         let rows: Vec<ListedRow> = match serde_json::from_slice(response.body()) {
             Ok(rows) => rows,
-            Err(error) => return Err(self.0.no_effect(&call, error)),
+            Err(error) => return Err(self.caller.no_effect(&call, error)),
         };
-        let rows = rows.into_iter().map(|row| Row {
-            key: row.key,
-            version: RowVersion::new(row.version),
-            value: row.value,
+        let rows = rows.iter().filter_map(|listed| {
+            let key = listed.get("key").and_then(ListedRow::as_str);
+            listed_row(listed)
+                .inspect_err(|fault| self.leave_out(prefix, key.unwrap_or_default(), fault))
+                .ok()
         });
         Ok(rows.collect())
     }
@@ -89,10 +117,10 @@
     ) -> Result<RowVersion, PlatformError> {
         let mut call = Call::new(PlatformStep::WriteRow, Method::PUT, "table", key);
         call.condition = Some(condition);
-        let response = self.0.call(&call, Bytes::from(value)).await?;
+        let response = self.caller.call(&call, Bytes::from(value)).await?;
         match response.status() {
-            StatusCode::OK | StatusCode::CREATED => self.0.row_version(&call, &response),
-            status => Err(self.0.write_error(&call, status)),
+            StatusCode::OK | StatusCode::CREATED => self.caller.row_version(&call, &response),
+            status => Err(self.caller.write_error(&call, status)),
         }
     }
 }
--- a/crates/pinhaven-platform/src/lib.rs
+++ b/crates/pinhaven-platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod discovery;
 mod error;
+mod foreign;
 mod http;
 mod key;
 mod store;
@@ -17,6 +18,10 @@
 pub use discovery::FeedPosition;
 pub use error::PlatformError;
 pub use error::PlatformStep;
+pub use foreign::ForeignReason;
+pub use foreign::ForeignRow;
+pub use foreign::ForeignRows;
+pub use foreign::RowFault;
 pub use key::BUNDLE_HEAD;
 pub use key::CLAIM_PREFIX;
 pub use key::ENTRY_PREFIX;
--- /dev/null
+++ b/crates/pinhaven-platform/tests/foreign_counts.rs
@@ -0,0 +1,56 @@
+//! What is kept of rows of other writers is bounded, however many there are and whatever they hold.
+
+use pinhaven_platform::ForeignReason;
+use pinhaven_platform::ForeignRows;
+use pinhaven_platform::RowFault;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use std::collections::BTreeSet;
+
+#[test]
+fn a_row_is_counted_by_key_and_reason_at_every_read() {
+    let rows = ForeignRows::new();
+    for _ in 0..3 {
+        rows.leave_out("servers", "i-1", &RowFault::form("missing field"));
+    }
+    rows.leave_out("servers", "i-1", &RowFault::encoding("no base64"));
+    let counts: Vec<(ForeignReason, u64)> = rows
+        .counts()
+        .into_iter()
+        .map(|(row, count)| (row.reason, count))
+        .collect();
+    assert_eq!(
+        counts,
+        [(ForeignReason::Encoding, 1), (ForeignReason::Form, 3)]
+    );
+}
+
+#[test]
+fn past_a_number_of_rows_the_others_are_counted_together_and_none_is_lost() {
+    let rows = ForeignRows::new();
+    for number in 0..10_000 {
+        let key = format!("i-{number}");
+        rows.leave_out("servers", &key, &RowFault::form("missing field"));
+    }
+    let counts = rows.counts();
+    assert!(counts.len() <= 70, "{}", counts.len());
+    assert_eq!(counts.values().sum::<u64>(), 10_000);
+    let other = counts.iter().find(|(row, _)| row.key == "other");
+    assert_eq!(other.map(|(_, count)| *count), Some(10_000 - 64));
+}
+
+#[test]
+fn keys_are_told_short_and_plain() {
+    fn is_plain(keys: Vec<String>) -> bool {
+        let rows = ForeignRows::new();
+        for key in keys.iter().chain([&"k".repeat(60_000)]) {
+            rows.leave_out("servers", key, &RowFault::key("no id"));
+        }
+        let told: BTreeSet<String> = rows.counts().into_keys().map(|row| row.key).collect();
+        let is_plain = |key: &String| key.chars().all(|c| c.is_ascii_graphic() || c == ' ');
+        told.iter().all(|key| key.len() <= 130 && is_plain(key))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 75))
+        .quickcheck(is_plain as fn(Vec<String>) -> bool);
+}
