--- a/crates/pinhaven-agree/src/seat.rs
+++ b/crates/pinhaven-agree/src/seat.rs
@@ -20,6 +20,9 @@
 /// How long a seat must stand still before another entry takes it.
 const TAKE_AFTER: Microseconds = Microseconds::from_ms(20_000);
 
+/// Who holds a seat whose row names no holder; no process has this incarnation.
+const NOBODY: Incarnation = Incarnation::new(0);
+
 /// A seat's row at the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatRow {
@@ -32,12 +35,12 @@
 impl SeatRow {
     /// What a row of another writer counts as: a holder that is nobody and never renews. So the seat is
     /// taken once the row has stood still for long, and not while its true holder may rely on it.
-    pub fn of_nobody(bytes: &[u8]) -> Self {
-        let mut holder = [0; 16];
-        holder[..8].copy_from_slice(&Digest::of(bytes).short().to_le_bytes());
+    /// The renewals begin at a number of that write's own, which `version` names: counted from 0 again, the
+    /// row of a holder would come back as it was, and look as if it had stood still since.
+    pub fn of_nobody(version: &str) -> Self {
         Self {
-            holder: Incarnation::from_bytes(holder),
-            renewals: 0,
+            holder: NOBODY,
+            renewals: Digest::of(version.as_bytes()).short(),
         }
     }
 }
--- a/crates/pinhaven-agree/tests/foreign_seats.rs
+++ b/crates/pinhaven-agree/tests/foreign_seats.rs
@@ -5,6 +5,8 @@
 use pinhaven_agree::SeatRow;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
 use std::collections::BTreeMap;
 
 const OWN: Incarnation = Incarnation::new(1);
@@ -35,7 +37,7 @@
 #[test]
 fn a_seat_whose_row_names_nobody_is_taken_once_it_has_stood_still_for_long() {
     let mut keeper = SeatKeeper::new(OWN, 1);
-    let rows = BTreeMap::from([(0, SeatRow::of_nobody(b"?"))]);
+    let rows = BTreeMap::from([(0, SeatRow::of_nobody("1"))]);
     assert_eq!(keeper.take_rows(&rows, at_ms(0)), None);
     assert_eq!(keeper.take_rows(&rows, at_ms(15_000)), None);
     let taken = keeper.take_rows(&rows, at_ms(20_000));
@@ -43,8 +45,50 @@
 
     let mut keeper = SeatKeeper::new(OWN, 1);
     for time_ms in (0..60_000).step_by(3_000) {
-        let rows = BTreeMap::from([(0, SeatRow::of_nobody(time_ms.to_string().as_bytes()))]);
+        let rows = BTreeMap::from([(0, SeatRow::of_nobody(&time_ms.to_string()))]);
         let taken = keeper.take_rows(&rows, at_ms(time_ms));
         assert_eq!(taken, None, "another writer still writes it");
     }
 }
+
+/// Another writer spoils rows at random; two entries must never rely on one seat.
+#[test]
+fn whatever_becomes_of_the_rows_no_two_entries_rely_on_one_seat() {
+    fn holds(steps: Vec<(u8, u8, bool)>) -> bool {
+        let mut rows: BTreeMap<u32, SeatRow> = BTreeMap::new();
+        let mut keepers: Vec<SeatKeeper> = (0..3)
+            .map(|number| SeatKeeper::new(Incarnation::new(number + 1), 2))
+            .collect();
+        let mut time_ms = 0;
+        for (version, (draw, step, is_spoiled)) in steps.into_iter().enumerate() {
+            time_ms += u64::from(step) * 20;
+            if is_spoiled && draw % 8 == 0 {
+                let row = SeatRow::of_nobody(&version.to_string());
+                rows.insert(u32::from(draw / 8 % 2), row);
+            }
+            let keeper = &mut keepers[usize::from(draw) % 3];
+            if keeper.tick(at_ms(time_ms)) == Some(SeatAction::List)
+                && let Some(SeatAction::Write { seat, row, .. }) =
+                    keeper.take_rows(&rows, at_ms(time_ms))
+            {
+                rows.insert(seat, row);
+                keeper.take_written(seat, true, at_ms(time_ms));
+            }
+            let mut seats: Vec<u32> = keepers
+                .iter()
+                .filter_map(|keeper| keeper.seat(at_ms(time_ms)))
+                .collect();
+            let held = seats.len();
+            seats.sort_unstable();
+            seats.dedup();
+            if seats.len() != held {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(400, 76))
+        .tests(200)
+        .quickcheck(holds as fn(Vec<(u8, u8, bool)>) -> bool);
+}
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -32,6 +32,7 @@
 use pinhaven_platform::Condition;
 use pinhaven_platform::ENTRY_PREFIX;
 use pinhaven_platform::PlatformError;
+use pinhaven_platform::Row;
 use pinhaven_platform::RowFault;
 use pinhaven_platform::TableService;
 use pinhaven_runtime::sleep_ms;
@@ -203,14 +204,11 @@
         let now = self.now();
         let mut members = self.members.lock();
         for row in rows {
-            match serde_json::from_str::<MemberRow>(&row.value) {
+            match to_member(&row) {
                 Ok(row) => {
                     members.hear_of(row, now);
                 }
-                Err(error) => {
-                    let fault = RowFault::form(error);
-                    self.table.leave_out(ENTRY_PREFIX, &row.key, &fault);
-                }
+                Err(fault) => self.table.leave_out(ENTRY_PREFIX, &row.key, &fault),
             }
         }
     }
@@ -240,6 +238,19 @@
     }
 }
 
+/// What an entry wrote of itself under its own key.
+fn to_member(row: &Row) -> Result<MemberRow, RowFault> {
+    let member: MemberRow = serde_json::from_str(&row.value).map_err(RowFault::form)?;
+    let name = row.key.strip_prefix(ENTRY_PREFIX);
+    if name != Some(member.instance_id.as_str()) {
+        return Err(RowFault::key(format!(
+            "it names entry {}",
+            member.instance_id
+        )));
+    }
+    Ok(member)
+}
+
 /// Answers to peers.
 pub(crate) struct PeerAnswers(pub(crate) Arc<Entry>);
 
--- a/crates/pinhaven-entry/src/targets/seats.rs
+++ b/crates/pinhaven-entry/src/targets/seats.rs
@@ -84,7 +84,7 @@
         serde_json::from_str(&row.value).unwrap_or_else(|error| {
             let fault = RowFault::form(error);
             self.table.leave_out(SEAT_PREFIX, &row.key, &fault);
-            SeatRow::of_nobody(row.value.as_bytes())
+            SeatRow::of_nobody(row.version.as_str())
         })
     }
 }
--- /dev/null
+++ b/crates/pinhaven-lab/tests/foreign_rows.rs
@@ -0,0 +1,143 @@
+//! Rows of another writer among those that entries keep at the platform.
+
+mod common;
+
+use bytes::Bytes;
+use common::in_turn;
+use common::lab;
+use http::Request;
+use pinhaven_lab::Lab;
+use pinhaven_platform::BUNDLE_HEAD;
+use pinhaven_platform::CLAIM_PREFIX;
+use pinhaven_platform::Condition;
+use pinhaven_platform::ENTRY_PREFIX;
+use pinhaven_platform::HttpTableService;
+use pinhaven_platform::Row;
+use pinhaven_platform::SEAT_PREFIX;
+use pinhaven_platform::TableService;
+use pinhaven_runtime::HttpClient;
+use pinhaven_types::Digest;
+
+/// Time of a call, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+
+fn table(lab: &Lab) -> HttpTableService {
+    HttpTableService::new(lab.platform(), TIMEOUT_MS)
+}
+
+/// Writes a row, whatever is there; returns what was.
+async fn overwrite(lab: &Lab, key: &str, value: &str) -> Option<Row> {
+    loop {
+        let before = table(lab).read(key).await.unwrap();
+        let condition = match &before {
+            None => Condition::Absent,
+            Some(row) => Condition::Version(row.version.clone()),
+        };
+        // An entry may have written the row meanwhile.
+        let written = table(lab).write(key, condition, value.to_owned()).await;
+        if written.is_ok() {
+            return before;
+        }
+    }
+}
+
+/// How often the entries have left rows out whose metric begins so.
+async fn left_out(lab: &Lab, start: &str) -> u64 {
+    let mut sum = 0;
+    for index in 0..3 {
+        let client = HttpClient::new(lab.peer_address(index), TIMEOUT_MS);
+        let request = Request::get("/metrics").body(Bytes::new()).unwrap();
+        let answer = client.call(request).await.unwrap();
+        let text = String::from_utf8_lossy(answer.body()).into_owned();
+        let lines = text.lines().filter(|line| line.starts_with(start));
+        let counts = lines.filter_map(|line| line.rsplit_once(' ')?.1.parse::<u64>().ok());
+        sum += counts.sum::<u64>();
+    }
+    sum
+}
+
+fn metric(table: &str, reason: &str) -> String {
+    format!("pinhaven_foreign_rows_total{{table=\"{table}\",reason=\"{reason}\"")
+}
+
+#[test]
+fn a_head_that_can_not_be_read_leaves_the_version_in_force_and_stops_operators() {
+    in_turn(async {
+        let mut lab = lab().await;
+        for value in ["", "{}", "null", "[1]", "\u{0}"] {
+            let right = overwrite(&lab, BUNDLE_HEAD, value).await.unwrap();
+            let before = left_out(&lab, &metric(BUNDLE_HEAD, "form")).await;
+            let has_met = async || left_out(&lab, &metric(BUNDLE_HEAD, "form")).await > before;
+            lab.wait_for("the head to be met", has_met).await.unwrap();
+            let statuses = lab.statuses().await;
+            assert!(statuses.iter().all(|s| s.own.version.number() == 1));
+            let error = lab.command(&["bundle", "status"]).unwrap_err().to_string();
+            assert!(
+                error.contains("row pinhaven/bundle/head can't be read"),
+                "{error}"
+            );
+            let mut next = lab.bundle();
+            next["version"] = 2.into();
+            let signed = lab.sign(&next, "operator").unwrap();
+            assert!(lab.roll_signed(&signed).is_err(), "the newest is not known");
+            overwrite(&lab, BUNDLE_HEAD, &right.value).await;
+        }
+        let bundle = lab.bundle();
+        lab.roll(&bundle).unwrap();
+        lab.wait_until_in_force().await.unwrap();
+    });
+}
+
+#[test]
+fn entries_and_seats_of_another_writer_cost_nothing_else() {
+    in_turn(async {
+        let lab = lab().await;
+        for (number, value) in ["", "?", "{}", "{\"state\": 7}"].iter().enumerate() {
+            let key = format!("{ENTRY_PREFIX}other-{number}");
+            overwrite(&lab, &key, value).await;
+            overwrite(&lab, &format!("{SEAT_PREFIX}{number}"), value).await;
+            overwrite(&lab, &format!("{SEAT_PREFIX}x{number}"), value).await;
+        }
+        let metric = metric(ENTRY_PREFIX, "form");
+        let has_met = async || left_out(&lab, &metric).await > 0;
+        lab.wait_for("the rows to be met", has_met).await.unwrap();
+        let listed = lab.command(&["instances", "--format", "json"]).unwrap();
+        let listed: serde_json::Value = serde_json::from_str(&listed).unwrap();
+        assert_eq!(listed.as_array().map(Vec::len), Some(3));
+        let client = HttpClient::new(lab.caller_addresses().await[0], TIMEOUT_MS);
+        let request = Request::get("/quotes/1").header("host", "quote");
+        let answer = client.call(request.body(Bytes::new()).unwrap()).await;
+        assert_eq!(answer.unwrap().status(), 200);
+    });
+}
+
+#[test]
+fn a_claim_that_names_no_home_refuses_its_key_as_not_run_and_no_other() {
+    in_turn(async {
+        let lab = lab().await;
+        let caller = lab.caller_addresses().await[0];
+        for (number, value) in ["", "?", "{}", "0.1.2", "zz.1"].iter().enumerate() {
+            let key = format!("spoiled-{number}");
+            let digest = Digest::of(key.as_bytes());
+            overwrite(&lab, &format!("{CLAIM_PREFIX}quote/{digest}"), value).await;
+            let client = HttpClient::new(caller, TIMEOUT_MS);
+            let order = |key: &str| {
+                Request::post("/orders")
+                    .header("host", "quote")
+                    .header("x-marker", key)
+                    .header("idempotency-key", key)
+                    .header("pinhaven-sending", "1")
+                    .body(Bytes::from_static(b"one"))
+                    .unwrap()
+            };
+            let refused = client.call(order(&key)).await.unwrap();
+            assert_eq!(refused.status(), 503, "{value:?}");
+            assert_eq!(refused.headers()["pinhaven-run"], "not-run", "{value:?}");
+            let other = format!("good-{number}");
+            assert_eq!(client.call(order(&other)).await.unwrap().status(), 200);
+            let runs = lab.runs(0).await;
+            assert_eq!((runs.get(&key), runs.get(&other)), (None, Some(&1)));
+        }
+        assert_eq!(left_out(&lab, &metric(CLAIM_PREFIX, "form")).await, 5);
+    });
+}
