--- a/crates/pinhaven-platform/src/foreign.rs
+++ b/crates/pinhaven-platform/src/foreign.rs
@@ -103,26 +103,12 @@
         let mut counts = self.counts.lock();
         if let Some(count) = counts.get_mut(&row) {
             *count += 1;
-            return;
-        }
-        if counts.len() < NAMED_MOST {
-            let message = shortened(&fault.message);
-            log::warn!(
-                target: "rows", "Row {:?} of {table} is another writer's and left out, {}: {message}.",
-                row.key, row.reason
-            );
+        } else if counts.len() < NAMED_MOST {
+            log_named(&row, fault);
             counts.insert(row, 1);
-            return;
+        } else {
+            count_unnamed(&mut counts, row);
         }
-        let other = ForeignRow {
-            key: OTHER_KEYS.to_owned(),
-            ..row
-        };
-        let count = counts.entry(other).or_insert_with(|| {
-            log::warn!(target: "rows", "More rows of {table} are left out; they are only counted.");
-            0
-        });
-        *count += 1;
     }
 
     /// How often each row was left out.
@@ -131,6 +117,31 @@
     }
 }
 
+fn log_named(row: &ForeignRow, fault: &RowFault) {
+    let message = shortened(&fault.message);
+    log::warn!(
+        target: "rows", "Row {:?} of {} is another writer's and left out, {}: {message}.",
+        row.key, row.table, row.reason
+    );
+}
+
+/// Counts a row past those that are named one by one.
+fn count_unnamed(counts: &mut BTreeMap<ForeignRow, u64>, row: ForeignRow) {
+    let other = ForeignRow {
+        key: OTHER_KEYS.to_owned(),
+        ..row
+    };
+    if let Some(count) = counts.get_mut(&other) {
+        *count += 1;
+        return;
+    }
+    log::warn!(
+        target: "rows", "More rows of {} are left out, by their {}; they are only counted.",
+        other.table, other.reason
+    );
+    counts.insert(other, 1);
+}
+
 /// The beginning of a text, with characters that a log line or a label may not hold replaced.
 fn shortened(text: &str) -> String {
     let is_plain = |c: &char| c.is_ascii_graphic() || *c == ' ';
--- a/crates/pinhaven-platform/src/http.rs
+++ b/crates/pinhaven-platform/src/http.rs
@@ -20,6 +20,8 @@
 use http::header::IF_NONE_MATCH;
 use pinhaven_runtime::CallError;
 use pinhaven_runtime::HttpClient;
+use serde::Deserialize;
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -60,19 +62,26 @@
 }
 
 /// A row as a listing spells it. Each may be another writer's and lack what it should have.
-type ListedRow = serde_json::Value;
-
-/// The row that a listing spells.
-fn listed_row(listed: &ListedRow) -> Result<Row, RowFault> {
-    let text = |field: &str| {
-        let value = listed.get(field).and_then(ListedRow::as_str);
-        value.ok_or_else(|| RowFault::form(format!("its {field} is no text")))
-    };
-    Ok(Row {
-        key: text("key")?.to_owned(),
-        version: RowVersion::new(text("version")?),
-        value: text("value")?.to_owned(),
-    })
+#[derive(Deserialize)]
+struct ListedRow(Value);
+
+impl ListedRow {
+    fn key(&self) -> &str {
+        self.text("key").unwrap_or_default()
+    }
+
+    fn to_row(&self) -> Result<Row, RowFault> {
+        Ok(Row {
+            key: self.text("key")?.to_owned(),
+            version: RowVersion::new(self.text("version")?),
+            value: self.text("value")?.to_owned(),
+        })
+    }
+
+    fn text(&self, field: &str) -> Result<&str, RowFault> {
+        let text = self.0.get(field).and_then(Value::as_str);
+        text.ok_or_else(|| RowFault::form(format!("its {field} is no text")))
+    }
 }
 
 impl TableService for HttpTableService {
@@ -101,9 +110,9 @@
             Err(error) => return Err(self.caller.no_effect(&call, error)),
         };
         let rows = rows.iter().filter_map(|listed| {
-            let key = listed.get("key").and_then(ListedRow::as_str);
-            listed_row(listed)
-                .inspect_err(|fault| self.leave_out(prefix, key.unwrap_or_default(), fault))
+            listed
+                .to_row()
+                .inspect_err(|fault| self.leave_out(prefix, listed.key(), fault))
                 .ok()
         });
         Ok(rows.collect())
