--- a/crates/pinhaven-agree/src/list_step.rs
+++ b/crates/pinhaven-agree/src/list_step.rs
@@ -9,6 +9,7 @@
 use pinhaven_types::TargetId;
 use serde::Deserialize;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 /// Targets that the kept steps may name together; those of some minutes of replacing all targets of a service.
@@ -32,6 +33,9 @@
     changed: Vec<ListedTarget>,
     /// Targets that are gone.
     removed: Vec<TargetId>,
+    /// The ids under which entries of other writers stand, if they are others now.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    foreign_ids: Option<BTreeSet<TargetId>>,
 }
 
 impl ListStep {
@@ -52,12 +56,14 @@
             to: to_digest,
             changed: changed.cloned().collect(),
             removed: removed.cloned().collect(),
+            foreign_ids: (from.foreign_ids != to.foreign_ids).then(|| to.foreign_ids.clone()),
         }
     }
 
-    /// Targets that it names.
+    /// Targets and ids that it names.
     fn size(&self) -> usize {
-        self.changed.len() + self.removed.len()
+        let foreign_ids = self.foreign_ids.as_ref().map_or(0, BTreeSet::len);
+        self.changed.len() + self.removed.len() + foreign_ids
     }
 
     fn apply(self, list: &mut TargetList) {
@@ -67,6 +73,9 @@
         let changed = self.changed.into_iter();
         let named = changed.map(|target| (target.id.clone(), target));
         list.targets.extend(named);
+        if let Some(foreign_ids) = self.foreign_ids {
+            list.foreign_ids = foreign_ids;
+        }
     }
 }
 
--- a/crates/pinhaven-agree/src/listed_target.rs
+++ b/crates/pinhaven-agree/src/listed_target.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// A target as the store lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +40,9 @@
     pub revision: u64,
     /// The targets, by id.
     pub targets: BTreeMap<TargetId, ListedTarget>,
+    /// Ids under which the store holds entries of other writers, which name no target.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub foreign_ids: BTreeSet<TargetId>,
 }
 
 impl TargetList {
@@ -50,25 +54,31 @@
                 .into_iter()
                 .map(|target| (target.id.clone(), target))
                 .collect(),
+            foreign_ids: BTreeSet::new(),
         }
     }
 
+    /// The same with ids under which other writers' entries stand.
+    pub fn with_foreign_ids(mut self, ids: impl IntoIterator<Item = TargetId>) -> Self {
+        self.foreign_ids.extend(ids);
+        self
+    }
+
     /// Digest of what matters to routing. Two lists with the same digest lead to the same choices.
     pub fn digest(&self) -> u64 {
-        let parts: Vec<String> = self
-            .targets
-            .values()
-            .map(|target| {
-                let mut part = format!(
-                    "{} {} {} {} {}",
-                    target.id, target.service, target.address, target.slots, target.is_leaving
-                );
-                if let Some(incarnation) = target.incarnation {
-                    part.push_str(&format!(" {incarnation}"));
-                }
-                part
-            })
-            .collect();
+        let targets = self.targets.values().map(|target| {
+            let mut part = format!(
+                "{} {} {} {} {}",
+                target.id, target.service, target.address, target.slots, target.is_leaving
+            );
+            if let Some(incarnation) = target.incarnation {
+                part.push_str(&format!(" {incarnation}"));
+            }
+            part
+        });
+        // What another entry keeps as lapsed ends with these, so it has to hear of them.
+        let foreign = self.foreign_ids.iter().map(ToString::to_string);
+        let parts: Vec<String> = targets.chain(foreign).collect();
         let parts: Vec<&[u8]> = parts.iter().map(String::as_bytes).collect();
         Digest::of_parts(&parts).short()
     }
--- a/crates/pinhaven-agree/src/seat.rs
+++ b/crates/pinhaven-agree/src/seat.rs
@@ -20,6 +20,9 @@
 /// How long a seat must stand still before another entry takes it.
 const TAKE_AFTER: Microseconds = Microseconds::from_ms(20_000);
 
+/// Who holds a seat whose row names no holder; no process has this incarnation.
+const NOBODY: Incarnation = Incarnation::new(0);
+
 /// A seat's row at the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatRow {
@@ -29,6 +32,19 @@
     pub renewals: u64,
 }
 
+impl SeatRow {
+    /// What a row of another writer counts as: a holder that is nobody and never renews. So the seat is
+    /// taken once the row has stood still for long, and not while its true holder may rely on it.
+    /// The renewals begin at a number of that write's own, which `version` names: counted from 0 again, the
+    /// row of a holder would come back as it was, and look as if it had stood still since.
+    pub fn of_nobody(version: &str) -> Self {
+        Self {
+            holder: NOBODY,
+            renewals: Digest::of(version.as_bytes()).short(),
+        }
+    }
+}
+
 /// What to do about the seats.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SeatAction {
@@ -126,7 +142,9 @@
     }
 
     fn write(&self, seat: u32, listed: Option<SeatRow>) -> SeatAction {
-        let renewals = listed.as_ref().map_or(0, |row| row.renewals) + 1;
+        let before = listed.as_ref().map_or(0, |row| row.renewals);
+        // Another writer may have left the highest number; the row only has to change.
+        let renewals = before.wrapping_add(1);
         SeatAction::Write {
             seat,
             listed,
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -7,7 +7,8 @@
 //!
 //! A target that is missing from a list is gone, with one exception: entries of targets lapse while
 //! the store is away, and are back soon after its return. Until then targets that were there before
-//! the outage are kept.
+//! the outage are kept. A target whose entry is there, but another writer's, has not lapsed: it is gone
+//! until its own entry is back.
 //!
 //! A target may start again under its id. Once a later run is known, nothing that is said of an earlier
 //! one counts, whoever says it.
@@ -367,7 +368,9 @@
             list.targets.values().map(|target| target.address).collect();
         let may_return = |target: &ListedTarget| {
             let is_listed = list.targets.contains_key(&target.id);
-            !is_listed && !target.is_leaving && !addresses.contains(&target.address)
+            // An entry that another writer spoiled is there and did not lapse.
+            let is_foreign = list.foreign_ids.contains(&target.id);
+            !is_listed && !is_foreign && !target.is_leaving && !addresses.contains(&target.address)
         };
         self.kept.retain(|_, target| may_return(target));
         if self.keep_until.is_none_or(|until| now >= until) {
--- a/crates/pinhaven-agree/tests/list_steps.rs
+++ b/crates/pinhaven-agree/tests/list_steps.rs
@@ -111,3 +111,15 @@
     );
     assert!(known.steps_from(digests[6]).is_some());
 }
+
+#[test]
+fn a_peer_hears_which_entries_are_of_other_writers_now() {
+    let before = list(1, &[1, 1]);
+    let after = list(2, &[1]).with_foreign_ids(["i-1".parse().unwrap()]);
+    let mut known = KnownTargets::new();
+    known.take_read(before.clone(), Microseconds::from_ms(1));
+    let digest = known.digest();
+    known.take_read(after.clone(), Microseconds::from_ms(2));
+    let steps = known.steps_from(digest).unwrap();
+    assert_eq!(steps.apply(&before, digest), Ok(after));
+}
