Name the entries that are behind in a report

Cause: a report marked versions when the first entry had them and said nothing of entries that never got there. Ruled out: going by the entries' own words alone; one that never heard of a version tells nothing, so the newest version in force at any entry counts too. An entry that stopped is not behind; one that started anew holds nothing.

--- a/crates/pinhaven-command/src/report.rs
+++ b/crates/pinhaven-command/src/report.rs
@@ -1,10 +1,13 @@
-//! `pinhaven report`: draws refusals and answers over time, from the records of entries.
+//! `pinhaven report`: draws refusals and answers over time, from the records of entries, and names the entries
+//! that are behind at the end of them.
 
 use crate::CommandError;
 use crate::explain::read_all;
 use clap::Args;
+use pinhaven_record::EntryBehind;
 use pinhaven_record::Mark;
 use pinhaven_record::Timeline;
+use pinhaven_record::entries_behind;
 use plotters::coord::Shift;
 use plotters::prelude::*;
 use std::collections::BTreeMap;
@@ -36,10 +39,33 @@
     for mark in &timeline.marks {
         println!("{:9.2} s  {}", mark.at_s, mark.name);
     }
+    let start_s = lines[0].time_s;
+    for entry in entries_behind(&lines) {
+        println!("{}", describe_behind(&entry, start_s));
+    }
     println!("drawn to {}", arguments.out.display());
     Ok(())
 }
 
+/// An entry that is behind, for people. Times count from the first line, like those of the marks.
+fn describe_behind(entry: &EntryBehind, start_s: f64) -> String {
+    let version =
+        |number: Option<u64>| number.map_or("none".to_owned(), |number| number.to_string());
+    let tries = match entry.failed_tries {
+        0 => "no failed try told".to_owned(),
+        count => format!("{count} tries failed, the last: {}", entry.why),
+    };
+    format!(
+        "BEHIND: {} holds version {}, knows of {}, the newest anywhere is {}; since {:.2} s, last line at {:.2} s; {tries}",
+        entry.instance,
+        version(entry.held),
+        version(entry.known),
+        version(entry.newest),
+        entry.since_s - start_s,
+        entry.last_line_s - start_s,
+    )
+}
+
 type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
 type Drawn = Result<(), Box<dyn std::error::Error>>;
 
--- a/crates/pinhaven-lab/tests/command_line.rs
+++ b/crates/pinhaven-lab/tests/command_line.rs
@@ -166,3 +166,24 @@
     assert!(text(&output.stdout).contains("target draining i-1"));
     assert!(std::fs::read_to_string(&out).unwrap().contains("<svg"));
 }
+
+const RECORDS_BEHIND: &str = r#"
+{"time_s": 10.0, "part": "bundle", "event": "in_force", "version": "6", "instance": "e1"}
+{"time_s": 10.1, "part": "bundle", "event": "in_force", "version": "6", "instance": "e2"}
+{"time_s": 12.0, "part": "bundle", "event": "in_force", "version": "7", "instance": "e1"}
+{"time_s": 13.5, "part": "bundle", "event": "behind", "version": "7", "behind_ms": 1250.0, "tries": 2, "why": "no answer in time", "instance": "e2"}
+"#;
+
+#[test]
+fn a_report_names_an_entry_that_is_behind() {
+    let file = file("records-behind.log", RECORDS_BEHIND);
+    let out = file.with_extension("svg");
+    let words = [file.display().to_string(), out.display().to_string()];
+    let output = pinhaven(&["report", &words[0], "--out", &words[1]]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stderr));
+    let told = text(&output.stdout);
+    let expected = "BEHIND: e2 holds version 6, knows of 7, the newest anywhere is 7; since 2.25 s, \
+                    last line at 3.50 s; 2 tries failed, the last: no answer in time";
+    assert!(told.contains(expected), "{told}");
+    assert!(!told.contains("BEHIND: e1"), "{told}");
+}
--- a/crates/pinhaven-record/src/lib.rs
+++ b/crates/pinhaven-record/src/lib.rs
@@ -6,6 +6,7 @@
 //! when the output does not take them, the least important are dropped and counted, and no request is
 //! ever held up.
 
+mod behind;
 mod line;
 mod read;
 mod recorder;
@@ -14,6 +15,8 @@
 mod trace;
 mod writer;
 
+pub use behind::EntryBehind;
+pub use behind::entries_behind;
 pub use line::Line;
 pub use read::ReadLine;
 pub use read::read_lines;
