Play versions on their way to all entries in emulated time

Cause: how long a version takes at 20,000 routes and 300 entries could not be told; the machine bears some tens of entries. Ruled out: real processes, as links and shares of a core aren't emulated there and figures differ from run to run. Change: pinhaven-lab versions plays the decisions of entries (what is asked for, what is kept, who is asked next, how much is given, who speaks with the store) over links and shares of a core in emulated time, with real bundles and packages, also by the rule of before (whole within a second, all routes in each difference).

--- a/crates/pinhaven-lab/src/lib.rs
+++ b/crates/pinhaven-lab/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod measure;
 mod plan;
 mod process;
+mod queue;
 pub mod soak;
 mod table;
+pub mod versions;
 
 pub use lab::Lab;
 pub use lab::LabError;
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -1,9 +1,9 @@
 //! The demo and the measurements, as commands.
 
+use clap::Args;
 use clap::Parser;
 use clap::Subcommand;
-use clap::ValueEnum as _;
-use clap::builder::PossibleValue;
+use clap::ValueEnum;
 use pinhaven_lab::demo;
 use pinhaven_lab::emulate;
 use pinhaven_lab::emulate::Day;
@@ -14,6 +14,11 @@
 use pinhaven_lab::measure::Part;
 use pinhaven_lab::soak;
 use pinhaven_lab::soak::SoakReport;
+use pinhaven_lab::versions;
+use pinhaven_lab::versions::Costs;
+use pinhaven_lab::versions::Transfer;
+use pinhaven_lab::versions::VersionChange;
+use pinhaven_lab::versions::VersionsPlan;
 use pinhaven_runtime::run_with_threads;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -65,6 +70,8 @@
         #[arg(long)]
         news_ms: Option<f64>,
     },
+    /// Send versions to all entries, in emulated time, and print when they are in force.
+    Versions(VersionsArguments),
     /// Measure, and write the results to a folder.
     Measure {
         /// Only this part.
@@ -85,6 +92,89 @@
     },
 }
 
+#[derive(Debug, Args)]
+struct VersionsArguments {
+    /// Routes, or routes that a version adds.
+    #[arg(long, value_delimiter = ',', default_value = "100,1000,5000,20000")]
+    routes: Vec<usize>,
+    /// Entries.
+    #[arg(long, value_delimiter = ',', default_value = "18,100,300")]
+    entries: Vec<usize>,
+    /// Links, in megabits a second.
+    #[arg(long, value_delimiter = ',', default_value = "10,200")]
+    link_mbps: Vec<f64>,
+    /// Only these changes.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    change: Vec<VersionChange>,
+    /// Only these ways for versions to travel.
+    #[arg(long, value_enum, value_delimiter = ',')]
+    transfer: Vec<Transfer>,
+    /// Time after which a run ends, in seconds.
+    #[arg(long, default_value_t = 60)]
+    limit_s: u64,
+    /// Measure what each step costs instead of taking the usual figures.
+    #[arg(long)]
+    measure_costs: bool,
+    /// Seed of everything drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+/// Plays all combinations that were asked for and prints them.
+fn print_versions(arguments: &VersionsArguments) {
+    let costs = match arguments.measure_costs {
+        true => Costs::measure(),
+        false => Costs::default(),
+    };
+    println!("Costs on a whole core, {costs}.");
+    let mut rows = Vec::new();
+    for change in chosen(&arguments.change) {
+        for transfer in chosen(&arguments.transfer) {
+            for plan in plans_of(arguments, change, costs) {
+                let plan = plan.with_transfer(transfer);
+                let names = [name_of(&change), name_of(&transfer)];
+                rows.push(versions::row(names, &plan, &versions::play(&plan)));
+            }
+        }
+    }
+    pinhaven_lab::print_table(&versions::HEADS, &rows);
+}
+
+/// The plans of all sizes that were asked for.
+fn plans_of(
+    arguments: &VersionsArguments,
+    change: VersionChange,
+    costs: Costs,
+) -> Vec<VersionsPlan> {
+    let mut plans = Vec::new();
+    for link_mbps in &arguments.link_mbps {
+        for routes in &arguments.routes {
+            for entries in &arguments.entries {
+                let plan = VersionsPlan::new(*entries, *routes, change, arguments.seed);
+                plans.push(VersionsPlan {
+                    costs,
+                    limit_ms: arguments.limit_s * 1_000,
+                    ..plan.with_link_mbps(*link_mbps)
+                });
+            }
+        }
+    }
+    plans
+}
+
+/// What was asked for, or all there is.
+fn chosen<T: ValueEnum>(asked: &[T]) -> Vec<T> {
+    match asked.is_empty() {
+        true => T::value_variants().to_vec(),
+        false => asked.to_vec(),
+    }
+}
+
+fn name_of(value: &impl ValueEnum) -> String {
+    let name = value.to_possible_value();
+    name.map_or_else(String::new, |name| name.get_name().to_owned())
+}
+
 /// Prints what a soak found; whether it found nothing.
 fn print_soak(seed: u64, report: &SoakReport) -> bool {
     println!("Seed {seed}, {} steps:", report.steps.len());
@@ -112,9 +202,6 @@
     seed: u64,
     change: impl Fn(&mut EmulationPlan),
 ) -> bool {
-    let name = |value: &dyn Fn() -> Option<PossibleValue>| {
-        value().map_or_else(String::new, |value| value.get_name().to_owned())
-    };
     let mut rows = Vec::new();
     for of in Deployment::value_variants()
         .iter()
@@ -131,11 +218,7 @@
                 };
                 let mut plan = EmulationPlan::new(*of, *day, known, seed);
                 change(&mut plan);
-                let names = [
-                    name(&|| of.to_possible_value()),
-                    name(&|| day.to_possible_value()),
-                    policy.clone(),
-                ];
+                let names = [name_of(of), name_of(day), policy.clone()];
                 rows.push(emulate::row(names, &emulate::emulate(&plan)));
             }
         }
@@ -169,6 +252,10 @@
                 };
                 Ok(print_emulations(&days, deployment, &policies, seed, change))
             }
+            Command::Versions(arguments) => {
+                print_versions(&arguments);
+                Ok(true)
+            }
             Command::Measure {
                 part,
                 only,
--- /dev/null
+++ b/crates/pinhaven-lab/src/versions/costs.rs
@@ -0,0 +1,135 @@
+//! What the steps of taking and giving a version cost: processor time on a whole core, and memory.
+//!
+//! Measured in this process on bundles like those of the run, so that emulated entries are charged what real
+//! ones pay. Not measured: tables that an entry builds from a version for its own use.
+
+use crate::versions::history::generated;
+use pinhaven_bundle::BundleDelta;
+use pinhaven_bundle::BundlePackage;
+use pinhaven_bundle::CanonicalBundle;
+use pinhaven_bundle::PackageContent;
+use pinhaven_types::BundleVersion;
+use std::fmt;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Routes of the bundle that steps are measured on.
+const ROUTES: usize = 20_000;
+/// Runs of each step; the median counts.
+const RUNS: usize = 5;
+/// Bundles that are held at once to measure the memory of one. As many before them fill what is free in the
+/// process already.
+const HELD: usize = 16;
+/// Bytes of a page of memory, as the kernel counts them.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Cost of each step, by route. Steps that touch few routes of many are charged for those only where they
+/// don't look at all.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Costs {
+    /// Reading a whole body as the store gives it and bringing it into canonical form, a route.
+    pub read_ns: u64,
+    /// Making a package, a route in it.
+    pub pack_ns: u64,
+    /// Unpacking a package, a route in it.
+    pub unpack_ns: u64,
+    /// Applying differences and checking the digest of what comes out, a route of the whole.
+    pub apply_ns: u64,
+    /// Making the difference to the version before, for peers, a route of the whole.
+    pub difference_ns: u64,
+    /// A call between entries, at either end, whatever it carries.
+    pub call_us: u64,
+    /// Memory of a version, a route.
+    pub held_bytes: u64,
+}
+
+impl Default for Costs {
+    /// Figures of one measurement, so that runs can be repeated.
+    fn default() -> Self {
+        Self {
+            read_ns: 2_487,
+            pack_ns: 1_068,
+            unpack_ns: 2_205,
+            apply_ns: 1_756,
+            difference_ns: 661,
+            call_us: 108,
+            held_bytes: 533,
+        }
+    }
+}
+
+impl Costs {
+    /// Measures all steps.
+    pub fn measure() -> Self {
+        let before = CanonicalBundle::new(generated(BundleVersion::new(1), 0, ROUTES));
+        let filling = vec![before.clone(); HELD];
+        let memory_before = resident_bytes();
+        let held = vec![before.clone(); HELD];
+        let held_bytes = resident_bytes().saturating_sub(memory_before) / (HELD * ROUTES) as u64;
+        drop((filling, held));
+        let after = CanonicalBundle::new(generated(BundleVersion::new(2), 1, ROUTES));
+        let none = CanonicalBundle::new(generated(BundleVersion::new(1), 0, 0));
+        let delta = BundleDelta::between(before.bundle(), after.bundle());
+        let large = BundleDelta::between(none.bundle(), before.bundle());
+        let head = crate::versions::history::head_of(&after);
+        let package = BundlePackage::with_differences(&head, &[&large]);
+        let bytes = package.map(|package| package.bytes().to_vec());
+        let bytes = bytes.unwrap_or_default();
+        Self {
+            read_ns: a_route(|| CanonicalBundle::from_bytes(before.bytes()).is_ok()),
+            pack_ns: a_route(|| BundlePackage::with_differences(&head, &[&large]).is_ok()),
+            unpack_ns: a_route(|| {
+                let unpacked = BundlePackage::unpack(&bytes);
+                unpacked.is_ok_and(|unpacked| {
+                    matches!(unpacked.content, PackageContent::Differences(_))
+                })
+            }),
+            apply_ns: a_route(|| {
+                let applied = delta.clone().apply(before.bundle(), after.digest());
+                applied.is_ok()
+            }),
+            difference_ns: a_route(|| {
+                BundleDelta::between(before.bundle(), after.bundle()).size() > 0
+            }),
+            call_us: Self::default().call_us,
+            held_bytes,
+        }
+    }
+}
+
+impl fmt::Display for Costs {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "a route: read {} ns, pack {} ns, unpack {} ns, apply {} ns, difference {} ns, held {} bytes; a call {} us",
+            self.read_ns,
+            self.pack_ns,
+            self.unpack_ns,
+            self.apply_ns,
+            self.difference_ns,
+            self.held_bytes,
+            self.call_us
+        )
+    }
+}
+
+/// The median time of a step on all routes, by route.
+fn a_route(step: impl Fn() -> bool) -> u64 {
+    let mut times_ns: Vec<u64> = (0..RUNS).map(|_| time_ns(&step)).collect();
+    times_ns.sort_unstable();
+    times_ns[RUNS / 2] / ROUTES as u64
+}
+
+fn time_ns(step: impl Fn() -> bool) -> u64 {
+    let started = Instant::now();
+    let worked = black_box(step());
+    assert!(worked, "a step that is measured must work");
+    started.elapsed().as_nanos() as u64
+}
+
+/// Resident memory of this process; 0 where the kernel doesn't tell.
+fn resident_bytes() -> u64 {
+    let told = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: Option<u64> = told.split(' ').nth(1).and_then(|word| word.parse().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/versions/history.rs
@@ -0,0 +1,262 @@
+//! The versions of a run: real bundles of generated routes, the differences between them and their packages.
+//!
+//! Packages of the same versions are the same at every entry, so each is made once for all of them, and once
+//! it is checked that it leads to the signed version.
+
+use crate::versions::plan::VersionChange;
+use crate::versions::plan::VersionsPlan;
+use pinhaven_agree::Offer;
+use pinhaven_bundle::Bundle;
+use pinhaven_bundle::BundleDelta;
+use pinhaven_bundle::BundleHead;
+use pinhaven_bundle::BundlePackage;
+use pinhaven_bundle::CanonicalBundle;
+use pinhaven_bundle::PackageContent;
+use pinhaven_bundle::sort_routes;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Digest;
+use serde_json::json;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Routes that are there before any are added.
+const ROUTES_BEFORE: usize = 10;
+/// Hosts over which the routes are spread.
+const HOSTS: usize = 4;
+/// Time-out of a route that was not changed yet, in milliseconds.
+const TIMEOUT_MS: usize = 4_000;
+
+/// What a package leads from and to.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct PackageKey {
+    /// The version that the receiver holds; `None` for a whole body.
+    pub(super) start: Option<BundleVersion>,
+    /// The versions that the differences lead to, one after the other, the last one the package's own.
+    pub(super) steps: Vec<BundleVersion>,
+}
+
+impl PackageKey {
+    /// The version that it leads to.
+    pub(super) fn version(&self) -> BundleVersion {
+        self.steps.last().copied().unwrap_or(BundleVersion::NONE)
+    }
+}
+
+/// A package, and what receivers find.
+#[derive(Debug)]
+pub(super) struct MadePackage {
+    pub(super) key: PackageKey,
+    pub(super) package: BundlePackage,
+    /// Routes in it.
+    pub(super) routes: usize,
+    /// Whether it leads to the version that was signed.
+    pub(super) is_good: bool,
+}
+
+/// All versions of a run.
+pub(super) struct History {
+    versions: Vec<CanonicalBundle>,
+    deltas: HashMap<(BundleVersion, BundleVersion), Rc<BundleDelta>>,
+    packages: HashMap<PackageKey, Rc<MadePackage>>,
+    by_digest: HashMap<Digest, Rc<MadePackage>>,
+    whole_transfer_bytes: HashMap<PackageKey, usize>,
+}
+
+impl History {
+    /// The version before the run, and those that are acknowledged in it.
+    pub(super) fn new(plan: &VersionsPlan) -> Self {
+        let count = match plan.change {
+            VersionChange::FreshEntry => 1,
+            _ => plan.versions + 1,
+        };
+        let version = |number: u64| {
+            let changed = number as usize - 1;
+            let version = BundleVersion::new(number);
+            let bundle = match plan.change {
+                VersionChange::AddRoutes => {
+                    generated(version, 0, ROUTES_BEFORE + changed * plan.routes)
+                }
+                _ => generated(version, changed, plan.routes),
+            };
+            CanonicalBundle::new(bundle)
+        };
+        Self {
+            versions: (1..=count).map(version).collect(),
+            deltas: HashMap::new(),
+            packages: HashMap::new(),
+            by_digest: HashMap::new(),
+            whole_transfer_bytes: HashMap::new(),
+        }
+    }
+
+    fn body(&self, version: BundleVersion) -> &CanonicalBundle {
+        &self.versions[version.number() as usize - 1]
+    }
+
+    /// Routes of a version.
+    pub(super) fn routes(&self, version: BundleVersion) -> usize {
+        if version == BundleVersion::NONE {
+            return 0;
+        }
+        let hosts = &self.body(version).bundle().hosts;
+        hosts.iter().map(|host| host.paths.len()).sum()
+    }
+
+    /// Services of a version.
+    pub(super) fn services(&self, version: BundleVersion) -> usize {
+        self.body(version).bundle().services.len()
+    }
+
+    /// Bytes of a whole body.
+    pub(super) fn body_bytes(&self, version: BundleVersion) -> usize {
+        self.body(version).bytes().len()
+    }
+
+    /// The difference between two versions.
+    pub(super) fn delta(&mut self, from: BundleVersion, to: BundleVersion) -> Rc<BundleDelta> {
+        if let Some(delta) = self.deltas.get(&(from, to)) {
+            return Rc::clone(delta);
+        }
+        let delta = BundleDelta::between(self.body(from).bundle(), self.body(to).bundle());
+        let delta = Rc::new(delta);
+        self.deltas.insert((from, to), Rc::clone(&delta));
+        delta
+    }
+
+    /// The package that leads from and to these versions.
+    pub(super) fn package(&mut self, key: &PackageKey) -> Rc<MadePackage> {
+        if let Some(made) = self.packages.get(key) {
+            return Rc::clone(made);
+        }
+        let made = Rc::new(self.make(key));
+        self.packages.insert(key.clone(), Rc::clone(&made));
+        let digest = made.package.digest();
+        self.by_digest.insert(digest, Rc::clone(&made));
+        made
+    }
+
+    /// The package with these bytes.
+    pub(super) fn package_of(&self, bytes: &[u8]) -> Option<Rc<MadePackage>> {
+        self.by_digest.get(&Digest::of(bytes)).map(Rc::clone)
+    }
+
+    fn make(&mut self, key: &PackageKey) -> MadePackage {
+        let deltas = self.deltas_of(key);
+        let body = self.body(key.version());
+        let head = head_of(body);
+        let borrowed: Vec<&BundleDelta> = deltas.iter().map(Rc::as_ref).collect();
+        let package = match key.start {
+            Some(_) => BundlePackage::with_differences(&head, &borrowed),
+            None => BundlePackage::with_whole(&head, body),
+        };
+        let package = package.expect("a generated bundle can be packed");
+        let routes = match key.start {
+            Some(_) => borrowed.iter().map(|delta| delta.size()).sum(),
+            None => self.routes(key.version()),
+        };
+        MadePackage {
+            is_good: self.leads_there(key, &package),
+            key: key.clone(),
+            package,
+            routes,
+        }
+    }
+
+    /// Whether what a receiver unpacks leads to the version.
+    fn leads_there(&self, key: &PackageKey, package: &BundlePackage) -> bool {
+        let signed = self.body(key.version()).digest();
+        let Ok(unpacked) = BundlePackage::unpack(package.bytes()) else {
+            return false;
+        };
+        match (unpacked.content, key.start) {
+            (PackageContent::Whole(body), _) => body.digest() == signed,
+            (PackageContent::Differences(deltas), Some(start)) => {
+                BundleDelta::apply_all(deltas, self.body(start).bundle(), signed).is_ok()
+            }
+            (PackageContent::Differences(_), None) => false,
+        }
+    }
+
+    fn deltas_of(&mut self, key: &PackageKey) -> Vec<Rc<BundleDelta>> {
+        let Some(mut from) = key.start else {
+            return Vec::new();
+        };
+        let mut deltas = Vec::new();
+        for to in &key.steps {
+            deltas.push(self.delta(from, *to));
+            from = *to;
+        }
+        deltas
+    }
+
+    /// Bytes of the same where each difference carries all routes and nothing is compressed.
+    pub(super) fn whole_transfer_bytes(&mut self, key: &PackageKey) -> usize {
+        if key.start.is_none() {
+            return self.body_bytes(key.version());
+        }
+        if let Some(bytes) = self.whole_transfer_bytes.get(key) {
+            return *bytes;
+        }
+        let deltas = self.deltas_of(key);
+        let with_all_routes = deltas.iter().zip(&key.steps).map(|(delta, to)| {
+            let hosts = self.body(*to).bundle().hosts.clone();
+            BundleDelta {
+                hosts: Some(hosts),
+                routes: Default::default(),
+                ..BundleDelta::clone(delta)
+            }
+        });
+        let list: Vec<BundleDelta> = with_all_routes.collect();
+        let bytes = serde_json::to_vec(&list).map_or(0, |text| text.len());
+        self.whole_transfer_bytes.insert(key.clone(), bytes);
+        bytes
+    }
+}
+
+/// The head that an entry gives with a version which the store acknowledged.
+pub(super) fn head_of(body: &CanonicalBundle) -> BundleHead {
+    let offer = Offer::acknowledged(body.clone());
+    let offer = offer.expect("the names of an acknowledged version are fixed");
+    offer.head().clone()
+}
+
+/// A bundle of `routes` routes, of which the first `changed` have another time-out than at first.
+pub(super) fn generated(version: BundleVersion, changed: usize, routes: usize) -> Bundle {
+    let hosts: Vec<serde_json::Value> = (0..HOSTS)
+        .map(|host| {
+            let paths = (host..routes).step_by(HOSTS).map(|number| {
+                let is_changed = number < changed;
+                route(number, TIMEOUT_MS - usize::from(is_changed))
+            });
+            let paths: Vec<serde_json::Value> = paths.collect();
+            json!({ "host": format!("host-{host}.example"), "paths": paths })
+        })
+        .collect();
+    let service = |name: &str| json!({ "name": name, "slots": 6 });
+    let text = json!({
+        "version": version.number(),
+        "services": [service("portfolio"), service("quotes")],
+        "hosts": hosts,
+    });
+    let mut bundle: Bundle = serde_json::from_value(text).expect("a generated bundle is one");
+    sort_routes(&mut bundle.hosts);
+    bundle
+}
+
+fn route(number: usize, timeout_ms: usize) -> serde_json::Value {
+    // Numbers that look drawn, so that routes compress like names that people and programs give.
+    let drawn = (number as u64 + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 24;
+    json!({
+        "name": format!("route-{drawn:010x}"),
+        "path_prefix": format!("/area-{}/{drawn:010x}/", number % 50),
+        "kind": if number.is_multiple_of(3) { "non_idempotent" } else { "idempotent" },
+        "timeout_ms": timeout_ms,
+        "aim_ms": 600,
+        "priority": 5,
+        "attempts_most": 2,
+        "split": [
+            { "service": "quotes", "weight": 0.9 },
+            { "service": "portfolio", "weight": 0.1 },
+        ],
+    })
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/versions/instance.rs
@@ -0,0 +1,228 @@
+//! An emulated entry: the decision logic of real ones, and what it keeps for peers.
+
+use crate::versions::carrier::Link;
+use crate::versions::carrier::Processor;
+use crate::versions::history::MadePackage;
+use crate::versions::message::CallNumber;
+use crate::versions::plan::VersionsPlan;
+use pinhaven_agree::GivingBudget;
+use pinhaven_agree::MemberRow;
+use pinhaven_agree::MemberState;
+use pinhaven_agree::Membership;
+use pinhaven_agree::PartRequest;
+use pinhaven_agree::RetryPause;
+use pinhaven_agree::VersionFetch;
+use pinhaven_agree::VersionLag;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Digest;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Time after which a peer that usually speaks counts as silent.
+const SILENT_AFTER: Microseconds = Microseconds::from_ms(1_200);
+/// Requests that each instance can carry; all are alike.
+const CAPACITY: RequestRate = RequestRate::new(100);
+/// Port of the first entry.
+const FIRST_PORT: u16 = 1_000;
+/// Differences that are kept for peers, as in an entry.
+const DELTAS_KEPT: usize = 64;
+/// Services and routes that they may name together, as in an entry.
+const CHANGES_KEPT: usize = 8_192;
+/// Packages that are kept for peers, as in an entry.
+const PACKAGES_KEPT: usize = 8;
+
+/// A difference that is kept for peers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct KeptDelta {
+    pub(super) from: BundleVersion,
+    pub(super) to: BundleVersion,
+    pub(super) size: usize,
+}
+
+/// Asking one peer for a version, and those that were asked before.
+#[derive(Debug)]
+pub(super) struct Asking {
+    pub(super) peer: usize,
+    pub(super) tried: Vec<SocketAddr>,
+    pub(super) restarts: u32,
+    pub(super) waits: u32,
+    pub(super) call: CallNumber,
+    pub(super) request: PartRequest,
+    pub(super) is_answered: bool,
+}
+
+/// An emulated entry.
+pub(super) struct Instance {
+    pub(super) members: Membership,
+    pub(super) held: BundleVersion,
+    pub(super) lag: VersionLag,
+    pub(super) fetch: VersionFetch,
+    pub(super) asking: Option<Asking>,
+    pub(super) calls: CallNumber,
+    pub(super) giving: GivingBudget,
+    deltas: VecDeque<KeptDelta>,
+    packages: VecDeque<Rc<MadePackage>>,
+    pub(super) link: Link,
+    pub(super) processor: Processor,
+    pub(super) is_alive: bool,
+    pub(super) is_delegate: bool,
+    pub(super) store_seen: BundleVersion,
+    pub(super) store_pause: RetryPause,
+    pub(super) waits_for_store: bool,
+    pub(super) store_asked_us: u64,
+    pub(super) peer_bytes: u64,
+    pub(super) store_bytes: u64,
+    pub(super) store_calls: u64,
+    pub(super) failed_tries: u64,
+    pub(super) sent_away: u64,
+    pub(super) longest_wait: Microseconds,
+    pub(super) memory_peak_bytes: u64,
+}
+
+impl Instance {
+    /// An entry that holds a version and knows all others.
+    pub(super) fn new(entry: usize, held: BundleVersion, plan: &VersionsPlan) -> Self {
+        let mut members = Membership::new(row_of(entry, held, plan), SILENT_AFTER);
+        for other in (0..plan.entries).filter(|other| *other != entry) {
+            members.hear(
+                row_of(other, BundleVersion::new(1), plan),
+                Microseconds::ZERO,
+            );
+        }
+        let mut lag = VersionLag::default();
+        lag.put_in_force(held, Microseconds::ZERO);
+        Self {
+            members,
+            held,
+            lag,
+            fetch: VersionFetch::default(),
+            asking: None,
+            calls: 0,
+            giving: GivingBudget::new(plan.link_mbps),
+            deltas: VecDeque::new(),
+            packages: VecDeque::new(),
+            link: Link::new(plan.link_mbps),
+            processor: Processor::new(plan.core_share),
+            is_alive: true,
+            is_delegate: false,
+            store_seen: held,
+            store_pause: RetryPause::default(),
+            waits_for_store: false,
+            store_asked_us: 0,
+            peer_bytes: 0,
+            store_bytes: 0,
+            store_calls: 0,
+            failed_tries: 0,
+            sent_away: 0,
+            longest_wait: Microseconds::ZERO,
+            memory_peak_bytes: 0,
+        }
+    }
+
+    /// Takes in that a version is in force, reached by a difference of this size.
+    pub(super) fn put_in_force(&mut self, version: BundleVersion, size: usize, now: Microseconds) {
+        let delta = KeptDelta {
+            from: self.held,
+            to: version,
+            size,
+        };
+        if self.held > BundleVersion::NONE {
+            self.keep_delta(delta);
+        }
+        self.held = version;
+        self.lag.put_in_force(version, now);
+        self.fetch.put_in_force(version);
+        self.members.beat(version, 0);
+    }
+
+    fn keep_delta(&mut self, delta: KeptDelta) {
+        self.deltas.push_back(delta);
+        while self.deltas.len() > DELTAS_KEPT || self.changes_kept() > CHANGES_KEPT {
+            self.deltas.pop_front();
+        }
+    }
+
+    /// Services and routes that the kept differences name.
+    pub(super) fn changes_kept(&self) -> usize {
+        self.deltas.iter().map(|delta| delta.size).sum()
+    }
+
+    /// The kept differences that lead from a version to the one in force.
+    pub(super) fn deltas_since(&self, version: BundleVersion) -> Option<Vec<KeptDelta>> {
+        let first = self.deltas.iter().position(|delta| delta.from == version)?;
+        Some(self.deltas.iter().skip(first).copied().collect())
+    }
+
+    /// A kept package that fits.
+    pub(super) fn kept_package(
+        &mut self,
+        fits: impl Fn(&MadePackage) -> bool,
+    ) -> Option<Rc<MadePackage>> {
+        let index = self.packages.iter().position(|made| fits(made))?;
+        let used = self.packages.remove(index)?;
+        self.packages.push_back(Rc::clone(&used));
+        Some(used)
+    }
+
+    /// The kept package with this digest.
+    pub(super) fn package_named(&mut self, digest: Option<Digest>) -> Option<Rc<MadePackage>> {
+        let digest = digest?;
+        self.kept_package(|made| made.package.digest() == digest)
+    }
+
+    /// Keeps a package in place of the one that was not asked for the longest.
+    pub(super) fn keep_package(&mut self, made: Rc<MadePackage>) {
+        self.packages.push_back(made);
+        if self.packages.len() > PACKAGES_KEPT {
+            self.packages.pop_front();
+        }
+    }
+
+    /// Forgets all packages.
+    pub(super) fn forget_packages(&mut self) {
+        self.packages.clear();
+    }
+
+    /// Bytes of all kept packages.
+    pub(super) fn package_bytes(&self) -> usize {
+        self.packages
+            .iter()
+            .map(|made| made.package.bytes().len())
+            .sum()
+    }
+}
+
+/// Where an entry takes calls.
+pub(super) fn address_of(entry: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, FIRST_PORT + entry as u16))
+}
+
+/// The entry that takes calls at an address.
+pub(super) fn entry_at(address: SocketAddr) -> usize {
+    usize::from(address.port() - FIRST_PORT)
+}
+
+/// What an entry says of itself at first.
+fn row_of(entry: usize, held: BundleVersion, plan: &VersionsPlan) -> MemberRow {
+    let domain = format!("domain-{}", entry % plan.failure_domains);
+    let name = format!("entry-{entry}");
+    MemberRow {
+        incarnation: Incarnation::new(entry as u128 + 1),
+        instance_id: name.parse().expect("a generated name is one"),
+        failure_domain: domain.parse().expect("a generated name is one"),
+        region: None,
+        capacity: CAPACITY,
+        demand: RequestRate::ZERO,
+        caller_address: address_of(entry),
+        peer_address: address_of(entry),
+        state: MemberState::Ready,
+        heartbeat: 1,
+        version: held,
+        epoch: 0,
+    }
+}
--- /dev/null
+++ b/crates/pinhaven-lab/src/versions/world.rs
@@ -0,0 +1,373 @@
+//! The instances, the store and what happens between them, in emulated time.
+
+use crate::queue::Queue;
+use crate::versions::carrier::Link;
+use crate::versions::history::History;
+use crate::versions::instance::Instance;
+use crate::versions::message::AnswerUnderWay;
+use crate::versions::message::End;
+use crate::versions::message::Event;
+use crate::versions::message::Message;
+use crate::versions::message::Payload;
+use crate::versions::message::Reply;
+use crate::versions::message::Work;
+use crate::versions::outcome::EntryOutcome;
+use crate::versions::outcome::VersionsOutcome;
+use crate::versions::plan::VersionChange;
+use crate::versions::plan::VersionFault;
+use crate::versions::plan::VersionsPlan;
+use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
+use std::collections::BTreeMap;
+
+/// When the first version is acknowledged, after all have met.
+pub(super) const FIRST_ACKNOWLEDGED_US: u64 = 2_000_000;
+/// One way between two entries, in microseconds.
+const LATENCY_US: u64 = 1_000;
+/// The store's link, in megabits a second.
+const STORE_LINK_MBPS: f64 = 4_000.0;
+/// Bytes of a segment of an answer, and of all segments that may be under way at once.
+const SEGMENT_BYTES: usize = 4 * 1024;
+const WINDOW_BYTES: usize = 64 * 1024;
+/// Bytes that a call or an answer takes beside what it carries.
+pub(super) const ENVELOPE_BYTES: usize = 150;
+/// The version that all hold at first.
+pub(super) const FIRST_VERSION: BundleVersion = BundleVersion::new(1);
+
+/// Everything of a run.
+pub(super) struct World<'plan> {
+    pub(super) plan: &'plan VersionsPlan,
+    pub(super) history: History,
+    pub(super) instances: Vec<Instance>,
+    pub(super) queue: Queue<Event>,
+    pub(super) now_us: u64,
+    pub(super) random: fastrand::Rng,
+    pub(super) store_head: BundleVersion,
+    store_link: Link,
+    answers: BTreeMap<u64, AnswerUnderWay>,
+    answers_begun: u64,
+    in_force_us: Vec<Option<u64>>,
+}
+
+impl<'plan> World<'plan> {
+    /// The start of a plan.
+    pub(super) fn new(plan: &'plan VersionsPlan) -> Self {
+        let fresh = plan.entries - 1;
+        let held = |entry: usize| match plan.change {
+            VersionChange::FreshEntry if entry == fresh => BundleVersion::NONE,
+            _ => FIRST_VERSION,
+        };
+        let instances = (0..plan.entries).map(|entry| Instance::new(entry, held(entry), plan));
+        let mut world = Self {
+            plan,
+            history: History::new(plan),
+            instances: instances.collect(),
+            queue: Queue::default(),
+            now_us: 0,
+            random: fastrand::Rng::with_seed(plan.seed),
+            store_head: FIRST_VERSION,
+            store_link: Link::new(STORE_LINK_MBPS),
+            answers: BTreeMap::new(),
+            answers_begun: 0,
+            in_force_us: vec![None; plan.entries],
+        };
+        world.plan_start();
+        world
+    }
+
+    fn plan_start(&mut self) {
+        for entry in 0..self.plan.entries {
+            self.plan_first_round(entry);
+        }
+        for index in 0..self.acknowledged() {
+            let version = BundleVersion::new(FIRST_VERSION.number() + 1 + index);
+            let at_us = FIRST_ACKNOWLEDGED_US + index * self.plan.gap_ms * 1_000;
+            self.queue.plan(at_us, Event::Acknowledged(version));
+        }
+        for fault in &self.plan.faults {
+            if let VersionFault::Dies { entry, at_ms } = fault {
+                let at_us = FIRST_ACKNOWLEDGED_US + at_ms * 1_000;
+                self.queue.plan(at_us, Event::Dies(*entry));
+            }
+        }
+    }
+
+    /// Versions that are acknowledged in the run.
+    fn acknowledged(&self) -> u64 {
+        match self.plan.change {
+            VersionChange::FreshEntry => 0,
+            _ => self.plan.versions,
+        }
+    }
+
+    fn last_version(&self) -> BundleVersion {
+        BundleVersion::new(FIRST_VERSION.number() + self.acknowledged())
+    }
+
+    /// When the last version is acknowledged; a fresh entry counts from its start.
+    fn last_acknowledged_us(&self) -> u64 {
+        match self.acknowledged() {
+            0 => 0,
+            count => FIRST_ACKNOWLEDGED_US + (count - 1) * self.plan.gap_ms * 1_000,
+        }
+    }
+
+    /// Plays until all living entries have the last version or the time is over.
+    pub(super) fn run(mut self) -> VersionsOutcome {
+        let last = self.last_version();
+        let end_us = self.last_acknowledged_us() + self.plan.limit_ms * 1_000;
+        while let Some((at_us, event)) = self.queue.next() {
+            if at_us > end_us {
+                break;
+            }
+            self.now_us = at_us;
+            self.happen(event);
+            let lacks = |instance: &Instance| instance.is_alive && instance.held < last;
+            let is_over = at_us > self.last_acknowledged_us() + self.faults_end_us();
+            if is_over && !self.instances.iter().any(lacks) {
+                break;
+            }
+        }
+        self.outcome()
+    }
+
+    /// Time after the last acknowledgement until all entries that die are dead.
+    fn faults_end_us(&self) -> u64 {
+        let dies_ms = self.plan.faults.iter().map(|fault| match fault {
+            VersionFault::Dies { at_ms, .. } => *at_ms,
+            _ => 0,
+        });
+        dies_ms.max().unwrap_or_default() * 1_000
+    }
+
+    fn outcome(mut self) -> VersionsOutcome {
+        (0..self.instances.len()).for_each(|entry| self.note_wait(entry));
+        let acknowledged_us = self.last_acknowledged_us();
+        let since_ms = |at_us: u64| at_us.saturating_sub(acknowledged_us) as f64 / 1_000.0;
+        let last = self.last_version();
+        let entries = self.instances.iter().zip(&self.in_force_us);
+        let entries = entries.map(|(instance, at_us)| EntryOutcome {
+            in_force_ms: at_us.filter(|_| instance.held == last).map(since_ms),
+            is_behind: instance.held < last,
+            is_alive: instance.is_alive,
+            peer_bytes: instance.peer_bytes,
+            store_bytes: instance.store_bytes,
+            processor_ms: instance.processor.used_us() as f64 / 1_000.0,
+            memory_peak_bytes: instance.memory_peak_bytes,
+            store_calls: instance.store_calls,
+            failed_tries: instance.failed_tries,
+            sent_away: instance.sent_away,
+            longest_wait_ms: instance.longest_wait.as_ms(),
+        });
+        VersionsOutcome {
+            entries: entries.collect(),
+            ended_ms: since_ms(self.now_us),
+        }
+    }
+
+    pub(super) fn now(&self) -> Microseconds {
+        Microseconds::new(self.now_us)
+    }
+
+    pub(super) fn has_fault(&self, is_it: impl Fn(&VersionFault) -> bool) -> bool {
+        self.plan.faults.iter().any(is_it)
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Acknowledged(version) => self.acknowledge(version),
+            Event::Reaches(message) => self.reach(message),
+            Event::Received(message) => self.receive(message),
+            Event::Worked { entry, work } => self.worked(entry, work),
+            Event::TimedOut { entry, call } => self.time_out(entry, call),
+            Event::AskAgain { entry, call } => self.ask_again(entry, call),
+            Event::FetchFrom {
+                entry,
+                peer,
+                version,
+            } => self.fetch_if_behind(entry, peer, version),
+            Event::NewsRound(entry) => self.tell_round(entry),
+            Event::AskStore(entry) => self.ask_store(entry),
+            Event::Dies(entry) => self.instances[entry].is_alive = false,
+        }
+    }
+
+    /// Lets the processor of an entry work.
+    pub(super) fn work(&mut self, entry: usize, cost_us: u64, work: Work) {
+        let done_us = self.instances[entry].processor.work(cost_us, self.now_us);
+        self.queue.plan(done_us, Event::Worked { entry, work });
+    }
+
+    fn worked(&mut self, entry: usize, work: Work) {
+        if !self.instances[entry].is_alive {
+            return;
+        }
+        match work {
+            Work::Answer {
+                asker,
+                call,
+                request,
+            } => self.answer(entry, asker, call, request),
+            Work::TakeReply { call, reply } => self.take_reply(entry, call, reply),
+            Work::Adopt { call, arrived } => self.adopt_arrived(entry, call, &arrived),
+            Work::AdoptStored(version) => self.adopt_stored(entry, version),
+        }
+    }
+
+    /// Sends a message over the sender's link.
+    pub(super) fn send(&mut self, message: Message) {
+        let sent_us = match message.from {
+            End::Store => self.store_link.carry(message.bytes, self.now_us),
+            End::Entry(entry) if !self.instances[entry].is_alive => return,
+            End::Entry(entry) => self.instances[entry].link.carry(message.bytes, self.now_us),
+        };
+        self.queue
+            .plan(sent_us + LATENCY_US, Event::Reaches(message));
+    }
+
+    fn reach(&mut self, message: Message) {
+        if !self.instances[message.to].is_alive || self.is_lost(&message) {
+            return;
+        }
+        let received_us = self.instances[message.to]
+            .link
+            .carry(message.bytes, self.now_us);
+        self.queue.plan(received_us, Event::Received(message));
+    }
+
+    /// Segments are sent again until they are there; whole calls and datagrams are lost.
+    fn is_lost(&mut self, message: &Message) -> bool {
+        if matches!(message.payload, Payload::Segment { .. }) {
+            return false;
+        }
+        let lost = self.plan.faults.iter().find_map(|fault| match fault {
+            VersionFault::CallsAreLost { share } => Some(*share),
+            _ => None,
+        });
+        lost.is_some_and(|share| self.random.f64() < share)
+    }
+
+    fn receive(&mut self, message: Message) {
+        let instance = &mut self.instances[message.to];
+        match message.from {
+            End::Store => instance.store_bytes += message.bytes as u64,
+            End::Entry(_) => instance.peer_bytes += message.bytes as u64,
+        }
+        match (message.payload, message.from) {
+            (Payload::News(rows), End::Entry(_)) => self.hear(message.to, &rows),
+            (Payload::Ask { call, request }, End::Entry(asker)) => {
+                self.hear_question(message.to, asker, call, request);
+            }
+            (Payload::Segment { transfer }, _) => self.take_segment(transfer),
+            _ => {}
+        }
+    }
+
+    /// Begins an answer that takes `bytes` beside its envelope.
+    pub(super) fn begin_answer(&mut self, bytes: usize, answer: AnswerUnderWay) {
+        self.answers_begun += 1;
+        let transfer = self.answers_begun;
+        let answer = AnswerUnderWay {
+            unsent_bytes: bytes + ENVELOPE_BYTES,
+            ..answer
+        };
+        self.answers.insert(transfer, answer);
+        for _ in 0..WINDOW_BYTES / SEGMENT_BYTES {
+            self.send_segment(transfer);
+        }
+    }
+
+    fn send_segment(&mut self, transfer: u64) {
+        let Some(answer) = self.answers.get_mut(&transfer) else {
+            return;
+        };
+        let bytes = answer.unsent_bytes.min(SEGMENT_BYTES);
+        if bytes == 0 {
+            return;
+        }
+        answer.unsent_bytes -= bytes;
+        answer.segments_under_way += 1;
+        let message = Message {
+            from: answer.from,
+            to: answer.to,
+            bytes,
+            payload: Payload::Segment { transfer },
+        };
+        self.send(message);
+    }
+
+    fn take_segment(&mut self, transfer: u64) {
+        let Some(answer) = self.answers.get_mut(&transfer) else {
+            return;
+        };
+        answer.segments_under_way -= 1;
+        let (to, call, from) = (answer.to, answer.call, answer.from);
+        let is_through = answer.unsent_bytes == 0 && answer.segments_under_way == 0;
+        if !self.is_wanted(to, call, from) {
+            self.answers.remove(&transfer);
+            return;
+        }
+        if !is_through {
+            self.send_segment(transfer);
+            return;
+        }
+        if let Some(answer) = self.answers.remove(&transfer) {
+            self.take_answer(to, call, answer.reply);
+        }
+    }
+
+    /// Whether an answer is still waited for. Of one that is not no further segment is sent.
+    fn is_wanted(&self, to: usize, call: u64, from: End) -> bool {
+        match from {
+            End::Store => self.instances[to].waits_for_store,
+            End::Entry(_) => self.awaits(to, call),
+        }
+    }
+
+    fn take_answer(&mut self, to: usize, call: u64, reply: Reply) {
+        match reply {
+            Reply::Stored(version) => self.take_stored(to, version),
+            reply => self.hear_reply(to, call, reply),
+        }
+    }
+
+    /// Puts a version in force, and tells the others at once.
+    pub(super) fn put_in_force(&mut self, entry: usize, version: BundleVersion) {
+        let held = self.instances[entry].held;
+        if version <= held {
+            return;
+        }
+        let size = match held {
+            BundleVersion::NONE => 0,
+            held => self.history.delta(held, version).size(),
+        };
+        let now = self.now();
+        self.note_wait(entry);
+        self.instances[entry].put_in_force(version, size, now);
+        if version == self.last_version() {
+            self.in_force_us[entry] = Some(self.now_us);
+        }
+        self.tell(entry, true);
+    }
+
+    /// Takes in how long an entry has known of a newer version and got none.
+    fn note_wait(&mut self, entry: usize) {
+        let now = self.now();
+        let instance = &mut self.instances[entry];
+        let waited = instance.lag.behind_for(now).unwrap_or_default();
+        instance.longest_wait = instance.longest_wait.max(waited);
+    }
+
+    /// Takes in how much memory an entry needs while it takes a version.
+    pub(super) fn note_memory(&mut self, entry: usize, to: BundleVersion, came_bytes: usize) {
+        let held = self.instances[entry].held;
+        let routes = self.history.routes(held) + self.history.routes(to);
+        let held_bytes = routes as u64 * self.plan.costs.held_bytes;
+        let text_bytes = self.history.body_bytes(to) as u64;
+        let instance = &mut self.instances[entry];
+        let changes = instance.changes_kept() as u64 * self.plan.costs.held_bytes;
+        let kept_bytes = instance.package_bytes() as u64 + came_bytes as u64;
+        let bytes = held_bytes + text_bytes + changes + kept_bytes;
+        instance.memory_peak_bytes = instance.memory_peak_bytes.max(bytes);
+    }
+}
