Say whom an entry tells in fewer steps

Cause: two arms of the choice of recipients in the emulation did the same. Change: one choice for who else is told and one for how many; the draw stays in its order. An import in its place.

--- a/crates/pinhaven-lab/src/versions/costs.rs
+++ b/crates/pinhaven-lab/src/versions/costs.rs
@@ -4,6 +4,7 @@
 //! ones pay. Not measured: tables that an entry builds from a version for its own use.
 
 use crate::versions::history::generated;
+use crate::versions::history::head_of;
 use pinhaven_bundle::BundleDelta;
 use pinhaven_bundle::BundlePackage;
 use pinhaven_bundle::CanonicalBundle;
@@ -71,7 +72,7 @@
         let none = CanonicalBundle::new(generated(BundleVersion::new(1), 0, 0));
         let delta = BundleDelta::between(before.bundle(), after.bundle());
         let large = BundleDelta::between(none.bundle(), before.bundle());
-        let head = crate::versions::history::head_of(&after);
+        let head = head_of(&after);
         let package = BundlePackage::with_differences(&head, &[&large]);
         let bytes = package.map(|package| package.bytes().to_vec());
         let bytes = bytes.unwrap_or_default();
--- a/crates/pinhaven-lab/src/versions/news.rs
+++ b/crates/pinhaven-lab/src/versions/news.rs
@@ -96,19 +96,13 @@
             told.extend(close_far);
         }
         let others_near = near.iter().copied().filter(|row| !is_close(row));
-        let count = match (is_delegate, is_candidate) {
-            (true, _) => {
-                told.extend(others_near);
-                OTHERS_TOLD
-            }
-            (false, true) => {
-                others.extend(others_near);
-                OTHERS_TOLD
-            }
-            (false, false) => {
-                others.extend(others_near);
-                OTHERS_TOLD_LEAST
-            }
+        match is_delegate {
+            true => told.extend(others_near),
+            false => others.extend(others_near),
+        }
+        let count = match is_delegate || is_candidate {
+            true => OTHERS_TOLD,
+            false => OTHERS_TOLD_LEAST,
         };
         let mut told: Vec<SocketAddr> = told.into_iter().map(|row| row.peer_address).collect();
         let others: Vec<SocketAddr> = others.into_iter().map(|row| row.peer_address).collect();
