--- a/crates/pinhaven-agree/src/version_fetch.rs
+++ b/crates/pinhaven-agree/src/version_fetch.rs
@@ -11,9 +11,10 @@
 use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 
-/// The most bytes of a part. At 16 kB a second it comes within one second, the least that
-/// [`PART_TIMEOUT`] asks of a link.
+/// The most bytes of a part.
 pub const PART_BYTES_MAX: usize = 16 * 1024;
+/// The least bytes of a part. At 1 kB a second it comes within [`PART_TIMEOUT`].
+const PART_BYTES_MIN: usize = 1024;
 /// The most bytes of a package.
 const PACKAGE_BYTES_MAX: u64 = 64 * 1024 * 1024;
 /// How long a peer may take for a part. A peer that is gone is noticed after this time.
@@ -30,6 +31,8 @@
     pub offset: u64,
     /// Whether only a whole body is of use.
     pub needs_whole: bool,
+    /// The most bytes to give at once.
+    pub bytes_most: usize,
 }
 
 /// A part that a peer gave.
@@ -96,10 +99,23 @@
 }
 
 /// What one entry has of a newer version.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct VersionFetch {
     begun: Option<Begun>,
     needs_whole: bool,
+    /// Bytes to ask for at once: fewer after parts that came too late, as on a full link a smaller one still
+    /// comes in time.
+    part_bytes: usize,
+}
+
+impl Default for VersionFetch {
+    fn default() -> Self {
+        Self {
+            begun: None,
+            needs_whole: false,
+            part_bytes: PART_BYTES_MAX,
+        }
+    }
 }
 
 impl VersionFetch {
@@ -115,6 +131,7 @@
             package: begun.map(|begun| begun.package),
             offset: begun.map_or(0, |begun| begun.bytes.len() as u64),
             needs_whole: self.needs_whole,
+            bytes_most: self.part_bytes,
         }
     }
 
@@ -130,6 +147,7 @@
             return Fetched::Useless;
         };
         begun.bytes.extend_from_slice(&part.bytes);
+        self.part_bytes = (self.part_bytes * 2).min(PART_BYTES_MAX);
         if (begun.bytes.len() as u64) < begun.total_bytes {
             return Fetched::More;
         }
@@ -146,6 +164,11 @@
         Fetched::Package(begun.bytes)
     }
 
+    /// Takes in that a peer gave no part in time.
+    pub fn take_timeout(&mut self) {
+        self.part_bytes = (self.part_bytes / 2).max(PART_BYTES_MIN);
+    }
+
     /// Takes in that differences which came can't be used here.
     pub fn reject_differences(&mut self) {
         self.begun = None;
--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -7,7 +7,6 @@
 use crate::watch::counters::Count;
 use pinhaven_agree::AWAY_MOST;
 use pinhaven_agree::Fetched;
-use pinhaven_agree::PART_BYTES_MAX;
 use pinhaven_agree::PART_TIMEOUT;
 use pinhaven_agree::Part;
 use pinhaven_agree::PartRequest;
@@ -153,7 +152,10 @@
             let request = self.part_request();
             let next = match self.ask_for_part(peer, request).await {
                 Ok(reply) => self.take_reply(&mut asking, request, reply),
-                Err(error) => self.leave(&error),
+                Err(error) => {
+                    self.version_fetch.lock().take_timeout();
+                    self.leave(&error)
+                }
             };
             match next {
                 Next::Ask => {}
@@ -259,8 +261,11 @@
             PackageContent::Whole(body) => return Some(body),
             PackageContent::Differences(deltas) => deltas,
         };
+        let held = self.version.lock().version();
+        let leads_on = deltas.first().is_some_and(|delta| delta.from == held);
         let body = self.apply_deltas(head, deltas);
-        if body.is_none() {
+        // Differences that come late, when the store has brought a version, are no fault of theirs.
+        if body.is_none() && leads_on {
             self.version_fetch.lock().reject_differences();
         }
         body
@@ -273,7 +278,7 @@
         held_version: request.held.number(),
         package: package.unwrap_or_default(),
         offset: request.offset,
-        bytes_most: PART_BYTES_MAX as u32,
+        bytes_most: request.bytes_most as u32,
         needs_whole: request.needs_whole,
     }
 }
--- a/crates/pinhaven-lab/src/versions/fetching.rs
+++ b/crates/pinhaven-lab/src/versions/fetching.rs
@@ -82,6 +82,7 @@
 
     pub(super) fn time_out(&mut self, entry: usize, call: CallNumber) {
         if self.awaits(entry, call) {
+            self.instances[entry].fetch.take_timeout();
             self.fail(entry, "no answer in time");
         }
     }
--- a/crates/pinhaven-lab/tests/versions.rs
+++ b/crates/pinhaven-lab/tests/versions.rs
@@ -255,3 +255,16 @@
         play_until_all_have_it("all at once", &plan);
     }
 }
+
+#[test]
+fn versions_that_come_fast_are_taken_on_the_smallest_link_too() {
+    play_endless_storm(LINK_LEAST_MBPS, 50, 60);
+}
+
+#[test]
+fn as_many_routes_and_entries_as_there_may_be_are_in_force_in_time() {
+    let plan = VersionsPlan::new(300, 20_000, VersionChange::AddRoutes, 1);
+    let outcome = play_until_all_have_it("largest", &plan);
+    let last_ms = outcome.in_force_ms(1.0).unwrap();
+    assert!(last_ms < IN_FORCE_MS, "{last_ms} ms");
+}
