--- a/crates/pinhaven-entry/src/versions/fetch.rs
+++ b/crates/pinhaven-entry/src/versions/fetch.rs
@@ -34,6 +34,7 @@
 const ROUNDS_MOST: u32 = 20;
 /// How often a package may be begun anew at one peer. It is when the peer has another one than was begun.
 const RESTARTS_MOST: u32 = 2;
+
 /// How asking a peer ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
