End a planned stop only once no connection can come any more

Cause: a stop looked at the open connections right after it had told the server to close. Ruled out: the check (a new connection, nothing ran, closed and not reset). Change: the server says whether it may still take a connection, and the stop waits for that.

--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -113,7 +113,9 @@
     let most = Duration::from_millis(most_ms);
     let began = Instant::now();
     while began.elapsed() < most {
-        if entry.in_flight() == 0 && server.open_connections() == 0 {
+        // A connection may have come before the server has noticed that it is to close.
+        let may_get_more = server.is_accepting() || server.open_connections() > 0;
+        if entry.in_flight() == 0 && !may_get_more {
             return true;
         }
         sleep_ms(COUNT_MS).await;
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -62,6 +62,8 @@
     stop_sender: async_channel::Sender<()>,
     stop_receiver: async_channel::Receiver<()>,
     open: Arc<AtomicUsize>,
+    /// Whether it may still take a connection.
+    is_accepting: AtomicBool,
 }
 
 impl HttpServer {
@@ -81,6 +83,7 @@
             stop_sender,
             stop_receiver,
             open: Arc::new(AtomicUsize::new(0)),
+            is_accepting: AtomicBool::new(true),
         })
     }
 
@@ -100,6 +103,12 @@
         self.open.load(Ordering::Relaxed)
     }
 
+    /// Whether it may still take a connection: one may wait for it also after the server was told to close, until it
+    /// has come to that.
+    pub fn is_accepting(&self) -> bool {
+        self.is_accepting.load(Ordering::Acquire)
+    }
+
     /// Takes no more connections, closes idle ones and takes no further requests on the others.
     pub fn close_gracefully(&self) {
         self.stop_sender.close();
@@ -122,13 +131,23 @@
                 Err(_) => sleep_ms(ACCEPT_RETRY_MS).await,
             }
         }
-        // Closing the listener would reset the connections that wait, with the requests that they have brought.
+        self.take_waiting(&listener, &handler);
+        self.is_accepting.store(false, Ordering::Release);
+    }
+
+    /// Takes the connections that wait. Closing the listener would reset them, with the requests that they have
+    /// brought.
+    fn take_waiting<H, F>(&self, listener: &Async<TcpListener>, handler: &H)
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Response<AnyBody>> + Send + 'static,
+    {
         for _ in 0..LAST_CONNECTIONS_MOST {
             let Ok((stream, _peer)) = listener.get_ref().accept() else {
                 return;
             };
             if let Ok(stream) = Async::new(stream) {
-                self.begin(stream, &handler);
+                self.begin(stream, handler);
             }
         }
     }
--- a/crates/pinhaven-runtime/tests/server_stop.rs
+++ b/crates/pinhaven-runtime/tests/server_stop.rs
@@ -39,9 +39,14 @@
             .unwrap();
     }
     server.close_gracefully();
+    // Who waits for the server to be done must not look at its open connections alone.
+    assert_eq!(server.open_connections(), 0);
+    assert!(server.is_accepting());
     std::thread::spawn(move || {
         block_on(async {
             server.serve(answer).await;
+            assert!(!server.is_accepting());
+            assert_eq!(server.open_connections(), CONNECTIONS);
             sleep_ms(60_000).await;
         });
     });
