Tell in log, record and metrics when a target says that it leaves or asks for rest

An entry read neither, and no line of it told whether it had heard the word, which the hypotheses differ in. It reads them now from answers and probes: the lines told_leaving and told_rest name the target, its service and the time; three counters. Nothing is decided by it yet.

A rest is read from Retry-After on a 503 in seconds, with or without a fraction, or as a date counted from the answer's own; what can't be read is counted, and none lasts longer than the new setting target_rest_most_ms (5 min).

--- /dev/null
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -0,0 +1,59 @@
+//! What targets ask for with their answers: that no new work comes, or none for a time.
+//!
+//! Both bind this entry, unlike reports of load, which only weigh. They hold for one run of a target. A target that
+//! leaves does so for good; a rest ends at its time, and a shorter one that is asked for later does not cut it.
+
+use pinhaven_types::Microseconds;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// What a target asks for with one answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerOrders {
+    /// It leaves, and wants no new work in this run.
+    pub leaves: bool,
+    /// It wants nothing from this entry for this long.
+    pub rest: Option<Microseconds>,
+}
+
+impl AnswerOrders {
+    /// Whether it asks for nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// What of a target's orders was news.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OrderNews {
+    /// Whether it was not known that it leaves.
+    pub leaves: bool,
+    /// When a rest ends that was not known to last as long.
+    pub rests_until: Option<Microseconds>,
+}
+
+/// The orders of one run of a target.
+#[derive(Debug, Default)]
+pub(crate) struct OrderState {
+    leaves: AtomicBool,
+    rests_until_us: AtomicU64,
+}
+
+impl OrderState {
+    /// Takes in what an answer that came at `now` asks for. Returns what of it was news.
+    pub(crate) fn take(&self, orders: &AnswerOrders, now: Microseconds) -> OrderNews {
+        OrderNews {
+            leaves: orders.leaves && !self.leaves.swap(true, Ordering::Relaxed),
+            rests_until: orders.rest.and_then(|rest| self.rest_until(now.plus(rest))),
+        }
+    }
+
+    /// Returns the end of the rest if that was not known to be as late.
+    fn rest_until(&self, until: Microseconds) -> Option<Microseconds> {
+        let before = self
+            .rests_until_us
+            .fetch_max(until.count(), Ordering::Relaxed);
+        (before < until.count()).then_some(until)
+    }
+}
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -5,6 +5,9 @@
 //! have been under way, which shows a sudden slowness before any reply does.
 
 use crate::atomic::AtomicF32;
+use crate::orders::AnswerOrders;
+use crate::orders::OrderNews;
+use crate::orders::OrderState;
 use crate::report::LoadReport;
 use crate::speed::ReportedSpeed;
 use crate::speed::ServiceSpeed;
@@ -63,6 +66,7 @@
     pub(crate) ejections: AtomicU32,
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
+    orders: OrderState,
     is_owned: AtomicBool,
     /// Requests of this entry that it may hold.
     in_flight_most: AtomicU32,
@@ -124,6 +128,7 @@
             ejections: AtomicU32::new(0),
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
+            orders: OrderState::default(),
             is_owned: AtomicBool::new(false),
             in_flight_most: AtomicU32::new(u32::MAX),
         }
@@ -270,6 +275,11 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Takes in what it asks for with an answer that came at `now`. Returns what of it was news.
+    pub fn take_orders(&self, orders: &AnswerOrders, now: Microseconds) -> OrderNews {
+        self.orders.take(orders, now)
+    }
+
     /// Whether this entry owns it, and goes there before others do.
     pub fn is_owned(&self) -> bool {
         self.is_owned.load(Ordering::Relaxed)
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -186,6 +186,8 @@
         // The report is the other target's.
         return Err(AttemptEnd::OtherTarget);
     }
+    // Whosever answer it is, and whatever is wrong with it, what the target asks for with it holds.
+    entry.hear_orders(service, target, &entry.dialect.read_orders(status, headers));
     if !entry.dialect.is_answer_to(headers, id, &service.config) {
         entry.counters.add(Count::AttemptCrossed);
         // Whosever answer it is, the report on it is the target's.
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod leaving;
 pub(crate) mod leaving_news;
 pub(crate) mod listed_targets;
+pub(crate) mod orders;
 pub(crate) mod owned_targets;
 pub(crate) mod pool;
 pub(crate) mod probes;
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -125,6 +125,8 @@
             self.hear_run(target, answering);
             return;
         }
+        let orders = self.dialect.read_orders(answer.status(), answer.headers());
+        self.hear_orders(service, target, &orders);
         match self.dialect.read_probe(answer.headers(), answer.body()) {
             Some(report) => service.state.record_report(target, self.now(), &report),
             None => self.counters.add(Count::ProbeFailed),
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -39,6 +39,12 @@
     AnswerCut,
     /// Connections opened to targets.
     Connections,
+    /// Targets that said with an answer that they leave.
+    TargetLeft,
+    /// Times that a target asked for a rest, or for a longer one.
+    TargetRests,
+    /// Rests that could not be read, or were longer than a target may ask for.
+    TargetRestBad,
     /// Probes sent.
     Probes,
     /// Probes that failed.
@@ -97,7 +103,7 @@
     PeerBytes,
 }
 
-const COUNT_NAMES: [&str; 43] = [
+const COUNT_NAMES: [&str; 46] = [
     "requests",
     "answered",
     "addresses",
@@ -113,6 +119,9 @@
     "attempt.unbounded",
     "answer.cut",
     "connections",
+    "target.left",
+    "target.rests",
+    "target.rest_bad",
     "probes",
     "probe.failed",
     "refused.bad_request",
--- a/crates/pinhaven-entry/src/wire/dialect.rs
+++ b/crates/pinhaven-entry/src/wire/dialect.rs
@@ -6,6 +6,8 @@
 
 use crate::wire::header;
 use crate::wire::load_report;
+use crate::wire::rest::HeardOrders;
+use crate::wire::rest::read_rest;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
@@ -131,6 +133,9 @@
         service: &Service,
     ) -> AnswerFacts;
 
+    /// Reads what a target asks for with an answer, whatever else is wrong with that.
+    fn read_orders(&self, status: StatusCode, headers: &HeaderMap) -> HeardOrders;
+
     /// Prepares a target's answer for the caller whose request had these headers.
     fn pass_answer(&self, request: &HeaderMap, answer: &mut HeaderMap);
 
@@ -232,6 +237,14 @@
         }
     }
 
+    fn read_orders(&self, status: StatusCode, headers: &HeaderMap) -> HeardOrders {
+        let report = load_report::from_headers(headers);
+        HeardOrders::new(
+            report.is_some_and(|report| report.is_draining),
+            read_rest(status, headers),
+        )
+    }
+
     fn pass_answer(&self, request: &HeaderMap, answer: &mut HeaderMap) {
         answer.remove(header::LOAD_REPORT);
         match request.get(header::REQUEST_ID) {
--- a/crates/pinhaven-entry/src/wire/mod.rs
+++ b/crates/pinhaven-entry/src/wire/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod header;
 pub(crate) mod load_report;
 pub(crate) mod problem;
+pub(crate) mod rest;
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -90,6 +90,9 @@
     /// How long an idle or half-sent caller connection is kept, in milliseconds.
     #[serde(default = "default_caller_idle_ms")]
     pub caller_idle_ms: u64,
+    /// The longest rest that a target may ask for, in milliseconds; a longer one counts as this long.
+    #[serde(default = "default_target_rest_most_ms")]
+    pub target_rest_most_ms: u64,
     /// Whether callers may speak HTTP/2; without it a connection takes less memory.
     #[serde(default = "default_caller_http2")]
     pub caller_http2: bool,
@@ -274,6 +277,7 @@
         ("gossip_ms", settings.gossip_ms),
         ("caller_idle_ms", settings.caller_idle_ms),
         ("stop_most_ms", settings.stop_most_ms),
+        ("target_rest_most_ms", settings.target_rest_most_ms),
     ];
     for (field, count) in counts {
         require(count > 0, field, "it must be above zero", "write 1 or more");
@@ -339,6 +343,11 @@
     30_000
 }
 
+/// Targets ask for seconds. One that asks for an hour by mistake is asked again after 5 min.
+const fn default_target_rest_most_ms() -> u64 {
+    300_000
+}
+
 const fn default_caller_http2() -> bool {
     true
 }
