Send nothing more to a target that says with an answer that it leaves

Callers saw nothing yet; targets that leave got requests for as long as the store was away, up to 12 s, and would have ended under them. Cause: that a target leaves was taken from the store's list alone, its own word went on to the caller unread. It counts as leaving from its own word on now, in every choice; the word belongs to the run of the target, so that no list or report of the same run takes it back, and a later run is another.

--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Whether it has said that it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaves.load(Ordering::Relaxed)
+    }
+
     /// Returns the end of the rest if that was not known to be as late.
     fn rest_until(&self, until: Microseconds) -> Option<Microseconds> {
         let before = self
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -264,9 +264,10 @@
         now < self.cold_until
     }
 
-    /// Whether it is leaving.
+    /// Whether it is leaving, by its own word or another's. Its own comes with answers, also while the store is away
+    /// and no list says so.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed)
+        self.is_leaving.load(Ordering::Relaxed) || self.orders.is_leaving()
     }
 
     /// Marks the target as leaving. Nothing in its life takes that back: a target that comes back is
