Let a target rest for as long as it asks, and refuse at once while all rest

Callers were refused, or served late, while other targets had room: targets that turned all requests away got them again and again (12 within a rest of 3 s), and the second attempts which that took emptied the budget for them. Cause: a 503 counted as load for half a second, and how long the target wanted rest went unread; as it works on nothing it was then the least loaded.

A rest excludes the target until it ends, in every choice and for probes of its speed. A longer one extends it, a shorter one does not cut it, no list or good answer ends it, a later run has none. While all targets rest that don't leave, a request is refused at once, unless the first rest ends within the time that it may wait; its caller is told that moment, one after the other as far apart as this entry sent before. After its rest a target gets one request of an entry, and more with each good answer.

Ruled out: a heavier load for a 503, which would be outweighed all the same once others are full.

--- a/crates/pinhaven-decide/src/choice.rs
+++ b/crates/pinhaven-decide/src/choice.rs
@@ -150,9 +150,7 @@
     now: Microseconds,
     wanted: &Wanted<'_>,
 ) -> bool {
-    !target.is_leaving()
-        && !target.is_ejected(now)
-        && target.has_place(service.connections_per_target())
+    target.may_get(now, service.connections_per_target())
         && !wanted.tried.contains(&target.address())
 }
 
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -303,8 +303,5 @@
     now: Microseconds,
     tried: &[TargetAddress],
 ) -> bool {
-    !target.is_leaving()
-        && !target.is_ejected(now)
-        && target.has_place(service.connections_per_target())
-        && !tried.contains(&target.address())
+    target.may_get(now, service.connections_per_target()) && !tried.contains(&target.address())
 }
--- /dev/null
+++ b/crates/pinhaven-decide/src/opening.rs
@@ -0,0 +1,73 @@
+//! When a service whose targets all leave or rest takes requests again, and when their callers should come back.
+//!
+//! A request that no target may get before it would be given up on anyway is refused at once. Its caller is told the end of
+//! the first rest. Callers that come back together would press the targets into the next rest, so each is told a later moment
+//! than the one before it, as far apart as this entry sent requests before.
+
+use crate::service::ServiceState;
+use pinhaven_types::Microseconds;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+/// The longest time over which callers come back after a rest, in milliseconds.
+const RETURNS_MOST_MS: f32 = 60_000.0;
+
+/// When any target of a service takes requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Opening {
+    /// Now, unless it is full or failing.
+    Now,
+    /// When the first rest ends.
+    At(Microseconds),
+    /// Not before the list of targets changes.
+    Unknown,
+}
+
+/// Callers that were told to come back at the end of one rest.
+#[derive(Debug, Default)]
+pub(crate) struct Returns {
+    rest_ends_us: AtomicU64,
+    told: AtomicU32,
+}
+
+impl Returns {
+    /// How many callers were told of this end before.
+    fn count_in(&self, rest_ends: Microseconds) -> u32 {
+        let before = self.rest_ends_us.swap(rest_ends.count(), Ordering::Relaxed);
+        if before != rest_ends.count() {
+            // Callers that are told at the same time may get the same turn.
+            self.told.store(0, Ordering::Relaxed);
+        }
+        self.told.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+impl ServiceState {
+    /// When any target takes requests.
+    pub(crate) fn opening(&self, now: Microseconds) -> Opening {
+        let mut opening = Opening::Unknown;
+        for target in self.targets() {
+            if target.is_leaving() {
+                continue;
+            }
+            let Some(until) = target.rests_until(now) else {
+                return Opening::Now;
+            };
+            opening = match opening {
+                Opening::At(first) => Opening::At(first.min(until)),
+                _ => Opening::At(until),
+            };
+        }
+        opening
+    }
+
+    /// When the next caller should come back to targets that rest until `rest_ends`, in milliseconds.
+    pub(crate) fn return_after_ms(&self, now: Microseconds, rest_ends: Microseconds) -> u64 {
+        let before = self.returns.count_in(rest_ends);
+        let turn_ms = self.typical_ms() / self.in_flight_limit();
+        let spread_ms = (before as f32 * turn_ms).min(RETURNS_MOST_MS);
+        let rest_us = rest_ends.saturating_sub(now).count();
+        rest_us.div_ceil(1_000) + spread_ms as u64
+    }
+}
--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -33,6 +33,34 @@
     pub rests_until: Option<Microseconds>,
 }
 
+/// Leave to send one request or probe to a target at once. Whatever writes to a target takes one.
+#[derive(Debug)]
+#[must_use]
+pub struct SendPermit(());
+
+/// Why a target gets nothing now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// It leaves.
+    Leaving,
+    /// It asked for a rest that is not over.
+    Resting {
+        /// When that ends.
+        until: Microseconds,
+    },
+}
+
+impl SendPermit {
+    /// Leave to send now, unless the target leaves or rests.
+    pub(crate) fn new(is_leaving: bool, rests_until: Option<Microseconds>) -> Result<Self, Closed> {
+        match (is_leaving, rests_until) {
+            (true, _) => Err(Closed::Leaving),
+            (false, Some(until)) => Err(Closed::Resting { until }),
+            (false, None) => Ok(Self(())),
+        }
+    }
+}
+
 /// The orders of one run of a target.
 #[derive(Debug, Default)]
 pub(crate) struct OrderState {
@@ -54,6 +82,12 @@
         self.leaves.load(Ordering::Relaxed)
     }
 
+    /// The end of its rest, if that is not over at `now`.
+    pub(crate) fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
+        let until = Microseconds::new(self.rests_until_us.load(Ordering::Relaxed));
+        (until > now).then_some(until)
+    }
+
     /// Returns the end of the rest if that was not known to be as late.
     fn rest_until(&self, until: Microseconds) -> Option<Microseconds> {
         let before = self
--- a/crates/pinhaven-decide/src/refusal.rs
+++ b/crates/pinhaven-decide/src/refusal.rs
@@ -15,6 +15,8 @@
     EntryFull,
     /// No target may take it.
     NoTarget,
+    /// All targets rest that don't leave.
+    Resting,
     /// The targets turned it away, and there is no budget for another attempt.
     Shed,
     /// No target could be reached.
@@ -31,12 +33,13 @@
 
 impl RefusalReason {
     /// All reasons, for counters.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 12] = [
         Self::DeadlinePast,
         Self::NoTimeLeft,
         Self::Overloaded,
         Self::EntryFull,
         Self::NoTarget,
+        Self::Resting,
         Self::Shed,
         Self::Unreachable,
         Self::Broken,
@@ -53,6 +56,7 @@
             Self::Overloaded => "overloaded",
             Self::EntryFull => "entry_full",
             Self::NoTarget => "no_target",
+            Self::Resting => "resting",
             Self::Shed => "shed",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -17,6 +17,7 @@
 use crate::event::ChoiceFacts;
 use crate::event::Event;
 use crate::event::Step;
+use crate::opening::Opening;
 use crate::progress::Progress;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
@@ -290,11 +291,9 @@
             return self.wait_or_refuse();
         }
         let Some(choice) = self.choose() else {
-            let all_left = self.service.targets().iter().all(|t| t.is_leaving());
-            return if all_left {
-                self.refuse(RefusalReason::NoTarget)
-            } else {
-                self.wait_or_refuse()
+            return match self.closed_until(self.now) {
+                Some(reason) => self.refuse(reason),
+                None => self.wait_or_refuse(),
             };
         };
         if self.service.predicted_wait_ms(choice.load) > self.wait_allowed_ms(QUEUE_MAX) {
@@ -304,6 +303,15 @@
         self.send(choice.target, None);
     }
 
+    /// Why no target could take the request before `until`, as all leave or rest; `None` where one may.
+    pub(crate) fn closed_until(&self, until: Microseconds) -> Option<RefusalReason> {
+        match self.service.opening(self.now) {
+            Opening::Unknown => Some(RefusalReason::NoTarget),
+            Opening::At(at) if at > until => Some(RefusalReason::Resting),
+            Opening::At(_) | Opening::Now => None,
+        }
+    }
+
     fn wait_or_refuse(&mut self) {
         let allowed_ms = self.wait_allowed_ms(WAIT_MAX);
         if allowed_ms <= 0.0 {
@@ -353,8 +361,9 @@
     }
 
     pub(crate) fn send(&mut self, target: Arc<TargetState>, chosen: Option<ChoiceFacts>) {
-        let holds = require_promise(Promise::LeavingTarget, !target.is_leaving(), || {
-            format!("{} is leaving and was chosen", target.address())
+        let is_open = target.permit(self.now).is_ok();
+        let holds = require_promise(Promise::LeavingTarget, is_open, || {
+            format!("{} is leaving or rests and was chosen", target.address())
         });
         let once = self.request.facts.is_repeatable || self.request.run_state() == RunState::NotRun;
         let holds = holds
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -4,6 +4,7 @@
 use crate::event::AttemptId;
 use crate::event::AttemptOutcome;
 use crate::forecast::Lane;
+use crate::opening::Opening;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
@@ -167,8 +168,7 @@
             run_state != RunState::NotRun || !self.request.may_have_run,
             || "a request that may have run was said not to have".to_owned(),
         );
-        let by_load = || self.service.retry_after_ms(self.random);
-        let retry_after_ms = retry_after_ms.unwrap_or_else(by_load);
+        let retry_after_ms = retry_after_ms.unwrap_or_else(|| self.retry_after_ms());
         self.actions.push(Action::Refuse(Refusal {
             reason,
             run_state,
@@ -176,6 +176,17 @@
         }));
     }
 
+    /// When the caller should come back, in milliseconds: by the load, but not before any target takes requests.
+    fn retry_after_ms(&mut self) -> u64 {
+        let by_load_ms = self.service.retry_after_ms(self.random);
+        match self.service.opening(self.now) {
+            Opening::At(rest_ends) => {
+                by_load_ms.max(self.service.return_after_ms(self.now, rest_ends))
+            }
+            Opening::Now | Opening::Unknown => by_load_ms,
+        }
+    }
+
     pub(crate) fn caller_left(&mut self) {
         if matches!(self.request.phase, Phase::Waiting { .. }) {
             self.end_wait();
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -58,8 +58,8 @@
 impl Turn<'_> {
     /// Sends the request, lets it wait or refuses it.
     pub(crate) fn admit_by_forecast(&mut self) {
-        if self.service.targets().iter().all(|t| t.is_leaving()) {
-            return self.refuse(RefusalReason::NoTarget);
+        if let Some(reason) = self.closed_until(self.wait_until()) {
+            return self.refuse(reason);
         }
         if let Some(earliest) = self.earliest(Lane::Any)
             && self.is_good(&earliest)
@@ -210,7 +210,7 @@
             // Most looks end here, before all targets are looked at.
             return None;
         }
-        let least = HEDGE_CHANCE / (1.0 - self.service.use_share()).max(HEDGE_CHANCE);
+        let least = HEDGE_CHANCE / (1.0 - self.service.use_share(self.now)).max(HEDGE_CHANCE);
         if miss <= least {
             return None;
         }
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -6,6 +6,7 @@
 use crate::budget::TokenBudget;
 use crate::health;
 use crate::hedge::HedgeDelay;
+use crate::opening::Returns;
 use crate::recent_runs::RecentRuns;
 use crate::report::LoadReport;
 use crate::speed::ServiceSpeed;
@@ -86,6 +87,7 @@
     typical_ms: AtomicF32,
     mean_others: AtomicF32,
     refused_share: AtomicF32,
+    pub(crate) returns: Returns,
     pub(crate) limit: InFlightLimit,
     pub(crate) hedge_delay: HedgeDelay,
     pub(crate) hedge_budget: TokenBudget,
@@ -104,6 +106,8 @@
     pub all: u32,
     /// Those that are leaving.
     pub leaving: u32,
+    /// Those that rest.
+    pub resting: u32,
     /// Those that are ejected for failing.
     pub ejected: u32,
     /// Those that are thought to work at less than half their usual speed.
@@ -155,6 +159,7 @@
             typical_ms: AtomicF32::new(typical_ms),
             mean_others: AtomicF32::new(0.0),
             refused_share: AtomicF32::new(0.0),
+            returns: Returns::default(),
             limit: InFlightLimit::new(capacity / entries, most),
             hedge_delay: HedgeDelay::new(
                 service.hedge_budget_percent.fraction(),
@@ -294,6 +299,7 @@
             let held = target.in_flight() + target.peers_in_flight();
             let slowdown = target.expected_slowdown(now, &self.speed);
             summary.leaving += u32::from(target.is_leaving());
+            summary.resting += u32::from(target.rests_until(now).is_some());
             summary.ejected += u32::from(target.is_ejected(now));
             summary.slow += u32::from(slowdown >= SLOW_FROM);
             summary.full += u32::from(held as f32 >= target.slots());
@@ -301,10 +307,14 @@
         summary
     }
 
-    /// Share of the slots of all targets that requests of all entries hold, as far as is known.
-    pub fn use_share(&self) -> f32 {
+    /// Share of the slots of all targets that take work at `now` that requests of all entries hold, as far as is known.
+    pub fn use_share(&self, now: Microseconds) -> f32 {
         let (mut held, mut slots) = (0.0, 0.0);
-        for target in &self.targets {
+        for target in self
+            .targets
+            .iter()
+            .filter(|target| target.permit(now).is_ok())
+        {
             held += (target.in_flight() + target.peers_in_flight()) as f32;
             slots += target.slots();
         }
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -6,8 +6,10 @@
 
 use crate::atomic::AtomicF32;
 use crate::orders::AnswerOrders;
+use crate::orders::Closed;
 use crate::orders::OrderNews;
 use crate::orders::OrderState;
+use crate::orders::SendPermit;
 use crate::report::LoadReport;
 use crate::speed::ReportedSpeed;
 use crate::speed::ServiceSpeed;
@@ -89,6 +91,8 @@
     pub is_ejected: bool,
     /// Whether it is leaving.
     pub is_leaving: bool,
+    /// What is left of the rest that it asked for, in milliseconds.
+    pub rests_for_ms: Option<f64>,
     /// How many times longer than usual work takes there, as it last said.
     pub slowdown: f32,
     /// Age of that report, in milliseconds; `None` when it never said.
@@ -278,7 +282,31 @@
 
     /// Takes in what it asks for with an answer that came at `now`. Returns what of it was news.
     pub fn take_orders(&self, orders: &AnswerOrders, now: Microseconds) -> OrderNews {
-        self.orders.take(orders, now)
+        let news = self.orders.take(orders, now);
+        if news.rests_until.is_some() {
+            // What it gets after its rest grows with its answers, so that all entries together don't press it into the next.
+            self.in_flight_most.store(1, Ordering::Relaxed);
+        }
+        news
+    }
+
+    /// The end of the rest that it asked this entry for, if that is not over at `now`.
+    pub fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
+        self.orders.rests_until(now)
+    }
+
+    /// Leave to send it something at `now`.
+    ///
+    /// # Errors
+    ///
+    /// [`Closed`] when it leaves or rests.
+    pub fn permit(&self, now: Microseconds) -> Result<SendPermit, Closed> {
+        SendPermit::new(self.is_leaving(), self.rests_until(now))
+    }
+
+    /// Whether a request may be sent to it at `now`, by its own word, by its failures, and by the connections that it takes.
+    pub(crate) fn may_get(&self, now: Microseconds, connections_most: u32) -> bool {
+        self.permit(now).is_ok() && !self.is_ejected(now) && self.has_place(connections_most)
     }
 
     /// Whether this entry owns it, and goes there before others do.
@@ -306,6 +334,9 @@
             latency_ms: self.latency_ms.get(),
             is_ejected: self.is_ejected(now),
             is_leaving: self.is_leaving(),
+            rests_for_ms: self
+                .rests_until(now)
+                .map(|until| until.saturating_sub(now).as_ms()),
             slowdown: self.speed.last().map_or(1.0, |(slowdown, _)| slowdown),
             report_age_ms: self
                 .speed
@@ -316,7 +347,7 @@
 
     /// Whether this entry may send it one more request, by what its answers have earned and by the
     /// connections that it takes.
-    pub(crate) fn has_place(&self, connections_most: u32) -> bool {
+    fn has_place(&self, connections_most: u32) -> bool {
         let most = self.in_flight_most.load(Ordering::Relaxed);
         self.in_flight() < most.min(connections_most)
     }
--- a/crates/pinhaven-decide/tests/orders.rs
+++ b/crates/pinhaven-decide/tests/orders.rs
@@ -6,8 +6,19 @@
 use common::driven::Driven;
 use common::driven::report;
 use common::driven::service;
+use common::state_with;
 use pinhaven_bundle::Service;
+use pinhaven_decide::Action;
 use pinhaven_decide::AnswerOrders;
+use pinhaven_decide::AttemptOutcome;
+use pinhaven_decide::Closed;
+use pinhaven_decide::Event;
+use pinhaven_decide::Microseconds;
+use pinhaven_decide::Refusal;
+use pinhaven_decide::RefusalReason;
+use pinhaven_decide::RequestFacts;
+use pinhaven_decide::RequestState;
+use pinhaven_decide::RunState;
 use pinhaven_decide::ServiceState;
 use serde_json::json;
 use std::sync::Arc;
@@ -19,6 +30,46 @@
     rest: None,
 };
 
+const POLICIES: [&str; 6] = [
+    "random",
+    "round_robin",
+    "least_in_flight",
+    "two_choices",
+    "pinhaven",
+    "forecast",
+];
+
+fn rest_of(rest_ms: u64) -> AnswerOrders {
+    AnswerOrders {
+        leaves: false,
+        rest: Some(Microseconds::from_ms(rest_ms)),
+    }
+}
+
+/// Lets some targets ask for a rest at `time_ms`.
+fn rest(service: &ServiceState, targets: &[usize], time_ms: u64, rest_ms: u64) {
+    for target in targets {
+        service.targets()[*target].take_orders(&rest_of(rest_ms), at_ms(time_ms));
+    }
+}
+
+fn refusal_of(request: &Driven) -> Refusal {
+    match request.step.actions.as_slice() {
+        [Action::Refuse(refusal)] => *refusal,
+        other => panic!("no refusal: {other:?}"),
+    }
+}
+
+fn shed() -> AttemptOutcome {
+    AttemptOutcome::Shed { report: None }
+}
+
+/// Ends an attempt.
+fn end(request: &mut Driven, attempt: usize, time_ms: u64, outcome: AttemptOutcome) {
+    let attempt = request.attempts[attempt].take().unwrap().id;
+    request.handle(time_ms, Event::AttemptEnded { attempt, outcome });
+}
+
 /// A service with one target, in this run.
 fn listed(incarnation: u64) -> Service {
     let service = json!({
@@ -63,3 +114,150 @@
         "a later run is another"
     );
 }
+
+#[test]
+fn a_target_that_rests_is_chosen_by_no_policy() {
+    for policy in POLICIES {
+        let service = state_with(3, json!({"policy": policy}));
+        rest(&service, &[0, 2], 0, 3_000);
+        let mut random = fastrand::Rng::with_seed(4);
+        for time_ms in 1..40 {
+            let facts = RequestFacts::new(true, at_ms(time_ms + 2_000));
+            let mut request = RequestState::new(facts);
+            let step = request.handle(&service, at_ms(time_ms), &mut random, Event::Arrived);
+            for action in step.actions {
+                if let Action::Send(attempt) = action {
+                    let address = attempt.target.address();
+                    assert_eq!(address, service.targets()[1].address(), "{policy}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn neither_a_retry_nor_a_hedge_goes_to_a_target_that_rests() {
+    let service = service(3, 4);
+    let mut retried = Driven::new(&service, false, 0);
+    let first = retried.target(0);
+    let others: Vec<usize> = (0..3).filter(|target| *target != first).collect();
+    rest(&service, &others, 1, 3_000);
+    end(&mut retried, 0, 2, shed());
+    let refusal = refusal_of(&retried);
+    assert_eq!(refusal.run_state, RunState::NotRun);
+    for (is_resting, attempts) in [(false, 2), (true, 1)] {
+        let service = self::service(2, 4);
+        let mut hedged = Driven::new(&service, true, 0);
+        let holder = hedged.target(0);
+        if is_resting {
+            rest(&service, &[1 - holder], 1, 3_000);
+        }
+        report(&service, holder, 20, 9.0);
+        hedged.wait(290);
+        assert_eq!(hedged.attempts.len(), attempts, "rests: {is_resting}");
+    }
+}
+
+#[test]
+fn a_longer_rest_extends_a_shorter_one_and_never_the_reverse() {
+    let service = service(1, 4);
+    let target = &service.targets()[0];
+    let until_ms = |time_ms| target.rests_until(at_ms(time_ms));
+    assert!(
+        target
+            .take_orders(&rest_of(3_000), at_ms(0))
+            .rests_until
+            .is_some()
+    );
+    assert!(
+        target
+            .take_orders(&rest_of(200), at_ms(100))
+            .rests_until
+            .is_none()
+    );
+    assert_eq!(until_ms(1_000), Some(at_ms(3_000)));
+    target.take_orders(&rest_of(3_000), at_ms(2_000));
+    let until = at_ms(5_000);
+    assert_eq!(
+        target.permit(at_ms(4_999)).unwrap_err(),
+        Closed::Resting { until }
+    );
+    assert!(target.permit(at_ms(5_000)).is_ok());
+}
+
+#[test]
+fn after_its_rest_a_target_gets_more_only_as_it_answers() {
+    let service = service(1, 6);
+    rest(&service, &[0], 0, 1_000);
+    let mut first = Driven::new(&service, true, 1_000);
+    assert_eq!(first.attempts.len(), 1);
+    let mut second = Driven::new(&service, true, 1_001);
+    assert!(second.attempts.is_empty(), "it waits for the first answer");
+    first.answer(0, 1_030);
+    second.wait(1_050);
+    let third = Driven::new(&service, true, 1_051);
+    assert_eq!((second.attempts.len(), third.attempts.len()), (1, 1));
+}
+
+#[test]
+fn while_all_targets_rest_callers_are_told_at_once_when_the_first_rest_ends_and_not_all_the_same() {
+    for policy in POLICIES {
+        let service = state_with(2, json!({"policy": policy}));
+        rest(&service, &[0], 0, 5_000);
+        rest(&service, &[1], 0, 3_000);
+        let told: Vec<u64> = (0..20)
+            .map(|number| {
+                let refusal = refusal_of(&Driven::new(&service, number % 2 == 0, 1_000));
+                assert_eq!(refusal.reason, RefusalReason::Resting, "{policy}");
+                assert_eq!(refusal.run_state, RunState::NotRun);
+                refusal.retry_after_ms
+            })
+            .collect();
+        assert_eq!(told[0], 2_000, "{policy}");
+        assert!(told.is_sorted() && told[19] > told[0], "{policy}: {told:?}");
+    }
+}
+
+#[test]
+fn a_request_waits_for_a_rest_that_ends_soon_and_is_not_queued_past_any_other() {
+    let service = service(2, 4);
+    rest(&service, &[0], 0, 30);
+    rest(&service, &[1], 0, 3_000);
+    let mut waiting = Driven::new(&service, true, 0);
+    assert!(waiting.attempts.is_empty() && waiting.step.actions.is_empty());
+    waiting.wait(50);
+    assert_eq!(waiting.target(0), 0);
+    // One that waits when all begin to rest has its answer at the next look.
+    let busy = self::service(1, 1);
+    let _holder = Driven::new(&busy, true, 0);
+    let mut queued = Driven::new(&busy, true, 1);
+    assert!(queued.step.wants_place);
+    rest(&busy, &[0], 2, 3_000);
+    queued.wait(20);
+    assert_eq!(refusal_of(&queued).reason, RefusalReason::Resting);
+}
+
+#[test]
+fn a_service_whose_targets_leave_or_rest_waits_for_the_rest_alone() {
+    let service = service(2, 4);
+    service.targets()[0].take_orders(&LEAVES, at_ms(0));
+    rest(&service, &[1], 0, 3_000);
+    let refusal = refusal_of(&Driven::new(&service, true, 500));
+    assert_eq!(refusal.reason, RefusalReason::Resting);
+    assert_eq!(refusal.retry_after_ms, 2_500);
+    service.targets()[1].take_orders(&LEAVES, at_ms(600));
+    let refusal = refusal_of(&Driven::new(&service, true, 700));
+    assert_eq!(refusal.reason, RefusalReason::NoTarget);
+}
+
+#[test]
+fn a_rest_outlasts_new_lists_and_configurations_and_ends_with_the_run() {
+    let first = state_of(&listed(EARLIER), None, 0);
+    rest(&first, &[0], 10, 60_000);
+    let mut changed = listed(EARLIER);
+    changed.slots = 5;
+    let second = state_of(&changed, Some(&first), 1_000);
+    assert!(second.targets()[0].rests_until(at_ms(1_000)).is_some());
+    let restarted = state_of(&listed(LATER), Some(&second), 2_000);
+    assert!(restarted.targets()[0].permit(at_ms(2_000)).is_ok());
+}
--- a/crates/pinhaven-entry/src/peers/news.rs
+++ b/crates/pinhaven-entry/src/peers/news.rs
@@ -296,11 +296,11 @@
 
     /// How near the fullest service's targets are to being full, from 0 to 1, as far as rounds go by it.
     fn busy(&self) -> f32 {
-        let snapshot = self.snapshot.load();
+        let (snapshot, now) = (self.snapshot.load(), self.now());
         let uses = snapshot
             .services
             .values()
-            .map(|service| service.state.use_share());
+            .map(|service| service.state.use_share(now));
         let most_used = uses.fold(0.0, f32::max);
         let (from, to) = BUSY_USE;
         ((most_used - from) / (to - from)).clamp(0.0, 1.0)
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -174,6 +174,7 @@
         TargetCounts {
             all: summary.all,
             leaving: summary.leaving,
+            resting: summary.resting,
             ejected: summary.ejected,
             slow: summary.slow,
             full: summary.full,
--- a/crates/pinhaven-entry/src/targets/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -135,7 +135,7 @@
             return;
         };
         let now = self.now();
-        if state.is_leaving() || budget.next_at().is_none_or(|at| at > now) {
+        if state.permit(now).is_err() || budget.next_at().is_none_or(|at| at > now) {
             return;
         }
         // The seat is asked last, so that a pause before this line costs no probe.
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -70,7 +70,7 @@
             .reported_speed()
             .map(|(_, at)| now.saturating_sub(at));
         let wanted = keyed.service.state.report_age_wanted();
-        if target.is_leaving() || age.is_some_and(|age| age < wanted) {
+        if target.permit(now).is_err() || age.is_some_and(|age| age < wanted) {
             return;
         }
         let most = self.settings.discovery.as_ref();
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -94,12 +94,11 @@
         gauge("retries_total", service.retries as f64);
         gauge("ejections_total", service.ejections as f64);
         gauge("targets", service.targets.len() as f64);
-        let ejected = service
-            .targets
-            .iter()
-            .filter(|target| target.state == "ejected")
-            .count();
-        gauge("targets_ejected", ejected as f64);
+        for state in ["ejected", "resting", "leaving"] {
+            let targets = service.targets.iter();
+            let count = targets.filter(|target| target.state == state).count();
+            gauge(&format!("targets_{state}"), count as f64);
+        }
         let ages = service
             .targets
             .iter()
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -111,8 +111,11 @@
     pub others: f32,
     /// Its recent latency, in milliseconds.
     pub latency_ms: f32,
-    /// `live`, `ejected` or `leaving`.
+    /// `live`, `ejected`, `resting` or `leaving`.
     pub state: String,
+    /// What is left of the rest that it asked for, in milliseconds.
+    #[serde(default)]
+    pub rests_for_ms: Option<f64>,
     /// How many times longer than usual work takes there, as it last said.
     #[serde(default)]
     pub slowdown: f32,
@@ -212,6 +215,8 @@
 fn target_of(view: &pinhaven_decide::TargetView) -> TargetStatus {
     let state = if view.is_leaving {
         "leaving"
+    } else if view.rests_for_ms.is_some() {
+        "resting"
     } else if view.is_ejected {
         "ejected"
     } else {
@@ -224,6 +229,7 @@
         others: view.others,
         latency_ms: view.latency_ms,
         state: state.to_owned(),
+        rests_for_ms: view.rests_for_ms,
         slowdown: view.slowdown,
         report_age_ms: view.report_age_ms,
     }
--- /dev/null
+++ b/crates/pinhaven-entry/tests/rest.rs
@@ -0,0 +1,98 @@
+//! How long a target asks to be let rest, as its answers spell it.
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::DATE;
+use http::header::RETRY_AFTER;
+use pinhaven_entry::HeardRest;
+use pinhaven_entry::read_rest;
+use pinhaven_types::Microseconds;
+
+const BUSY: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+const NOON: &str = "Thu, 03 Dec 2026 12:00:00 GMT";
+const TEN_SECONDS_LATER: &str = "Thu, 03 Dec 2026 12:00:10 GMT";
+
+fn with_fields(values: &[&[u8]]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append(RETRY_AFTER, HeaderValue::from_bytes(value).unwrap());
+    }
+    headers
+}
+
+fn read(values: &[&[u8]]) -> HeardRest {
+    read_rest(BUSY, &with_fields(values))
+}
+
+fn ms(count: u64) -> Option<Microseconds> {
+    Some(Microseconds::from_ms(count))
+}
+
+#[test]
+fn seconds_are_read_with_and_without_a_fraction() {
+    for (text, rest_ms) in [
+        ("3", 3_000),
+        ("0.25", 250),
+        ("2.5", 2_500),
+        ("0", 0),
+        (" 7 ", 7_000),
+    ] {
+        let rest = read(&[text.as_bytes()]);
+        assert_eq!(
+            (rest.time, rest.has_bad_field),
+            (ms(rest_ms), false),
+            "{text}"
+        );
+    }
+}
+
+#[test]
+fn a_date_counts_from_the_date_of_the_answer() {
+    let mut headers = with_fields(&[TEN_SECONDS_LATER.as_bytes()]);
+    assert!(
+        read_rest(BUSY, &headers).has_bad_field,
+        "nobody knows what time it is there"
+    );
+    headers.insert(DATE, HeaderValue::from_static(NOON));
+    assert_eq!(read_rest(BUSY, &headers).time, ms(10_000));
+    headers.insert(RETRY_AFTER, HeaderValue::from_static(NOON));
+    headers.insert(DATE, HeaderValue::from_static(TEN_SECONDS_LATER));
+    assert_eq!(read_rest(BUSY, &headers).time, ms(0), "it is over");
+}
+
+#[test]
+fn what_is_no_time_is_left_out_and_said() {
+    let nonsense: [&[u8]; 9] = [
+        b"",
+        b"-3",
+        b"+3",
+        b"soon",
+        b"1e9",
+        b"inf",
+        b"NaN",
+        b"1.2.3",
+        b"\xff\xfe",
+    ];
+    for value in nonsense {
+        let rest = read(&[value]);
+        assert_eq!((rest.time, rest.has_bad_field), (None, true), "{value:?}");
+    }
+}
+
+#[test]
+fn the_longest_of_several_counts_and_a_huge_one_is_no_error() {
+    let rest = read(&[b"1", b"soon", b"4", b"2"]);
+    assert_eq!((rest.time, rest.has_bad_field), (ms(4_000), true));
+    let huge = "9".repeat(400);
+    assert!(read(&[huge.as_bytes()]).time > ms(1_000_000_000));
+}
+
+#[test]
+fn on_any_other_status_the_field_is_not_the_targets_wish() {
+    let headers = with_fields(&[b"3"]);
+    for status in [200, 202, 301, 429, 500, 502] {
+        let status = StatusCode::from_u16(status).unwrap();
+        assert_eq!(read_rest(status, &headers), HeardRest::default());
+    }
+}
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -28,6 +28,8 @@
     pub all: u32,
     /// Those that were leaving.
     pub leaving: u32,
+    /// Those that rested.
+    pub resting: u32,
     /// Those that were ejected.
     pub ejected: u32,
     /// Those that were slow.
@@ -220,6 +222,7 @@
     };
     line.with("targets", targets.all)
         .with("targets_leaving", targets.leaving)
+        .with("targets_resting", targets.resting)
         .with("targets_ejected", targets.ejected)
         .with("targets_slow", targets.slow)
         .with("targets_full", targets.full)
