Let nothing be written to a target without leave taken at that moment

What writes to a target takes a permit now, which only the target's state gives, at the moment of sending; a way past it does not compile. A request whose target closed meanwhile goes elsewhere without cost to the budget, or is refused as all others. No failure from this was seen; the type keeps the next way of sending from forgetting the look.

--- a/crates/pinhaven-decide/src/event.rs
+++ b/crates/pinhaven-decide/src/event.rs
@@ -16,6 +16,8 @@
 pub enum AttemptOutcome {
     /// It was never sent; it did not run.
     NotSent,
+    /// It was never sent, as its target began to leave or to rest after it was chosen.
+    Closed,
     /// The target said that it did not run it.
     Shed {
         /// The report on the reply.
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -33,6 +33,15 @@
         true
     }
 
+    /// Takes in that an attempt was never sent; a request that no target takes is refused for `reason`.
+    fn never_sent(&mut self, reason: RefusalReason) {
+        self.request.unsent += 1;
+        if self.forecasts() && self.request.unsent <= UNSENT_MOST && self.send_elsewhere() {
+            return;
+        }
+        self.retry_or_refuse(reason);
+    }
+
     pub(crate) fn attempt_ended(&mut self, attempt: AttemptId, outcome: AttemptOutcome) {
         let Some(sent) = self.request.sent.get_mut(attempt.0 as usize) else {
             return;
@@ -46,11 +55,11 @@
         match outcome {
             AttemptOutcome::NotSent => {
                 self.service.record_failure(&target, self.now);
-                self.request.unsent += 1;
-                if self.forecasts() && self.request.unsent <= UNSENT_MOST && self.send_elsewhere() {
-                    return;
-                }
-                self.retry_or_refuse(RefusalReason::Unreachable);
+                self.never_sent(RefusalReason::Unreachable);
+            }
+            AttemptOutcome::Closed => {
+                let reason = self.closed_until(self.now);
+                self.never_sent(reason.unwrap_or(RefusalReason::Shed));
             }
             AttemptOutcome::HeldBack { retry_after_ms } => {
                 if !self.request.is_under_way() {
--- a/crates/pinhaven-decide/tests/orders.rs
+++ b/crates/pinhaven-decide/tests/orders.rs
@@ -158,6 +158,23 @@
     }
 }
 
+#[test]
+fn a_request_whose_target_closes_before_it_is_sent_goes_elsewhere_and_nobody_is_blamed() {
+    let service = service(2, 4);
+    let mut request = Driven::new(&service, false, 0);
+    let first = request.target(0);
+    rest(&service, &[first], 1, 3_000);
+    end(&mut request, 0, 2, AttemptOutcome::Closed);
+    assert_eq!(request.target(1), 1 - first);
+    assert_eq!(service.counts().retries, 0, "it costs no budget");
+    rest(&service, &[1 - first], 3, 2_000);
+    end(&mut request, 1, 3, AttemptOutcome::Closed);
+    let refusal = refusal_of(&request);
+    assert_eq!(refusal.reason, RefusalReason::Resting);
+    assert_eq!(refusal.run_state, RunState::NotRun);
+    assert_eq!(refusal.retry_after_ms, 2_000);
+}
+
 #[test]
 fn a_longer_rest_extends_a_shorter_one_and_never_the_reverse() {
     let service = service(1, 4);
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -41,6 +41,8 @@
 /// How an attempt ended, with its answer if there is one.
 pub(crate) enum AttemptEnd {
     NotSent,
+    /// It was not sent, as the target had begun to leave or to rest.
+    Closed,
     /// It was not sent, as the request crashes targets.
     HeldBack {
         /// When it may be tried again, in milliseconds.
@@ -144,7 +146,12 @@
         if entry.has_restarted(target) {
             return AttemptEnd::NotSent;
         }
-        let sending = pool::send(connected.sender, request);
+        // The target may have asked to be left or let rest while the connection was made.
+        let Ok(permit) = target.permit(entry.now()) else {
+            pool.keep(connected.sender);
+            return AttemptEnd::Closed;
+        };
+        let sending = pool::send(permit, connected.sender, request);
         let Some(sent) = entry.unless_restarted(target, sending).await else {
             log::debug!(target: "proxy", "{address} started again with a request under way.");
             return AttemptEnd::Restarted;
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -293,6 +293,10 @@
                 self.free_place(attempt, Count::AttemptNotSent);
                 AttemptOutcome::NotSent
             }
+            AttemptEnd::Closed => {
+                self.free_place(attempt, Count::AttemptClosed);
+                AttemptOutcome::Closed
+            }
             AttemptEnd::Crashed | AttemptEnd::Restarted => {
                 self.may_have_run = true;
                 self.record_crash(&attempt.target);
@@ -330,6 +334,7 @@
     fn note_end(&mut self, attempt: &Attempt, end: &AttemptEnd) {
         let (outcome, status) = match end {
             AttemptEnd::NotSent => ("not_sent", None),
+            AttemptEnd::Closed => ("closed", None),
             AttemptEnd::HeldBack { .. } => ("held_back", None),
             AttemptEnd::OtherTarget => ("misdirected", None),
             AttemptEnd::Broken => ("broken", None),
--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -4,6 +4,7 @@
 use http::Request;
 use hyper::client::conn::http1;
 use parking_lot::Mutex;
+use pinhaven_decide::SendPermit;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
 use pinhaven_runtime::http1_sender;
@@ -130,8 +131,13 @@
     Broken(hyper::Error),
 }
 
-/// Sends a request over a connection.
-pub(crate) async fn send(mut sender: Sender, request: Request<AnyBody>) -> Sent {
+/// Sends a request over a connection. This is the only way to a target for requests, and takes the leave to send as it is
+/// at that moment: one that was chosen earlier may have begun to leave or to rest since.
+pub(crate) async fn send(
+    _permit: SendPermit,
+    mut sender: Sender,
+    request: Request<AnyBody>,
+) -> Sent {
     match sender.try_send_request(request).await {
         Ok(response) => Sent::Answer(response, sender),
         Err(mut error) => match error.take_message() {
@@ -163,7 +169,7 @@
     }
 }
 
-/// An empty body's bytes.
-pub(crate) fn no_bytes() -> Bytes {
-    Bytes::new()
+/// The request of a probe, for one who may send it now; `None` when the path can't be asked for.
+pub(crate) fn probe_request(_permit: SendPermit, path: &str) -> Option<Request<Bytes>> {
+    Request::get(path).body(Bytes::new()).ok()
 }
--- a/crates/pinhaven-entry/src/targets/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -4,11 +4,10 @@
 //! are sent one after another, each after the seat and the budget were asked.
 
 use crate::entry::Entry;
-use crate::targets::pool::no_bytes;
+use crate::targets::pool::probe_request;
 use crate::versions::service_entry::ServiceEntry;
 use crate::watch::counters::Count;
 use crate::wire::load_report;
-use http::Request;
 use pinhaven_agree::seat_of;
 use pinhaven_decide::ProbeBudget;
 use pinhaven_runtime::HttpClient;
@@ -135,7 +134,10 @@
             return;
         };
         let now = self.now();
-        if state.permit(now).is_err() || budget.next_at().is_none_or(|at| at > now) {
+        let Ok(permit) = state.permit(now) else {
+            return;
+        };
+        if budget.next_at().is_none_or(|at| at > now) {
             return;
         }
         // The seat is asked last, so that a pause before this line costs no probe.
@@ -144,7 +146,7 @@
             return;
         }
         self.counters.add(Count::Probes);
-        let Ok(request) = Request::get(path).body(no_bytes()) else {
+        let Some(request) = probe_request(permit, path) else {
             return;
         };
         let answer = client.call(request).await;
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -5,11 +5,11 @@
 
 use crate::entry::Entry;
 use crate::targets::owned_targets::OwnedTargets;
-use crate::targets::pool::no_bytes;
+use crate::targets::pool::probe_request;
 use crate::versions::snapshot::KeyedTarget;
 use crate::watch::counters::Count;
-use http::Request;
 use pinhaven_decide::ProbePace;
+use pinhaven_decide::SendPermit;
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
@@ -70,7 +70,10 @@
             .reported_speed()
             .map(|(_, at)| now.saturating_sub(at));
         let wanted = keyed.service.state.report_age_wanted();
-        if target.permit(now).is_err() || age.is_some_and(|age| age < wanted) {
+        let Ok(permit) = target.permit(now) else {
+            return;
+        };
+        if age.is_some_and(|age| age < wanted) {
             return;
         }
         let most = self.settings.discovery.as_ref();
@@ -91,16 +94,22 @@
         let (client, is_under_way) = (Arc::clone(&probed.client), Arc::clone(&probed.is_under_way));
         let path = path.clone();
         spawn(async move {
-            entry.probe_speed(&keyed, &client, &path).await;
+            entry.probe_speed(permit, &keyed, &client, &path).await;
             is_under_way.store(false, Ordering::Release);
         })
         .detach();
     }
 
-    async fn probe_speed(&self, keyed: &KeyedTarget, client: &HttpClient, path: &str) {
+    async fn probe_speed(
+        &self,
+        permit: SendPermit,
+        keyed: &KeyedTarget,
+        client: &HttpClient,
+        path: &str,
+    ) {
         self.counters.add(Count::Probes);
         let KeyedTarget { service, target } = keyed;
-        let Ok(request) = Request::get(path).body(no_bytes()) else {
+        let Some(request) = probe_request(permit, path) else {
             return;
         };
         let answer = match client.call(request).await {
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -19,6 +19,8 @@
     Attempts,
     /// Attempts that are proved not to have been sent.
     AttemptNotSent,
+    /// Attempts that were not sent, as their target had begun to leave or to rest.
+    AttemptClosed,
     /// Attempts that a target shed.
     AttemptShed,
     /// Attempts whose connection or answer broke.
@@ -103,12 +105,13 @@
     PeerBytes,
 }
 
-const COUNT_NAMES: [&str; 46] = [
+const COUNT_NAMES: [&str; 47] = [
     "requests",
     "answered",
     "addresses",
     "attempts",
     "attempt.not_sent",
+    "attempt.closed",
     "attempt.shed",
     "attempt.broken",
     "attempt.crashed",
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -52,7 +52,7 @@
     Ended {
         /// Number of the attempt.
         attempt: u32,
-        /// How: `answered`, `failed`, `shed`, `not_sent`, `broken`, `crashed`, `restarted`, `cut` or `misdirected`.
+        /// How: `answered`, `failed`, `shed`, `not_sent`, `closed`, `broken`, `crashed`, `restarted`, `cut` or `misdirected`.
         outcome: &'static str,
         /// Status of the answer, if there was one.
         status: Option<u16>,
