Show that a target that lapses and comes back is sent to though it leaves or rests, which fails

While the store is away entries of targets lapse, and come back in the same run. What is known of the target is made anew then, its own word is not.

--- a/crates/pinhaven-decide/tests/orders.rs
+++ b/crates/pinhaven-decide/tests/orders.rs
@@ -70,6 +70,13 @@
     request.handle(time_ms, Event::AttemptEnded { attempt, outcome });
 }
 
+/// The same service without any target.
+fn empty_list() -> Service {
+    let mut service = listed(EARLIER);
+    service.targets.clear();
+    service
+}
+
 /// A service with one target, in this run.
 fn listed(incarnation: u64) -> Service {
     let service = json!({
@@ -278,3 +285,29 @@
     let restarted = state_of(&listed(LATER), Some(&second), 2_000);
     assert!(restarted.targets()[0].permit(at_ms(2_000)).is_ok());
 }
+
+#[test]
+fn a_target_that_lapses_and_comes_back_in_the_same_run_has_asked_for_the_same() {
+    for orders in [LEAVES, rest_of(60_000)] {
+        let mut known = state_of(&listed(EARLIER), None, 0);
+        known.targets()[0].take_orders(&orders, at_ms(10));
+        for round in 1..4 {
+            let lapsed = state_of(&empty_list(), Some(&known), round * 2_000);
+            known = state_of(&listed(EARLIER), Some(&lapsed), round * 2_000 + 1_000);
+            let permit = known.targets()[0].permit(at_ms(round * 2_000 + 1_000));
+            assert!(permit.is_err(), "{orders:?}, round {round}");
+        }
+        let restarted = state_of(&listed(LATER), Some(&known), 9_000);
+        assert!(restarted.targets()[0].permit(at_ms(9_000)).is_ok());
+    }
+}
+
+#[test]
+fn what_is_remembered_of_targets_that_are_gone_ends_with_its_time() {
+    let known = state_of(&listed(EARLIER), None, 0);
+    known.targets()[0].take_orders(&rest_of(5_000), at_ms(10));
+    let lapsed = state_of(&empty_list(), Some(&known), 1_000);
+    let back = state_of(&listed(EARLIER), Some(&lapsed), 2_000);
+    assert!(back.targets()[0].permit(at_ms(5_000)).is_err());
+    assert!(back.targets()[0].permit(at_ms(5_010)).is_ok());
+}
