Remember what a target asked for while it is missing from the list

A target that lapses while the store is away, and comes back in the same run, was made anew and got requests though it had said that it leaves or rests. A drain that a load report tells is such an order, too.

What makes the targets of a new version has moved to a file of its own.

--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Whether it asks for anything at `now`.
+    pub(crate) fn are_in_force(&self, now: Microseconds) -> bool {
+        self.is_leaving() || self.rests_until(now).is_some()
+    }
+
     /// Whether it has said that it leaves.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaves.load(Ordering::Relaxed)
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -4,24 +4,25 @@
 use crate::atomic::AtomicF32;
 use crate::atomic::LearnedMedian;
 use crate::budget::TokenBudget;
+use crate::gone_orders::GoneOrders;
 use crate::health;
 use crate::hedge::HedgeDelay;
 use crate::opening::Returns;
 use crate::recent_runs::RecentRuns;
 use crate::report::LoadReport;
+use crate::service_targets::Earlier;
+use crate::service_targets::targets_of;
 use crate::speed::ServiceSpeed;
 use crate::target::TargetState;
 use crate::waiting::Waiting;
 use arc_swap::ArcSwap;
 use pinhaven_bundle::Policy;
 use pinhaven_bundle::Service;
-use pinhaven_bundle::Target;
 use pinhaven_bundle::TargetState as BundledTargetState;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetAddress;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -79,6 +80,7 @@
     owned: ArcSwap<Vec<Arc<TargetState>>>,
     listed: Vec<BundledTargetState>,
     recent_runs: RecentRuns,
+    gone_orders: GoneOrders,
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
     pub(crate) speed: ServiceSpeed,
@@ -135,7 +137,15 @@
         let recent_runs = previous
             .map(|previous| previous.recent_runs.at_end(&previous.targets, now))
             .unwrap_or_default();
-        let targets = targets_of(service, previous, &recent_runs, now);
+        let gone_orders = previous
+            .map(|previous| previous.gone_orders.at_end(&previous.targets, now))
+            .unwrap_or_default();
+        let earlier = Earlier {
+            previous,
+            recent_runs: &recent_runs,
+            gone_orders: &gone_orders,
+        };
+        let targets = targets_of(service, &earlier, now);
         let connections_per_target = (service.connections / service.entries_most).max(1);
         let entries = service.entries_named.min(service.entries_most) as f32;
         let capacity = targets.len() as f32 * service.slots as f32;
@@ -151,6 +161,7 @@
             owned: ArcSwap::default(),
             listed: service.targets.iter().map(|target| target.state).collect(),
             recent_runs,
+            gone_orders,
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
             speed: ServiceSpeed::new(),
@@ -219,6 +230,11 @@
         &self.targets
     }
 
+    /// How the version listed each of them.
+    pub(crate) fn listed(&self) -> &[BundledTargetState] {
+        &self.listed
+    }
+
     /// The targets that this entry owns, as they were last found.
     pub(crate) fn owned(&self) -> Arc<Vec<Arc<TargetState>>> {
         self.owned.load_full()
@@ -463,46 +479,3 @@
         spread_ms.min(RETRY_AFTER_MOST_MS) as u64
     }
 }
-
-fn targets_of(
-    service: &Service,
-    previous: Option<&ServiceState>,
-    recent_runs: &RecentRuns,
-    now: Microseconds,
-) -> Vec<Arc<TargetState>> {
-    let known: HashMap<TargetAddress, (&Arc<TargetState>, BundledTargetState)> = previous
-        .into_iter()
-        .flat_map(|previous| previous.targets.iter().zip(&previous.listed))
-        .map(|(target, listed)| (target.address(), (target, *listed)))
-        .collect();
-    let cold_since = previous.map(|_| now);
-    let new_state = |target: &Target| {
-        let state = TargetState::new(target, service.slots, now, cold_since);
-        match recent_runs.has_earlier(target) {
-            true => state.with_share_to_earn(),
-            false => state,
-        }
-    };
-    let target_of = |target: &Target| {
-        let state = match known.get(&target.address) {
-            Some((known, listed)) if known.is_same_run(target) && !comes_back(*listed, target) => {
-                Arc::clone(known)
-            }
-            _ => Arc::new(new_state(target)),
-        };
-        if target.state == BundledTargetState::Leaving {
-            state.leave();
-        }
-        state
-    };
-    service.targets.iter().map(target_of).collect()
-}
-
-/// Whether operators have put a target back that they had listed as leaving. A target that said so
-/// itself stays away, however often later versions repeat that it is live. So does a run that left: that
-/// it is live was said before.
-fn comes_back(before: BundledTargetState, after: &Target) -> bool {
-    let is_put_back =
-        before == BundledTargetState::Leaving && after.state == BundledTargetState::Live;
-    is_put_back && after.incarnation.is_none()
-}
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -20,6 +20,7 @@
 use pinhaven_types::TargetAddress;
 use pinhaven_types::TargetId;
 use pinhaven_types::TargetIncarnation;
+use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -68,7 +69,8 @@
     pub(crate) ejections: AtomicU32,
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
-    orders: OrderState,
+    /// Shared by all states of this run, if it is gone for a time and comes back.
+    orders: Arc<OrderState>,
     is_owned: AtomicBool,
     /// Requests of this entry that it may hold.
     in_flight_most: AtomicU32,
@@ -132,7 +134,7 @@
             ejections: AtomicU32::new(0),
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
-            orders: OrderState::default(),
+            orders: Arc::default(),
             is_owned: AtomicBool::new(false),
             in_flight_most: AtomicU32::new(u32::MAX),
         }
@@ -145,6 +147,17 @@
         self
     }
 
+    /// The same for a run that was there before and has asked for something.
+    pub(crate) fn with_orders(mut self, orders: Arc<OrderState>) -> Self {
+        self.orders = orders;
+        self
+    }
+
+    /// What it has asked for in this run.
+    pub(crate) fn orders(&self) -> &Arc<OrderState> {
+        &self.orders
+    }
+
     /// Where it listens.
     pub fn address(&self) -> TargetAddress {
         self.address
@@ -380,9 +393,8 @@
         let others = report.outstanding().saturating_sub(self.in_flight()) as f32;
         self.others.set(others);
         self.reported_at_us.store(now.count(), Ordering::Relaxed);
-        if report.is_draining {
-            self.leave();
-        }
+        let leaves = report.is_draining;
+        self.orders.take(&AnswerOrders { leaves, rest: None }, now);
         others
     }
 
