--- a/crates/pinhaven-decide/src/service_targets.rs
+++ b/crates/pinhaven-decide/src/service_targets.rs
@@ -31,7 +31,7 @@
         gone_orders,
     } = earlier;
     let known: HashMap<TargetAddress, (&Arc<TargetState>, BundledTargetState)> = previous
-        .into_iter()
+        .iter()
         .flat_map(|previous| previous.targets().iter().zip(previous.listed()))
         .map(|(target, listed)| (target.address(), (target, *listed)))
         .collect();
