Tell the other entries that a target leaves, when it told only this one

While the store is away an entry learned that a target leaves from an answer of its own alone; each of the others sent it requests until it had one, too. What is heard from another entry binds like the target's own word and is not passed on again. Rests stay with the entry that they were asked of.

--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -5,6 +5,7 @@
 use crate::crashes::watch::CrashWatch;
 use crate::once_only::claim_rate::ClaimRate;
 use crate::peers::news_message::PeerCounts;
+use crate::targets::heard_leaves::HeardLeaves;
 use crate::targets::leaving_news::LeavingNews;
 use crate::targets::restarts::Restarts;
 use crate::versions::snapshot::Snapshot;
@@ -141,6 +142,8 @@
     pub(crate) members: Mutex<Membership>,
     pub(crate) seats: Mutex<SeatKeeper>,
     pub(crate) leaving: Mutex<LeavingNews>,
+    /// Targets that told this entry themselves that they leave, for the others.
+    pub(crate) heard_leaves: Mutex<HeardLeaves>,
     pub(crate) unknown_members: Mutex<BTreeSet<Incarnation>>,
     pub(crate) news: event_listener::Event,
     /// Whether this entry has known all that it needs to serve.
@@ -223,6 +226,7 @@
             members: Mutex::new(Membership::new(row, silent_after)),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
             leaving: Mutex::new(LeavingNews::default()),
+            heard_leaves: Mutex::default(),
             unknown_members: Mutex::new(BTreeSet::new()),
             news: event_listener::Event::new(),
             is_ready: AtomicBool::new(false),
--- a/crates/pinhaven-entry/src/peers/news.rs
+++ b/crates/pinhaven-entry/src/peers/news.rs
@@ -339,9 +339,14 @@
             Extent::Round => Vec::new(),
             Extent::Whole { .. } => self.suspects_to_tell(TOLD_BESIDE, 1),
         };
+        let leaving = match extent {
+            Extent::Round => Vec::new(),
+            Extent::Whole { .. } => self.leaves_to_tell(),
+        };
         let members = self.members.lock();
         let own = members.own();
         let mut news = News {
+            leaving,
             beats: vec![beat_of(own)],
             list: list.flatten(),
             targets: (!targets.is_empty()).then(|| TargetColumns::new(targets)),
--- a/crates/pinhaven-entry/src/peers/news_hearing.rs
+++ b/crates/pinhaven-entry/src/peers/news_hearing.rs
@@ -62,6 +62,7 @@
         }
         self.hear_beats(&news.beats);
         self.hear_suspects(&news.suspects);
+        self.hear_leaves(&news.leaving);
         let targets = news.targets.unwrap_or_default().rows();
         self.hear_targets(incarnation, &beat, &targets, news.is_whole);
         let calls_at = self.calls_at(incarnation).unwrap_or(peer);
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -4,6 +4,7 @@
 use crate::entry::Entry;
 use crate::request::answer_body::ReceivedBody;
 use crate::request::answer_body::is_bounded;
+use crate::targets::orders::OrderSource;
 use crate::targets::pool;
 use crate::targets::pool::IDLE_MOST;
 use crate::targets::pool::IDLE_MOST_ONCE;
@@ -194,7 +195,8 @@
         return Err(AttemptEnd::OtherTarget);
     }
     // Whosever answer it is, and whatever is wrong with it, what the target asks for with it holds.
-    entry.hear_orders(service, target, &entry.dialect.read_orders(status, headers));
+    let orders = entry.dialect.read_orders(status, headers);
+    entry.hear_orders(service, target, &orders, OrderSource::Answer);
     if !entry.dialect.is_answer_to(headers, id, &service.config) {
         entry.counters.add(Count::AttemptCrossed);
         // Whosever answer it is, the report on it is the target's.
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -4,6 +4,7 @@
 //! by, and open connections, go out. Run as tasks by `start`.
 
 pub(crate) mod added_attempts;
+pub(crate) mod heard_leaves;
 pub(crate) mod leaving;
 pub(crate) mod leaving_news;
 pub(crate) mod listed_targets;
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -4,6 +4,7 @@
 //! entry keeps to an equal part of what all together may send.
 
 use crate::entry::Entry;
+use crate::targets::orders::OrderSource;
 use crate::targets::owned_targets::OwnedTargets;
 use crate::targets::pool::probe_request;
 use crate::versions::snapshot::KeyedTarget;
@@ -135,7 +136,7 @@
             return;
         }
         let orders = self.dialect.read_orders(answer.status(), answer.headers());
-        self.hear_orders(service, target, &orders);
+        self.hear_orders(service, target, &orders, OrderSource::Probe);
         match self.dialect.read_probe(answer.headers(), answer.body()) {
             Some(report) => service.state.record_report(target, self.now(), &report),
             None => self.counters.add(Count::ProbeFailed),
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -108,4 +108,7 @@
     /// Requests that were under way when targets crashed, of which there is something to say.
     #[prost(message, repeated, tag = "8")]
     pub suspects: Vec<Suspect>,
+    /// Short hashes of runs of targets that told the sender themselves that they leave.
+    #[prost(fixed32, repeated, tag = "9")]
+    pub leaving: Vec<u32>,
 }
