--- a/crates/pinhaven-lab/src/emulate/mod.rs
+++ b/crates/pinhaven-lab/src/emulate/mod.rs
@@ -7,12 +7,14 @@
 //! figures than the users' bench, docs/MEASUREMENTS.md says.
 
 mod entry;
+mod orders;
 mod outcome;
 mod plan;
 mod queue;
 mod target;
 mod world;
 
+pub use orders::OrderTally;
 pub use outcome::Tally;
 pub use plan::Change;
 pub use plan::Day;
@@ -27,7 +29,7 @@
 }
 
 /// Heads of a table of emulations.
-pub const HEADS: [&str; 10] = [
+pub const HEADS: [&str; 12] = [
     "deployment",
     "day",
     "policy",
@@ -38,6 +40,8 @@
     "p50 ms",
     "p99 ms",
     "added %",
+    "rests",
+    "broken",
 ];
 
 /// A row of that table.
@@ -52,6 +56,8 @@
         format!("{:.1}", tally.time_ms(0.5)),
         format!("{:.1}", tally.time_ms(0.99)),
         percent(tally.added),
+        tally.orders.rests.to_string(),
+        (tally.orders.rests_broken + tally.orders.after_leaves).to_string(),
     ];
     names.into_iter().chain(figures).collect()
 }
--- a/crates/pinhaven-lab/src/emulate/outcome.rs
+++ b/crates/pinhaven-lab/src/emulate/outcome.rs
@@ -1,5 +1,6 @@
 //! What came of an emulation.
 
+use super::orders::OrderTally;
 use super::plan::EmulationPlan;
 use super::plan::KindPlan;
 use hdrhistogram::Histogram;
@@ -40,6 +41,8 @@
     pub refused: u64,
     /// Hedges and retries.
     pub added: u64,
+    /// How what targets asked for was heeded.
+    pub orders: OrderTally,
     all: Credit,
     windows: Vec<Credit>,
     times_us: Histogram<u64>,
@@ -55,6 +58,7 @@
             late: 0,
             refused: 0,
             added: 0,
+            orders: OrderTally::default(),
             all: Credit::default(),
             windows: vec![Credit::default(); windows.max(1)],
             times_us: Histogram::new_with_max(TIME_US_MAX, 3)
--- a/crates/pinhaven-lab/src/emulate/plan.rs
+++ b/crates/pinhaven-lab/src/emulate/plan.rs
@@ -39,6 +39,22 @@
         /// When.
         at_ms: f64,
     },
+    /// This share says with each answer from a time on that it leaves, and serves on.
+    TargetsSayTheyLeave {
+        /// The share.
+        share: f64,
+        /// When.
+        at_ms: f64,
+    },
+    /// This share turns all requests away and asks for rest, from one time to another, in milliseconds.
+    TargetsRest {
+        /// The share.
+        share: f64,
+        /// Begin and end.
+        between_ms: (f64, f64),
+        /// The rest that each answer asks for, in milliseconds.
+        rest_ms: u64,
+    },
 }
 
 /// A run.
@@ -96,6 +112,12 @@
     Overload,
     /// A third of the targets leaves.
     ThirdLeaves,
+    /// A third of the targets says with its answers that it leaves, and nobody else does.
+    ThirdSaysItLeaves,
+    /// A third of the targets turns all requests away for five seconds and asks for rest.
+    ThirdRests,
+    /// All targets do.
+    AllRest,
 }
 
 /// Slot use past which targets of short requests slow down, and by how much; as the users give it.
@@ -130,6 +152,12 @@
                 let (share, at_ms) = (0.34, 5_000.0);
                 (0.6, vec![Change::TargetsLeave { share, at_ms }])
             }
+            Day::ThirdSaysItLeaves => {
+                let (share, at_ms) = (0.34, 5_000.0);
+                (0.5, vec![Change::TargetsSayTheyLeave { share, at_ms }])
+            }
+            Day::ThirdRests => (0.5, vec![rests(0.34)]),
+            Day::AllRest => (0.5, vec![rests(1.0)]),
         };
         let plan = match deployment {
             Deployment::Long => long(),
@@ -147,6 +175,15 @@
     }
 }
 
+/// Rests of three seconds, asked for from 5 to 10 s.
+fn rests(share: f64) -> Change {
+    Change::TargetsRest {
+        share,
+        between_ms: (5_000.0, 10_000.0),
+        rest_ms: 3_000,
+    }
+}
+
 fn kind(share: f64, work_ms: f64, aim_ms: u64, is_repeatable: bool, priority: u8) -> KindPlan {
     KindPlan {
         share,
--- a/crates/pinhaven-lab/src/emulate/queue.rs
+++ b/crates/pinhaven-lab/src/emulate/queue.rs
@@ -1,5 +1,6 @@
 //! What is going to happen in emulated time, in its order.
 
+use pinhaven_decide::AnswerOrders;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 
@@ -21,6 +22,7 @@
         request: usize,
         attempt: AttemptId,
         outcome: AttemptOutcome,
+        orders: AnswerOrders,
     },
     Wake(usize),
     SpeedChanges(usize),
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -6,6 +6,7 @@
 use super::entry::FIRST_PORT;
 use super::entry::START_MS;
 use super::entry::entry_of;
+use super::orders::orders_of;
 use super::outcome::Outcome;
 use super::outcome::Tally;
 use super::plan::Change;
@@ -16,6 +17,7 @@
 use super::target::Taken;
 use super::target::Work;
 use pinhaven_decide::Action;
+use pinhaven_decide::AnswerOrders;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
@@ -170,7 +172,11 @@
                 request,
                 attempt,
                 outcome,
-            } => self.attempt_ended(request, attempt, outcome),
+                orders,
+            } => {
+                self.hear_orders(request, attempt, &orders);
+                self.attempt_ended(request, attempt, outcome);
+            }
             What::Wake(call) => self.handle(call, Event::TimeCame),
             What::SpeedChanges(target) => self.change_speed(target),
             What::News => self.tell_news(),
@@ -334,6 +340,12 @@
         if !self.calls[request].attempts.contains_key(&attempt.0) {
             return;
         }
+        let pair = (self.calls[request].entry, target);
+        self.tally.orders.arrive(pair, self.now_ms);
+        if self.orders_of(target).rest.is_some() {
+            self.advance(target);
+            return self.turn_away(request, attempt, target);
+        }
         let mean_ms = self.plan.kinds[self.calls[request].kind].work_ms;
         let left_ms = self.draw_work(mean_ms);
         self.advance(target);
@@ -345,19 +357,39 @@
         });
         self.plan_end(target);
         if taken == Taken::TurnedAway {
-            let report = Some(self.targets[target].report());
-            let outcome = AttemptOutcome::Shed { report };
-            self.plan_in(
-                WAY_MS,
-                What::Ended {
-                    request,
-                    attempt,
-                    outcome,
-                },
-            );
+            self.turn_away(request, attempt, target);
         }
     }
 
+    fn turn_away(&mut self, request: usize, attempt: AttemptId, target: usize) {
+        let report = Some(self.targets[target].report());
+        let ended = What::Ended {
+            request,
+            attempt,
+            outcome: AttemptOutcome::Shed { report },
+            orders: self.orders_of(target),
+        };
+        self.plan_in(WAY_MS, ended);
+    }
+
+    /// What a target asks for now.
+    fn orders_of(&self, target: usize) -> AnswerOrders {
+        let number = (target, self.plan.targets);
+        orders_of(&self.plan.changes, number, self.now_ms)
+    }
+
+    /// Takes in what a target asks for with an answer, unless the request was given up before.
+    fn hear_orders(&mut self, request: usize, attempt: AttemptId, orders: &AnswerOrders) {
+        let call = &self.calls[request];
+        let Some((attempt, target)) = call.attempts.get(&attempt.0) else {
+            return;
+        };
+        attempt.target.take_orders(orders, self.now());
+        self.tally
+            .orders
+            .hear((call.entry, *target), orders, self.now_ms);
+    }
+
     fn draw_work(&mut self, mean_ms: f64) -> f64 {
         // Two uniform draws give a normal one (Box and Muller).
         let radius = (-2.0 * (1.0 - self.random.f64()).ln()).sqrt();
@@ -374,15 +406,13 @@
                 is_server_error: false,
                 report,
             };
-            let (request, attempt) = (work.request, work.attempt);
-            self.plan_in(
-                WAY_MS,
-                What::Ended {
-                    request,
-                    attempt,
-                    outcome,
-                },
-            );
+            let ended = What::Ended {
+                request: work.request,
+                attempt: work.attempt,
+                outcome,
+                orders: self.orders_of(target),
+            };
+            self.plan_in(WAY_MS, ended);
         }
     }
 
@@ -438,8 +468,13 @@
     }
 
     fn tell(&mut self, teller: usize, target: usize) {
+        let now = self.now();
         let known = &self.entries[teller].service.targets()[target];
         let (in_flight, report) = (known.in_flight(), known.own_reported_speed());
+        let leaves = AnswerOrders {
+            leaves: known.is_leaving(),
+            rest: None,
+        };
         let before = std::mem::replace(&mut self.entries[teller].told[target], in_flight);
         for (number, entry) in self.entries.iter().enumerate() {
             if number == teller {
@@ -447,6 +482,7 @@
             }
             let heard = &entry.service.targets()[target];
             heard.record_peer_in_flight(before, in_flight);
+            heard.take_orders(&leaves, now);
             if let Some((slowdown, at)) = report {
                 entry.service.record_speed(heard, at, slowdown);
             }
@@ -467,7 +503,8 @@
             let age = known
                 .reported_speed()
                 .map(|(_, at)| now.saturating_sub(at).as_ms());
-            if age.is_none_or(|age| age >= self.plan.probe_ms) {
+            let is_due = age.is_none_or(|age| age >= self.plan.probe_ms);
+            if is_due && known.permit(now).is_ok() {
                 service.record_report(known, now, &self.targets[target].report());
             }
         }
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -69,6 +69,9 @@
         /// Time between two rounds of news, in milliseconds.
         #[arg(long)]
         news_ms: Option<f64>,
+        /// Entries that serve.
+        #[arg(long)]
+        entries: Option<usize>,
     },
     /// Send versions to all entries, in emulated time, and print when they are in force.
     Versions(VersionsArguments),
@@ -244,11 +247,13 @@
                 load,
                 probe_ms,
                 news_ms,
+                entries,
             } => {
                 let change = |plan: &mut EmulationPlan| {
                     plan.load = load.unwrap_or(plan.load);
                     plan.probe_ms = probe_ms.unwrap_or(plan.probe_ms);
                     plan.news_ms = news_ms.unwrap_or(plan.news_ms);
+                    plan.entries = entries.unwrap_or(plan.entries);
                 };
                 Ok(print_emulations(&days, deployment, &policies, seed, change))
             }
--- a/crates/pinhaven-lab/tests/emulation.rs
+++ b/crates/pinhaven-lab/tests/emulation.rs
@@ -159,3 +159,34 @@
     let (young, old) = (late_at(30.0), late_at(90.0));
     assert!(young * 4 < old * 3, "{young} and {old} late answers");
 }
+
+#[test]
+fn rests_and_leaves_of_targets_are_heeded_by_every_policy_that_is_told_of_them() {
+    for deployment in [Deployment::Long, Deployment::Kept] {
+        for day in [Day::ThirdSaysItLeaves, Day::ThirdRests, Day::AllRest] {
+            for policy in [Policy::Forecast, Policy::TwoChoices] {
+                let tally = play(deployment, day, policy);
+                let orders = &tally.orders;
+                assert_eq!(
+                    (orders.rests_broken, orders.after_leaves),
+                    (0, 0),
+                    "{day:?}"
+                );
+                assert!(day == Day::ThirdSaysItLeaves || orders.rests > 0);
+            }
+        }
+    }
+}
+
+#[test]
+fn while_a_third_of_the_targets_rests_the_others_serve() {
+    let quiet = play(Deployment::Long, Day::Quiet, Policy::Forecast);
+    let rests = play(Deployment::Long, Day::ThirdRests, Policy::Forecast);
+    let served = |tally: &Tally| 1.0 - tally.refused as f64 / tally.asked as f64;
+    assert!(
+        served(&rests) > 0.97,
+        "{} of {}",
+        served(&rests),
+        served(&quiet)
+    );
+}
