Count each crash of a target that tells no start

Cause: evidence is by run of a target, and one that tells no start was one run for ever, so that two targets gave two crashes at the most, where three are wanted. Such a target's crashes are numbered now. Several requests that break together are one crash: the next is counted only after a connection was made that began when nobody listened any more. Ruled out: telling crashes apart by time, as ages that entries tell each other grow on the way and would make one crash two.

--- a/crates/pinhaven-decide/src/crashes/evidence.rs
+++ b/crates/pinhaven-decide/src/crashes/evidence.rs
@@ -14,10 +14,10 @@
         Self(hash)
     }
 
-    /// The run of the target with this name that started at a Unix time in milliseconds, by its own clock; zero where
-    /// it tells no start.
-    pub fn of(target: &str, started_unix_ms: u64) -> Self {
-        let parts = [target.as_bytes(), &started_unix_ms.to_le_bytes()[..]];
+    /// A run of the target with this name. What tells it from others is its start, a Unix time in milliseconds by its own
+    /// clock, or the number of its crash where it tells none.
+    pub fn of(target: &str, start_or_number: u64) -> Self {
+        let parts = [target.as_bytes(), &start_or_number.to_le_bytes()[..]];
         Self(Digest::of_parts(&parts).short() as u32)
     }
 
--- a/crates/pinhaven-decide/src/crashes/mod.rs
+++ b/crates/pinhaven-decide/src/crashes/mod.rs
@@ -13,10 +13,12 @@
 //! there, and in a service of ten targets many of them meet three crashes); to try suspects one at a time (a
 //! request that takes seconds to crash its target would make all others like it wait as long).
 
+mod crash_count;
 mod evidence;
 mod judgement;
 mod suspects;
 
+pub(crate) use crash_count::CrashCount;
 pub use evidence::CrashedRun;
 pub use evidence::SuspectFacts;
 pub use suspects::Audience;
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -5,6 +5,8 @@
 //! have been under way, which shows a sudden slowness before any reply does.
 
 use crate::atomic::AtomicF32;
+use crate::crashes::CrashCount;
+use crate::crashes::CrashedRun;
 use crate::orders::AnswerOrders;
 use crate::orders::Closed;
 use crate::orders::OrderNews;
@@ -72,6 +74,7 @@
     /// Shared by all states of this run, if it is gone for a time and comes back.
     orders: Arc<OrderState>,
     is_owned: AtomicBool,
+    crashes: CrashCount,
     /// Requests of this entry that it may hold.
     in_flight_most: AtomicU32,
 }
@@ -136,6 +139,7 @@
             is_leaving: AtomicBool::new(false),
             orders: Arc::default(),
             is_owned: AtomicBool::new(false),
+            crashes: CrashCount::default(),
             in_flight_most: AtomicU32::new(u32::MAX),
         }
     }
@@ -322,6 +326,18 @@
         self.permit(now).is_ok() && !self.is_ejected(now) && self.has_place(connections_most)
     }
 
+    /// Takes in that a request broke there and that nobody listened at `now`. Returns the run that crashed.
+    pub fn record_crash(&self, now: Microseconds) -> CrashedRun {
+        let number = self.crashes.record_crash(now);
+        let start = self.incarnation.map(|run| run.started_unix_ms());
+        CrashedRun::of(&self.name(), start.unwrap_or(number))
+    }
+
+    /// Takes in that a connection to it was made which began at `began`.
+    pub fn record_connection(&self, began: Microseconds) {
+        self.crashes.record_connection(began);
+    }
+
     /// Whether this entry owns it, and goes there before others do.
     pub fn is_owned(&self) -> bool {
         self.is_owned.load(Ordering::Relaxed)
--- a/crates/pinhaven-decide/tests/crashes.rs
+++ b/crates/pinhaven-decide/tests/crashes.rs
@@ -1,5 +1,7 @@
 //! Which request is held back when targets crash.
 
+mod common;
+
 use pinhaven_decide::Audience;
 use pinhaven_decide::CrashSuspects;
 use pinhaven_decide::CrashedRun;
@@ -459,3 +461,19 @@
         );
     }
 }
+
+#[test]
+fn crashes_of_a_target_that_tells_no_start_count_once_each() {
+    let service = common::state_with(1, serde_json::json!({}));
+    let target = &service.targets()[0];
+    let at = |time_ms| common::at_ms(time_ms);
+    let first = target.record_crash(at(100));
+    assert_eq!(target.record_crash(at(103)), first, "others broke with it");
+    target.record_connection(at(99));
+    assert_eq!(target.record_crash(at(104)), first, "that began before");
+    target.record_connection(at(105));
+    target.record_connection(at(120));
+    let second = target.record_crash(at(200));
+    assert_ne!(second, first, "it listened in between");
+    assert_eq!(target.record_crash(at(201)), second);
+}
--- a/crates/pinhaven-entry/src/crashes/watch.rs
+++ b/crates/pinhaven-entry/src/crashes/watch.rs
@@ -6,7 +6,6 @@
 use parking_lot::Mutex;
 use pinhaven_decide::Audience;
 use pinhaven_decide::CrashSuspects;
-use pinhaven_decide::CrashedRun;
 use pinhaven_decide::HeldRequest;
 use pinhaven_decide::Permit;
 use pinhaven_decide::SuspectFacts;
@@ -116,9 +115,8 @@
     /// Takes in that a target has crashed with a request under way.
     pub(crate) fn watch_crash(&self, prints: RequestPrints, target: &TargetState) {
         let now = self.now();
-        let started = target.incarnation();
-        let started_unix_ms = started.map_or(0, |run| run.started_unix_ms());
-        let run = CrashedRun::of(&target.name(), started_unix_ms);
+        // A small service loses the same few targets again and again; each time counts.
+        let run = target.record_crash(now);
         let record = |suspects: &mut CrashSuspects| suspects.record_crash(&prints.both(), run, now);
         let audience = self.crashes.change(record);
         self.crashes.tell_at_once(audience);
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -138,10 +138,12 @@
         idle_most,
     } = prepared;
     for _ in 0..STALE_CONNECTIONS_MAX {
+        let began = entry.now();
         let Ok(connected) = pool.connect(address, idle_most).await else {
             return AttemptEnd::NotSent;
         };
         if connected.is_new {
+            target.record_connection(began);
             entry.counters.add(Count::Connections);
         }
         if entry.has_restarted(target) {
