--- a/crates/pinhaven-command/src/explain.rs
+++ b/crates/pinhaven-command/src/explain.rs
@@ -57,7 +57,8 @@
 }
 
 /// What is told of a request: its own lines, and between and before them what the entry that had it
-/// came to believe of the targets that it was sent to, of versions and of the store.
+/// came to believe of the targets that it was sent to, of versions and of the store, and which targets of
+/// its service had asked to be left or let rest, which leaves a request none.
 fn explain(id: &str, lines: Vec<ReadLine>) -> Vec<String> {
     let is_own = |line: &&ReadLine| line.text("id") == id;
     let own: Vec<&ReadLine> = lines.iter().filter(is_own).collect();
@@ -69,7 +70,7 @@
     let is_about = |line: &ReadLine| {
         line.text("instance") == first.text("instance")
             && match line.part.as_str() {
-                "target" => targets.contains(&line.text("target")),
+                "target" => targets.contains(&line.text("target")) || is_order(line, first),
                 "bundle" | "store" | "entry" => line.event != "log",
                 _ => false,
             }
@@ -89,6 +90,12 @@
     told
 }
 
+/// Whether a target of the request's service asked for something.
+fn is_order(line: &ReadLine, request: &ReadLine) -> bool {
+    let is_told = ["told_leaving", "told_rest"].contains(&&*line.event);
+    is_told && line.text("service") == request.text("service")
+}
+
 fn describe(line: &ReadLine, start_s: f64) -> String {
     let at_ms = (line.time_s - start_s) * 1_000.0;
     let facts = line.facts.iter();
--- a/crates/pinhaven-command/src/targets.rs
+++ b/crates/pinhaven-command/src/targets.rs
@@ -28,6 +28,7 @@
     failure_domain: String,
     entries_live: usize,
     entries_ejected: usize,
+    entries_resting: usize,
     entries_leaving: usize,
     in_flight: u32,
     latency_ms_most: f32,
@@ -40,6 +41,7 @@
         "failure domain",
         "live at",
         "ejected at",
+        "resting at",
         "leaving at",
         "in flight",
         "latency ms",
@@ -52,6 +54,7 @@
             self.failure_domain.clone(),
             self.entries_live.to_string(),
             self.entries_ejected.to_string(),
+            self.entries_resting.to_string(),
             self.entries_leaving.to_string(),
             self.in_flight.to_string(),
             format!("{:.1}", self.latency_ms_most),
@@ -80,12 +83,14 @@
                 failure_domain: target.failure_domain,
                 entries_live: 0,
                 entries_ejected: 0,
+                entries_resting: 0,
                 entries_leaving: 0,
                 in_flight: 0,
                 latency_ms_most: 0.0,
             });
             match target.state.as_str() {
                 "ejected" => row.entries_ejected += 1,
+                "resting" => row.entries_resting += 1,
                 "leaving" => row.entries_leaving += 1,
                 _ => row.entries_live += 1,
             }
--- a/crates/pinhaven-lab/tests/command_line.rs
+++ b/crates/pinhaven-lab/tests/command_line.rs
@@ -148,6 +148,33 @@
     assert!(text(&output.stderr).contains("1 lines are no records"));
 }
 
+/// A request that no target got, as those of its service had asked to be left or let rest.
+const RECORDS_OF_ORDERS: &str = r#"
+{"time_s": 9.0, "part": "target", "event": "told_rest", "target": "i-1", "service": "quote", "instance": "e1", "source": "answer", "rest_ms": 3000}
+{"time_s": 9.1, "part": "target", "event": "told_leaving", "target": "i-2", "service": "quote", "instance": "e1", "source": "entry"}
+{"time_s": 9.2, "part": "target", "event": "told_rest", "target": "i-9", "service": "other", "instance": "e1", "source": "answer", "rest_ms": 3000}
+{"time_s": 10.0, "part": "request", "event": "refused", "id": "r-1", "instance": "e1", "service": "quote", "reason": "resting"}
+"#;
+
+#[test]
+fn a_request_that_no_target_got_is_explained_with_what_targets_of_its_service_asked_for() {
+    let file = file("records-orders.log", RECORDS_OF_ORDERS);
+    let output = pinhaven(&["explain", "r-1", &file.display().to_string()]);
+    let told = text(&output.stdout);
+    assert!(told.contains("-1000.0 ms  target told_rest"), "{told}");
+    assert!(told.contains("-900.0 ms  target told_leaving"), "{told}");
+    assert!(!told.contains("i-9"), "another service: {told}");
+    let output = pinhaven(&[
+        "report",
+        &file.display().to_string(),
+        "--out",
+        &file.with_extension("svg").display().to_string(),
+    ]);
+    let told = text(&output.stdout);
+    assert!(told.contains("target told_leaving i-2"), "{told}");
+    assert!(told.contains("target told_rest i-1 e1"), "{told}");
+}
+
 #[test]
 fn a_request_of_which_nothing_is_recorded_is_a_clear_error() {
     let file = file("records-none.log", RECORDS);
--- a/crates/pinhaven-record/src/timeline.rs
+++ b/crates/pinhaven-record/src/timeline.rs
@@ -46,9 +46,12 @@
                 }
                 ("request", "refused") => timeline.add_refusal(at_s, line.text("reason")),
                 ("bundle", event) => timeline.add_mark(at_s, line, event, &["version"]),
-                ("target", event @ ("draining" | "gone" | "back")) => {
+                ("target", event @ ("draining" | "gone" | "back" | "told_leaving")) => {
                     timeline.add_mark(at_s, line, event, &["target"]);
                 }
+                ("target", event @ "told_rest") => {
+                    timeline.add_mark(at_s, line, event, &["target", "instance"]);
+                }
                 ("target", event @ "restarted") => {
                     timeline.add_mark(at_s, line, event, &["target", "incarnation"]);
                 }
