Keep what closes a target beside what a pick reads of it

Whether a target leaves or rests was read through a pointer for each target looked at. A copy stands in the target's state now; the permit reads the orders themselves, so that what came with an answer to an earlier state of the run counts at the moment of sending.

--- a/crates/pinhaven-decide/src/gone_orders.rs
+++ b/crates/pinhaven-decide/src/gone_orders.rs
@@ -60,7 +60,7 @@
     // Operators put a target without an id back by listing it again.
     let id = target.id()?.clone();
     let orders = target.orders();
-    orders.are_in_force(now).then(|| GoneRun {
+    orders.closed_until().is_closed(now).then(|| GoneRun {
         id,
         incarnation: target.incarnation(),
         orders: Arc::clone(orders),
--- a/crates/pinhaven-decide/src/health.rs
+++ b/crates/pinhaven-decide/src/health.rs
@@ -50,7 +50,7 @@
     let targets = service.targets();
     let out = targets
         .iter()
-        .filter(|other| other.is_ejected(now) || other.permit(now).is_err())
+        .filter(|other| other.is_ejected(now) || other.is_closed(now))
         .count();
     if (out + 1) as f32 > targets.len() as f32 * EJECTED_SHARE_MAX {
         return false;
--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -77,20 +77,12 @@
         }
     }
 
-    /// Whether it asks for anything at `now`.
-    pub(crate) fn are_in_force(&self, now: Microseconds) -> bool {
-        self.is_leaving() || self.rests_until(now).is_some()
-    }
-
-    /// Whether it has said that it leaves.
-    pub(crate) fn is_leaving(&self) -> bool {
-        self.leaves.load(Ordering::Relaxed)
-    }
-
-    /// The end of its rest, if that is not over at `now`.
-    pub(crate) fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
-        let until = Microseconds::new(self.rests_until_us.load(Ordering::Relaxed));
-        (until > now).then_some(until)
+    /// Until when nothing may be sent.
+    pub(crate) fn closed_until(&self) -> ClosedUntil {
+        match self.leaves.load(Ordering::Relaxed) {
+            true => ClosedUntil::FOR_GOOD,
+            false => ClosedUntil(self.rests_until_us.load(Ordering::Relaxed)),
+        }
     }
 
     /// Returns the end of the rest if that was not known to be as late.
@@ -101,3 +93,47 @@
         (before < until.count()).then_some(until)
     }
 }
+
+/// Until when nothing may be sent to a target, in microseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ClosedUntil(u64);
+
+impl ClosedUntil {
+    /// That of a target that leaves.
+    const FOR_GOOD: Self = Self(u64::MAX);
+
+    /// Whether the target leaves.
+    pub(crate) fn is_for_good(self) -> bool {
+        self == Self::FOR_GOOD
+    }
+
+    /// The end of a rest, if that is not over at `now`.
+    pub(crate) fn rest(self, now: Microseconds) -> Option<Microseconds> {
+        let is_rest = !self.is_for_good() && self.0 > now.count();
+        is_rest.then_some(Microseconds::new(self.0))
+    }
+
+    /// Whether nothing may be sent at `now`.
+    pub(crate) fn is_closed(self, now: Microseconds) -> bool {
+        self.0 > now.count()
+    }
+}
+
+/// A copy of [`ClosedUntil`] beside what else is read of a target when one is chosen, so that a pick follows no further
+/// pointer for each target that it looks at.
+#[derive(Debug)]
+pub(crate) struct KnownClosed(AtomicU64);
+
+impl KnownClosed {
+    pub(crate) fn new(until: ClosedUntil) -> Self {
+        Self(AtomicU64::new(until.0))
+    }
+
+    pub(crate) fn get(&self) -> ClosedUntil {
+        ClosedUntil(self.0.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn set(&self, until: ClosedUntil) {
+        self.0.store(until.0, Ordering::Relaxed);
+    }
+}
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -361,7 +361,7 @@
     }
 
     pub(crate) fn send(&mut self, target: Arc<TargetState>, chosen: Option<ChoiceFacts>) {
-        let is_open = target.permit(self.now).is_ok();
+        let is_open = !target.is_closed(self.now);
         let holds = require_promise(Promise::LeavingTarget, is_open, || {
             format!("{} is leaving or rests and was chosen", target.address())
         });
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -326,11 +326,7 @@
     /// Share of the slots of all targets that take work at `now` that requests of all entries hold, as far as is known.
     pub fn use_share(&self, now: Microseconds) -> f32 {
         let (mut held, mut slots) = (0.0, 0.0);
-        for target in self
-            .targets
-            .iter()
-            .filter(|target| target.permit(now).is_ok())
-        {
+        for target in self.targets.iter().filter(|target| !target.is_closed(now)) {
             held += (target.in_flight() + target.peers_in_flight()) as f32;
             slots += target.slots();
         }
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -9,6 +9,7 @@
 use crate::crashes::CrashedRun;
 use crate::orders::AnswerOrders;
 use crate::orders::Closed;
+use crate::orders::KnownClosed;
 use crate::orders::OrderNews;
 use crate::orders::OrderState;
 use crate::orders::SendPermit;
@@ -73,6 +74,7 @@
     is_leaving: AtomicBool,
     /// Shared by all states of this run, if it is gone for a time and comes back.
     orders: Arc<OrderState>,
+    closed: KnownClosed,
     is_owned: AtomicBool,
     crashes: CrashCount,
     /// Requests of this entry that it may hold.
@@ -138,6 +140,7 @@
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             orders: Arc::default(),
+            closed: KnownClosed::new(OrderState::default().closed_until()),
             is_owned: AtomicBool::new(false),
             crashes: CrashCount::default(),
             in_flight_most: AtomicU32::new(u32::MAX),
@@ -153,6 +156,7 @@
 
     /// The same for a run that was there before and has asked for something.
     pub(crate) fn with_orders(mut self, orders: Arc<OrderState>) -> Self {
+        self.closed = KnownClosed::new(orders.closed_until());
         self.orders = orders;
         self
     }
@@ -288,7 +292,7 @@
     /// Whether it is leaving, by its own word or another's. Its own comes with answers, also while the store is away
     /// and no list says so.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed) || self.orders.is_leaving()
+        self.is_leaving.load(Ordering::Relaxed) || self.closed.get().is_for_good()
     }
 
     /// Marks the target as leaving. Nothing in its life takes that back: a target that comes back is
@@ -300,6 +304,7 @@
     /// Takes in what it asks for with an answer that came at `now`. Returns what of it was news.
     pub fn take_orders(&self, orders: &AnswerOrders, now: Microseconds) -> OrderNews {
         let news = self.orders.take(orders, now);
+        self.closed.set(self.orders.closed_until());
         if news.rests_until.is_some() {
             // What it gets after its rest grows with its answers, so that all entries together don't press it into the next.
             self.in_flight_most.store(1, Ordering::Relaxed);
@@ -309,7 +314,7 @@
 
     /// The end of the rest that it asked this entry for, if that is not over at `now`.
     pub fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
-        self.orders.rests_until(now)
+        self.closed.get().rest(now)
     }
 
     /// Leave to send it something at `now`.
@@ -318,12 +323,19 @@
     ///
     /// [`Closed`] when it leaves or rests.
     pub fn permit(&self, now: Microseconds) -> Result<SendPermit, Closed> {
+        // What came with an answer to an earlier state of this run is seen here at the latest.
+        self.closed.set(self.orders.closed_until());
         SendPermit::new(self.is_leaving(), self.rests_until(now))
     }
 
+    /// Whether it is known to leave or to rest at `now`.
+    pub(crate) fn is_closed(&self, now: Microseconds) -> bool {
+        self.is_leaving.load(Ordering::Relaxed) || self.closed.get().is_closed(now)
+    }
+
     /// Whether a request may be sent to it at `now`, by its own word, by its failures, and by the connections that it takes.
     pub(crate) fn may_get(&self, now: Microseconds, connections_most: u32) -> bool {
-        self.permit(now).is_ok() && !self.is_ejected(now) && self.has_place(connections_most)
+        !self.is_closed(now) && !self.is_ejected(now) && self.has_place(connections_most)
     }
 
     /// Takes in that a request broke there and that nobody listened at `now`. Returns the run that crashed.
@@ -410,7 +422,7 @@
         self.others.set(others);
         self.reported_at_us.store(now.count(), Ordering::Relaxed);
         let leaves = report.is_draining;
-        self.orders.take(&AnswerOrders { leaves, rest: None }, now);
+        self.take_orders(&AnswerOrders { leaves, rest: None }, now);
         others
     }
 
