Hear what a target asks a probe for on the product's own interface, too

A probe's answer was read for its load alone there: a target that asked for rest went on being probed, and got requests. Its answer goes through the same door as all others now.

--- a/crates/pinhaven-entry/src/targets/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -4,6 +4,7 @@
 //! are sent one after another, each after the seat and the budget were asked.
 
 use crate::entry::Entry;
+use crate::targets::orders::OrderSource;
 use crate::targets::pool::probe_request;
 use crate::versions::service_entry::ServiceEntry;
 use crate::watch::counters::Count;
@@ -152,10 +153,13 @@
         let answer = client.call(request).await;
         let answered_at = self.now();
         budget.record(answered_at.saturating_sub(now));
-        let report = answer
-            .ok()
-            .and_then(|answer| load_report::from_json(answer.body()));
-        match report {
+        let Ok(answer) = answer else {
+            return self.counters.add(Count::ProbeFailed);
+        };
+        // What a target asks for holds whichever way it is asked.
+        let orders = self.dialect.read_orders(answer.status(), answer.headers());
+        self.hear_orders(service, state, &orders, OrderSource::Probe);
+        match load_report::from_json(answer.body()) {
             Some(report) => service.state.record_report(state, answered_at, &report),
             None => self.counters.add(Count::ProbeFailed),
         }
