--- a/crates/pinhaven-lab/tests/resting.rs
+++ b/crates/pinhaven-lab/tests/resting.rs
@@ -63,6 +63,8 @@
         let (address, arrived) = resting_target();
         let mut bundle = lab.bundle();
         bundle["services"][0]["targets"] = json!([{"address": address, "failure_domain": "a"}]);
+        // The one entry holds the one seat, and so probes all targets.
+        bundle["measuring"]["seats"] = json!(1);
         lab.roll(&bundle).unwrap();
         lab.wait_until_in_force().await.unwrap();
         for _ in 0..LOOKS_MOST {
