--- a/crates/pinhaven-decide/src/gone_orders.rs
+++ b/crates/pinhaven-decide/src/gone_orders.rs
@@ -13,7 +13,8 @@
 
 /// How long orders are remembered after their target was gone; an outage of the store is over by then.
 const REMEMBERED_FOR: Microseconds = Microseconds::from_ms(600_000);
-/// The most of them, the last gone first, so that a service whose targets come and go takes no more than 100 KB.
+/// The most of them, the last gone first, so that a service whose targets come and go takes no more than 100 KB
+/// (computed).
 const REMEMBERED_MOST: usize = 1_024;
 
 /// The orders of one run that is gone.
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -4,15 +4,13 @@
 //! the last report and fading towards the service's mean as it ages; and how long the own requests
 //! have been under way, which shows a sudden slowness before any reply does.
 
+mod closing;
+
 use crate::atomic::AtomicF32;
 use crate::crashes::CrashCount;
-use crate::crashes::CrashedRun;
 use crate::orders::AnswerOrders;
-use crate::orders::Closed;
 use crate::orders::KnownClosed;
-use crate::orders::OrderNews;
 use crate::orders::OrderState;
-use crate::orders::SendPermit;
 use crate::report::LoadReport;
 use crate::speed::ReportedSpeed;
 use crate::speed::ServiceSpeed;
@@ -154,18 +152,6 @@
         self
     }
 
-    /// The same for a run that was there before and has asked for something.
-    pub(crate) fn with_orders(mut self, orders: Arc<OrderState>) -> Self {
-        self.closed = KnownClosed::new(orders.closed_until());
-        self.orders = orders;
-        self
-    }
-
-    /// What it has asked for in this run.
-    pub(crate) fn orders(&self) -> &Arc<OrderState> {
-        &self.orders
-    }
-
     /// Where it listens.
     pub fn address(&self) -> TargetAddress {
         self.address
@@ -289,67 +275,6 @@
         now < self.cold_until
     }
 
-    /// Whether it is leaving, by its own word or another's. Its own comes with answers, also while the store is away
-    /// and no list says so.
-    pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(Ordering::Relaxed) || self.closed.get().is_for_good()
-    }
-
-    /// Marks the target as leaving. Nothing in its life takes that back: a target that comes back is
-    /// a new one in a new bundle version.
-    pub fn leave(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// Takes in what it asks for with an answer that came at `now`. Returns what of it was news.
-    pub fn take_orders(&self, orders: &AnswerOrders, now: Microseconds) -> OrderNews {
-        let news = self.orders.take(orders, now);
-        self.closed.set(self.orders.closed_until());
-        if news.rests_until.is_some() {
-            // What it gets after its rest grows with its answers, so that all entries together don't press it into the next.
-            self.in_flight_most.store(1, Ordering::Relaxed);
-        }
-        news
-    }
-
-    /// The end of the rest that it asked this entry for, if that is not over at `now`.
-    pub fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
-        self.closed.get().rest(now)
-    }
-
-    /// Leave to send it something at `now`.
-    ///
-    /// # Errors
-    ///
-    /// [`Closed`] when it leaves or rests.
-    pub fn permit(&self, now: Microseconds) -> Result<SendPermit, Closed> {
-        // What came with an answer to an earlier state of this run is seen here at the latest.
-        self.closed.set(self.orders.closed_until());
-        SendPermit::new(self.is_leaving(), self.rests_until(now))
-    }
-
-    /// Whether it is known to leave or to rest at `now`.
-    pub(crate) fn is_closed(&self, now: Microseconds) -> bool {
-        self.is_leaving.load(Ordering::Relaxed) || self.closed.get().is_closed(now)
-    }
-
-    /// Whether a request may be sent to it at `now`, by its own word, by its failures, and by the connections that it takes.
-    pub(crate) fn may_get(&self, now: Microseconds, connections_most: u32) -> bool {
-        !self.is_closed(now) && !self.is_ejected(now) && self.has_place(connections_most)
-    }
-
-    /// Takes in that a request broke there and that nobody listened at `now`. Returns the run that crashed.
-    pub fn record_crash(&self, now: Microseconds) -> CrashedRun {
-        let number = self.crashes.record_crash(now);
-        let start = self.incarnation.map(|run| run.started_unix_ms());
-        CrashedRun::of(&self.name(), start.unwrap_or(number))
-    }
-
-    /// Takes in that a connection to it was made which began at `began`.
-    pub fn record_connection(&self, began: Microseconds) {
-        self.crashes.record_connection(began);
-    }
-
     /// Whether this entry owns it, and goes there before others do.
     pub fn is_owned(&self) -> bool {
         self.is_owned.load(Ordering::Relaxed)
