Show which targets an entry owns, and by which way a leave was reported

cause: a test that is known red waits for a request that never comes, and nothing told whether the entry does not own the target, or knows already that it leaves: the owner of a target stood nowhere, and the log line of a leave named no source. change: the metric pinhaven_service_targets_owned, is_owned of each target in /status, and the source of a leave (answer to a request, answer to a probe, another entry) in the log line, as the record has it already.

--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -100,6 +100,8 @@
     pub is_ejected: bool,
     /// Whether the target is leaving.
     pub is_leaving: bool,
+    /// Whether this entry owns the target.
+    pub is_owned: bool,
     /// Remaining time of the rest that the target asked for, in milliseconds.
     pub rests_for_ms: Option<f64>,
     /// Slowdown relative to the usual speed, as last reported.
@@ -305,6 +307,7 @@
             latency_ms: self.latency_ms.get(),
             is_ejected: self.is_ejected(now),
             is_leaving: self.is_leaving(),
+            is_owned: self.is_owned(),
             rests_for_ms: self
                 .rests_until(now)
                 .map(|until| until.saturating_sub(now).as_ms()),
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -25,6 +25,15 @@
 }
 
 impl OrderSource {
+    /// Description in the log.
+    fn description(self) -> &'static str {
+        match self {
+            Self::Answer => "its answer to a request",
+            Self::Probe => "its answer to a probe",
+            Self::Entry => "another entry",
+        }
+    }
+
     /// Name in the record.
     fn name(self) -> &'static str {
         match self {
@@ -108,7 +117,7 @@
 
     fn record_leave(&self, service: &ServiceEntry, target: &TargetState, source: OrderSource) {
         self.counters.add(Count::TargetLeft);
-        log::info!(target: "orders", "Target {} reports that it is leaving.", target.name());
+        log::info!(target: "orders", "Target {} is leaving, as reported by {}.", target.name(), source.description());
         self.record_line(|| order_line("told_leaving", service, target, source));
     }
 
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -99,6 +99,8 @@
             let count = targets.filter(|target| target.state == state).count();
             gauge(&format!("targets_{state}"), count as f64);
         }
+        let owned = service.targets.iter().filter(|target| target.is_owned);
+        gauge("targets_owned", owned.count() as f64);
         let ages = service
             .targets
             .iter()
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -113,6 +113,9 @@
     pub latency_ms: f32,
     /// State of the target: `live`, `ejected`, `resting` or `leaving`.
     pub state: String,
+    /// Whether this entry owns the target.
+    #[serde(default)]
+    pub is_owned: bool,
     /// Remaining time of the rest that the target asked for, in milliseconds.
     #[serde(default)]
     pub rests_for_ms: Option<f64>,
@@ -229,6 +232,7 @@
         others: view.peer_load,
         latency_ms: view.latency_ms,
         state: state.to_owned(),
+        is_owned: view.is_owned,
         rests_for_ms: view.rests_for_ms,
         slowdown: view.slowdown,
         report_age_ms: view.report_age_ms,
