Wake one waiting request for each slot that is freed

what callers saw: while requests wait, slots that are freed together stay empty but for one, until a waiting request looks again by itself (15 ms later) or the next slot is freed; and a request of lower priority may be woken before one of higher priority. cause: notify(1) of event-listener makes sure that one listener is notified. While one has been notified and has not run, further calls do nothing, and return 0, so that the loop over the priorities went on to the next lower one. evidence: the two new tests failed before: of three notifications one arrived ([0] for [0, 1, 2]), and of two the second went to priority 0 while one of priority 1 was still waiting ([0, 1] for [1, 3]). change: the notifications are additional ones.

--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -6,9 +6,9 @@
 
 use crate::callers::request_guard::RequestGuard;
 use crate::entry::Entry;
-use crate::request::capacity_waiters::CapacityWaiters;
 use crate::request::record_context::RecordContext;
 use crate::targets::pool::PooledSender;
+use crate::versions::service_entry::CapacityFreed;
 use crate::watch::counters::Count;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -116,7 +116,7 @@
 pub(crate) struct AnswerGuard {
     pub(crate) entry: Arc<Entry>,
     pub(crate) attempt: Option<Attempt>,
-    pub(crate) capacity_freed: Arc<CapacityWaiters>,
+    pub(crate) capacity_freed: Arc<CapacityFreed>,
     pub(crate) sender: PooledSender,
     /// Facts for record lines on the request; `None` if the entry has no recorder.
     pub(crate) record_context: Option<RecordContext>,
--- a/crates/pinhaven-entry/src/request/mod.rs
+++ b/crates/pinhaven-entry/src/request/mod.rs
@@ -5,6 +5,5 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
-pub(crate) mod capacity_waiters;
 pub(crate) mod dispatch;
 pub(crate) mod record_context;
--- a/crates/pinhaven-entry/src/versions/service_entry.rs
+++ b/crates/pinhaven-entry/src/versions/service_entry.rs
@@ -1,23 +1,27 @@
 //! A service as requests see it: its configuration, the state of its targets and the connection pools.
 
-use crate::request::capacity_waiters::CapacityWaiters;
 use crate::targets::pool::TargetPool;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::Target;
+use pinhaven_decide::PRIORITY_COUNT;
 use pinhaven_decide::ServiceState;
+use pinhaven_runtime::PriorityEvent;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
 use std::collections::HashMap;
 use std::sync::Arc;
 
+/// Notifies requests that wait for capacity at the targets of a service. Each notification is for one free slot.
+pub(crate) type CapacityFreed = PriorityEvent<PRIORITY_COUNT>;
+
 /// A service in one version.
 pub(crate) struct ServiceEntry {
     pub(crate) config: Service,
     pub(crate) state: Arc<ServiceState>,
     pub(crate) pools: HashMap<TargetAddress, Arc<TargetPool>>,
     /// Notified when a request of the service releases capacity.
-    pub(crate) capacity_freed: Arc<CapacityWaiters>,
+    pub(crate) capacity_freed: Arc<CapacityFreed>,
 }
 
 /// Builds the entry of a service in a new version. Retains the state and the connections of the previous
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod executor;
+mod priority_event;
 mod server;
 
 pub use async_executor::Task;
@@ -22,6 +23,7 @@
 pub use executor::sleep_ms;
 pub use executor::spawn;
 pub use executor::within;
+pub use priority_event::PriorityEvent;
 pub use server::CallerAddress;
 pub use server::HttpServer;
 pub use server::HttpServerSettings;
