Send waiting requests in the order of their callers' first tries

what callers saw: a request that waited for a slot was refused as overloaded (503, not run) after 18% of its aim, while requests of the same route that came later were served. A request leaves a slot to one that has waited longer, if that one would take it by the same forecast, and passes the notification on; at the end of its own wait it takes the slot. Callers that were refused and came back count from their first try. Waiting requests keep their listener. Without forecasts the same rule holds for the limit of requests in flight. Only requests that wait take a lock (one route's, for an insertion). tried: offering with an additional notification; a request woke itself for ever, as the one that it offered to had been notified already.

--- a/crates/pinhaven-decide/src/event.rs
+++ b/crates/pinhaven-decide/src/event.rs
@@ -116,6 +116,9 @@
     Deliver(AttemptId),
     /// Answer the caller with this refusal.
     Refuse(Refusal),
+    /// Pass in [`Event::CapacityFreed`] to a waiting request: this request leaves free capacity to one that has waited
+    /// longer.
+    OfferCapacity,
 }
 
 /// The result of handling one event.
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -152,6 +152,17 @@
         }
     }
 
+    /// Time of the caller's first try, by this entry's clock.
+    pub(crate) fn first_try_at(&self) -> Microseconds {
+        self.arrived.saturating_sub(self.facts.prior_wait)
+    }
+
+    /// Time of the first try of a request of the same route that has waited longer than this one, if there is one.
+    pub(crate) fn longest_waiting(&self) -> Option<Microseconds> {
+        let earliest = self.route.as_ref()?.waiting_since.earliest()?;
+        (earliest < self.first_try_at()).then_some(earliest)
+    }
+
     /// Time left at `now` to meet the aim, in milliseconds.
     pub(crate) fn time_to_aim_ms(&self, now: Microseconds) -> f32 {
         let aim_at = self.arrived.plus(self.aim());
@@ -293,6 +304,10 @@
         if !has_capacity {
             return self.wait_or_refuse();
         }
+        if self.request.longest_waiting().is_some() {
+            self.actions.push(Action::OfferCapacity);
+            return self.wait_or_refuse();
+        }
         let Some(choice) = self.choose() else {
             return match self.unavailable_until(self.now) {
                 Some(reason) => self.refuse(reason),
@@ -327,8 +342,16 @@
         let until = self
             .now
             .plus(Microseconds::new((allowed_ms * 1_000.0) as u64));
+        self.begin_wait(until);
+    }
+
+    /// Makes the request wait until a time or until capacity is freed.
+    pub(crate) fn begin_wait(&mut self, until: Microseconds) {
         let priority = self.request.priority(self.service);
         self.service.begin_wait(priority);
+        if let Some(route) = &self.request.route {
+            route.waiting_since.begin(self.request.first_try_at());
+        }
         self.request.phase = Phase::Waiting { until };
     }
 
@@ -337,6 +360,9 @@
         if !has_capacity {
             return;
         }
+        if self.request.longest_waiting().is_some() {
+            return self.actions.push(Action::OfferCapacity);
+        }
         self.end_wait();
         self.admit();
     }
@@ -344,6 +370,9 @@
     pub(crate) fn end_wait(&mut self) {
         let priority = self.request.priority(self.service);
         self.service.end_wait(priority);
+        if let Some(route) = &self.request.route {
+            route.waiting_since.end(self.request.first_try_at());
+        }
         self.request.phase = Phase::New;
     }
 
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -9,6 +9,7 @@
 //! - While an attempt is in flight, the reports of its target are checked. If the attempt is expected to miss the aim,
 //!   and another target is expected to meet the aim or to answer much earlier, a repeatable request is hedged.
 
+use crate::event::Action;
 use crate::event::AttemptId;
 use crate::forecast;
 use crate::forecast::Forecast;
@@ -17,7 +18,6 @@
 use crate::refusal::RefusalReason;
 use crate::report::LoadReport;
 use crate::request::EventHandler;
-use crate::request::Phase;
 use pinhaven_types::Microseconds;
 
 /// Maximum wait at this entry, as a share of the aim. A refusal within a quarter of the aim leaves the caller time for
@@ -62,27 +62,30 @@
         if let Some(reason) = self.unavailable_until(self.wait_until()) {
             return self.refuse(reason);
         }
+        let has_waited = self.now >= self.wait_until();
         if let Some(earliest) = self.earliest(TargetFilter::Any)
             && self.is_acceptable(&earliest)
             && self.has_precedence()
         {
-            return self.send_by_forecast(earliest);
+            if has_waited || !self.would_overtake(&earliest) {
+                return self.send_by_forecast(earliest);
+            }
+            self.actions.push(Action::OfferCapacity);
         }
-        let has_waited = self.now >= self.wait_until();
         let may_meet_aim =
             self.request.time_to_aim_ms(self.now) * AIM_FILL_SHARE_MAX > self.work_ms();
         if may_meet_aim && !has_waited {
-            return self.begin_wait();
+            return self.wait_for_retry();
         }
         match self
             .earliest(TargetFilter::Spare)
             .filter(|spare| self.meets_deadline(spare))
         {
             // A slot for a late answer is free, but a slot that meets the aim may still become free.
-            Some(_) if may_meet_aim => self.begin_wait(),
+            Some(_) if may_meet_aim => self.wait_for_retry(),
             Some(spare) => self.send_by_forecast(spare),
             None if has_waited => self.refuse(RefusalReason::Overloaded),
-            None => self.begin_wait(),
+            None => self.wait_for_retry(),
         }
     }
 
@@ -130,13 +133,28 @@
         most_urgent.is_none_or(|most_urgent| most_urgent <= priority)
     }
 
+    /// Whether a request of the same route has waited longer and would be sent by this forecast too.
+    fn would_overtake(&self, forecast: &Forecast) -> bool {
+        let Some(first_try_at) = self.request.longest_waiting() else {
+            return false;
+        };
+        let aim_at = first_try_at.plus(self.request.aim());
+        let time_to_aim_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
+        self.is_acceptable_within(forecast, time_to_aim_ms)
+    }
+
     fn is_acceptable(&self, forecast: &Forecast) -> bool {
+        self.is_acceptable_within(forecast, self.request.time_to_aim_ms(self.now))
+    }
+
+    /// Whether the forecast suffices for a request of this route that has `time_to_aim_ms` left to meet its aim.
+    fn is_acceptable_within(&self, forecast: &Forecast, time_to_aim_ms: f32) -> bool {
         let aim_ms = self.request.aim().as_ms() as f32;
         if self.work_ms() > aim_ms * AIM_FILL_SHARE_MAX {
             // The aim can't be met even by an idle target, so the forecast is compared with the work instead.
             return forecast.admission_ms() <= self.work_ms() * ACCEPTABLE_FACTOR;
         }
-        forecast.admission_ms() <= self.request.time_to_aim_ms(self.now) * AIM_FILL_SHARE_MAX
+        forecast.admission_ms() <= time_to_aim_ms * AIM_FILL_SHARE_MAX
     }
 
     /// Whether a late answer is expected well before the deadline.
@@ -146,11 +164,8 @@
         forecast.answer_ms <= left_ms * DEADLINE_FILL_SHARE_MAX
     }
 
-    fn begin_wait(&mut self) {
-        let priority = self.request.priority(self.service);
-        self.service.begin_wait(priority);
-        let retry_at = self.now.plus(Microseconds::from_ms(ADMISSION_RETRY_MS));
-        self.request.phase = Phase::Waiting { until: retry_at };
+    fn wait_for_retry(&mut self) {
+        self.begin_wait(self.now.plus(Microseconds::from_ms(ADMISSION_RETRY_MS)));
     }
 
     /// Schedules the next check of the attempts in flight, if the request may be hedged.
--- a/crates/pinhaven-decide/src/route.rs
+++ b/crates/pinhaven-decide/src/route.rs
@@ -2,6 +2,7 @@
 
 use crate::atomic::LearnedMedian;
 use crate::initial_deadline::InitialDeadline;
+use crate::waiting::WaitingSince;
 use crate::work_estimate::WorkEstimate;
 use pinhaven_types::Microseconds;
 
@@ -30,6 +31,8 @@
     /// Median deviation of the work from the median work, as the absolute logarithm of their ratio.
     deviation: LearnedMedian,
     initial_deadline: InitialDeadline,
+    /// The route's requests that wait for capacity.
+    pub(crate) waiting_since: WaitingSince,
 }
 
 impl RouteState {
@@ -43,6 +46,7 @@
             ),
             deviation: LearnedMedian::new(DEVIATION_INITIAL, WORK_INITIAL_SAMPLES),
             initial_deadline: InitialDeadline::new(),
+            waiting_since: WaitingSince::new(),
         }
     }
 
--- a/crates/pinhaven-decide/tests/common/driven.rs
+++ b/crates/pinhaven-decide/tests/common/driven.rs
@@ -67,13 +67,22 @@
         time_ms: u64,
         aim_ms: u64,
         change: impl FnOnce(&mut RequestFacts),
+    ) -> Self {
+        Self::on_route(service, &Arc::new(RouteState::new(aim_ms)), time_ms, change)
+    }
+
+    /// Creates a request of a route that it shares with others.
+    pub fn on_route(
+        service: &Arc<ServiceState>,
+        route: &Arc<RouteState>,
+        time_ms: u64,
+        change: impl FnOnce(&mut RequestFacts),
     ) -> Self {
         let mut facts = RequestFacts::new(true, at_ms(time_ms + 2_000));
         change(&mut facts);
-        let route = Arc::new(RouteState::new(aim_ms));
         let mut driven = Self {
             service: Arc::clone(service),
-            request: RequestState::new(facts).with_route(route),
+            request: RequestState::new(facts).with_route(Arc::clone(route)),
             random: fastrand::Rng::with_seed(9),
             attempts: Vec::new(),
             step: Step::default(),
--- a/crates/pinhaven-decide/tests/common/mod.rs
+++ b/crates/pinhaven-decide/tests/common/mod.rs
@@ -112,6 +112,7 @@
             refused: None,
             wake_at,
             awaits_capacity,
+            offers_capacity: false,
         };
         for action in actions {
             match action {
@@ -125,6 +126,7 @@
                 }
                 Action::Deliver(id) => outcome.delivered = Some(id),
                 Action::Refuse(refusal) => outcome.refused = Some(refusal),
+                Action::OfferCapacity => outcome.offers_capacity = true,
             }
         }
         outcome
@@ -151,6 +153,7 @@
     pub refused: Option<Refusal>,
     pub wake_at: Option<Microseconds>,
     pub awaits_capacity: bool,
+    pub offers_capacity: bool,
 }
 
 impl Outcome {
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -71,6 +71,7 @@
         answers: Vec::new(),
         request_guard,
         started_at: job.entry.now(),
+        has_sent: false,
         may_have_run: false,
         outcome: Outcome::CallerLeft,
         trace: Trace::default(),
@@ -94,6 +95,8 @@
     answers: Vec<(Attempt, Answer)>,
     request_guard: RequestGuard,
     started_at: Microseconds,
+    /// Whether any attempt was made.
+    has_sent: bool,
     /// Whether a target may have run the request in an attempt that has ended.
     may_have_run: bool,
     outcome: Outcome,
@@ -113,28 +116,44 @@
         let attempt_count = self.in_flight.len() + self.answers.len();
         self.in_flight.clear();
         self.answers.clear();
-        self.job.service.capacity_freed.notify(attempt_count.max(1));
+        // A request that ends without an attempt may have been notified of capacity that it did not use.
+        let unused_notifications = usize::from(!self.has_sent);
+        let freed = attempt_count + unused_notifications;
+        self.job.service.capacity_freed.notify(freed);
     }
 }
 
 impl RequestDriver<'_> {
     async fn drive(&mut self) -> Response<AnyBody> {
         let mut step = self.arrive();
+        let mut capacity = None;
         loop {
-            // Listens before the actions are carried out, so that no notification of freed capacity is missed.
-            let capacity = step
-                .awaits_capacity
-                .then(|| self.job.service.capacity_freed.listen(self.priority()));
-            for action in std::mem::take(&mut step.actions) {
+            let actions = std::mem::take(&mut step.actions);
+            if actions
+                .iter()
+                .any(|action| matches!(action, Action::OfferCapacity))
+            {
+                // Before this request listens again, so that the offer does not return to it.
+                self.job.service.capacity_freed.pass_on(self.priority());
+            }
+            // Listens before the other actions are carried out, so that no notification of freed capacity is missed.
+            // While the request goes on waiting, it keeps its listener and thereby its place among the waiting requests.
+            capacity = match (step.awaits_capacity, capacity) {
+                (false, _) => None,
+                (true, Some(listener)) => Some(listener),
+                (true, None) => Some(self.job.service.capacity_freed.listen(self.priority())),
+            };
+            for action in actions {
                 match action {
                     Action::Send(attempt) => self.send(attempt),
                     Action::Cancel(id) => self.cancel(id),
                     Action::Deliver(id) => return self.deliver(id),
                     Action::Refuse(refusal) => return self.refuse(refusal),
+                    Action::OfferCapacity => {}
                 }
             }
             self.drop_answers();
-            let event = self.next_event(&step, capacity).await;
+            let event = self.next_event(&step, &mut capacity).await;
             step = self.handle(event);
         }
     }
@@ -218,6 +237,7 @@
     }
 
     fn send(&mut self, attempt: Attempt) {
+        self.has_sent = true;
         // The request may have become suspected of crashing targets since it arrived, also by its own last attempt.
         let is_further_target = self.may_have_run || !self.in_flight.is_empty();
         if let Err(for_ms) = self.job.entry.check_send(self.job, is_further_target) {
@@ -263,7 +283,7 @@
 
     /// Waits for the next event: the end of an attempt, freed capacity, the stop of the entry, or the step's timer
     /// (by default the deadline). If several are ready, the first in this order is returned.
-    async fn next_event(&mut self, step: &Step, mut capacity: Option<EventListener>) -> Event {
+    async fn next_event(&mut self, step: &Step, capacity: &mut Option<EventListener>) -> Event {
         let wake_at = step.wake_at.unwrap_or(self.job.deadline);
         let mut timer = async_io::Timer::at(self.job.entry.clock.instant_of(wake_at));
         let mut stopping = std::pin::pin!(self.job.entry.stop_signal.wait());
@@ -273,9 +293,10 @@
                     return Poll::Ready(Ok((index, end)));
                 }
             }
-            if let Some(capacity) = &mut capacity
-                && Pin::new(capacity).poll(context).is_ready()
+            if let Some(listener) = capacity
+                && Pin::new(listener).poll(context).is_ready()
             {
+                *capacity = None;
                 return Poll::Ready(Err(Event::CapacityFreed));
             }
             if stopping.as_mut().poll(context).is_ready() {
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -268,6 +268,7 @@
                 Action::Cancel(id) => self.cancel(request, id),
                 Action::Deliver(_) => self.end(request, Outcome::Answered),
                 Action::Refuse(refusal) => self.refuse(request, &refusal),
+                Action::OfferCapacity => self.offer_capacity(request),
             }
         }
         if let Some(at) = step.wake_at.filter(|_| !self.calls[request].is_over) {
@@ -325,17 +326,32 @@
         self.capacity_freed(entry);
     }
 
-    /// Tells the waiting request with the highest priority at an entry that capacity may be free.
+    /// Tells the waiting request with the highest priority at an entry, of several the one whose caller has waited
+    /// longest, that capacity may be free.
     fn capacity_freed(&mut self, entry: usize) {
+        self.notify_waiting(entry, None);
+    }
+
+    /// Tells another waiting request at the request's entry that the request leaves free capacity to it.
+    fn offer_capacity(&mut self, request: usize) {
+        self.notify_waiting(self.calls[request].entry, Some(request));
+    }
+
+    fn notify_waiting(&mut self, entry: usize, except: Option<usize>) {
         let calls = &self.calls;
         let is_waiting =
             |request: &usize| calls[*request].awaits_capacity && !calls[*request].is_over;
         self.entries[entry].waiting.retain(is_waiting);
-        let urgency = |request: &usize| Reverse(self.plan.kinds[calls[*request].kind].priority);
+        let urgency = |request: &usize| {
+            let call = &calls[*request];
+            let started_us = (call.started_ms * 1_000.0) as u64;
+            (Reverse(self.plan.kinds[call.kind].priority), started_us)
+        };
         let first = self.entries[entry]
             .waiting
             .iter()
             .copied()
+            .filter(|request| Some(*request) != except)
             .min_by_key(urgency);
         if let Some(first) = first {
             self.handle_request_event(first, Event::CapacityFreed);
--- a/crates/pinhaven-runtime/src/priority_event.rs
+++ b/crates/pinhaven-runtime/src/priority_event.rs
@@ -22,7 +22,15 @@
     ///
     /// A listener that is dropped after its notification passes the notification on.
     pub fn listen(&self, priority: u8) -> EventListener {
-        self.0[usize::from(priority).min(PRIORITIES - 1)].listen()
+        self.of(priority).listen()
+    }
+
+    /// Notifies one listener of a priority, unless one has been notified and has not run since.
+    ///
+    /// For a task that passes a notification on. If it listens itself, it calls this first, so that it can't be the
+    /// one that is notified.
+    pub fn pass_on(&self, priority: u8) {
+        self.of(priority).notify(1);
     }
 
     /// Notifies `count` listeners that have not been notified yet, or all if there are fewer.
@@ -36,4 +44,8 @@
             remaining -= event.notify(remaining.additional()).min(remaining);
         }
     }
+
+    fn of(&self, priority: u8) -> &Event {
+        &self.0[usize::from(priority).min(PRIORITIES - 1)]
+    }
 }
--- a/crates/pinhaven-runtime/tests/priority_event.rs
+++ b/crates/pinhaven-runtime/tests/priority_event.rs
@@ -39,3 +39,18 @@
     event.notify(4);
     assert_eq!(notified(Vec::from(listeners)), [0, 1, 3, 4]);
 }
+
+/// Guards against tasks that wake each other endlessly, each of them leaving the unit to another one.
+#[test]
+fn a_notification_is_passed_on_to_one_listener_and_only_once_until_that_one_has_run() {
+    let event = PriorityEvent::<2>::default();
+    let mut listeners: Vec<EventListener> = (0..3).map(|_| event.listen(0)).collect();
+    let of_other_priority = event.listen(1);
+    event.pass_on(0);
+    event.pass_on(0);
+    let first = listeners.remove(0);
+    assert!(block_on(poll_once(first)).is_some());
+    event.pass_on(0);
+    listeners.push(of_other_priority);
+    assert_eq!(notified(listeners), [0]);
+}
