Advertise a leave until the list of targets contains it

what callers saw: while the store is away, an entry that starts (or was out of touch) more than 10 s after a server said that it leaves lists it as ready and sends it requests; each is one more request that the server should not get, and breaks or runs for an unknown end where the server goes meanwhile. cause: only the entry that the server told passed the leave on, and only for 10 s. What it told was dropped where the server was not listed yet, and if that entry died or was cut off in those 10 s nobody else told it.

--- a/crates/pinhaven-decide/src/target/eligibility.rs
+++ b/crates/pinhaven-decide/src/target/eligibility.rs
@@ -35,6 +35,11 @@
         self.is_leaving.load(Ordering::Relaxed) || self.closed_until.get().is_permanent()
     }
 
+    /// Whether the target is leaving by a list, or by other evidence than its own order.
+    pub fn is_marked_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
     /// Marks the target as leaving. The mark is permanent for this state: a target that returns gets a new state in a
     /// new bundle version.
     pub fn mark_leaving(&self) {
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -67,7 +67,7 @@
         }
         self.record_heartbeats(&datagram.beats);
         self.merge_suspects(&datagram.suspects);
-        self.apply_reported_leaves(&datagram.leaving);
+        self.record_reported_leaves(&datagram.leaving);
         let targets = datagram.targets.unwrap_or_default().rows();
         self.apply_target_updates(incarnation, &beat, &targets, datagram.is_whole);
         let rpc_address = self.rpc_address(incarnation).unwrap_or(peer);
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -353,7 +353,10 @@
         };
         let leaving = match kind {
             UpdateKind::Incremental => Vec::new(),
-            UpdateKind::Full { .. } => self.leaves_to_advertise(),
+            UpdateKind::Full { .. } => {
+                let round = self.members.lock().own().heartbeat;
+                self.leaves_to_advertise(round)
+            }
         };
         let members = self.members.lock();
         let own = members.own();
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -12,7 +12,6 @@
 pub(crate) mod owned_targets;
 pub(crate) mod pool;
 pub(crate) mod probes;
-pub(crate) mod reported_leaves;
 pub(crate) mod restarts;
 pub(crate) mod seats;
 pub(crate) mod speed_probes;
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -6,12 +6,14 @@
 use crate::entry::Entry;
 use crate::versions::service_entry::ServiceEntry;
 use crate::versions::snapshot::KeyedTarget;
+use crate::versions::snapshot::Snapshot;
 use crate::watch::counters::Count;
 use crate::wire::rest::ReceivedOrders;
 use pinhaven_decide::AnswerOrders;
 use pinhaven_decide::TargetState;
 use pinhaven_record::Line;
 use pinhaven_types::Microseconds;
+use std::sync::Arc;
 
 /// Source from which an order was received.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -68,13 +70,34 @@
         }
     }
 
-    /// Applies a peer's list of runs, by key, that reported that they leave.
-    pub(crate) fn apply_reported_leaves(&self, keys: &[u32]) {
+    /// Records a peer's list of runs, by key, that reported that they leave, and applies it.
+    pub(crate) fn record_reported_leaves(&self, keys: &[u32]) {
+        if keys.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let mut leaves = self.reported_leaves.lock();
+        for key in keys {
+            leaves.record(*key, now);
+        }
+        drop(leaves);
+        self.apply_leaves(&self.snapshot.load(), keys);
+    }
+
+    /// Puts a snapshot in place after applying all known leaves to it. A target may be listed later than its leave
+    /// becomes known.
+    pub(crate) fn store_snapshot(&self, next: Snapshot) {
+        // While the lock is held, no leave can be recorded and applied to the previous snapshot only.
+        let leaves = self.reported_leaves.lock();
+        self.apply_leaves(&next, &leaves.all());
+        self.snapshot.store(Arc::new(next));
+    }
+
+    fn apply_leaves(&self, snapshot: &Snapshot, keys: &[u32]) {
         let leaves = AnswerOrders {
             leaves: true,
             rest: None,
         };
-        let snapshot = self.snapshot.load();
         for key in keys {
             let Some(KeyedTarget { service, target }) = snapshot.keyed_targets().get(key) else {
                 continue;
@@ -85,11 +108,16 @@
         }
     }
 
-    /// Keys of runs that reported to this entry that they leave, to be advertised to peers.
-    pub(crate) fn leaves_to_advertise(&self) -> Vec<u32> {
+    /// Keys of runs that are known to leave, to be advertised to peers in the datagram with number `round`.
+    pub(crate) fn leaves_to_advertise(&self, round: u64) -> Vec<u32> {
+        let snapshot = self.snapshot.load();
+        let is_listed_as_live = |key| {
+            let keyed = snapshot.keyed_targets().get(&key);
+            keyed.is_some_and(|keyed| !keyed.target.is_marked_leaving())
+        };
         let mut leaves = self.reported_leaves.lock();
-        leaves.expire(self.now());
-        leaves.keys()
+        leaves.expire(self.now(), is_listed_as_live);
+        leaves.to_advertise(round)
     }
 
     /// Advertises to peers without delay that a target leaves. A target without an id has no key and is sent by
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -247,7 +247,7 @@
         if self.version.lock().put_in_force(verified).is_err() {
             return true;
         }
-        self.snapshot.store(Arc::new(next));
+        self.store_snapshot(next);
         self.share_added_attempts();
         if previous.version > BundleVersion::NONE {
             let delta = BundleDelta::between(previous.bundle(), body.bundle());
@@ -288,7 +288,7 @@
         let previous = self.snapshot.load_full();
         if let Some(body) = previous.body() {
             let next = self.build_snapshot(Arc::clone(body), &previous);
-            self.snapshot.store(Arc::new(next));
+            self.store_snapshot(next);
             self.share_added_attempts();
         }
         self.become_ready();
