Leave a slot to a longer waiting request only if that one examines its target

A request that finds a free slot of one of the others left it to an older one that mostly doesn't examine it; the slot stayed empty meanwhile. change: a slot is left to others only if every choice examines its target: an own target among at most 48, or another of at most 32. result: the new test failed before (mutant slot-left-to-who-may-not-see-it, caught): 200 targets, half of them with a slot, and a newcomer waited. Services of up to 32 targets decide as before.

--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -187,6 +187,17 @@
     earliest.map(|(_, forecast)| forecast)
 }
 
+/// Whether every choice among the targets of the service examines this one, rather than only those that happen to
+/// include it in their sample.
+pub(crate) fn is_always_examined(service: &ServiceState, target: &TargetState) -> bool {
+    let own_count = service.owned().len();
+    if target.is_owned() {
+        own_count <= OWN_CANDIDATES_MAX
+    } else {
+        service.targets().len() - own_count <= OTHER_CANDIDATES_MAX
+    }
+}
+
 /// Iterates over all targets, beginning with the target at index `start`.
 fn rotated(targets: &[Arc<TargetState>], start: usize) -> impl Iterator<Item = &Arc<TargetState>> {
     targets[start..].iter().chain(&targets[..start])
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -133,11 +133,15 @@
         most_urgent.is_none_or(|most_urgent| most_urgent <= priority)
     }
 
-    /// Whether a request of the same route has waited longer and would be sent by this forecast too.
+    /// Whether a request of the same route has waited longer and would be sent by this forecast too. A target that the
+    /// other request may not examine is taken at once, because its slot could stay empty.
     fn would_overtake(&self, forecast: &Forecast) -> bool {
         let Some(first_try_at) = self.request.longest_waiting() else {
             return false;
         };
+        if !forecast::is_always_examined(self.service, &forecast.target) {
+            return false;
+        }
         let aim_at = first_try_at.plus(self.request.aim());
         let time_to_aim_ms = aim_at.saturating_sub(self.now).as_ms() as f32;
         self.is_acceptable_within(forecast, time_to_aim_ms)
--- a/crates/pinhaven-decide/tests/waiting.rs
+++ b/crates/pinhaven-decide/tests/waiting.rs
@@ -123,6 +123,36 @@
     assert_eq!(waiting.attempts.len(), 1, "{:?}", waiting.step);
 }
 
+/// Guards against a slot that stays empty because the request that it is left to may not examine its target.
+#[test]
+fn among_many_targets_only_a_slot_that_every_choice_examines_is_left_to_others() {
+    let targets = 200;
+    let service = service(targets, 1);
+    let route = Arc::new(RouteState::new(AIM_MS));
+    for target in service.targets() {
+        target.record_peer_in_flight(0, 1);
+    }
+    let waiting = arrive(&service, &route, 1_000);
+    assert!(waiting.step.awaits_capacity);
+
+    // Slots of targets that a choice examines by chance. Half of all targets, so that each choice finds one.
+    let freed = service.targets().iter().step_by(2);
+    freed.for_each(|target| target.record_peer_in_flight(1, 0));
+    let finder = arrive(&service, &route, 1_001);
+    assert_eq!(finder.attempts.len(), 1);
+
+    // A slot of a target that this entry owns.
+    for target in service.targets() {
+        target.record_peer_in_flight(0, 1);
+    }
+    service.targets()[9].set_owned(true);
+    service.refresh_owned();
+    service.targets()[9].record_peer_in_flight(2, 0);
+    let newcomer = arrive(&service, &route, 1_002);
+    assert!(newcomer.attempts.is_empty());
+    assert!(offers_capacity(&newcomer.step));
+}
+
 /// The policy without forecasts limits the requests in flight of the whole service.
 #[test]
 fn without_forecasts_a_request_leaves_freed_capacity_to_one_that_has_waited_longer() {
