Refuse requests without a path on arrival, and blame no target for what was not sent

what callers saw: a request for a tunnel (CONNECT) got 502 with an unknown outcome, although no target had received anything. Each one counted as a failure of the target that had been chosen: 40 of them from one caller ejected two of six targets for all callers. cause: without a path no request can be built for a target. The attempt then ended as broken, as if the target had. evidence: both tests failed before: 502 unknown for 405 not-run, and [live, ejected, ejected, live, live, live].

--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -120,6 +120,7 @@
     let (head, body) = request.into_parts();
     let caller = head.extensions.get::<CallerAddress>().copied();
     let (service, routed) = find_route(entry, &head)?;
+    require_path(entry, &head)?;
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
     if routed.route.is_none() {
         require_key(entry, &service, &head, has_key)?;
@@ -240,6 +241,19 @@
     ))
 }
 
+/// Rejects a request without a path, which no target can be sent: a request for a tunnel.
+fn require_path(entry: &Entry, head: &Parts) -> Result<(), Problem> {
+    if head.uri.path_and_query().is_some() {
+        return Ok(());
+    }
+    entry.counters.add(Count::BadRequest);
+    Err(Problem::not_run(
+        StatusCode::METHOD_NOT_ALLOWED,
+        "bad_method",
+        format!("{} without a path is not forwarded", head.method),
+    ))
+}
+
 fn host_of(head: &Parts) -> Option<&str> {
     let authority = head.uri.authority().map(|authority| authority.as_str());
     authority.or_else(|| head.headers.get(http::header::HOST)?.to_str().ok())
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -261,7 +261,7 @@
                 );
                 Box::pin(future) as Pin<Box<dyn Future<Output = AttemptEnd> + Send>>
             }
-            None => Box::pin(std::future::ready(AttemptEnd::Broken)),
+            None => Box::pin(std::future::ready(AttemptEnd::NotSent)),
         };
         self.in_flight.push(AttemptInFlight { attempt, outcome });
     }
--- a/crates/pinhaven-lab/tests/bad_input.rs
+++ b/crates/pinhaven-lab/tests/bad_input.rs
@@ -61,7 +61,7 @@
         let address = lab.caller_addresses().await[0];
         let long_value = "x".repeat(40_000);
         // (case, bytes, status, reason)
-        let table: [(&str, Vec<u8>, u16, &str); 10] = [
+        let table: [(&str, Vec<u8>, u16, &str); 11] = [
             ("not HTTP", b"HELLO\r\n\r\n".to_vec(), 400, ""),
             (
                 "a header field without a colon",
@@ -84,6 +84,12 @@
                 404,
                 "unknown_service",
             ),
+            (
+                "a request for a tunnel",
+                request("CONNECT quote:80 HTTP/1.1\r\nHost: quote:80", ""),
+                405,
+                "bad_method",
+            ),
             (
                 "no host",
                 request("GET / HTTP/1.0", ""),
@@ -154,6 +160,26 @@
     });
 }
 
+/// Guards against a caller whose invalid requests make targets look broken to all other callers.
+#[test]
+fn requests_that_can_not_be_sent_do_not_count_against_targets() {
+    run_serially(async {
+        let lab = bad_input_lab().await;
+        let address = lab.caller_addresses().await[0];
+        for _ in 0..40 {
+            exchange(
+                address,
+                &request("CONNECT quote:80 HTTP/1.1\r\nHost: quote:80", ""),
+            );
+        }
+        let status = lab.status(0).await.unwrap();
+        let states = status.services[0].targets.iter();
+        let states: Vec<&str> = states.map(|target| target.state.as_str()).collect();
+        assert_eq!(states, ["live"; 6]);
+        assert_eq!(status.services[0].ejections, 0);
+    });
+}
+
 #[test]
 fn a_body_that_ends_early_does_not_run() {
     run_serially(async {
