--- a/crates/pinhaven-decide/tests/waiting.rs
+++ b/crates/pinhaven-decide/tests/waiting.rs
@@ -166,7 +166,7 @@
         (request, step)
     };
     let mut held = Vec::new();
-    let first_waiting = loop {
+    let mut first_waiting = loop {
         let (request, step) = arrive(0);
         if step.awaits_capacity {
             break request;
@@ -179,7 +179,6 @@
     let mut random = fastrand::Rng::with_seed(3);
     let step = later.handle(&service, at_ms(2), &mut random, Event::CapacityFreed);
     assert!(offers_capacity(&step) && step.awaits_capacity, "{step:?}");
-    let mut first_waiting = first_waiting;
     let step = first_waiting.handle(&service, at_ms(3), &mut random, Event::CapacityFreed);
     assert!(matches!(step.actions[..], [Action::Send(_)]), "{step:?}");
 }
