Let a rest of uncertain origin bind a target's later run

Cause: an answer does not name the run that sent it. While the store is away a target that restarts unnoticed answers under the id of its earlier run, so its order is recorded there, and the later run begins without orders once it is listed.

Change: the entry records when the list last named a resting run. A rest that was recorded after that, or within the time in which a restarted target registers, also binds a later run. A leave does not: it is permanent, and repeated in each answer.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -188,6 +188,11 @@
         self.confirmed_at.is_some()
     }
 
+    /// Local time at which the store last confirmed the list to any entry; `None` when it never did.
+    pub fn confirmed_at(&self) -> Option<Microseconds> {
+        self.confirmed_at
+    }
+
     /// Time since the store last confirmed the list to any entry; `None` when it never did.
     pub fn age(&self, now: Microseconds) -> Option<Microseconds> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
--- a/crates/pinhaven-decide/src/lapsed_orders.rs
+++ b/crates/pinhaven-decide/src/lapsed_orders.rs
@@ -2,7 +2,8 @@
 //!
 //! While the store is unavailable, store entries of targets expire and the targets lapse from the list, and the lists
 //! of peers may lack targets that others contain. The orders of a run stay valid during its absence: a target that is
-//! listed again in the same run is treated as if it had been listed all the time.
+//! listed again in the same run is treated as if it had been listed all the time. A later run is bound only by a rest
+//! that it may have asked for itself.
 
 use crate::orders::OrderState;
 use crate::target::TargetState;
@@ -55,6 +56,20 @@
         let run = self.0.iter().rev().find(is_run)?;
         Some(Arc::clone(&run.orders))
     }
+
+    /// The end of a rest that was recorded for an earlier run of the target and may be of this run.
+    pub(crate) fn rest_of_uncertain_run(
+        &self,
+        target: &Target,
+        now: Microseconds,
+    ) -> Option<Microseconds> {
+        let is_earlier = |run: &&LapsedRun| {
+            Some(&run.id) == target.id.as_ref() && run.incarnation < target.incarnation
+        };
+        let earlier = self.0.iter().filter(is_earlier);
+        let rests = earlier.filter_map(|run| run.orders.rest_of_uncertain_run(now));
+        rests.max()
+    }
 }
 
 /// The run of a target that has orders in force at `now`.
--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -2,6 +2,11 @@
 //!
 //! Orders bind this entry, unlike load reports, which only influence the choice. They hold for one run of a target.
 //! Leaving is permanent. A rest ends at its time, and a later order for a shorter rest does not shorten it.
+//!
+//! An answer does not name the run that sent it. If a target restarts unnoticed, an order of its later run is recorded
+//! for the earlier run, which is still the listed one. A rest that was recorded after the list last confirmed the
+//! earlier run is therefore of uncertain origin, and binds the later run as well. Leaving is not passed on: it is
+//! permanent, and a later run that leaves says so again in each answer.
 
 use pinhaven_types::Microseconds;
 use std::sync::atomic::AtomicBool;
@@ -68,11 +73,18 @@
     }
 }
 
+/// Time within which a restarted target registers its later run. The list may name the earlier run until then.
+const REGISTERED_WITHIN: Microseconds = Microseconds::from_ms(2_300);
+
 /// The orders of one run of a target.
 #[derive(Debug, Default)]
 pub(crate) struct OrderState {
     leaves: AtomicBool,
     rests_until_us: AtomicU64,
+    /// When the last rest was recorded.
+    rest_recorded_at_us: AtomicU64,
+    /// When the list last named this run while it rested; 0 if that is not known.
+    listed_at_us: AtomicU64,
 }
 
 impl OrderState {
@@ -82,10 +94,25 @@
             leaves: orders.leaves && !self.leaves.swap(true, Ordering::Relaxed),
             rests_until: orders
                 .rest
-                .and_then(|rest| self.extend_rest(now.plus(rest))),
+                .and_then(|rest| self.extend_rest(now.plus(rest), now)),
         }
     }
 
+    /// Records that the list named this run at `at`.
+    pub(crate) fn record_listed(&self, at: Microseconds) {
+        self.listed_at_us.fetch_max(at.count(), Ordering::Relaxed);
+    }
+
+    /// The end of a rest that this run or a later run asked for, if the rest is not over at `now`.
+    pub(crate) fn rest_of_uncertain_run(&self, now: Microseconds) -> Option<Microseconds> {
+        let listed_at_us = self.listed_at_us.load(Ordering::Relaxed);
+        let recorded_at = Microseconds::new(self.rest_recorded_at_us.load(Ordering::Relaxed));
+        let is_certain =
+            listed_at_us == 0 || recorded_at.plus(REGISTERED_WITHIN).count() <= listed_at_us;
+        let until = Microseconds::new(self.rests_until_us.load(Ordering::Relaxed));
+        (!is_certain && until > now).then_some(until)
+    }
+
     /// Until when nothing may be sent to the target.
     pub(crate) fn closed_until(&self) -> ClosedUntil {
         match self.leaves.load(Ordering::Relaxed) {
@@ -95,7 +122,9 @@
     }
 
     /// Extends the rest to `until`. Returns its end if the rest was not known to last that long.
-    fn extend_rest(&self, until: Microseconds) -> Option<Microseconds> {
+    fn extend_rest(&self, until: Microseconds, now: Microseconds) -> Option<Microseconds> {
+        self.rest_recorded_at_us
+            .fetch_max(now.count(), Ordering::Relaxed);
         let previous_us = self
             .rests_until_us
             .fetch_max(until.count(), Ordering::Relaxed);
--- a/crates/pinhaven-decide/src/service_targets.rs
+++ b/crates/pinhaven-decide/src/service_targets.rs
@@ -1,6 +1,7 @@
 //! The targets of a new version of a service, with the state of those that are known from the previous version.
 
 use crate::lapsed_orders::LapsedOrders;
+use crate::orders::AnswerOrders;
 use crate::recent_runs::RecentRuns;
 use crate::service::ServiceState;
 use crate::target::TargetState;
@@ -42,6 +43,11 @@
             Some(orders) => state.with_orders(orders),
             None => state,
         };
+        if let Some(until) = lapsed_orders.rest_of_uncertain_run(target, now) {
+            let rest = Some(until.saturating_sub(now));
+            let leaves = false;
+            state.record_orders(&AnswerOrders { leaves, rest }, now);
+        }
         match recent_runs.has_earlier_run(target) {
             true => state.with_slow_start(),
             false => state,
--- a/crates/pinhaven-decide/src/target/eligibility.rs
+++ b/crates/pinhaven-decide/src/target/eligibility.rs
@@ -58,6 +58,11 @@
         changes
     }
 
+    /// Records that the list named this run of the target at `at`.
+    pub fn record_listed(&self, at: Microseconds) {
+        self.orders.record_listed(at);
+    }
+
     /// The end of the rest that the target asked this entry for, if the rest is not over at `now`.
     pub fn rests_until(&self, now: Microseconds) -> Option<Microseconds> {
         self.closed_until.get().rest(now)
--- a/crates/pinhaven-decide/tests/orders.rs
+++ b/crates/pinhaven-decide/tests/orders.rs
@@ -270,6 +270,54 @@
     assert_eq!(refusal_of(&queued).reason, RefusalReason::Resting);
 }
 
+/// Guards against a rest that is lost because its target had restarted unnoticed: the rest is recorded for the earlier
+/// run, and the later run begins without it.
+#[test]
+fn a_rest_recorded_after_the_list_last_named_the_run_binds_a_later_run() {
+    for (case, recorded_ms, listed_ms, binds) in [
+        ("the list is older than the order", 500, Some(400), true),
+        (
+            "the later run may not be registered yet",
+            500,
+            Some(1_500),
+            true,
+        ),
+        (
+            "the earlier run was listed long after",
+            500,
+            Some(4_000),
+            false,
+        ),
+        ("nothing is known of the list", 500, None, false),
+    ] {
+        for lapses in [false, true] {
+            let first = state_of(&listed(EARLIER), None, 0);
+            rest(&first, &[0], recorded_ms, 60_000);
+            if let Some(listed_ms) = listed_ms {
+                first.targets()[0].record_listed(at_ms(listed_ms));
+            }
+            let previous = match lapses {
+                true => state_of(&empty_list(), Some(&first), 5_000),
+                false => first,
+            };
+            let later = state_of(&listed(LATER), Some(&previous), 6_000);
+            let until = later.targets()[0].rests_until(at_ms(6_000));
+            let expected = binds.then(|| at_ms(recorded_ms + 60_000));
+            assert_eq!(until, expected, "{case}, lapses: {lapses}");
+            assert!(!later.targets()[0].is_leaving());
+        }
+    }
+}
+
+#[test]
+fn a_leave_of_an_uncertain_run_does_not_bind_a_later_run() {
+    let first = state_of(&listed(EARLIER), None, 0);
+    first.targets()[0].record_orders(&LEAVES, at_ms(500));
+    first.targets()[0].record_listed(at_ms(400));
+    let later = state_of(&listed(LATER), Some(&first), 6_000);
+    assert!(later.targets()[0].send_permit(at_ms(6_000)).is_ok());
+}
+
 #[test]
 fn a_service_whose_targets_leave_or_rest_waits_for_the_rest_alone() {
     let service = service(2, 4);
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -112,6 +112,7 @@
         let (before, after, has_changed) = {
             let mut known = self.targets.lock();
             let before = known.targets();
+            self.confirm_resting_runs(&known);
             let has_changed = change(&mut known);
             (before, known.targets(), has_changed)
         };
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -9,6 +9,7 @@
 use crate::versions::snapshot::Snapshot;
 use crate::watch::counters::Count;
 use crate::wire::rest::ReceivedOrders;
+use pinhaven_agree::KnownTargets;
 use pinhaven_decide::AnswerOrders;
 use pinhaven_decide::TargetState;
 use pinhaven_record::Line;
@@ -70,6 +71,25 @@
         }
     }
 
+    /// Records when the known list last named the runs that are resting, before another list replaces it.
+    pub(crate) fn confirm_resting_runs(&self, known: &KnownTargets) {
+        let Some(confirmed_at) = known.confirmed_at() else {
+            return;
+        };
+        let now = self.now();
+        let is_superseded = |target: &TargetState| {
+            let id = target.id();
+            id.is_some_and(|id| known.is_superseded(id, target.incarnation()))
+        };
+        for service in self.snapshot.load().services.values() {
+            let targets = service.state.targets().iter();
+            let resting = targets.filter(|target| target.rests_until(now).is_some());
+            for target in resting.filter(|target| !is_superseded(target)) {
+                target.record_listed(confirmed_at);
+            }
+        }
+    }
+
     /// Records a peer's list of runs, by key, that reported that they leave, and applies it.
     pub(crate) fn record_reported_leaves(&self, keys: &[u32]) {
         if keys.is_empty() {
