Compute the owners of targets only at entries that can be one

Cause: five times a second, and 67 times at an owner, each entry collected and sorted the keys of all targets to find that nothing had changed; with each change every entry hashed each target with each candidate, those included that own nothing.

Change: the assignment is a decision of its own without input and output.

--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -36,7 +36,7 @@
 impl Entry {
     /// Probes the speed of the owned targets. Runs until the process exits.
     pub(crate) async fn probe_speeds(self: Arc<Self>) {
-        let mut owned = OwnedTargets::default();
+        let mut owned = OwnedTargets::new(&self);
         let mut probed: HashMap<u32, ProbedTarget> = HashMap::new();
         loop {
             let snapshot = self.snapshot.load_full();
@@ -46,7 +46,7 @@
                 sleep_ms(IDLE_TICK_MS).await;
                 continue;
             }
-            probed.retain(|key, _| owned.own_keys().contains(key));
+            probed.retain(|key, _| owned.contains(*key));
             for key in owned.own_keys() {
                 if let Some(keyed) = snapshot.keyed_targets().get(key) {
                     self.probe_speed_if_due(*key, keyed, &mut probed);
