Ask one peer, not all recipients, to describe unknown entries

Cause: an entry that knows members from heartbeats alone asked for their descriptions in each full datagram, and so each of its recipients, up to a hundred at 472 entries, answered with six descriptions.

Change: one random recipient is asked in each round, a serving entry of the same failure domain if there is one. An answer no longer sorts all live members.

--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -8,6 +8,7 @@
 use crate::peers::gossip_message::identity_of;
 use crate::peers::gossip_message::to_incarnation;
 use crate::watch::counters::Count;
+use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
 use pinhaven_peer::News;
 use pinhaven_peer::TargetNews;
@@ -136,11 +137,13 @@
             .take(IDENTITIES_MAX)
             .filter_map(|bytes| to_incarnation(bytes))
             .collect();
+        let now = self.now();
         let members = self.members.lock();
-        let mut rows = members.live_peers(self.now());
-        fastrand::shuffle(&mut rows);
-        rows.sort_by_key(|row| !wanted.contains(&row.incarnation));
-        rows.truncate(IDENTITIES_MAX);
+        let is_wanted = |row: &&MemberRow| wanted.contains(&row.incarnation);
+        let (mut rows, others): (Vec<&MemberRow>, Vec<&MemberRow>) =
+            members.live_peers(now).into_iter().partition(is_wanted);
+        let others_max = IDENTITIES_MAX.saturating_sub(rows.len());
+        rows.extend(fastrand::choose_multiple(others, others_max));
         let beats = std::iter::once(members.own()).chain(rows.iter().copied());
         News {
             sender: Some(identity_of(members.own())),
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -223,7 +223,29 @@
         // Standby entries receive no evidence on requests that may be innocent: it would be sent to all of them.
         heartbeat.suspects =
             self.suspects_to_advertise(SUSPECTS_PER_DATAGRAM, REPEATED_CRASHES_MIN);
-        bytes + send_all(self, socket, &recipients.standby, &heartbeat).await
+        bytes += send_all(self, socket, &recipients.standby, &heartbeat).await;
+        bytes + self.request_descriptions(recipients, socket).await
+    }
+
+    /// Asks one recipient to describe the members that this entry knows only from heartbeats. Returns the number of
+    /// bytes sent.
+    async fn request_descriptions(
+        &self,
+        recipients: &Recipients,
+        socket: &DatagramSocket,
+    ) -> usize {
+        let wanted: Vec<Vec<u8>> = {
+            let unknown = self.unknown_members.lock();
+            unknown.iter().take(IDENTITIES_MAX).map(to_bytes).collect()
+        };
+        let Some(peer) = recipients.to_ask().filter(|_| !wanted.is_empty()) else {
+            return 0;
+        };
+        let request = News {
+            wanted,
+            ..self.message(&[], UpdateKind::Incremental)
+        };
+        send_all(self, socket, &[peer], &request).await
     }
 
     fn full_interval(&self) -> Microseconds {
@@ -380,8 +402,6 @@
             .beats
             .extend(sample_live_heartbeats(&live, relayed_heartbeats));
         message.sender = has_identity.then(|| identity_of(own));
-        let unknown = self.unknown_members.lock();
-        message.wanted = unknown.iter().take(IDENTITIES_MAX).map(to_bytes).collect();
         message.is_whole = true;
         message
     }
--- a/crates/pinhaven-entry/src/peers/recipients.rs
+++ b/crates/pinhaven-entry/src/peers/recipients.rs
@@ -44,6 +44,16 @@
     pub(crate) standby: Vec<SocketAddr>,
 }
 
+impl Recipients {
+    /// A random recipient to ask for descriptions of members. Serving entries of this failure domain know the most and
+    /// are the cheapest to ask.
+    pub(crate) fn to_ask(&self) -> Option<SocketAddr> {
+        let groups = [&self.serving_near, &self.serving_far, &self.standby];
+        let group = groups.into_iter().find(|group| !group.is_empty())?;
+        fastrand::choice(group).copied()
+    }
+}
+
 impl Entry {
     /// Selects the recipients of an update of this entry.
     pub(crate) fn recipients(&self, scope: UpdateScope, now: Microseconds) -> Recipients {
