Count calls to the store by step and table, and datagrams by group of recipients

Cause: with several hundred entries calls to the store and bytes between failure domains cost more than all else, and no metric said what they are for.

Change: pinhaven_store_calls_total by step and table, datagrams and datagram_bytes by group (near, far, standby, describe, crash).

--- a/crates/pinhaven-entry/src/crashes/advertise.rs
+++ b/crates/pinhaven-entry/src/crashes/advertise.rs
@@ -7,6 +7,7 @@
 use crate::peers::datagram_sender::DatagramSocket;
 use crate::peers::datagram_sender::send_all;
 use crate::peers::gossip_message::heartbeat_of;
+use crate::peers::recipients::RecipientKind;
 use crate::peers::recipients::UpdateScope;
 use pinhaven_decide::Audience;
 use pinhaven_decide::CrashedRun;
@@ -39,7 +40,7 @@
             sleep_ms(ADVERTISE_DELAY_MS).await;
             let message = self.crash_datagram();
             let peers = self.recipients_for(audience);
-            send_all(&self, &socket, &peers, &message).await;
+            send_all(&self, &socket, RecipientKind::Crash, &peers, &message).await;
         }
     }
 
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -39,6 +39,7 @@
 use pinhaven_platform::HttpObjectStore;
 use pinhaven_platform::HttpTableService;
 use pinhaven_platform::PlatformError;
+use pinhaven_platform::StoreCall;
 use pinhaven_record::Recorder;
 use pinhaven_settings::Settings;
 use pinhaven_types::BundleVersion;
@@ -262,6 +263,12 @@
         self.clock.now()
     }
 
+    /// Number of calls to the store by purpose.
+    pub(crate) fn store_calls(&self) -> BTreeMap<StoreCall, u64> {
+        let store = self.discovery.as_ref();
+        store.map(|store| store.calls()).unwrap_or_default()
+    }
+
     /// Number of times each row of another writer was ignored.
     pub(crate) fn foreign_rows(&self) -> BTreeMap<ForeignRow, u64> {
         match &self.discovery {
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -7,6 +7,7 @@
 use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
 use crate::peers::gossip_message::to_incarnation;
+use crate::peers::recipients::RecipientKind;
 use crate::watch::counters::Count;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
@@ -87,7 +88,7 @@
         }
         if is_new || !datagram.wanted.is_empty() {
             let answer = self.describe_members(&datagram.wanted);
-            send_all(self, socket, &[peer], &answer).await;
+            send_all(self, socket, RecipientKind::Describe, &[peer], &answer).await;
         }
     }
 
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -13,6 +13,7 @@
 use crate::peers::gossip_message::identity_of;
 use crate::peers::gossip_message::to_bytes;
 use crate::peers::peer_counts::collect_updates;
+use crate::peers::recipients::RecipientKind;
 use crate::peers::recipients::Recipients;
 use crate::peers::recipients::UpdateScope;
 use crate::watch::counters::Count;
@@ -95,12 +96,22 @@
 }
 
 /// State that was sent to the entries of the own failure domain, or to the entries of all other failure domains.
-#[derive(Default)]
 struct RecipientGroup {
+    kind: RecipientKind,
     advertised: AdvertisedTargets,
     sent_at: Microseconds,
 }
 
+impl RecipientGroup {
+    fn new(kind: RecipientKind) -> Self {
+        Self {
+            kind,
+            advertised: AdvertisedTargets::default(),
+            sent_at: Microseconds::ZERO,
+        }
+    }
+}
+
 /// Content of a datagram besides targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum UpdateKind {
@@ -114,7 +125,6 @@
 }
 
 /// State of the datagram sender.
-#[derive(Default)]
 struct Sender {
     full_sent_at: Microseconds,
     identity_sent_at: Microseconds,
@@ -128,10 +138,26 @@
     delay_min: Duration,
 }
 
+impl Sender {
+    fn new() -> Self {
+        Self {
+            full_sent_at: Microseconds::ZERO,
+            identity_sent_at: Microseconds::ZERO,
+            near: RecipientGroup::new(RecipientKind::Near),
+            far: RecipientGroup::new(RecipientKind::Far),
+            live_peers: LivePeers::default(),
+            sends_every_round: false,
+            list_advertised_at: None,
+            demand: DemandMeter::default(),
+            delay_min: Duration::ZERO,
+        }
+    }
+}
+
 impl Entry {
     /// Sends datagrams in rounds. Runs until the process exits.
     pub(crate) async fn send_datagrams(self: Arc<Self>, socket: Arc<DatagramSocket>) {
-        let mut sender = Sender::default();
+        let mut sender = Sender::new();
         // Peers should learn of this entry at once.
         self.send_round(&mut sender, &socket, true).await;
         loop {
@@ -223,7 +249,14 @@
         // Standby entries receive no evidence on requests that may be innocent: it would be sent to all of them.
         heartbeat.suspects =
             self.suspects_to_advertise(SUSPECTS_PER_DATAGRAM, REPEATED_CRASHES_MIN);
-        bytes += send_all(self, socket, &recipients.standby, &heartbeat).await;
+        bytes += send_all(
+            self,
+            socket,
+            RecipientKind::Standby,
+            &recipients.standby,
+            &heartbeat,
+        )
+        .await;
         bytes + self.request_descriptions(recipients, socket).await
     }
 
@@ -245,7 +278,7 @@
             wanted,
             ..self.message(&[], UpdateKind::Incremental)
         };
-        send_all(self, socket, &[peer], &request).await
+        send_all(self, socket, RecipientKind::Describe, &[peer], &request).await
     }
 
     fn full_interval(&self) -> Microseconds {
@@ -295,14 +328,14 @@
                 return 0;
             }
             let message = self.message(&targets, kind);
-            return send_all(self, socket, peers, &message).await;
+            return send_all(self, socket, group.kind, peers, &message).await;
         }
         let fits_in_one = targets.len() <= TARGETS_MAX;
         let mut bytes = 0;
         for part in targets.chunks(TARGETS_MAX) {
             let mut message = self.message(part, kind);
             message.is_whole &= fits_in_one;
-            bytes += send_all(self, socket, peers, &message).await;
+            bytes += send_all(self, socket, group.kind, peers, &message).await;
         }
         bytes
     }
@@ -422,10 +455,15 @@
 pub(crate) async fn send_all(
     entry: &Entry,
     socket: &DatagramSocket,
+    kind: RecipientKind,
     peers: &[SocketAddr],
     message: &News,
 ) -> usize {
     let bytes = message.encode_to_vec();
+    let (datagrams, datagram_bytes) = kind.counts();
+    entry.counters.add_many(datagrams, peers.len() as u64);
+    let sent_bytes = (bytes.len() * peers.len()) as u64;
+    entry.counters.add_many(datagram_bytes, sent_bytes);
     for peer in peers {
         entry
             .counters
--- a/crates/pinhaven-entry/src/peers/recipients.rs
+++ b/crates/pinhaven-entry/src/peers/recipients.rs
@@ -5,6 +5,7 @@
 //! failure domains is expensive, and with many entries it would be the larger part of the traffic between entries.
 
 use crate::entry::Entry;
+use crate::watch::counters::Count;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
 use pinhaven_types::FailureDomain;
@@ -31,6 +32,34 @@
     Direct,
 }
 
+/// Group of recipients, for the counts of datagrams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RecipientKind {
+    /// Serving entries of the same failure domain.
+    Near,
+    /// Serving entries of other failure domains.
+    Far,
+    /// Entries that stand by.
+    Standby,
+    /// An entry that describes others or asks for descriptions.
+    Describe,
+    /// Entries that are told at once of requests that were there at a crash.
+    Crash,
+}
+
+impl RecipientKind {
+    /// Counters of the datagrams and of their bytes.
+    pub(crate) fn counts(self) -> (Count, Count) {
+        match self {
+            Self::Near => (Count::DatagramsNear, Count::DatagramBytesNear),
+            Self::Far => (Count::DatagramsFar, Count::DatagramBytesFar),
+            Self::Standby => (Count::DatagramsStandby, Count::DatagramBytesStandby),
+            Self::Describe => (Count::DatagramsDescribe, Count::DatagramBytesDescribe),
+            Self::Crash => (Count::DatagramsCrash, Count::DatagramBytesCrash),
+        }
+    }
+}
+
 /// Recipients of the datagrams of one round.
 #[derive(Debug, Default)]
 pub(crate) struct Recipients {
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -103,9 +103,29 @@
     PlatformFailed,
     /// Bytes of messages sent to and received from peers.
     PeerBytes,
+    /// Datagrams sent to serving entries of the same failure domain.
+    DatagramsNear,
+    /// Datagrams sent to serving entries of other failure domains.
+    DatagramsFar,
+    /// Datagrams sent to entries that stand by.
+    DatagramsStandby,
+    /// Datagrams sent to ask for descriptions of entries, and answers to such requests.
+    DatagramsDescribe,
+    /// Datagrams sent at once with evidence on requests that were there at a crash.
+    DatagramsCrash,
+    /// Bytes of `DatagramsNear`.
+    DatagramBytesNear,
+    /// Bytes of `DatagramsFar`.
+    DatagramBytesFar,
+    /// Bytes of `DatagramsStandby`.
+    DatagramBytesStandby,
+    /// Bytes of `DatagramsDescribe`.
+    DatagramBytesDescribe,
+    /// Bytes of `DatagramsCrash`.
+    DatagramBytesCrash,
 }
 
-const COUNT_NAMES: [&str; 47] = [
+const COUNT_NAMES: [&str; 57] = [
     "requests",
     "answered",
     "addresses",
@@ -153,6 +173,16 @@
     "platform.calls",
     "platform.failed",
     "peer.bytes",
+    "datagrams.near",
+    "datagrams.far",
+    "datagrams.standby",
+    "datagrams.describe",
+    "datagrams.crash",
+    "datagram_bytes.near",
+    "datagram_bytes.far",
+    "datagram_bytes.standby",
+    "datagram_bytes.describe",
+    "datagram_bytes.crash",
 ];
 
 /// All counters of an entry.
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -29,6 +29,7 @@
         ));
     }
     lines.extend(foreign_row_lines(entry));
+    lines.extend(store_call_lines(entry));
     lines.extend(gauges(entry));
     lines.extend(service_lines(entry));
     lines.extend(record_lines(entry));
@@ -50,6 +51,16 @@
     lines.collect()
 }
 
+/// Returns lines that count the calls to the store, by step and table.
+fn store_call_lines(entry: &Entry) -> Vec<String> {
+    let counts = entry.store_calls();
+    let lines = counts.iter().map(|(call, count)| {
+        let (step, table) = (call.step.name(), &call.table);
+        format!("pinhaven_store_calls_total{{step=\"{step}\",table={table:?}}} {count}")
+    });
+    lines.collect()
+}
+
 fn gauges(entry: &Entry) -> Vec<String> {
     let now = entry.now();
     let version = entry.snapshot.load().version.number();
--- a/crates/pinhaven-platform/src/discovery.rs
+++ b/crates/pinhaven-platform/src/discovery.rs
@@ -4,6 +4,7 @@
 
 use crate::ForeignRow;
 use crate::PlatformError;
+use crate::StoreCall;
 use async_trait::async_trait;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::TargetList;
@@ -67,6 +68,11 @@
     /// [`PlatformError`] when the write had no effect or its effect is unknown. Repeating the write is safe.
     async fn announce(&self, row: &MemberRow) -> Result<(), PlatformError>;
 
+    /// Number of calls to the store by purpose.
+    fn calls(&self) -> BTreeMap<StoreCall, u64> {
+        BTreeMap::new()
+    }
+
     /// Number of times each row of another writer was skipped.
     fn foreign_rows(&self) -> BTreeMap<ForeignRow, u64> {
         BTreeMap::new()
--- a/crates/pinhaven-platform/src/error.rs
+++ b/crates/pinhaven-platform/src/error.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// The step of a platform call that failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc, PartialOrd, Ord)]
 pub enum PlatformStep {
     /// reading a row
     ReadRow,
@@ -21,6 +21,20 @@
     AwaitChanges,
 }
 
+impl PlatformStep {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ReadRow => "read_row",
+            Self::ListRows => "list_rows",
+            Self::WriteRow => "write_row",
+            Self::ReadObject => "read_object",
+            Self::WriteObject => "write_object",
+            Self::AwaitChanges => "await_changes",
+        }
+    }
+}
+
 /// Failure of a call to the platform, by the effect that the call had.
 #[derive(Debug, Clone, PartialEq, Eq, DisplayDoc)]
 pub enum PlatformError {
--- a/crates/pinhaven-platform/src/lib.rs
+++ b/crates/pinhaven-platform/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Discovery`] is the interface to a store that holds configuration, targets and peers; its implementations
 //! are outside this crate.
 
+mod calls;
 mod discovery;
 mod error;
 mod foreign;
@@ -16,6 +17,8 @@
 
 pub use crate::http::HttpObjectStore;
 pub use crate::http::HttpTableService;
+pub use calls::StoreCall;
+pub use calls::StoreCalls;
 pub use discovery::ConfigurationUpdate;
 pub use discovery::Discovery;
 pub use discovery::FeedPosition;
