--- /dev/null
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -0,0 +1,104 @@
+//! Decides whether an entry may call the store now, for itself or on behalf of other entries.
+//!
+//! Answers the load of several hundred entries that start at once, after a loss of power: at first each of them knows
+//! no peer, and then only peers of less capacity, and so each takes itself for a store delegate. Entries that carry
+//! little rarely serve where there are that many, and can wait for what the others read. They still read from the store
+//! themselves, each at a time of its own, if no peer provides the state.
+//!
+//! The same holds for the list of targets while the store is slow or unavailable: the list of all entries ages at the
+//! same time, and an entry that stands by would not read it more successfully than the serving ones.
+
+use pinhaven_types::Microseconds;
+use pinhaven_types::RequestRate;
+
+/// Bounds of the age up to which an entry contacts only its seeds; each entry draws its age. A live seed answers within
+/// a few milliseconds. When all entries have just started, the first few call the store and advertise the result to the
+/// others, which takes about 100 ms. A longer range saves few calls to the store and costs requests after an outage of
+/// all entries.
+const SEEDS_ONLY_AGES: (Microseconds, Microseconds) =
+    (Microseconds::from_ms(10), Microseconds::from_ms(110));
+/// The same bounds for a small entry. Its seeds may start later than it does.
+const SEEDS_ONLY_AGES_SMALL: (Microseconds, Microseconds) =
+    (Microseconds::from_ms(400), Microseconds::from_ms(1_200));
+/// Capacity below which an entry is small.
+const SMALL_CAPACITY: RequestRate = RequestRate::new(100);
+/// Age up to which a small entry is neither a delegate nor a reader of the list. It may not know the entries of its failure domain that rank before it
+/// until then.
+const SMALL_SETTLED_AGE: Microseconds = Microseconds::from_ms(3_000);
+/// Age up to which an entry that is not a delegate obtains missing state only from peers. When all
+/// entries start together, the delegates have the state after a few hundred milliseconds.
+const PEERS_ONLY_AGE: Microseconds = Microseconds::from_ms(700);
+/// Bounds of that age for a small entry. The state reaches the small entries of a failure domain over the links of few
+/// peers.
+const PEERS_ONLY_AGES_SMALL: (Microseconds, Microseconds) =
+    (Microseconds::from_ms(2_000), Microseconds::from_ms(8_000));
+
+/// Bounds of the age of the list of targets from which an entry that stands by reads the list itself; each entry draws
+/// its age. The list of such an entry may be older, as it only serves callers with old addresses.
+const STANDBY_LIST_AGES: (Microseconds, Microseconds) =
+    (Microseconds::from_ms(5_000), Microseconds::from_ms(20_000));
+
+/// Facts on which the access to the store depends.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreAccessFacts {
+    /// Age of the entry.
+    pub age: Microseconds,
+    /// Whether no peer of the entry is live.
+    pub is_alone: bool,
+    /// Whether the entry ranks among the delegates, by the members that it knows.
+    pub is_delegate: bool,
+    /// Whether the entry holds some version of the state.
+    pub has_state: bool,
+}
+
+/// Access of one entry to the store.
+#[derive(Debug, Clone, Copy)]
+pub struct StoreAccess {
+    is_small: bool,
+    seeds_only_age: Microseconds,
+    peers_only_age: Microseconds,
+    standby_list_age: Microseconds,
+}
+
+impl StoreAccess {
+    /// Creates the access of an entry that can carry `capacity`. Other entries find each other by asking a seed, so a
+    /// seed counts as large. `draw` is a random number from 0 to 1.
+    pub fn new(capacity: RequestRate, is_seed: bool, draw: f64) -> Self {
+        let is_small = capacity < SMALL_CAPACITY && !is_seed;
+        let (seeds_only_ages, peers_only_ages) = match is_small {
+            true => (SEEDS_ONLY_AGES_SMALL, PEERS_ONLY_AGES_SMALL),
+            false => (SEEDS_ONLY_AGES, (PEERS_ONLY_AGE, PEERS_ONLY_AGE)),
+        };
+        Self {
+            is_small,
+            seeds_only_age: between(seeds_only_ages, draw),
+            peers_only_age: between(peers_only_ages, draw),
+            standby_list_age: between(STANDBY_LIST_AGES, draw),
+        }
+    }
+
+    /// Whether the entry may call the store.
+    pub fn may_call(&self, facts: &StoreAccessFacts) -> bool {
+        if facts.age < self.seeds_only_age {
+            return false;
+        }
+        let is_delegate = facts.is_delegate && (!self.is_small || facts.age >= SMALL_SETTLED_AGE);
+        let is_left_without_state = !facts.has_state && facts.age >= self.peers_only_age;
+        facts.is_alone || is_delegate || is_left_without_state
+    }
+
+    /// Whether an entry of this age may rely on its rank among the members that it knows.
+    pub fn is_settled(&self, age: Microseconds) -> bool {
+        !self.is_small || age >= SMALL_SETTLED_AGE
+    }
+
+    /// Age of the list of targets from which the entry reads the list while it stands by.
+    pub fn standby_list_age(&self) -> Microseconds {
+        self.standby_list_age
+    }
+}
+
+fn between((min, max): (Microseconds, Microseconds), draw: f64) -> Microseconds {
+    let range = max.saturating_sub(min).count() as f64;
+    min.plus(Microseconds::new((range * draw) as u64))
+}
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -1,7 +1,7 @@
 //! The list of targets as one entry knows it, and the schedule by which entries read it from the store.
 //!
 //! Every read costs the store, so few entries read and the others receive the list from them. No entry
-//! is a reader permanently: each entry has a rank and reads when its list is older than its rank
+//! is a reader permanently: each serving entry has a rank and reads when its list is older than its rank
 //! allows. While the first-ranked reader works, no other entry reaches that age. When the first reader
 //! is frozen, cut off or rejected by the store, the next rank takes over after a fraction of a second.
 //!
@@ -75,6 +75,8 @@
     confirmed_at: Option<Microseconds>,
     /// Local time at which the store last confirmed the list to this entry.
     own_confirmed_at: Option<Microseconds>,
+    /// Local time at which this entry last received a list.
+    received_at: Option<Microseconds>,
     /// Whether this entry's last read failed.
     has_failed: bool,
     /// Time of this entry's last failed read.
@@ -105,6 +107,7 @@
             newer_runs: BTreeMap::new(),
             confirmed_at: None,
             own_confirmed_at: None,
+            received_at: None,
             has_failed: false,
             last_failure_at: None,
             steady_since: None,
@@ -220,6 +223,16 @@
         self.age(now).map_or(Microseconds::ZERO, due_in)
     }
 
+    /// Time until an entry that stands by should read, which waits until the list is `read_at` old, unless a peer
+    /// confirms the list before. Zero if no list is known.
+    ///
+    /// A list from a peer that did not read it itself counts as confirmed when it arrived: its true age is not known.
+    pub fn standby_due_in(&self, read_at: Microseconds, now: Microseconds) -> Microseconds {
+        let latest = self.confirmed_at.max(self.received_at);
+        let age = latest.map(|at| now.saturating_sub(at));
+        age.map_or(Microseconds::ZERO, |age| read_at.saturating_sub(age))
+    }
+
     /// Records that a read from the store failed.
     pub fn record_failure(&mut self, now: Microseconds) {
         self.has_failed = true;
@@ -361,6 +374,7 @@
         self.list = Arc::new(list);
         self.digest = digest;
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        self.received_at = Some(now);
         has_changed || is_first
     }
 
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -49,6 +49,27 @@
     );
 }
 
+/// Guards against a read of each of several hundred entries that stand by, right after they received the list from a peer
+/// that had not read it itself: such a peer knows no time at which the store confirmed the list.
+#[test]
+fn an_entry_that_stands_by_does_not_read_because_a_list_is_of_unknown_age() {
+    let read_at = Microseconds::from_ms(5_000);
+    let mut known = KnownTargets::new();
+    let due_ms =
+        |known: &KnownTargets, now_ms| known.standby_due_in(read_at, at_ms(now_ms)).count() / 1_000;
+    assert_eq!(due_ms(&known, 0), 0, "no list is known yet");
+    known.record_peer_list(list(1, [1, 2]), Microseconds::ZERO, at_ms(0));
+    assert_eq!(due_ms(&known, 100), 4_900);
+    assert_eq!(due_ms(&known, 5_000), 0);
+    let digest = known.digest();
+    known.record_peer_revision(1, digest, at_ms(4_000));
+    assert_eq!(due_ms(&known, 5_000), 4_000);
+    assert!(
+        known.is_due(0, at_ms(4_600)),
+        "a reader goes by the true age"
+    );
+}
+
 #[test]
 fn a_peer_that_confirms_the_same_list_spares_a_read() {
     let mut known = KnownTargets::new();
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -10,7 +10,6 @@
 use crate::targets::leaving_targets::LeavingTargets;
 use crate::targets::restarts::Restarts;
 use crate::versions::snapshot::Snapshot;
-use crate::versions::store_pace;
 use crate::watch::counters::Count;
 use crate::watch::counters::Counters;
 use crate::watch::latencies::Latencies;
@@ -28,6 +27,7 @@
 use pinhaven_agree::RecentDeltas;
 use pinhaven_agree::ReportedLeaves;
 use pinhaven_agree::SeatKeeper;
+use pinhaven_agree::StoreAccess;
 use pinhaven_agree::StoreLag;
 use pinhaven_agree::TransferBudget;
 use pinhaven_agree::VersionFetch;
@@ -145,8 +145,8 @@
     pub(crate) restart_following: event_listener::Event,
     /// Newest version received from the store, compared with the versions that peers have.
     pub(crate) store_lag: Mutex<StoreLag>,
-    /// Minimum age of this process before the first call to the store.
-    pub(crate) store_access_after: Microseconds,
+    /// When this entry may call the store itself.
+    pub(crate) store_access: StoreAccess,
     /// Idle timeout of connections from callers, in milliseconds.
     pub(crate) caller_idle_ms: Arc<AtomicU64>,
     pub(crate) ledger: Mutex<Ledger>,
@@ -206,6 +206,9 @@
             version: BundleVersion::NONE,
             epoch: 1,
         };
+        // Without seeds there is no one to ask first.
+        let is_seed = settings.peer_seeds.is_empty() || settings.peer_seeds.contains(&peer_address);
+        let store_access = StoreAccess::new(row.capacity, is_seed, fastrand::f64());
         let silent_after = Microseconds::from_ms(settings.gossip_ms * SILENT_AFTER_EXCHANGES);
         let timeout_ms = settings.platform_timeout_ms;
         Arc::new(Self {
@@ -233,7 +236,7 @@
             store_answers: AtomicBool::new(true),
             restart_following: event_listener::Event::new(),
             store_lag: Mutex::default(),
-            store_access_after: store_pace::store_access_after(),
+            store_access,
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(Membership::new(row, silent_after)),
--- a/crates/pinhaven-entry/src/peers/peer_rows.rs
+++ b/crates/pinhaven-entry/src/peers/peer_rows.rs
@@ -19,9 +19,13 @@
 const FIRST_READ_DELAY_MS: u64 = 500;
 /// Interval between later reads of an entry without live peers, in milliseconds.
 const READ_INTERVAL_MS: u64 = 3_000;
-/// Number of read intervals between two reads of a store delegate with live peers. Such a read joins two groups of
-/// entries that do not know each other.
-const INTERVALS_PER_DELEGATE_READ: u32 = 4;
+/// Number of read intervals between two reads of one of the first store delegates with live peers. Such a read joins two
+/// groups of entries that do not know each other; each group has first delegates of its own.
+const INTERVALS_PER_FIRST_READ: u32 = 4;
+/// Number of store delegates that count as the first ones, as one may lose its connection to the store.
+const FIRST_DELEGATES: usize = 2;
+/// Number of read intervals between two reads of any other store delegate.
+const INTERVALS_PER_DELEGATE_READ: u32 = 20;
 
 impl Entry {
     /// Writes the row of this entry and reads the rows of others. With a store, runs until the process exits.
@@ -41,7 +45,7 @@
         sleep_ms(FIRST_READ_DELAY_MS).await;
         let mut intervals: u32 = 0;
         loop {
-            let is_delegate_read_due = intervals.is_multiple_of(INTERVALS_PER_DELEGATE_READ);
+            let is_delegate_read_due = intervals.is_multiple_of(self.intervals_per_read());
             let is_alone = !self.members.lock().has_live_peer(self.now());
             if is_alone || (is_delegate_read_due && self.uses_store(true)) {
                 self.read_members(&store).await;
@@ -51,6 +55,18 @@
         }
     }
 
+    /// Number of read intervals between two reads of this entry as a store delegate.
+    fn intervals_per_read(&self) -> u32 {
+        let members = self.members.lock();
+        let own = members.own().incarnation;
+        let delegates = members.delegates(self.now());
+        let mut first = delegates.iter().take(FIRST_DELEGATES);
+        match first.any(|row| row.incarnation == own) {
+            true => INTERVALS_PER_FIRST_READ,
+            false => INTERVALS_PER_DELEGATE_READ,
+        }
+    }
+
     async fn announce(&self, store: &Arc<dyn Discovery>) -> Result<(), PlatformError> {
         let row = self.members.lock().own().clone();
         let written = store.announce(&row).await;
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -1,7 +1,7 @@
 //! The list of targets: read from the store by the first entries in rank, fetched from a peer by the others.
 //!
-//! Each entry reads the store only after the list has reached an age that grows with the entry's rank, so that
-//! usually a single entry reads it. The other entries learn the revision from peers' updates and fetch a newer list
+//! Each serving entry reads the store only after the list has reached an age that grows with the entry's rank, so that
+//! usually a single entry reads it. An entry that stands by reads it only if the list is much older. The other entries learn the revision from peers' updates and fetch a newer list
 //! over HTTP: the steps from their own list to the newer one, or the whole list if the steps are not available.
 
 use crate::entry::Entry;
@@ -49,10 +49,14 @@
         let mut backoff = RetryBackoff::default();
         loop {
             self.expire_targets();
-            let rank = self.reader_rank();
-            let (due_in, is_known) = {
-                let targets = self.targets.lock();
-                (targets.due_in(rank, self.now()), targets.is_known())
+            let is_known = self.targets.lock().is_known();
+            let rank = self.reader_rank(is_known);
+            let due_in = {
+                let (targets, now) = (self.targets.lock(), self.now());
+                match rank {
+                    Some(rank) => targets.due_in(rank, now),
+                    None => targets.standby_due_in(self.store_access.standby_list_age(), now),
+                }
             };
             if due_in > Microseconds::ZERO {
                 sleep_ms((due_in.count() / 1_000).clamp(LIST_POLL_MS.0, LIST_POLL_MS.1)).await;
@@ -67,14 +71,23 @@
         }
     }
 
-    /// This entry's rank among the readers of the list. Serving entries rank first, in an order that is the same at
-    /// all entries; all other entries share the next rank.
-    fn reader_rank(&self) -> u32 {
-        let members = self.members.lock();
-        let own = members.own().incarnation;
-        let serving = members.serving(self.now());
-        let position = serving.iter().position(|row| row.incarnation == own);
-        position.unwrap_or(serving.len()) as u32
+    /// This entry's rank among the readers of the list; `None` if it stands by. Serving entries are readers, in an
+    /// order that is the same at all entries. While none serves, the entries that use the store are.
+    fn reader_rank(&self, is_known: bool) -> Option<u32> {
+        let (position, serving) = {
+            let members = self.members.lock();
+            let own = members.own().incarnation;
+            let serving = members.serving(self.now());
+            let position = serving.iter().position(|row| row.incarnation == own);
+            (position, serving.len())
+        };
+        match position {
+            Some(position) if self.store_access.is_settled(self.clock.age()) => {
+                Some(position as u32)
+            }
+            None if serving == 0 && self.uses_store(is_known) => Some(0),
+            _ => None,
+        }
     }
 
     /// Reads the list from the store. Returns whether the read succeeded.
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -8,6 +8,7 @@
 use crate::versions::store_pace::FIRST_RANK;
 use crate::versions::store_pace::pause_before_retry;
 use pinhaven_agree::RetryBackoff;
+use pinhaven_agree::StoreAccessFacts;
 use pinhaven_agree::pause_after_answer;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_platform::ConfigurationUpdate;
@@ -28,9 +29,6 @@
 /// Maximum time between the receipt of a version from a peer and its receipt from the store before the
 /// pending call to the store counts as dead, in milliseconds. A slow store takes up to 400 ms.
 const STORE_LAG_MAX_MS: u64 = 1_500;
-/// Age up to which an entry that is not a delegate obtains missing state only from peers. When all
-/// entries start together, the delegates have the state after a few hundred milliseconds.
-const PEERS_ONLY_AGE: Microseconds = Microseconds::from_ms(700);
 /// Interval at which an entry that is not a delegate reads the store while there is no configuration, in
 /// milliseconds.
 const ABSENT_POLL_MS: u64 = 4_000;
@@ -138,13 +136,15 @@
     /// version of the state, in which case it may wait for newer versions from peers.
     pub(crate) fn uses_store(&self, has_state: bool) -> bool {
         let now = self.now();
-        let age = self.clock.age();
-        if age < self.store_access_after {
-            return false;
-        }
         let members = self.members.lock();
-        let is_alone = !members.has_live_peer(now);
-        is_alone || members.is_delegate(now) || (!has_state && age >= PEERS_ONLY_AGE)
+        let facts = StoreAccessFacts {
+            age: self.clock.age(),
+            is_alone: !members.has_live_peer(now),
+            is_delegate: members.is_delegate(now),
+            has_state,
+        };
+        drop(members);
+        self.store_access.may_call(&facts)
     }
 
     /// Records that a peer has `version`. If this entry lacks the version, starts a task that fetches it
