Record heartbeats in place

Cause: each relayed heartbeat cloned and replaced the row of its member, with four strings, also when it was not newer. At 472 entries each receives some forty of them a second.

Change: a heartbeat updates the changing fields of the row, and only when it is newer.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -55,6 +55,7 @@
 pub use list_step::ListSteps;
 pub use listed_target::ListedTarget;
 pub use listed_target::TargetList;
+pub use membership::Heartbeat;
 pub use membership::Member;
 pub use membership::MemberRow;
 pub use membership::MemberState;
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -107,6 +107,54 @@
     rank: u64,
 }
 
+impl Member {
+    /// Records a heartbeat that is newer than the last one.
+    fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Microseconds) {
+        self.row.state = self.row.state.max(heartbeat.state);
+        self.row.heartbeat = heartbeat.number;
+        self.row.version = heartbeat.version;
+        self.row.epoch = heartbeat.epoch;
+        self.row.demand = heartbeat.demand;
+        let gap = now.saturating_sub(self.heartbeat_at);
+        self.mean_gap = Microseconds::new(
+            (self.mean_gap.count() * (GAP_WEIGHT - 1) + gap.count()) / GAP_WEIGHT,
+        );
+        self.heartbeat_at = now;
+        self.is_confirmed = true;
+    }
+}
+
+/// The part of a member's row that changes while the member runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Incarnation of the member.
+    pub incarnation: Incarnation,
+    /// Heartbeat counter.
+    pub number: u64,
+    /// State in the life cycle.
+    pub state: MemberState,
+    /// Bundle version in force at the member.
+    pub version: BundleVersion,
+    /// Current epoch of once-only requests.
+    pub epoch: u64,
+    /// Recent peak rate of requests sent to targets for callers.
+    pub demand: RequestRate,
+}
+
+impl Heartbeat {
+    /// The heartbeat of a row.
+    pub fn of(row: &MemberRow) -> Self {
+        Self {
+            incarnation: row.incarnation,
+            number: row.heartbeat,
+            state: row.state,
+            version: row.version,
+            epoch: row.epoch,
+            demand: row.demand,
+        }
+    }
+}
+
 /// All entries known to this entry, including itself.
 #[derive(Debug)]
 pub struct Membership {
@@ -183,45 +231,52 @@
             return false;
         }
         let Some(member) = self.members.get_mut(&row.incarnation) else {
-            let rank = tie_break_rank(&row);
-            self.ranking.insert(&row, rank);
-            self.record_demand(&row);
-            let member = Member {
-                rank,
-                row,
-                heartbeat_at: now,
-                mean_gap: Microseconds::ZERO,
-                is_confirmed: false,
-            };
-            self.members.insert(member.row.incarnation, member);
+            self.insert(row, now);
             return true;
         };
         if row.heartbeat <= member.row.heartbeat {
             return false;
         }
-        let state = member.row.state.max(row.state);
         if !is_ranked_alike(&member.row, &row) {
             self.ranking.remove(&member.row, member.rank);
             member.rank = tie_break_rank(&row);
             self.ranking.insert(&row, member.rank);
         }
+        let heartbeat = Heartbeat::of(&row);
+        let state = member.row.state;
         member.row = MemberRow { state, ..row };
-        let gap = now.saturating_sub(member.heartbeat_at);
-        member.mean_gap = Microseconds::new(
-            (member.mean_gap.count() * (GAP_WEIGHT - 1) + gap.count()) / GAP_WEIGHT,
-        );
-        member.heartbeat_at = now;
-        member.is_confirmed = true;
-        let row = member.row.clone();
-        self.record_demand(&row);
+        member.record_heartbeat(&heartbeat, now);
+        record_demand(&mut self.demanding, &heartbeat);
+        true
+    }
+
+    /// Records a heartbeat of a member received from the member or a third entry. Returns whether the member is known.
+    pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Microseconds) -> bool {
+        if heartbeat.incarnation == self.own.incarnation {
+            return true;
+        }
+        let Some(member) = self.members.get_mut(&heartbeat.incarnation) else {
+            return false;
+        };
+        if heartbeat.number > member.row.heartbeat {
+            member.record_heartbeat(heartbeat, now);
+            record_demand(&mut self.demanding, heartbeat);
+        }
         true
     }
 
-    fn record_demand(&mut self, row: &MemberRow) {
-        match row.demand > RequestRate::ZERO {
-            true => self.demanding.insert(row.incarnation),
-            false => self.demanding.remove(&row.incarnation),
+    fn insert(&mut self, row: MemberRow, now: Microseconds) {
+        let rank = tie_break_rank(&row);
+        self.ranking.insert(&row, rank);
+        record_demand(&mut self.demanding, &Heartbeat::of(&row));
+        let member = Member {
+            rank,
+            row,
+            heartbeat_at: now,
+            mean_gap: Microseconds::ZERO,
+            is_confirmed: false,
         };
+        self.members.insert(member.row.incarnation, member);
     }
 
     /// Marks a member as gone after its address stopped answering as this incarnation.
@@ -387,6 +442,13 @@
     }
 }
 
+fn record_demand(demanding: &mut BTreeSet<Incarnation>, heartbeat: &Heartbeat) {
+    match heartbeat.demand > RequestRate::ZERO {
+        true => demanding.insert(heartbeat.incarnation),
+        false => demanding.remove(&heartbeat.incarnation),
+    };
+}
+
 /// Rank of an entry among entries of equal capacity; lower ranks serve first.
 fn tie_break_rank(row: &MemberRow) -> u64 {
     Digest::of(row.instance_id.as_str().as_bytes()).short()
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -13,8 +13,8 @@
 use crate::peers::gossip_message::row_of;
 use crate::peers::gossip_message::sample_heartbeats;
 use crate::peers::gossip_message::to_bytes;
+use crate::peers::gossip_message::to_heartbeat;
 use crate::peers::gossip_message::to_incarnation;
-use crate::peers::gossip_message::with_heartbeat;
 use crate::watch::counters::Count;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
@@ -181,21 +181,9 @@
     pub(crate) fn record_heartbeats(&self, beats: &[Beat]) {
         let now = self.now();
         let mut members = self.members.lock();
-        for beat in beats {
-            let Some(incarnation) = to_incarnation(&beat.incarnation) else {
-                continue;
-            };
-            if incarnation == self.incarnation {
-                continue;
-            }
-            match members.member(incarnation) {
-                None => {
-                    self.unknown_members.lock().insert(incarnation);
-                }
-                Some(member) => {
-                    let row = with_heartbeat(member.row.clone(), beat);
-                    members.record_relayed_member(row, now);
-                }
+        for heartbeat in beats.iter().filter_map(to_heartbeat) {
+            if !members.record_heartbeat(&heartbeat, now) {
+                self.unknown_members.lock().insert(heartbeat.incarnation);
             }
         }
         let mut unknown = self.unknown_members.lock();
--- a/crates/pinhaven-entry/src/peers/gossip_message.rs
+++ b/crates/pinhaven-entry/src/peers/gossip_message.rs
@@ -1,5 +1,6 @@
 //! Converts between the rows of members and the messages of the protocol between entries.
 
+use pinhaven_agree::Heartbeat;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
 use pinhaven_peer::Beat;
@@ -51,32 +52,32 @@
     let beat = beats
         .iter()
         .find(|beat| beat.incarnation == identity.incarnation)?;
-    let row = MemberRow {
-        incarnation: to_incarnation(&identity.incarnation)?,
+    let heartbeat = to_heartbeat(beat)?;
+    Some(MemberRow {
+        incarnation: heartbeat.incarnation,
         instance_id: identity.instance_id.parse().ok()?,
         failure_domain: identity.failure_domain.parse().ok()?,
         region: identity.region.parse().ok(),
         capacity: RequestRate::new(identity.capacity),
-        demand: RequestRate::ZERO,
+        demand: heartbeat.demand,
         caller_address: identity.caller_address.parse().ok()?,
         peer_address: identity.peer_address.parse().ok()?,
-        state: MemberState::Starting,
-        heartbeat: 0,
-        version: BundleVersion::NONE,
-        epoch: 0,
-    };
-    Some(with_heartbeat(row, beat))
+        state: heartbeat.state,
+        heartbeat: heartbeat.number,
+        version: heartbeat.version,
+        epoch: heartbeat.epoch,
+    })
 }
 
-pub(crate) fn with_heartbeat(row: MemberRow, beat: &Beat) -> MemberRow {
-    MemberRow {
+pub(crate) fn to_heartbeat(beat: &Beat) -> Option<Heartbeat> {
+    Some(Heartbeat {
+        incarnation: to_incarnation(&beat.incarnation)?,
+        number: beat.heartbeat,
         state: to_state(beat.state),
-        heartbeat: beat.heartbeat,
         version: BundleVersion::new(beat.version),
         epoch: beat.epoch,
         demand: RequestRate::new(beat.demand),
-        ..row
-    }
+    })
 }
 
 /// Converts the number of a state. An unknown number, from another release, counts as [`MemberState::Gone`], so that no
