Tell entries that stand by of a read through the serving entries of their domain

Cause: the reader of the list told all entries of each read, 472 datagrams every 0.6 s, and each delegate told all of each version, ten times 472. Entries of other failure domains then fetched the list from the reader. An entry that stands by also selected recipients twice as often as it sent any.

Change: state that an entry read from the store goes to the serving entries everywhere and to those that stand by in its own failure domain or in one without a serving entry; serving entries pass it on in their domain. They also say how long ago the store confirmed the list, so that entries that stand by need not read. Only an entry that served within the last 20 s tells everybody that it stops.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -75,8 +75,9 @@
     confirmed_at: Option<Microseconds>,
     /// Local time at which the store last confirmed the list to this entry.
     own_confirmed_at: Option<Microseconds>,
-    /// Local time at which this entry last received a list.
-    received_at: Option<Microseconds>,
+    /// Local time at which this entry received the list, or at which the store last confirmed the list to any entry as
+    /// far as serving peers know.
+    heard_at: Option<Microseconds>,
     /// Whether this entry's last read failed.
     has_failed: bool,
     /// Time of this entry's last failed read.
@@ -107,7 +108,7 @@
             newer_runs: BTreeMap::new(),
             confirmed_at: None,
             own_confirmed_at: None,
-            received_at: None,
+            heard_at: None,
             has_failed: false,
             last_failure_at: None,
             steady_since: None,
@@ -228,7 +229,7 @@
     ///
     /// A list from a peer that did not read it itself counts as confirmed when it arrived: its true age is not known.
     pub fn standby_due_in(&self, read_at: Microseconds, now: Microseconds) -> Microseconds {
-        let latest = self.confirmed_at.max(self.received_at);
+        let latest = self.confirmed_at.max(self.heard_at);
         let age = latest.map(|at| now.saturating_sub(at));
         age.map_or(Microseconds::ZERO, |age| read_at.saturating_sub(age))
     }
@@ -322,6 +323,15 @@
         PeerList::Same
     }
 
+    /// Records that a serving peer with the list `digest` knows that the store confirmed it to some entry at `heard_at`.
+    /// This spares an entry that stands by a read; it says nothing to others, so that the list does not stay fresh
+    /// among entries of which none reads.
+    pub fn record_heard(&mut self, digest: u64, heard_at: Microseconds) {
+        if digest == self.digest {
+            self.heard_at = self.heard_at.max(Some(heard_at));
+        }
+    }
+
     /// Records a list received from a peer. Returns whether the targets to use may have changed.
     pub fn record_peer_list(
         &mut self,
@@ -374,7 +384,7 @@
         self.list = Arc::new(list);
         self.digest = digest;
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
-        self.received_at = Some(now);
+        self.heard_at = Some(now);
         has_changed || is_first
     }
 
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -70,6 +70,26 @@
     );
 }
 
+#[test]
+fn what_a_serving_peer_heard_spares_a_read_of_an_entry_that_stands_by_and_is_not_passed_on() {
+    let read_at = Microseconds::from_ms(5_000);
+    let mut known = KnownTargets::new();
+    known.record_peer_list(list(1, [1, 2]), Microseconds::ZERO, at_ms(0));
+    let digest = known.digest();
+    known.record_heard(digest, at_ms(4_000));
+    known.record_heard(digest, at_ms(3_000));
+    let due_in = known.standby_due_in(read_at, at_ms(5_000));
+    assert_eq!(due_in, Microseconds::from_ms(4_000));
+    known.record_heard(digest + 1, at_ms(8_000));
+    let due_in = known.standby_due_in(read_at, at_ms(9_000));
+    assert_eq!(due_in, Microseconds::ZERO);
+    assert_eq!(known.own_age(at_ms(5_000)), None);
+    assert!(
+        known.is_due(0, at_ms(4_600)),
+        "a reader goes by the true age"
+    );
+}
+
 #[test]
 fn a_peer_that_confirms_the_same_list_spares_a_read() {
     let mut known = KnownTargets::new();
--- a/crates/pinhaven-entry/src/crashes/advertise.rs
+++ b/crates/pinhaven-entry/src/crashes/advertise.rs
@@ -58,7 +58,7 @@
     }
 
     fn recipients_for(&self, audience: Audience) -> Vec<SocketAddr> {
-        let recipients = self.recipients(UpdateScope::Direct, self.now());
+        let recipients = self.recipients(UpdateScope::Everyone, self.now());
         let serving = [recipients.serving_near, recipients.serving_far].concat();
         match audience {
             Audience::All => [serving, recipients.standby].concat(),
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -161,6 +161,8 @@
     pub(crate) urgent_update: event_listener::Event,
     /// Whether this entry has become ready. Remains set when the entry stops.
     pub(crate) is_ready: AtomicBool,
+    /// Time at which this entry last served, in microseconds; 0 if it never did.
+    pub(crate) served_at_us: AtomicU64,
     /// Notified when this entry becomes ready.
     pub(crate) became_ready: event_listener::Event,
     /// Signals that requests in flight must get their final answer.
@@ -246,6 +248,7 @@
             unknown_members: Mutex::new(BTreeSet::new()),
             urgent_update: event_listener::Event::new(),
             is_ready: AtomicBool::new(false),
+            served_at_us: AtomicU64::new(0),
             became_ready: event_listener::Event::new(),
             stop_signal: StopSignal::default(),
             table: HttpTableService::new(settings.table_address, timeout_ms),
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -79,6 +79,11 @@
                 .age_ms
                 .map(|age_ms| Microseconds::from_ms(u64::from(age_ms)));
             self.learn_list(rpc_address, list.revision, list.digest, age);
+            if let Some(heard_age_ms) = list.heard_age_ms {
+                let age = Microseconds::from_ms(u64::from(heard_age_ms));
+                let heard_at = self.now().saturating_sub(age);
+                self.targets.lock().record_heard(list.digest, heard_at);
+            }
             if let Some(steady_ms) = list.steady_ms {
                 let steady = Microseconds::from_ms(u64::from(steady_ms));
                 let since = self.now().saturating_sub(steady);
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -177,6 +177,10 @@
         let is_direct = has_read_list || (is_urgent && may_be_first_to_know);
         let is_due = now.saturating_sub(sender.full_sent_at) >= self.full_interval();
         let is_full = is_urgent || has_read_list || is_due;
+        if !is_full && !self.sends_every_round(now) {
+            sender.sends_every_round = false;
+            return;
+        }
         if is_full {
             sender.full_sent_at = now;
             self.refresh_peers(sender, now);
@@ -187,9 +191,6 @@
         };
         let recipients = self.recipients(scope, now);
         sender.sends_every_round = recipients.sends_every_round;
-        if !is_full && !recipients.sends_every_round {
-            return;
-        }
         self.advance_heartbeat();
         sender.list_advertised_at = list_read_at;
         let bytes = self
@@ -385,6 +386,7 @@
     }
 
     fn list_update(&self, now: Microseconds) -> Option<ListNews> {
+        let serves = self.sends_every_round(now);
         let known = self.targets.lock();
         if !known.is_known() {
             return None;
@@ -397,6 +399,10 @@
             digest: known.digest(),
             age_ms: own_age.map(|age| age.as_ms().ceil() as u32),
             steady_ms: steady.map(|steady| steady.as_ms() as u32),
+            heard_age_ms: known
+                .age(now)
+                .filter(|_| serves)
+                .map(|age| age.as_ms().ceil() as u32),
         })
     }
 
--- a/crates/pinhaven-entry/src/peers/recipients.rs
+++ b/crates/pinhaven-entry/src/peers/recipients.rs
@@ -13,6 +13,7 @@
 use pinhaven_types::Microseconds;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 
 /// Number of candidates per failure domain, which send heartbeats to all serving entries. Candidates are the first to
 /// serve when serving entries fail; about the rest, only entries of their own failure domain need to know at once.
@@ -23,13 +24,19 @@
 /// Number of standby entries to which an entry that is no candidate sends heartbeats.
 const STANDBY_RECIPIENTS_MIN: usize = 1;
 
+/// Time after an entry last served for which other entries and callers may still use it.
+const NAMED_FOR: Microseconds = Microseconds::from_ms(20_000);
+
 /// Content of an update, which determines the recipients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UpdateScope {
     /// The heartbeat and the requests in flight of this entry.
     Heartbeat,
-    /// State that this entry read from the store itself, or the fact that it stops: no other entry would send either.
+    /// State that this entry read from the store itself. Serving entries pass it on to the entries of their failure
+    /// domains that stand by.
     Direct,
+    /// What each entry must learn at once.
+    Everyone,
 }
 
 /// Group of recipients, for the counts of datagrams.
@@ -84,6 +91,14 @@
 }
 
 impl Entry {
+    /// Whether this entry serves or has requests in flight, so that it sends datagrams every round.
+    pub(crate) fn sends_every_round(&self, now: Microseconds) -> bool {
+        let members = self.members.lock();
+        let own = members.own().incarnation;
+        let mut serving = members.serving(now).into_iter();
+        serving.any(|row| row.incarnation == own) || self.in_flight() > 0
+    }
+
     /// Selects the recipients of an update of this entry.
     pub(crate) fn recipients(&self, scope: UpdateScope, now: Microseconds) -> Recipients {
         let active: BTreeSet<Incarnation> = self.peer_counts.lock().active_peers().collect();
@@ -95,6 +110,11 @@
             .map(|row| row.incarnation)
             .collect();
         let sends_every_round = serving.contains(&own.incarnation) || self.in_flight() > 0;
+        if sends_every_round {
+            self.served_at_us.store(now.count(), Ordering::Relaxed);
+        }
+        let served_at = Microseconds::new(self.served_at_us.load(Ordering::Relaxed));
+        let has_served = now.saturating_sub(served_at) < NAMED_FOR;
         // Before any entry is ready, entries discover each other through the store delegates.
         let delegates: BTreeSet<Incarnation> = members
             .delegates(now)
@@ -113,14 +133,23 @@
         let is_stopping = own.state >= MemberState::Stopping;
         let domain = &own.failure_domain;
         let mut recipients = match scope {
-            UpdateScope::Direct => all(&serving_rows, &standby_rows, domain),
-            UpdateScope::Heartbeat if is_stopping => all(&serving_rows, &standby_rows, domain),
+            UpdateScope::Everyone => all(&serving_rows, &standby_rows, domain),
+            // Everybody may still name it to callers.
+            UpdateScope::Heartbeat | UpdateScope::Direct if is_stopping && has_served => {
+                all(&serving_rows, &standby_rows, domain)
+            }
             UpdateScope::Heartbeat if sends_every_round => Recipients {
                 serving_near: near(&serving_rows, domain),
                 serving_far: far(&serving_rows, domain),
                 standby: near_and_sampled_far(&standby_rows, domain, STANDBY_RECIPIENTS),
                 ..Recipients::default()
             },
+            UpdateScope::Direct => Recipients {
+                serving_near: near(&serving_rows, domain),
+                serving_far: far(&serving_rows, domain),
+                standby: near_and_uncovered(&standby_rows, &serving_rows, domain),
+                ..Recipients::default()
+            },
             UpdateScope::Heartbeat if is_candidate => Recipients {
                 serving_near: near(&serving_rows, domain),
                 serving_far: far(&serving_rows, domain),
@@ -182,6 +211,24 @@
         .collect()
 }
 
+/// Addresses of the entries that stand by in this failure domain or in one without a serving entry to tell them.
+fn near_and_uncovered(
+    standby_rows: &[&MemberRow],
+    serving_rows: &[&MemberRow],
+    domain: &FailureDomain,
+) -> Vec<SocketAddr> {
+    let covered: BTreeSet<&FailureDomain> = serving_rows
+        .iter()
+        .map(|row| &row.failure_domain)
+        .filter(|covered| *covered != domain)
+        .collect();
+    standby_rows
+        .iter()
+        .filter(|row| !covered.contains(&row.failure_domain))
+        .map(|row| row.peer_address)
+        .collect()
+}
+
 /// Addresses of all rows of a failure domain and of random other rows.
 fn near_and_sampled_far(
     rows: &[&MemberRow],
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -79,6 +79,10 @@
     /// failed or the sender does not read the store.
     #[prost(uint32, optional, tag = "4")]
     pub steady_ms: Option<u32>,
+    /// Time since the store last confirmed the list to any entry, as far as a serving sender knows, in milliseconds;
+    /// absent from other senders. Not to be passed on.
+    #[prost(uint32, optional, tag = "5")]
+    pub heard_age_ms: Option<u32>,
 }
 
 /// A datagram of state updates.
