Use the list of targets without copying it where nothing differs

Change: the targets to use are the list itself unless a run is superseded, has left or may only have lapsed.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -117,7 +117,10 @@
     }
 
     /// The targets to use: the latest run of each listed target, and targets that may only have lapsed.
-    pub fn targets(&self) -> TargetList {
+    pub fn targets(&self) -> Arc<TargetList> {
+        if self.is_list_in_use() {
+            return Arc::clone(&self.list);
+        }
         let mut list = (*self.list).clone();
         list.targets
             .retain(|id, target| !self.is_superseded(id, target.incarnation));
@@ -127,7 +130,18 @@
         for target in list.targets.values_mut() {
             target.is_leaving |= self.latest.has_left(target);
         }
-        list
+        Arc::new(list)
+    }
+
+    /// Whether the targets to use are those of the list, unchanged. With a thousand targets, copies of the list would be
+    /// most of the cost of a new list.
+    fn is_list_in_use(&self) -> bool {
+        let mut listed = self.list.targets.values();
+        let is_unchanged = |target: &ListedTarget| {
+            !self.is_superseded(&target.id, target.incarnation)
+                && (target.is_leaving || !self.latest.has_left(target))
+        };
+        self.retained.is_empty() && self.newer_runs.is_empty() && listed.all(is_unchanged)
     }
 
     /// Whether a later run of the target is known. Statements about a superseded run are ignored, and
--- a/crates/pinhaven-agree/tests/foreign_targets.rs
+++ b/crates/pinhaven-agree/tests/foreign_targets.rs
@@ -41,7 +41,7 @@
 }
 
 fn ids(known: &KnownTargets) -> Vec<String> {
-    let targets = known.targets().targets;
+    let targets = &known.targets().targets;
     targets.keys().map(ToString::to_string).collect()
 }
 
@@ -103,7 +103,7 @@
                 .filter(|t| has(listed, *t) && !has(spoiled, *t))
                 .collect();
             known.record_read(list(number as u64 + 1, &own, &foreign), at_ms(now_ms));
-            let used: BTreeSet<TargetId> = known.targets().targets.into_keys().collect();
+            let used: BTreeSet<TargetId> = known.targets().targets.keys().cloned().collect();
             let names_spoiled = foreign.iter().any(|t| used.contains(&id(*t)));
             let names_all = own.iter().all(|t| used.contains(&id(*t)));
             if names_spoiled || !names_all {
--- a/crates/pinhaven-agree/tests/restarted_targets.rs
+++ b/crates/pinhaven-agree/tests/restarted_targets.rs
@@ -37,7 +37,7 @@
 
 /// The only target as the entry uses it.
 fn used(known: &KnownTargets) -> Option<ListedTarget> {
-    known.targets().targets.into_values().next()
+    known.targets().targets.values().next().cloned()
 }
 
 fn used_run(known: &KnownTargets) -> Option<TargetIncarnation> {
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -30,10 +30,26 @@
 }
 
 fn ids(known: &KnownTargets) -> Vec<String> {
-    let targets = known.targets().targets;
+    let targets = &known.targets().targets;
     targets.keys().map(ToString::to_string).collect()
 }
 
+/// Guards against copies of the list, one for each use of it, where all its targets are used as listed.
+#[test]
+fn the_targets_to_use_are_a_copy_of_the_list_only_if_they_differ_from_it() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1, 2]), at_ms(0));
+    assert!(std::ptr::eq(&*known.targets(), &**known.list()));
+    known.record_failure(at_ms(500));
+    known.record_read(list(2, [1]), at_ms(1_000));
+    assert_eq!(
+        ids(&known),
+        ["i-1", "i-2"],
+        "the second may only have lapsed"
+    );
+    assert_eq!(known.list().targets.len(), 1);
+}
+
 #[test]
 fn the_first_reader_reads_often_and_the_others_only_when_it_fails() {
     let mut known = KnownTargets::new();
