Take a retry from the budget only if there is a target for it

Cause: a request that was turned away took a token from the budget of retries before a target was chosen. Where no target was found it was refused, and the token was gone for others.

Change: the target comes first, then the token.

--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -105,17 +105,14 @@
         target.add_penalty(self.now, self.service.slots());
     }
 
-    /// Whether a retry is allowed. Takes a token from the retry budget if so.
+    /// Whether the request may be sent again, budgets aside.
     fn may_retry(&self) -> bool {
         let facts = &self.request.facts;
         let is_safe = facts.is_repeatable || !self.request.may_have_run;
-        is_safe
-            && facts.is_replayable
-            && self.has_attempts_left()
-            && self.now < facts.deadline
-            && self.service.retry_budget.take()
+        is_safe && facts.is_replayable && self.has_attempts_left() && self.now < facts.deadline
     }
 
+    /// Sends the request again if it may be, a target takes it and the budgets allow it. Returns whether it was sent.
     pub(crate) fn retry(&mut self) -> bool {
         if !self.may_retry() {
             return false;
@@ -130,7 +127,8 @@
         } else {
             self.choose().map(|choice| (choice.target, None))
         };
-        let Some((target, chosen)) = target else {
+        // A retry without a target would use up the budget of another request.
+        let Some((target, chosen)) = target.filter(|_| self.service.retry_budget.take()) else {
             return false;
         };
         self.service.retries.fetch_add(1, Ordering::Relaxed);
