Let retries use what hedges leave, the more urgent requests first

Cause: the allowance of added attempts was divided once and for all, 13 of 20 for hedges, 5 for retries. Who got a retry was a matter of who came first.

Change: a decision of its own (retry_budget.rs). A retry also takes from the budget of hedges, and hedges wait for 200 ms when one had to; while a more urgent request needed a retry within the last second, others leave half of the budget to it. Both stay within the sum of the two budgets.

--- a/crates/pinhaven-decide/src/budget.rs
+++ b/crates/pinhaven-decide/src/budget.rs
@@ -49,9 +49,16 @@
 
     /// Takes a token for an added attempt; returns `false` if less than one token is left.
     pub fn take(&self) -> bool {
+        self.take_leaving(0.0)
+    }
+
+    /// Takes a token for an added attempt; returns `false` if less than one token is left beyond `share` of the
+    /// capacity.
+    pub(crate) fn take_leaving(&self, share: f32) -> bool {
         let taken = AtomicBool::new(false);
+        let tokens_min = 1.0 + share * self.capacity.get();
         self.tokens.update(|tokens| {
-            let has_one = tokens >= 1.0;
+            let has_one = tokens >= tokens_min;
             taken.store(has_one, Ordering::Relaxed);
             if has_one { tokens - 1.0 } else { tokens }
         });
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -112,6 +112,13 @@
         is_safe && facts.is_replayable && self.has_attempts_left() && self.now < facts.deadline
     }
 
+    /// Takes a retry from the budgets of the service. Returns whether they allow it.
+    fn take_retry(&self) -> bool {
+        let priority = self.request.priority(self.service);
+        let hedges = self.uses_forecast().then_some(&self.service.hedge_budget);
+        self.service.retry_budget.take(priority, hedges, self.now)
+    }
+
     /// Sends the request again if it may be, a target takes it and the budgets allow it. Returns whether it was sent.
     pub(crate) fn retry(&mut self) -> bool {
         if !self.may_retry() {
@@ -128,7 +135,7 @@
             self.choose().map(|choice| (choice.target, None))
         };
         // A retry without a target would use up the budget of another request.
-        let Some((target, chosen)) = target.filter(|_| self.service.retry_budget.take()) else {
+        let Some((target, chosen)) = target.filter(|_| self.take_retry()) else {
             return false;
         };
         self.service.retries.fetch_add(1, Ordering::Relaxed);
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -196,6 +196,7 @@
             None => self.hedge_by_time_saved(),
         };
         if let Some(hedge) = hedge
+            && !self.service.retry_budget.needs_hedges(self.now)
             && self.service.hedge_budget.take()
         {
             self.service.count_hedge();
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -10,6 +10,7 @@
 use crate::lapsed_orders::LapsedOrders;
 use crate::recent_runs::RecentRuns;
 use crate::report::LoadReport;
+use crate::retry_budget::RetryBudget;
 use crate::service_targets::PreviousTargets;
 use crate::service_targets::build_targets;
 use crate::speed::ServiceSpeed;
@@ -92,7 +93,7 @@
     pub(crate) limit: InFlightLimit,
     pub(crate) hedge_delay: HedgeDelay,
     pub(crate) hedge_budget: TokenBudget,
-    pub(crate) retry_budget: TokenBudget,
+    pub(crate) retry_budget: RetryBudget,
     pub(crate) round_robin_position: AtomicU32,
     pub(crate) ejection_lock: Mutex<()>,
     pub(crate) hedges: AtomicU64,
@@ -185,7 +186,7 @@
                 service.hedge_budget_percent.fraction(),
                 BUDGET_CAPACITY,
             ),
-            retry_budget: TokenBudget::new(
+            retry_budget: RetryBudget::new(
                 service.retry_budget_percent.fraction(),
                 BUDGET_CAPACITY,
             ),
