--- a/crates/pinhaven-agree/src/store_access.rs
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -82,7 +82,7 @@
         if facts.age < self.seeds_only_age {
             return false;
         }
-        let is_delegate = facts.is_delegate && (!self.is_small || facts.age >= SMALL_SETTLED_AGE);
+        let is_delegate = facts.is_delegate && self.is_settled(facts.age);
         let is_left_without_state = !facts.has_state && facts.age >= self.peers_only_age;
         facts.is_alone || is_delegate || is_left_without_state
     }
--- a/crates/pinhaven-decide/tests/partial_shedding.rs
+++ b/crates/pinhaven-decide/tests/partial_shedding.rs
@@ -230,6 +230,44 @@
     }
 }
 
+/// A request of this priority that arrives at `time_ms` and is turned away by its first target. Returns whether it is
+/// sent again.
+fn is_sent_again(service: &Arc<ServiceState>, priority: u8, time_ms: u64) -> bool {
+    let mut request = Driven::with_facts(service, time_ms, |facts| {
+        facts.is_repeatable = false;
+        facts.priority = Some(priority);
+    });
+    let shed = Event::AttemptEnded {
+        attempt: request.attempts[0].take().unwrap().id,
+        outcome: AttemptOutcome::Shed { report: None },
+    };
+    request.handle(time_ms + 1, shed);
+    let is_sent_again = request.attempts.len() > 1;
+    if is_sent_again {
+        request.answer(1, time_ms + 2);
+    }
+    is_sent_again
+}
+
+/// Guards against a budget that less urgent requests have used up when a more urgent one needs a retry.
+#[test]
+fn less_urgent_requests_leave_half_of_the_budget_while_more_urgent_ones_need_it() {
+    let fields = json!({
+        "policy": "forecast", "slots": 6, "hedge_budget_percent": 0, "retry_budget_percent": 0.01,
+    });
+    let service = Arc::new(ServiceState::new(
+        &service_with(TARGETS, fields),
+        None,
+        at_ms(0),
+    ));
+    service.set_added_attempt_burst(0.0, 8.0);
+    assert!(is_sent_again(&service, URGENT, 2_000));
+    let less_urgent = (0..8).filter(|n| is_sent_again(&service, LESS_URGENT, 2_010 + n * 10));
+    assert_eq!(less_urgent.count(), 3, "of seven left, four are kept");
+    let urgent = (0..8).filter(|n| is_sent_again(&service, URGENT, 2_200 + n * 10));
+    assert_eq!(urgent.count(), 4);
+}
+
 #[test]
 fn less_urgent_requests_get_all_second_attempts_while_no_other_needs_one() {
     let ends = play(|_| LESS_URGENT)[&LESS_URGENT];
