--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -33,6 +33,7 @@
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Interval between rounds while targets have capacity, in milliseconds. The speed of a target stays valid for some
@@ -191,6 +192,9 @@
         };
         let recipients = self.recipients(scope, now);
         sender.sends_every_round = recipients.sends_every_round;
+        if recipients.sends_every_round {
+            self.served_at_us.store(now.count(), Ordering::Relaxed);
+        }
         self.advance_heartbeat();
         sender.list_advertised_at = list_read_at;
         let bytes = self
--- a/crates/pinhaven-entry/src/peers/recipients.rs
+++ b/crates/pinhaven-entry/src/peers/recipients.rs
@@ -119,9 +119,6 @@
             .collect();
         let sends_every_round =
             serving.contains(&own.incarnation) || self.in_flight() >= ROUND_REQUESTS_MIN;
-        if sends_every_round {
-            self.served_at_us.store(now.count(), Ordering::Relaxed);
-        }
         let served_at = Microseconds::new(self.served_at_us.load(Ordering::Relaxed));
         let has_served = now.saturating_sub(served_at) < NAMED_FOR;
         // Before any entry is ready, entries discover each other through the store delegates.
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -1,8 +1,9 @@
 //! The list of targets: read from the store by the first entries in rank, fetched from a peer by the others.
 //!
 //! Each serving entry reads the store only after the list has reached an age that grows with the entry's rank, so that
-//! usually a single entry reads it. An entry that stands by reads it only if the list is much older. The other entries learn the revision from peers' updates and fetch a newer list
-//! over HTTP: the steps from their own list to the newer one, or the whole list if the steps are not available.
+//! usually a single entry reads it. An entry that stands by reads it only if the list is much older. The other entries
+//! learn the revision from peers' updates and fetch a newer list over HTTP: the steps from their own list to the newer
+//! one, or the whole list if the steps are not available.
 
 use crate::entry::Entry;
 use crate::versions::store_pace::pause_before_retry;
