Revert "Send the updates of every round only to entries with several requests in flight"

Likely cause, not traced: an entry that stands by and has a few requests goes by speeds that are half a second old.

--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -47,7 +47,7 @@
 /// targets of their own domain are full. Together with the data omitted from datagrams, the factor halves the traffic
 /// between failure domains at low load.
 const FAR_ROUND_FACTOR: f32 = 2.5;
-/// Interval between rounds of an entry that has little to advertise but its heartbeat.
+/// Interval between rounds of an entry that has nothing to advertise but its heartbeat.
 const IDLE_ROUND: Duration = Duration::from_millis(250);
 /// Utilization of a service's slots above which intervals get shorter, and at which they are shortest.
 const BUSY_UTILIZATION: (f32, f32) = (0.15, 0.45);
@@ -69,8 +69,8 @@
 /// Number of heartbeats of other entries in a full datagram to other failure domains, whose entries receive most
 /// heartbeats directly.
 const RELAYED_HEARTBEATS_FAR: usize = 2;
-/// Interval between descriptions of this entry in its datagrams, and between requests for descriptions of others. A peer
-/// that knows only the heartbeat requests the description.
+/// Interval between descriptions of this entry in its datagrams. A peer that knows only the heartbeat requests the
+/// description.
 const IDENTITY_INTERVAL: Microseconds = Microseconds::from_ms(2_000);
 /// Maximum number of entries described or requested in one datagram, so that the datagram fits into one packet.
 pub(crate) const IDENTITIES_MAX: usize = 6;
@@ -262,9 +262,6 @@
             &heartbeat,
         )
         .await;
-        if !has_identity {
-            return bytes;
-        }
         bytes + self.request_descriptions(recipients, socket).await
     }
 
@@ -354,7 +351,7 @@
         if self.is_discovering() {
             return Duration::from_micros(DISCOVERY_INTERVAL.count());
         }
-        if !sender.sends_every_round {
+        if !sender.sends_every_round && self.in_flight() == 0 {
             return IDLE_ROUND;
         }
         let round_ms = round_ms(self.fill_level());
--- a/crates/pinhaven-entry/src/peers/peer_counts.rs
+++ b/crates/pinhaven-entry/src/peers/peer_counts.rs
@@ -72,11 +72,6 @@
         }
     }
 
-    /// Number of requests in flight at all targets.
-    fn in_flight(&self) -> u32 {
-        self.counts.values().map(|(_, count)| count).sum()
-    }
-
     fn clear_except(&mut self, named: &[TargetNews]) {
         self.counts.retain(|key, (target, count)| {
             let is_named = named.iter().any(|update| update.key == *key);
@@ -144,10 +139,9 @@
         });
     }
 
-    /// Peers that have at least `in_flight_min` requests in flight at targets.
-    pub(crate) fn active_peers(&self, in_flight_min: u32) -> impl Iterator<Item = Incarnation> {
-        let is_active =
-            move |(_, count): &(&Incarnation, &PeerCount)| count.in_flight() >= in_flight_min;
+    /// Peers that have requests in flight at targets.
+    pub(crate) fn active_peers(&self) -> impl Iterator<Item = Incarnation> {
+        let is_active = |(_, count): &(&Incarnation, &PeerCount)| !count.counts.is_empty();
         self.0.iter().filter(is_active).map(|(peer, _)| *peer)
     }
 }
--- a/crates/pinhaven-entry/src/peers/recipients.rs
+++ b/crates/pinhaven-entry/src/peers/recipients.rs
@@ -24,10 +24,6 @@
 /// Number of standby entries to which an entry that is no candidate sends heartbeats.
 const STANDBY_RECIPIENTS_MIN: usize = 1;
 
-/// Number of requests in flight from which an entry that does not serve sends and receives the updates of each round.
-/// Callers with old addresses and operators' checks send single requests to all entries; updates of every round to each
-/// of these entries would be most of the traffic among several hundred.
-const ROUND_REQUESTS_MIN: u32 = 4;
 /// Time after an entry last served for which other entries and callers may still use it.
 const NAMED_FOR: Microseconds = Microseconds::from_ms(20_000);
 
@@ -74,11 +70,11 @@
 /// Recipients of the datagrams of one round.
 #[derive(Debug, Default)]
 pub(crate) struct Recipients {
-    /// Whether this entry serves or has several requests in flight, so that it sends datagrams every round.
+    /// Whether this entry serves or has requests in flight, so that it sends datagrams every round.
     pub(crate) sends_every_round: bool,
-    /// Entries of this failure domain that serve, are store delegates or have several requests in flight.
+    /// Entries of this failure domain that serve, are store delegates or have requests in flight.
     pub(crate) serving_near: Vec<SocketAddr>,
-    /// Entries of other failure domains that serve, are store delegates or have several requests in flight.
+    /// Entries of other failure domains that serve, are store delegates or have requests in flight.
     pub(crate) serving_far: Vec<SocketAddr>,
     /// Other entries that receive heartbeats.
     pub(crate) standby: Vec<SocketAddr>,
@@ -95,21 +91,17 @@
 }
 
 impl Entry {
-    /// Whether this entry serves or has several requests in flight, so that it sends datagrams every round.
+    /// Whether this entry serves or has requests in flight, so that it sends datagrams every round.
     pub(crate) fn sends_every_round(&self, now: Microseconds) -> bool {
         let members = self.members.lock();
         let own = members.own().incarnation;
         let mut serving = members.serving(now).into_iter();
-        serving.any(|row| row.incarnation == own) || self.in_flight() >= ROUND_REQUESTS_MIN
+        serving.any(|row| row.incarnation == own) || self.in_flight() > 0
     }
 
     /// Selects the recipients of an update of this entry.
     pub(crate) fn recipients(&self, scope: UpdateScope, now: Microseconds) -> Recipients {
-        let active: BTreeSet<Incarnation> = self
-            .peer_counts
-            .lock()
-            .active_peers(ROUND_REQUESTS_MIN)
-            .collect();
+        let active: BTreeSet<Incarnation> = self.peer_counts.lock().active_peers().collect();
         let members = self.members.lock();
         let own = members.own();
         let serving: BTreeSet<Incarnation> = members
@@ -117,8 +109,7 @@
             .into_iter()
             .map(|row| row.incarnation)
             .collect();
-        let sends_every_round =
-            serving.contains(&own.incarnation) || self.in_flight() >= ROUND_REQUESTS_MIN;
+        let sends_every_round = serving.contains(&own.incarnation) || self.in_flight() > 0;
         let served_at = Microseconds::new(self.served_at_us.load(Ordering::Relaxed));
         let has_served = now.saturating_sub(served_at) < NAMED_FOR;
         // Before any entry is ready, entries discover each other through the store delegates.
