Record how long a lost peer was silent and why, and how silent named entries were

Callers of a deployment of 99 entries were named entries that had lost power 6 s before. Neither the record nor the metrics could tell whether the allowed silence was too long, whether heartbeats were passed on late, or whether removed members came back.

The line 'peer lost' now has the silence, its limit and the source of the last heartbeat, and pinhaven_named_silence_ms has the silence of entries named in address answers. No decision changes.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -91,6 +91,36 @@
     MemberState::deserialize(IntoDeserializer::<D::Error>::into_deserializer(name))
 }
 
+/// How the last heartbeat of a member was received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeartbeatSource {
+    /// From the member itself.
+    Member,
+    /// From a third entry or the store.
+    Relay,
+}
+
+impl HeartbeatSource {
+    /// Name in records and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Member => "member",
+            Self::Relay => "relay",
+        }
+    }
+}
+
+/// How long a member has been silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// Time without an increased heartbeat counter.
+    pub duration: Microseconds,
+    /// Silence after which the member no longer counts as live.
+    pub limit: Microseconds,
+    /// How the last heartbeat was received.
+    pub last_source: HeartbeatSource,
+}
+
 /// A peer's last row and when the peer was last known to be live.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -103,13 +133,20 @@
     /// Whether the member sent a row itself or its heartbeat counter was seen to increase. A relayed row
     /// alone may be long out of date.
     is_confirmed: bool,
+    /// How the last heartbeat was received.
+    last_source: HeartbeatSource,
     /// Rank in the order on which all entries agree, lowest first.
     rank: u64,
 }
 
 impl Member {
     /// Records a heartbeat that is newer than the last one.
-    fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Microseconds) {
+    fn record_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        source: HeartbeatSource,
+        now: Microseconds,
+    ) {
         self.row.state = self.row.state.max(heartbeat.state);
         self.row.heartbeat = heartbeat.number;
         self.row.version = heartbeat.version;
@@ -120,6 +157,7 @@
             (self.mean_gap.count() * (GAP_WEIGHT - 1) + gap.count()) / GAP_WEIGHT,
         );
         self.heartbeat_at = now;
+        self.last_source = source;
         self.is_confirmed = true;
     }
 }
@@ -222,6 +260,7 @@
         self.record_relayed_member(row, now);
         if let Some(member) = self.members.get_mut(&incarnation) {
             member.is_confirmed = true;
+            member.last_source = HeartbeatSource::Member;
         }
     }
 
@@ -245,13 +284,18 @@
         let heartbeat = Heartbeat::of(&row);
         let state = member.row.state;
         member.row = MemberRow { state, ..row };
-        member.record_heartbeat(&heartbeat, now);
+        member.record_heartbeat(&heartbeat, HeartbeatSource::Relay, now);
         record_demand(&mut self.demanding, &heartbeat);
         true
     }
 
     /// Records a heartbeat of a member received from the member or a third entry. Returns whether the member is known.
-    pub fn record_heartbeat(&mut self, heartbeat: &Heartbeat, now: Microseconds) -> bool {
+    pub fn record_heartbeat(
+        &mut self,
+        heartbeat: &Heartbeat,
+        source: HeartbeatSource,
+        now: Microseconds,
+    ) -> bool {
         if heartbeat.incarnation == self.own.incarnation {
             return true;
         }
@@ -259,7 +303,7 @@
             return false;
         };
         if heartbeat.number > member.row.heartbeat {
-            member.record_heartbeat(heartbeat, now);
+            member.record_heartbeat(heartbeat, source, now);
             record_demand(&mut self.demanding, heartbeat);
         }
         true
@@ -275,6 +319,7 @@
             heartbeat_at: now,
             mean_gap: Microseconds::ZERO,
             is_confirmed: false,
+            last_source: HeartbeatSource::Relay,
         };
         self.members.insert(member.row.incarnation, member);
     }
@@ -313,6 +358,16 @@
         Microseconds::new(tolerated.clamp(silence_min, silence_min * SILENCE_FACTOR_MAX))
     }
 
+    /// How long a known member has been silent.
+    pub fn silence(&self, incarnation: Incarnation, now: Microseconds) -> Option<Silence> {
+        let member = self.members.get(&incarnation)?;
+        Some(Silence {
+            duration: now.saturating_sub(member.heartbeat_at),
+            limit: self.silent_after_of(member),
+            last_source: member.last_source,
+        })
+    }
+
     /// This entry and all live members, highest capacity first, in the order on which all entries agree.
     pub(crate) fn live_ranked(&self, now: Microseconds) -> impl Iterator<Item = &MemberRow> {
         self.ranking.incarnations().filter_map(move |incarnation| {
--- a/crates/pinhaven-entry/src/callers/address.rs
+++ b/crates/pinhaven-entry/src/callers/address.rs
@@ -19,10 +19,12 @@
 use pinhaven_agree::Home;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
+use pinhaven_agree::Membership;
 use pinhaven_bundle::Bundle;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
 use serde::Serialize;
 use std::sync::Arc;
@@ -78,6 +80,7 @@
     let members = entry.members.lock();
     let entries_max = config.entries_named as usize;
     let rows = members.entries_for(&config.name, domain.as_ref(), entries_max, now);
+    record_named(entry, &members, &rows, now);
     if rows.is_empty() {
         return Err(Problem::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -98,11 +101,25 @@
 pub(crate) fn select_entries(entry: &Entry, question: &AddressQuery) -> (Vec<NamedEntry>, u64) {
     let members = entry.members.lock();
     let (region, domain) = (question.region.as_ref(), question.domain.as_ref());
-    let rows = members.named_for(region, domain, fastrand::f32, entry.now());
+    let now = entry.now();
+    let rows = members.named_for(region, domain, fastrand::f32, now);
+    record_named(entry, &members, &rows, now);
     let keep_ms = answer_lifetime_ms(entry.snapshot.load().bundle());
     (rows.into_iter().map(named_entry).collect(), keep_ms)
 }
 
+/// Records how long each named entry has been silent.
+fn record_named(entry: &Entry, members: &Membership, named: &[&MemberRow], now: Microseconds) {
+    let silences = named
+        .iter()
+        .filter_map(|row| members.silence(row.incarnation, now));
+    for silence in silences {
+        let duration_ms = silence.duration.as_ms() as u64;
+        let source = silence.last_source.name();
+        entry.named_silences.record(source, "named", duration_ms);
+    }
+}
+
 /// How long a caller may cache an address answer, in milliseconds.
 ///
 /// A caller whose cached answer has expired asks again before its next request, which costs two round
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -173,6 +173,8 @@
     pub(crate) counters: Counters,
     pub(crate) request_times: Latencies,
     pub(crate) attempt_times: Latencies,
+    /// How long the entries named in address answers had been silent.
+    pub(crate) named_silences: Latencies,
     pub(crate) claim_slots: ClaimRate,
     in_flight: AtomicU32,
     body_bytes: AtomicU64,
@@ -257,6 +259,7 @@
             counters: Counters::new(),
             request_times: Latencies::new("pinhaven_request_ms", "route"),
             attempt_times: Latencies::new("pinhaven_attempt_ms", "target"),
+            named_silences: Latencies::new("pinhaven_named_silence_ms", "last_source"),
             claim_slots: ClaimRate::new(settings.claim_writes_per_second),
             in_flight: AtomicU32::new(0),
             body_bytes: AtomicU64::new(0),
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -67,7 +67,7 @@
         for identity in datagram.identities {
             self.record_identity(identity, &datagram.beats);
         }
-        self.record_heartbeats(&datagram.beats);
+        self.record_heartbeats(Some(incarnation), &datagram.beats);
         self.merge_suspects(&datagram.suspects);
         self.record_reported_leaves(&datagram.leaving);
         let targets = datagram.targets.unwrap_or_default().rows();
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -9,6 +9,7 @@
 use crate::peers::gossip_message::HEARTBEATS_MAX;
 use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::incarnation_of;
 use crate::peers::gossip_message::peer_address_of;
 use crate::peers::gossip_message::row_of;
 use crate::peers::gossip_message::sample_heartbeats;
@@ -16,6 +17,7 @@
 use crate::peers::gossip_message::to_heartbeat;
 use crate::peers::gossip_message::to_incarnation;
 use crate::watch::counters::Count;
+use pinhaven_agree::HeartbeatSource;
 use pinhaven_agree::MemberRow;
 use pinhaven_peer::Beat;
 use pinhaven_peer::ExchangeRequest;
@@ -151,11 +153,12 @@
     fn record_response(&self, response: ExchangeResponse) -> BundleVersion {
         self.apply_leaving(&response.leaving);
         self.merge_suspects(&response.suspects);
+        let sender = response.sender.as_ref().and_then(incarnation_of);
         let peer_version = self.record_sender(response.sender, &response.beats);
         for identity in response.identities {
             self.record_identity(identity, &response.beats);
         }
-        self.record_heartbeats(&response.beats);
+        self.record_heartbeats(sender, &response.beats);
         peer_version
     }
 
@@ -178,11 +181,16 @@
         }
     }
 
-    pub(crate) fn record_heartbeats(&self, beats: &[Beat]) {
+    /// Records the heartbeats of a message from `sender`.
+    pub(crate) fn record_heartbeats(&self, sender: Option<Incarnation>, beats: &[Beat]) {
         let now = self.now();
         let mut members = self.members.lock();
         for heartbeat in beats.iter().filter_map(to_heartbeat) {
-            if !members.record_heartbeat(&heartbeat, now) {
+            let source = match sender == Some(heartbeat.incarnation) {
+                true => HeartbeatSource::Member,
+                false => HeartbeatSource::Relay,
+            };
+            if !members.record_heartbeat(&heartbeat, source, now) {
                 self.unknown_members.lock().insert(heartbeat.incarnation);
             }
         }
@@ -264,8 +272,9 @@
         entry.apply_leaving(&request.leaving);
         entry.merge_suspects(&request.suspects);
         let sender = request.sender.as_ref().and_then(peer_address_of);
+        let incarnation = request.sender.as_ref().and_then(incarnation_of);
         let peer_version = entry.record_sender(request.sender, &request.beats);
-        entry.record_heartbeats(&request.beats);
+        entry.record_heartbeats(incarnation, &request.beats);
         if peer_version > entry.version.lock().version()
             && let Some(peer) = sender
         {
--- a/crates/pinhaven-entry/src/peers/gossip_message.rs
+++ b/crates/pinhaven-entry/src/peers/gossip_message.rs
@@ -97,6 +97,10 @@
     identity.peer_address.parse().ok()
 }
 
+pub(crate) fn incarnation_of(identity: &Identity) -> Option<Incarnation> {
+    to_incarnation(&identity.incarnation)
+}
+
 pub(crate) fn to_bytes(incarnation: &Incarnation) -> Vec<u8> {
     incarnation.to_bytes().to_vec()
 }
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -35,6 +35,7 @@
     lines.extend(record_lines(entry));
     lines.extend(entry.request_times.lines());
     lines.extend(entry.attempt_times.lines());
+    lines.extend(entry.named_silences.lines());
     lines.push(String::new());
     lines.join("\n")
 }
--- a/crates/pinhaven-entry/src/watch/state_changes.rs
+++ b/crates/pinhaven-entry/src/watch/state_changes.rs
@@ -7,11 +7,19 @@
 use pinhaven_agree::TargetList;
 use pinhaven_record::Line;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::Incarnation;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
-/// Live peers at the last check, by instance, and whether each was stopping.
-pub(crate) type LivePeers = BTreeMap<String, bool>;
+/// A peer that was live at the last check.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LivePeer {
+    incarnation: Incarnation,
+    is_stopping: bool,
+}
+
+/// Live peers at the last check, by instance.
+pub(crate) type LivePeers = BTreeMap<String, LivePeer>;
 
 impl Entry {
     /// Records a line if there is a recorder. The line is built only then.
@@ -116,27 +124,46 @@
         let live: LivePeers = {
             let members = self.members.lock();
             let live = members.live_peers(self.now());
-            let rows = live.into_iter().map(|row| {
-                let is_stopping = row.state >= MemberState::Stopping;
-                (row.instance_id.to_string(), is_stopping)
+            let peers = live.into_iter().map(|row| {
+                let peer = LivePeer {
+                    incarnation: row.incarnation,
+                    is_stopping: row.state >= MemberState::Stopping,
+                };
+                (row.instance_id.to_string(), peer)
             });
-            rows.collect()
+            peers.collect()
         };
-        for (peer, is_stopping) in &live {
-            match known.get(peer) {
-                None => self.record_peer("up", peer),
-                Some(was_stopping) if !was_stopping && *is_stopping => {
-                    self.record_peer("stopping", peer);
+        for (name, peer) in &live {
+            match known.get(name) {
+                None => self.record_peer("up", name),
+                Some(before) if !before.is_stopping && peer.is_stopping => {
+                    self.record_peer("stopping", name);
                 }
                 Some(_) => {}
             }
         }
-        for peer in known.keys().filter(|peer| !live.contains_key(*peer)) {
-            self.record_peer("lost", peer);
+        for (name, peer) in known.iter().filter(|(name, _)| !live.contains_key(*name)) {
+            self.record_lost_peer(name, peer.incarnation);
         }
         *known = live;
     }
 
+    /// Records the loss of a peer: how long the peer has been silent, from which silence on it counts as lost, and
+    /// whether its last heartbeat came from the peer itself.
+    fn record_lost_peer(&self, name: &str, incarnation: Incarnation) {
+        let silence = self.members.lock().silence(incarnation, self.now());
+        self.record_line(|| {
+            let line = Line::new("peer", "lost", 0).with("peer", name);
+            match silence {
+                Some(silence) => line
+                    .with_number("silent_ms", silence.duration.as_ms())
+                    .with_number("limit_ms", silence.limit.as_ms())
+                    .with("last_source", silence.last_source.name()),
+                None => line,
+            }
+        });
+    }
+
     fn record_peer(&self, event: &str, peer: &str) {
         self.record_line(|| Line::new("peer", event, 0).with("peer", peer));
     }
