Select recipients and passed-on heartbeats apart from input and output

The selections move from the entry to pinhaven-agree, with randomness as a value, so that emulated entries can run them. What is selected stays the same.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -16,6 +16,7 @@
 //!   allows at most one probe too many, and the measuring budget reserves that probe in advance.
 
 mod demand;
+mod heartbeat_routes;
 mod latest_runs;
 mod ledger;
 mod list_step;
@@ -39,6 +40,9 @@
 mod version_lag;
 
 pub use demand::DemandMeter;
+pub use heartbeat_routes::Recipients;
+pub use heartbeat_routes::TrafficFacts;
+pub use heartbeat_routes::UpdateScope;
 pub use ledger::BeginOutcome;
 pub use ledger::Claim;
 pub use ledger::Epoch;
--- a/crates/pinhaven-entry/src/crashes/advertise.rs
+++ b/crates/pinhaven-entry/src/crashes/advertise.rs
@@ -8,7 +8,7 @@
 use crate::peers::datagram_sender::send_all;
 use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::recipients::RecipientKind;
-use crate::peers::recipients::UpdateScope;
+use pinhaven_agree::UpdateScope;
 use pinhaven_decide::Audience;
 use pinhaven_decide::CrashedRun;
 use pinhaven_decide::SuspectFacts;
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -11,18 +11,17 @@
 use crate::error::EntryStep;
 use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::to_beat;
 use crate::peers::gossip_message::to_bytes;
 use crate::peers::peer_counts::collect_updates;
 use crate::peers::recipients::RecipientKind;
-use crate::peers::recipients::Recipients;
-use crate::peers::recipients::UpdateScope;
 use crate::watch::counters::Count;
 use crate::watch::state_changes::LivePeers;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
-use pinhaven_agree::MemberRow;
+use pinhaven_agree::Recipients;
+use pinhaven_agree::UpdateScope;
 use pinhaven_decide::AdvertisedTargets;
-use pinhaven_peer::Beat;
 use pinhaven_peer::ListNews;
 use pinhaven_peer::News;
 use pinhaven_peer::TargetColumns;
@@ -276,7 +275,10 @@
             let unknown = self.unknown_members.lock();
             unknown.iter().take(IDENTITIES_MAX).map(to_bytes).collect()
         };
-        let Some(peer) = recipients.to_ask().filter(|_| !wanted.is_empty()) else {
+        if wanted.is_empty() {
+            return 0;
+        }
+        let Some(peer) = recipients.to_ask(&mut fastrand::Rng::new()) else {
             return 0;
         };
         let request = News {
@@ -440,10 +442,9 @@
         else {
             return message;
         };
-        let live = members.live_peers(self.now());
-        message
-            .beats
-            .extend(sample_live_heartbeats(&live, relayed_heartbeats));
+        let relayed =
+            members.heartbeats_to_relay(relayed_heartbeats, &mut fastrand::Rng::new(), self.now());
+        message.beats.extend(relayed.iter().map(to_beat));
         message.sender = has_identity.then(|| identity_of(own));
         message.is_whole = true;
         message
@@ -455,12 +456,6 @@
     ROUND_MAX_MS + (ROUND_MIN_MS - ROUND_MAX_MS) * fill_level
 }
 
-fn sample_live_heartbeats(live: &[&MemberRow], count: usize) -> Vec<Beat> {
-    let mut live = live.to_vec();
-    fastrand::shuffle(&mut live);
-    live.into_iter().take(count).map(heartbeat_of).collect()
-}
-
 /// Sends a message to several peers. Returns the number of bytes sent.
 pub(crate) async fn send_all(
     entry: &Entry,
--- a/crates/pinhaven-entry/src/peers/gossip_message.rs
+++ b/crates/pinhaven-entry/src/peers/gossip_message.rs
@@ -22,13 +22,17 @@
 }
 
 pub(crate) fn heartbeat_of(row: &MemberRow) -> Beat {
+    to_beat(&Heartbeat::of(row))
+}
+
+pub(crate) fn to_beat(heartbeat: &Heartbeat) -> Beat {
     Beat {
-        incarnation: to_bytes(&row.incarnation),
-        heartbeat: row.heartbeat,
-        state: row.state as u32,
-        version: row.version.number(),
-        epoch: row.epoch,
-        demand: row.demand.per_second(),
+        incarnation: to_bytes(&heartbeat.incarnation),
+        heartbeat: heartbeat.number,
+        state: heartbeat.state as u32,
+        version: heartbeat.version.number(),
+        epoch: heartbeat.epoch,
+        demand: heartbeat.demand.per_second(),
     }
 }
 
