--- a/crates/pinhaven-lab/src/lib.rs
+++ b/crates/pinhaven-lab/src/lib.rs
@@ -3,13 +3,14 @@
 //! A [`Lab`] consists of a platform, targets and entries. Each is a separate process on the loopback interface, with
 //! ports chosen by the kernel. Dropping the lab kills all its processes.
 //!
-//! [`emulate`] and [`versions`] run the decision logic in emulated time instead, without other processes.
+//! [`emulate`], [`membership`] and [`versions`] run the decision logic in emulated time instead, without other processes.
 
 pub mod check;
 pub mod demo;
 pub mod emulate;
 mod lab;
 pub mod measure;
+pub mod membership;
 mod plan;
 mod process;
 mod queue;
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -12,6 +12,9 @@
 use pinhaven_lab::measure;
 use pinhaven_lab::measure::MeasureSettings;
 use pinhaven_lab::measure::Part;
+use pinhaven_lab::membership;
+use pinhaven_lab::membership::MembershipPlan;
+use pinhaven_lab::membership::PowerLoss;
 use pinhaven_lab::soak;
 use pinhaven_lab::soak::SoakReport;
 use pinhaven_lab::versions;
@@ -75,6 +78,8 @@
     },
     /// Distribute versions to all entries, in emulated time, and print when the versions are in force.
     Versions(VersionsArguments),
+    /// Lose entries, in emulated time, and print for how long the others still name them to callers.
+    Membership(MembershipArguments),
     /// Run measurements and write the results to a folder.
     Measure {
         /// Run only this part.
@@ -123,6 +128,53 @@
     seed: u64,
 }
 
+#[derive(Debug, Args)]
+struct MembershipArguments {
+    /// Number of entries.
+    #[arg(long, value_delimiter = ',', default_value = "17,100,300,472")]
+    entries: Vec<usize>,
+    /// Share of the entries that lose power.
+    #[arg(long, value_delimiter = ',', default_value = "0,0.3")]
+    lost_power: Vec<f64>,
+    /// Share of the datagrams that are lost.
+    #[arg(long, value_delimiter = ',', default_value = "0,0.2")]
+    lost_datagrams: Vec<f64>,
+    /// Run only without the store.
+    #[arg(long)]
+    without_store: bool,
+    /// Time of the loss of power, in milliseconds; the run goes on for as long again.
+    #[arg(long, default_value_t = 15_000)]
+    lost_at_ms: u64,
+    /// Seeds of all random choices.
+    #[arg(long, value_delimiter = ',', default_value = "1")]
+    seed: Vec<u64>,
+}
+
+/// Runs all combinations of the arguments and prints a table of the results.
+fn print_membership(arguments: &MembershipArguments) {
+    let mut rows = Vec::new();
+    for entries in &arguments.entries {
+        for share in &arguments.lost_power {
+            for lost_datagrams in &arguments.lost_datagrams {
+                for seed in &arguments.seed {
+                    let loss = PowerLoss {
+                        at_ms: arguments.lost_at_ms,
+                        share: *share,
+                    };
+                    let plan = MembershipPlan {
+                        has_store: !arguments.without_store,
+                        duration_ms: 2 * arguments.lost_at_ms,
+                        power_loss: (*share > 0.0).then_some(loss),
+                        ..MembershipPlan::new(*entries, *seed).with_lost_datagrams(*lost_datagrams)
+                    };
+                    rows.push(membership::row(&plan, &membership::emulate(&plan)));
+                }
+            }
+        }
+    }
+    pinhaven_lab::print_table(&membership::HEADS, &rows);
+}
+
 /// Runs all combinations of the arguments and prints a table of the results.
 fn print_versions(arguments: &VersionsArguments) {
     let costs = match arguments.measure_costs {
@@ -264,6 +316,10 @@
                 print_versions(&arguments);
                 Ok(true)
             }
+            Command::Membership(arguments) => {
+                print_membership(&arguments);
+                Ok(true)
+            }
             Command::Measure {
                 part,
                 only,
