Count the silence of a member from when it sent its heartbeat

Callers were named entries that had been without power for more than 6 s; at several hundred entries for as long as anyone looked.

Cause: a heartbeat that a third entry passed on counted from when it was received. It had waited there, and each entry on the way started the silence anew.

Heartbeats now carry the time since the sender saw the counter increase, and each entry adds the time for which it held them, so that the silence is measured from one moment by all. Three tests in membership.rs fail when the age is ignored.

--- a/crates/pinhaven-agree/src/heartbeat_routes.rs
+++ b/crates/pinhaven-agree/src/heartbeat_routes.rs
@@ -148,7 +148,10 @@
     ) -> Vec<Heartbeat> {
         let mut live = self.live_peers(now);
         random.shuffle(&mut live);
-        live.into_iter().take(count).map(Heartbeat::of).collect()
+        let relayed = live.into_iter().take(count);
+        relayed
+            .filter_map(|row| self.heartbeat_of(row.incarnation, now))
+            .collect()
     }
 }
 
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -3,9 +3,10 @@
 //! Input are the rows that entries publish about themselves, received directly, through a third entry or
 //! from the store. Output are the live members, the rows to pass on and the entries named to callers.
 //!
-//! Only a member itself increments its heartbeat counter; other entries forward the counter unchanged. A
-//! delayed message therefore never extends the time for which a member counts as live. Each entry
-//! measures by its own clock for how long a counter has not increased, so clocks need not agree. The
+//! Only a member itself increments its heartbeat counter; other entries forward the counter unchanged, with
+//! the time since they saw it increase. A message that was forwarded late therefore does not extend the
+//! time for which a member counts as live. Each entry measures by its own clock for how long a counter has
+//! not increased, so clocks need not agree. The
 //! state of a member never moves back within one incarnation, so an announced stop is final.
 
 use crate::ranking::Ranking;
@@ -126,7 +127,7 @@
 pub struct Member {
     /// Latest row of the member.
     pub row: MemberRow,
-    /// Time at which the heartbeat counter last increased, by this entry's clock.
+    /// Time at which the member last incremented its counter, as far as known, by this entry's clock.
     pub heartbeat_at: Microseconds,
     /// Moving average of the time between two increases of the heartbeat counter.
     mean_gap: Microseconds,
@@ -152,14 +153,23 @@
         self.row.version = heartbeat.version;
         self.row.epoch = heartbeat.epoch;
         self.row.demand = heartbeat.demand;
-        let gap = now.saturating_sub(self.heartbeat_at);
+        let incremented_at = now.saturating_sub(heartbeat.age).max(self.heartbeat_at);
+        let gap = incremented_at.saturating_sub(self.heartbeat_at);
         self.mean_gap = Microseconds::new(
             (self.mean_gap.count() * (GAP_WEIGHT - 1) + gap.count()) / GAP_WEIGHT,
         );
-        self.heartbeat_at = now;
+        self.heartbeat_at = incremented_at;
         self.last_source = source;
         self.is_confirmed = true;
     }
+
+    /// The last heartbeat, to be passed on.
+    fn heartbeat(&self, now: Microseconds) -> Heartbeat {
+        Heartbeat {
+            age: now.saturating_sub(self.heartbeat_at),
+            ..Heartbeat::of(&self.row)
+        }
+    }
 }
 
 /// The part of a member's row that changes while the member runs.
@@ -177,12 +187,15 @@
     pub epoch: u64,
     /// Recent peak rate of requests sent to targets for callers.
     pub demand: RequestRate,
+    /// Time since the member incremented the counter, as far as the sender of the heartbeat knows.
+    pub age: Microseconds,
 }
 
 impl Heartbeat {
-    /// The heartbeat of a row.
+    /// The heartbeat of a row that its member has just written.
     pub fn of(row: &MemberRow) -> Self {
         Self {
+            age: Microseconds::ZERO,
             incarnation: row.incarnation,
             number: row.heartbeat,
             state: row.state,
@@ -257,20 +270,26 @@
     /// Records a row that a member sent itself, which confirms the member.
     pub fn record_member(&mut self, row: MemberRow, now: Microseconds) {
         let incarnation = row.incarnation;
-        self.record_relayed_member(row, now);
+        self.record_relayed_member(row, Microseconds::ZERO, now);
         if let Some(member) = self.members.get_mut(&incarnation) {
             member.is_confirmed = true;
             member.last_source = HeartbeatSource::Member;
         }
     }
 
-    /// Records a member's row received from the store or a third entry. Returns whether the row is new.
-    pub fn record_relayed_member(&mut self, row: MemberRow, now: Microseconds) -> bool {
+    /// Records a member's row received from the store or a third entry, with the age of its heartbeat. Returns whether
+    /// the row is new.
+    pub fn record_relayed_member(
+        &mut self,
+        row: MemberRow,
+        age: Microseconds,
+        now: Microseconds,
+    ) -> bool {
         if row.incarnation == self.own.incarnation {
             return false;
         }
         let Some(member) = self.members.get_mut(&row.incarnation) else {
-            self.insert(row, now);
+            self.insert(row, now.saturating_sub(age));
             return true;
         };
         if row.heartbeat <= member.row.heartbeat {
@@ -281,7 +300,10 @@
             member.rank = tie_break_rank(&row);
             self.ranking.insert(&row, member.rank);
         }
-        let heartbeat = Heartbeat::of(&row);
+        let heartbeat = Heartbeat {
+            age,
+            ..Heartbeat::of(&row)
+        };
         let state = member.row.state;
         member.row = MemberRow { state, ..row };
         member.record_heartbeat(&heartbeat, HeartbeatSource::Relay, now);
@@ -309,14 +331,14 @@
         true
     }
 
-    fn insert(&mut self, row: MemberRow, now: Microseconds) {
+    fn insert(&mut self, row: MemberRow, heartbeat_at: Microseconds) {
         let rank = tie_break_rank(&row);
         self.ranking.insert(&row, rank);
         record_demand(&mut self.demanding, &Heartbeat::of(&row));
         let member = Member {
             rank,
             row,
-            heartbeat_at: now,
+            heartbeat_at,
             mean_gap: Microseconds::ZERO,
             is_confirmed: false,
             last_source: HeartbeatSource::Relay,
@@ -403,10 +425,29 @@
         self.examined.get()
     }
 
-    /// Rows to pass on to peers: this entry's own and those of all members that have not been removed.
-    pub fn rows(&self) -> Vec<MemberRow> {
-        let peers = self.members.values().map(|member| member.row.clone());
-        std::iter::once(self.own.clone()).chain(peers).collect()
+    /// Heartbeats to pass on to peers: this entry's own, then those of all members that have not been removed.
+    pub fn heartbeats(&self, now: Microseconds) -> Vec<Heartbeat> {
+        let peers = self.members.values().map(|member| member.heartbeat(now));
+        std::iter::once(Heartbeat::of(&self.own))
+            .chain(peers)
+            .collect()
+    }
+
+    /// Heartbeat to pass on of this entry or of a known member.
+    pub fn heartbeat_of(&self, incarnation: Incarnation, now: Microseconds) -> Option<Heartbeat> {
+        if incarnation == self.own.incarnation {
+            return Some(Heartbeat::of(&self.own));
+        }
+        let member = self.members.get(&incarnation)?;
+        Some(member.heartbeat(now))
+    }
+
+    /// Row of this entry or of a known member.
+    pub fn row(&self, incarnation: Incarnation) -> Option<&MemberRow> {
+        if incarnation == self.own.incarnation {
+            return Some(&self.own);
+        }
+        self.members.get(&incarnation).map(|member| &member.row)
     }
 
     /// The known member with this incarnation.
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -1,5 +1,7 @@
 //! Membership: which entries count as live, and which of them are named to callers.
 
+use pinhaven_agree::Heartbeat;
+use pinhaven_agree::HeartbeatSource;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Membership;
@@ -62,7 +64,7 @@
     members.record_member(stopping, at_ms(10));
     let mut late = row(2, MemberState::Ready);
     late.heartbeat = 4;
-    members.record_relayed_member(late.clone(), at_ms(20));
+    members.record_relayed_member(late.clone(), Microseconds::ZERO, at_ms(20));
     late.heartbeat = 9;
     members.record_member(late, at_ms(30));
     let names = named(&members, "quote", 10, 40);
@@ -75,7 +77,7 @@
     let mut members = members(2);
     let mut advanced = row(1, MemberState::Ready);
     advanced.heartbeat = 2;
-    members.record_relayed_member(advanced, at_ms(1_500));
+    members.record_relayed_member(advanced, Microseconds::ZERO, at_ms(1_500));
     assert_eq!(
         named(&members, "quote", 10, 2_100),
         ["entry-00", "entry-01"]
@@ -88,7 +90,7 @@
     for step in 1..10 {
         let mut row = row(1, MemberState::Ready);
         row.heartbeat = 1 + step;
-        members.record_relayed_member(row, at_ms(step * 1_800));
+        members.record_relayed_member(row, Microseconds::ZERO, at_ms(step * 1_800));
     }
     // The last heartbeat arrived at 16.2 s.
     assert_eq!(named(&members, "quote", 10, 20_000).len(), 2);
@@ -99,7 +101,11 @@
 fn a_repeated_old_heartbeat_does_not_keep_an_entry_alive() {
     let mut members = members(1);
     for time_ms in (0..4_000).step_by(100) {
-        members.record_relayed_member(row(1, MemberState::Ready), at_ms(time_ms));
+        members.record_relayed_member(
+            row(1, MemberState::Ready),
+            Microseconds::ZERO,
+            at_ms(time_ms),
+        );
     }
     assert_eq!(named(&members, "quote", 10, 4_000), ["entry-00"]);
 }
@@ -107,11 +113,11 @@
 #[test]
 fn an_entry_known_only_from_a_list_is_not_named_before_its_heartbeat_counter_increases() {
     let mut members = members(0);
-    members.record_relayed_member(row(1, MemberState::Ready), at_ms(0));
+    members.record_relayed_member(row(1, MemberState::Ready), Microseconds::ZERO, at_ms(0));
     assert_eq!(named(&members, "quote", 10, 1), ["entry-00"]);
     let mut next = row(1, MemberState::Ready);
     next.heartbeat = 2;
-    members.record_relayed_member(next, at_ms(10));
+    members.record_relayed_member(next, Microseconds::ZERO, at_ms(10));
     assert_eq!(named(&members, "quote", 10, 11).len(), 2);
 }
 
@@ -206,3 +212,49 @@
     }
     assert_eq!(readers, BTreeMap::from([(0, 2), (1, 2), (2, 2)]));
 }
+
+#[test]
+fn a_heartbeat_that_waited_at_third_entries_does_not_prolong_the_life_of_a_lost_entry() {
+    let mut members = members(1);
+    // The last heartbeat before the loss of power, as entries that were told of it late pass it on.
+    for (received_ms, age_ms) in [(1_900, 1_890), (3_700, 3_680), (5_500, 5_480)] {
+        let mut last = row(1, MemberState::Ready);
+        last.heartbeat = 2 + received_ms;
+        let heartbeat = Heartbeat {
+            age: Microseconds::from_ms(age_ms),
+            ..Heartbeat::of(&last)
+        };
+        members.record_heartbeat(&heartbeat, HeartbeatSource::Relay, at_ms(received_ms));
+    }
+    assert_eq!(named(&members, "quote", 10, 5_500), ["entry-00"]);
+}
+
+#[test]
+fn a_heartbeat_is_passed_on_with_the_time_since_the_member_sent_it() {
+    let mut first = members(1);
+    let mut advanced = row(1, MemberState::Ready);
+    advanced.heartbeat = 2;
+    first.record_member(advanced, at_ms(500));
+    let incarnation = Incarnation::new(1);
+    let passed_on = first.heartbeat_of(incarnation, at_ms(1_200)).unwrap();
+    assert_eq!(passed_on.age, Microseconds::from_ms(700));
+    let mut second = members(1);
+    second.record_heartbeat(&passed_on, HeartbeatSource::Relay, at_ms(1_200));
+    let passed_on = second.heartbeat_of(incarnation, at_ms(2_000)).unwrap();
+    assert_eq!(passed_on.age, Microseconds::from_ms(1_500));
+}
+
+#[test]
+fn a_described_entry_that_was_lost_long_ago_is_not_named() {
+    let mut members = members(0);
+    let lost = row(1, MemberState::Ready);
+    let age = Microseconds::from_ms(8_000);
+    members.record_relayed_member(lost.clone(), age, at_ms(0));
+    let later = Heartbeat {
+        number: 9,
+        age,
+        ..Heartbeat::of(&lost)
+    };
+    members.record_heartbeat(&later, HeartbeatSource::Relay, at_ms(10));
+    assert_eq!(named(&members, "quote", 10, 11), ["entry-00"]);
+}
--- a/crates/pinhaven-entry/src/crashes/advertise.rs
+++ b/crates/pinhaven-entry/src/crashes/advertise.rs
@@ -6,7 +6,7 @@
 use crate::entry::Entry;
 use crate::peers::datagram_sender::DatagramSocket;
 use crate::peers::datagram_sender::send_all;
-use crate::peers::gossip_message::heartbeat_of;
+use crate::peers::gossip_message::own_beat;
 use crate::peers::recipients::RecipientKind;
 use pinhaven_agree::UpdateScope;
 use pinhaven_decide::Audience;
@@ -70,7 +70,7 @@
         let suspects = self.suspects_to_advertise(SUSPECTS_PER_CRASH_DATAGRAM, 1);
         let members = self.members.lock();
         News {
-            beats: vec![heartbeat_of(members.own())],
+            beats: vec![own_beat(members.own())],
             suspects,
             ..News::default()
         }
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -4,8 +4,8 @@
 use crate::peers::datagram_sender::DatagramSocket;
 use crate::peers::datagram_sender::IDENTITIES_MAX;
 use crate::peers::datagram_sender::send_all;
-use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::to_beat;
 use crate::peers::gossip_message::to_incarnation;
 use crate::peers::recipients::RecipientKind;
 use crate::watch::counters::Count;
@@ -150,10 +150,11 @@
             members.live_peers(now).into_iter().partition(is_wanted);
         let others_max = IDENTITIES_MAX.saturating_sub(rows.len());
         rows.extend(fastrand::choose_multiple(others, others_max));
-        let beats = std::iter::once(members.own()).chain(rows.iter().copied());
+        let described = std::iter::once(members.own()).chain(rows.iter().copied());
+        let heartbeats = described.filter_map(|row| members.heartbeat_of(row.incarnation, now));
         News {
             sender: Some(identity_of(members.own())),
-            beats: beats.map(heartbeat_of).collect(),
+            beats: heartbeats.map(|heartbeat| to_beat(&heartbeat)).collect(),
             identities: rows.into_iter().map(identity_of).collect(),
             ..News::default()
         }
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -9,8 +9,8 @@
 use crate::entry::Entry;
 use crate::error::EntryError;
 use crate::error::EntryStep;
-use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
+use crate::peers::gossip_message::own_beat;
 use crate::peers::gossip_message::to_beat;
 use crate::peers::gossip_message::to_bytes;
 use crate::peers::peer_counts::collect_updates;
@@ -429,7 +429,7 @@
         let own = members.own();
         let mut message = News {
             leaving,
-            beats: vec![heartbeat_of(own)],
+            beats: vec![own_beat(own)],
             list: list.flatten(),
             targets: (!targets.is_empty()).then(|| TargetColumns::new(targets)),
             suspects,
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -7,12 +7,12 @@
 use crate::entry::Entry;
 use crate::once_only::relay_server;
 use crate::peers::gossip_message::HEARTBEATS_MAX;
-use crate::peers::gossip_message::heartbeat_of;
 use crate::peers::gossip_message::identity_of;
 use crate::peers::gossip_message::incarnation_of;
 use crate::peers::gossip_message::peer_address_of;
 use crate::peers::gossip_message::row_of;
 use crate::peers::gossip_message::sample_heartbeats;
+use crate::peers::gossip_message::to_beat;
 use crate::peers::gossip_message::to_bytes;
 use crate::peers::gossip_message::to_heartbeat;
 use crate::peers::gossip_message::to_incarnation;
@@ -42,6 +42,7 @@
 use pinhaven_runtime::within;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -143,7 +144,7 @@
         ExchangeRequest {
             suspects,
             sender: Some(identity_of(members.own())),
-            beats: sample_heartbeats(members.rows()),
+            beats: sample_heartbeats(members.heartbeats(self.now())),
             wanted: wanted.iter().take(WANTED_MAX).map(to_bytes).collect(),
             leaving: self.leaving.lock().recent(self.now()),
         }
@@ -164,8 +165,8 @@
 
     /// Records what a peer reports about itself. Returns the version that the peer has in force.
     pub(crate) fn record_sender(&self, sender: Option<Identity>, beats: &[Beat]) -> BundleVersion {
-        let row = sender.and_then(|sender| row_of(sender, beats));
-        let Some(row) = row else {
+        let described = sender.and_then(|sender| row_of(sender, beats));
+        let Some((row, _)) = described else {
             return BundleVersion::NONE;
         };
         let version = row.version;
@@ -175,9 +176,10 @@
     }
 
     pub(crate) fn record_identity(&self, identity: Identity, beats: &[Beat]) {
-        if let Some(row) = row_of(identity, beats) {
+        if let Some((row, age)) = row_of(identity, beats) {
             self.unknown_members.lock().remove(&row.incarnation);
-            self.members.lock().record_relayed_member(row, self.now());
+            let now = self.now();
+            self.members.lock().record_relayed_member(row, age, now);
         }
     }
 
@@ -211,7 +213,7 @@
         for row in rows {
             match to_member(&row) {
                 Ok(row) => {
-                    members.record_relayed_member(row, now);
+                    members.record_relayed_member(row, Microseconds::ZERO, now);
                 }
                 Err(fault) => self.table.record_skipped(ENTRY_PREFIX, &row.key, &fault),
             }
@@ -309,27 +311,27 @@
 
 fn answer_exchange(entry: &Entry, wanted: &[Vec<u8>]) -> ExchangeResponse {
     let suspects = entry.suspects_to_advertise(SUSPECTS_PER_DATAGRAM, 1);
+    let now = entry.now();
     let members = entry.members.lock();
-    let rows = members.rows();
     let wanted: Vec<Incarnation> = wanted
         .iter()
         .take(WANTED_MAX)
         .filter_map(|bytes| to_incarnation(bytes))
         .collect();
-    let requested: Vec<&MemberRow> = rows
+    let requested: Vec<&MemberRow> = wanted
         .iter()
-        .filter(|row| wanted.contains(&row.incarnation))
+        .filter_map(|incarnation| members.row(*incarnation))
         .collect();
-    let identities = requested.iter().map(|row| identity_of(row)).collect();
-    let mut beats: Vec<Beat> = requested.iter().map(|row| heartbeat_of(row)).collect();
-    let sender = Some(identity_of(members.own()));
-    drop(requested);
-    beats.extend(sample_heartbeats(rows));
+    let heartbeats = requested
+        .iter()
+        .filter_map(|row| members.heartbeat_of(row.incarnation, now));
+    let mut beats: Vec<Beat> = heartbeats.map(|heartbeat| to_beat(&heartbeat)).collect();
+    beats.extend(sample_heartbeats(members.heartbeats(now)));
     ExchangeResponse {
-        sender,
+        sender: Some(identity_of(members.own())),
         beats,
-        identities,
-        leaving: entry.leaving.lock().recent(entry.now()),
+        identities: requested.into_iter().map(identity_of).collect(),
+        leaving: entry.leaving.lock().recent(now),
         suspects,
     }
 }
--- a/crates/pinhaven-entry/src/peers/gossip_message.rs
+++ b/crates/pinhaven-entry/src/peers/gossip_message.rs
@@ -7,21 +7,27 @@
 use pinhaven_peer::Identity;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
 use pinhaven_types::RequestRate;
 use std::net::SocketAddr;
 
 /// Maximum number of members in one message.
 pub(crate) const HEARTBEATS_MAX: usize = 20;
 
-/// Heartbeats of the first row, which is the sender's, and of random other rows.
-pub(crate) fn sample_heartbeats(mut rows: Vec<MemberRow>) -> Vec<Beat> {
-    if rows.len() > HEARTBEATS_MAX {
-        fastrand::shuffle(&mut rows[1..]);
+/// The first heartbeat, which is the sender's, and random other ones.
+pub(crate) fn sample_heartbeats(mut heartbeats: Vec<Heartbeat>) -> Vec<Beat> {
+    if heartbeats.len() > HEARTBEATS_MAX {
+        fastrand::shuffle(&mut heartbeats[1..]);
     }
-    rows.iter().take(HEARTBEATS_MAX).map(heartbeat_of).collect()
+    heartbeats
+        .iter()
+        .take(HEARTBEATS_MAX)
+        .map(to_beat)
+        .collect()
 }
 
-pub(crate) fn heartbeat_of(row: &MemberRow) -> Beat {
+/// Heartbeat of the entry that writes `row` itself.
+pub(crate) fn own_beat(row: &MemberRow) -> Beat {
     to_beat(&Heartbeat::of(row))
 }
 
@@ -33,6 +39,7 @@
         version: heartbeat.version.number(),
         epoch: heartbeat.epoch,
         demand: heartbeat.demand.per_second(),
+        age_ms: heartbeat.age.as_ms().ceil() as u32,
     }
 }
 
@@ -52,12 +59,13 @@
     }
 }
 
-pub(crate) fn row_of(identity: Identity, beats: &[Beat]) -> Option<MemberRow> {
+/// The row of a described member and the age of its heartbeat, which is among `beats`.
+pub(crate) fn row_of(identity: Identity, beats: &[Beat]) -> Option<(MemberRow, Microseconds)> {
     let beat = beats
         .iter()
         .find(|beat| beat.incarnation == identity.incarnation)?;
     let heartbeat = to_heartbeat(beat)?;
-    Some(MemberRow {
+    let row = MemberRow {
         incarnation: heartbeat.incarnation,
         instance_id: identity.instance_id.parse().ok()?,
         failure_domain: identity.failure_domain.parse().ok()?,
@@ -70,7 +78,8 @@
         heartbeat: heartbeat.number,
         version: heartbeat.version,
         epoch: heartbeat.epoch,
-    })
+    };
+    Some((row, heartbeat.age))
 }
 
 pub(crate) fn to_heartbeat(beat: &Beat) -> Option<Heartbeat> {
@@ -81,6 +90,7 @@
         version: BundleVersion::new(beat.version),
         epoch: beat.epoch,
         demand: RequestRate::new(beat.demand),
+        age: Microseconds::from_ms(u64::from(beat.age_ms)),
     })
 }
 
--- a/crates/pinhaven-entry/src/peers/peer_rows.rs
+++ b/crates/pinhaven-entry/src/peers/peer_rows.rs
@@ -10,6 +10,7 @@
 use pinhaven_platform::Discovery;
 use pinhaven_platform::PlatformError;
 use pinhaven_runtime::sleep_ms;
+use pinhaven_types::Microseconds;
 use std::sync::Arc;
 
 /// Delay from the start until a store delegate writes its row, in milliseconds.
@@ -80,7 +81,7 @@
                 let now = self.now();
                 let mut members = self.members.lock();
                 for row in rows {
-                    members.record_relayed_member(row, now);
+                    members.record_relayed_member(row, Microseconds::ZERO, now);
                 }
             }
             Err(error) => log::warn!(target: "members", "Reading peer rows failed: {error}."),
--- a/crates/pinhaven-lab/src/membership/world.rs
+++ b/crates/pinhaven-lab/src/membership/world.rs
@@ -46,8 +46,8 @@
 /// Content of a datagram.
 #[derive(Debug, Default)]
 struct Datagram {
-    /// The sender's row, followed by described members.
-    rows: Vec<MemberRow>,
+    /// The sender's row, followed by described members, with the ages of their heartbeats.
+    rows: Vec<(MemberRow, Microseconds)>,
     relayed: Vec<Heartbeat>,
     wanted: Vec<Incarnation>,
 }
@@ -185,7 +185,7 @@
             (&recipients.standby, standby),
         ] {
             let datagram = Rc::new(Datagram {
-                rows: vec![own.clone()],
+                rows: vec![(own.clone(), Microseconds::ZERO)],
                 relayed,
                 wanted: Vec::new(),
             });
@@ -196,7 +196,7 @@
         let asked = recipients.to_ask(&mut self.random);
         if let Some(peer) = asked.filter(|_| !wanted.is_empty()) {
             let datagram = Rc::new(Datagram {
-                rows: vec![own],
+                rows: vec![(own, Microseconds::ZERO)],
                 relayed: Vec::new(),
                 wanted: wanted.into_iter().take(IDENTITIES_MAX).collect(),
             });
@@ -222,14 +222,16 @@
         if !instance.is_running {
             return;
         }
-        let Some((sender, described)) = datagram.rows.split_first() else {
+        let Some(((sender, _), described)) = datagram.rows.split_first() else {
             return;
         };
         instance.unknown.remove(&sender.incarnation);
         instance.members.record_member(sender.clone(), now);
-        for row in described {
+        for (row, age) in described {
             instance.unknown.remove(&row.incarnation);
-            instance.members.record_relayed_member(row.clone(), now);
+            instance
+                .members
+                .record_relayed_member(row.clone(), *age, now);
         }
         for heartbeat in &datagram.relayed {
             let source = HeartbeatSource::Relay;
@@ -241,8 +243,12 @@
             let live = instance.members.live_peers(now).into_iter();
             let wanted = live.filter(|row| datagram.wanted.contains(&row.incarnation));
             let rows = std::iter::once(instance.members.own()).chain(wanted);
+            let rows = rows.filter_map(|row| {
+                let heartbeat = instance.members.heartbeat_of(row.incarnation, now)?;
+                Some((row.clone(), heartbeat.age))
+            });
             let answer = Datagram {
-                rows: rows.cloned().collect(),
+                rows: rows.collect(),
                 ..Datagram::default()
             };
             self.send(to, from, &Rc::new(answer));
@@ -259,7 +265,10 @@
         let reads = instance.is_running && first.any(|row| row.incarnation == own);
         if reads && self.plan.has_store {
             for row in self.store_rows.values() {
-                instance.members.record_relayed_member(row.clone(), now);
+                let age = Microseconds::ZERO;
+                instance
+                    .members
+                    .record_relayed_member(row.clone(), age, now);
             }
         }
         let next_us = self.now_us + STORE_READ_US;
--- a/crates/pinhaven-lab/src/versions/message.rs
+++ b/crates/pinhaven-lab/src/versions/message.rs
@@ -36,7 +36,7 @@
 #[derive(Debug, Clone)]
 pub(super) enum Payload {
     /// The sender's own row, followed by rows of other entries.
-    Datagram(Rc<[MemberRow]>),
+    Datagram(Rc<[(MemberRow, Microseconds)]>),
     /// Request for a part of a newer version.
     Ask {
         call: CallNumber,
--- a/crates/pinhaven-lab/src/versions/news.rs
+++ b/crates/pinhaven-lab/src/versions/news.rs
@@ -13,6 +13,7 @@
 use crate::versions::world::World;
 use pinhaven_agree::MemberRow;
 use pinhaven_types::BundleVersion;
+use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -126,7 +127,7 @@
     }
 
     /// Rows of a datagram: the entry's own row, followed by rows of random live peers.
-    fn datagram_rows(&mut self, entry: usize) -> Rc<[MemberRow]> {
+    fn datagram_rows(&mut self, entry: usize) -> Rc<[(MemberRow, Microseconds)]> {
         let now = self.now();
         let is_advertiser = self.has_fault(|fault| match fault {
             VersionFault::AdvertisesButIsSilent { entry: faulty }
@@ -140,21 +141,25 @@
         if is_advertiser {
             own.version = self.store_head;
         }
-        std::iter::once(own)
-            .chain(relayed.into_iter().cloned())
+        let relayed = relayed.into_iter().filter_map(|row| {
+            let heartbeat = members.heartbeat_of(row.incarnation, now)?;
+            Some((row.clone(), heartbeat.age))
+        });
+        std::iter::once((own, Microseconds::ZERO))
+            .chain(relayed)
             .collect()
     }
 
     /// Records the members of a received datagram and the sender's version.
-    pub(super) fn receive_datagram(&mut self, entry: usize, rows: &[MemberRow]) {
+    pub(super) fn receive_datagram(&mut self, entry: usize, rows: &[(MemberRow, Microseconds)]) {
         let now = self.now();
-        let Some((sender, relayed)) = rows.split_first() else {
+        let Some(((sender, _), relayed)) = rows.split_first() else {
             return;
         };
         let members = &mut self.instances[entry].members;
         members.record_member(sender.clone(), now);
-        for row in relayed {
-            members.record_relayed_member(row.clone(), now);
+        for (row, age) in relayed {
+            members.record_relayed_member(row.clone(), *age, now);
         }
         self.learn_version(entry, entry_at(sender.peer_address), sender.version);
     }
