Tell standby entries the heartbeats of all serving entries

Cause: standby entries heard serving entries of other failure domains only by lot, two heartbeats among all members in a datagram, so every few seconds at best. The time for which a member may be silent followed that pace up to its maximum of 6 s, which is also how long a lost entry was named.

Serving entries now pass on the heartbeats of all serving entries (16 at the most) to those that stand by.

--- a/crates/pinhaven-agree/src/heartbeat_routes.rs
+++ b/crates/pinhaven-agree/src/heartbeat_routes.rs
@@ -23,6 +23,9 @@
 const STANDBY_RECIPIENTS: usize = 3;
 /// Number of standby entries to which an entry that is no candidate sends heartbeats.
 const STANDBY_RECIPIENTS_MIN: usize = 1;
+/// Maximum number of heartbeats of serving entries in a datagram to standby entries, so that the datagram fits into one
+/// packet.
+const SERVING_HEARTBEATS_MAX: usize = 16;
 
 /// Content of an update, which determines the recipients.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -87,9 +90,6 @@
         now: Microseconds,
     ) -> Recipients {
         let own = self.own();
-        let incarnations = |rows: Vec<&MemberRow>| -> BTreeSet<Incarnation> {
-            rows.into_iter().map(|row| row.incarnation).collect()
-        };
         let serving = incarnations(self.serving(now));
         let sends_every_round = serving.contains(&own.incarnation) || facts.has_requests;
         // Before any entry is ready, entries discover each other through the store delegates.
@@ -146,15 +146,53 @@
         random: &mut Rng,
         now: Microseconds,
     ) -> Vec<Heartbeat> {
-        let mut live = self.live_peers(now);
-        random.shuffle(&mut live);
-        let relayed = live.into_iter().take(count);
-        relayed
+        let live = self.live_peers(now);
+        self.sample_heartbeats(live, count, random, now)
+    }
+
+    /// Heartbeats to be passed on to standby entries: from a serving entry those of the serving entries, and from any
+    /// entry `count` random others.
+    ///
+    /// Standby entries name the serving entries of all failure domains to callers, but receive datagrams only from few of
+    /// them.
+    pub fn heartbeats_for_standby(
+        &self,
+        count: usize,
+        random: &mut Rng,
+        now: Microseconds,
+    ) -> Vec<Heartbeat> {
+        let serving: BTreeSet<Incarnation> = match self.is_serving(now) {
+            true => incarnations(self.serving(now)),
+            false => BTreeSet::new(),
+        };
+        let (serving, others): (Vec<&MemberRow>, Vec<&MemberRow>) = self
+            .live_peers(now)
+            .into_iter()
+            .partition(|row| serving.contains(&row.incarnation));
+        let mut heartbeats = self.sample_heartbeats(serving, SERVING_HEARTBEATS_MAX, random, now);
+        heartbeats.extend(self.sample_heartbeats(others, count, random, now));
+        heartbeats
+    }
+
+    fn sample_heartbeats(
+        &self,
+        mut rows: Vec<&MemberRow>,
+        count: usize,
+        random: &mut Rng,
+        now: Microseconds,
+    ) -> Vec<Heartbeat> {
+        random.shuffle(&mut rows);
+        let sampled = rows.into_iter().take(count);
+        sampled
             .filter_map(|row| self.heartbeat_of(row.incarnation, now))
             .collect()
     }
 }
 
+fn incarnations(rows: Vec<&MemberRow>) -> BTreeSet<Incarnation> {
+    rows.into_iter().map(|row| row.incarnation).collect()
+}
+
 fn addresses(rows: &[&MemberRow]) -> Vec<SocketAddr> {
     rows.iter().map(|row| row.peer_address).collect()
 }
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -117,13 +117,22 @@
 enum UpdateKind {
     /// Only the heartbeat of this entry.
     Incremental,
-    /// Also the live members and the revision of the target list of this entry.
+    /// Also heartbeats of other members and the revision of the target list of this entry.
     Full {
-        relayed_heartbeats: usize,
+        relayed: RelayedHeartbeats,
         has_identity: bool,
     },
 }
 
+/// Heartbeats of other members in a full datagram.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RelayedHeartbeats {
+    /// Those of this number of random members.
+    Random(usize),
+    /// What a standby entry must know, and those of this number of random members.
+    ForStandby(usize),
+}
+
 /// State of the datagram sender.
 struct Sender {
     full_sent_at: Microseconds,
@@ -234,22 +243,24 @@
         if has_identity {
             sender.identity_sent_at = now;
         }
-        let full = |relayed_heartbeats| UpdateKind::Full {
-            relayed_heartbeats,
+        let full = |relayed| UpdateKind::Full {
+            relayed,
             has_identity,
         };
-        let near = full(RELAYED_HEARTBEATS);
-        let far = match is_discovering {
-            true => near,
-            false => full(RELAYED_HEARTBEATS_FAR),
+        let relayed_far = match is_discovering {
+            true => RELAYED_HEARTBEATS,
+            false => RELAYED_HEARTBEATS_FAR,
         };
+        let near = full(RelayedHeartbeats::Random(RELAYED_HEARTBEATS));
+        let far = full(RelayedHeartbeats::Random(relayed_far));
+        let standby = full(RelayedHeartbeats::ForStandby(relayed_far));
         let mut bytes = self
             .send_to_group(&recipients.serving_near, &mut sender.near, near, socket)
             .await;
         bytes += self
             .send_to_group(&recipients.serving_far, &mut sender.far, far, socket)
             .await;
-        let mut heartbeat = self.message(&[], far);
+        let mut heartbeat = self.message(&[], standby);
         // Standby entries receive no evidence on requests that may be innocent: it would be sent to all of them.
         heartbeat.suspects =
             self.suspects_to_advertise(SUSPECTS_PER_DATAGRAM, REPEATED_CRASHES_MIN);
@@ -436,14 +447,19 @@
             ..News::default()
         };
         let UpdateKind::Full {
-            relayed_heartbeats,
+            relayed,
             has_identity,
         } = kind
         else {
             return message;
         };
-        let relayed =
-            members.heartbeats_to_relay(relayed_heartbeats, &mut fastrand::Rng::new(), self.now());
+        let (random, now) = (&mut fastrand::Rng::new(), self.now());
+        let relayed = match relayed {
+            RelayedHeartbeats::Random(count) => members.heartbeats_to_relay(count, random, now),
+            RelayedHeartbeats::ForStandby(count) => {
+                members.heartbeats_for_standby(count, random, now)
+            }
+        };
         message.beats.extend(relayed.iter().map(to_beat));
         message.sender = has_identity.then(|| identity_of(own));
         message.is_whole = true;
--- a/crates/pinhaven-lab/src/membership/world.rs
+++ b/crates/pinhaven-lab/src/membership/world.rs
@@ -176,7 +176,7 @@
         let recipients = members.recipients(UpdateScope::Heartbeat, &facts, &mut self.random, now);
         let near = members.heartbeats_to_relay(RELAYED_HEARTBEATS, &mut self.random, now);
         let far = members.heartbeats_to_relay(RELAYED_HEARTBEATS_FAR, &mut self.random, now);
-        let standby = members.heartbeats_to_relay(RELAYED_HEARTBEATS_FAR, &mut self.random, now);
+        let standby = members.heartbeats_for_standby(RELAYED_HEARTBEATS_FAR, &mut self.random, now);
         let own = members.own().clone();
         let wanted: Vec<Incarnation> = instance.unknown.iter().copied().collect();
         for (peers, relayed) in [
