Bound the silence of entries that are named to callers

Callers were named entries for up to 6 s after their loss by entries that hear them seldom.

Cause: the time for which a member may be silent grows with the interval at which it is heard, up to 6 s on the users' platform, and the same time decided who is named. How seldom an entry hears of another says nothing of how long callers may be sent to it.

Who serves and who is named is now selected from members that were heard within twice the minimum silence (2.4 s on the platform); the longer time still holds for contacting members.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -36,6 +36,10 @@
 /// Maximum time for which any member may be silent, as a multiple of the minimum time.
 const SILENCE_FACTOR_MAX: u64 = 5;
 
+/// Maximum time for which a member may be silent and still serve callers, as a multiple of the minimum time. Unlike the
+/// time for which a member counts as live, it does not grow with the interval at which the member is heard.
+const SERVING_SILENCE_FACTOR: u64 = 2;
+
 /// Life cycle of an entry, as published to its peers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -390,6 +394,20 @@
         })
     }
 
+    /// Whether a live member was heard recently enough to be named to callers.
+    fn is_nameable(&self, member: &Member, now: Microseconds) -> bool {
+        let limit = Microseconds::new(self.silent_after.count() * SERVING_SILENCE_FACTOR);
+        now.saturating_sub(member.heartbeat_at) < limit && self.is_live(member, now)
+    }
+
+    /// Whether this entry, or a live member that was heard recently enough, may be named to callers.
+    pub(crate) fn may_be_named(&self, row: &MemberRow, now: Microseconds) -> bool {
+        let Some(member) = self.members.get(&row.incarnation) else {
+            return row.incarnation == self.own.incarnation;
+        };
+        self.is_nameable(member, now)
+    }
+
     /// This entry and all live members, highest capacity first, in the order on which all entries agree.
     pub(crate) fn live_ranked(&self, now: Microseconds) -> impl Iterator<Item = &MemberRow> {
         self.ranking.incarnations().filter_map(move |incarnation| {
@@ -504,8 +522,8 @@
         named: usize,
         now: Microseconds,
     ) -> Vec<&MemberRow> {
-        let live = self.members.values().filter(|m| self.is_live(m, now));
-        let all = std::iter::once(&self.own).chain(live.map(|member| &member.row));
+        let heard = self.members.values().filter(|m| self.is_nameable(m, now));
+        let all = std::iter::once(&self.own).chain(heard.map(|member| &member.row));
         let mut ranked: Vec<(Digest, &MemberRow)> = all
             .filter(|row| row.state == MemberState::Ready)
             .map(|row| (service_rank(service, row), row))
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -44,7 +44,8 @@
         };
         let mut by_region: BTreeMap<Option<&Region>, ServingSelection<'_>> =
             self.ranking().regions().map(selection_of).collect();
-        for row in self.ranked(now, MemberState::Ready) {
+        let ready = self.ranked(now, MemberState::Ready);
+        for row in ready.filter(|row| self.may_be_named(row, now)) {
             if let Some(selection) = by_region.get_mut(&row.region.as_ref()) {
                 selection.add(row);
             }
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -258,3 +258,20 @@
     members.record_heartbeat(&later, HeartbeatSource::Relay, at_ms(10));
     assert_eq!(named(&members, "quote", 10, 11), ["entry-00"]);
 }
+
+#[test]
+fn an_entry_that_is_heard_seldom_is_not_named_for_longer_after_its_loss() {
+    let mut members = members(1);
+    for step in 1..10 {
+        let mut row = row(1, MemberState::Ready);
+        row.heartbeat = 1 + step;
+        members.record_relayed_member(row, Microseconds::ZERO, at_ms(step * 3_000));
+    }
+    // The last heartbeat arrived at 27 s.
+    assert_eq!(named(&members, "quote", 10, 30_900).len(), 2);
+    assert_eq!(named(&members, "quote", 10, 31_100).len(), 1);
+    let is_counted_as_live = members.live_peers(at_ms(31_100)).len() == 1;
+    assert!(is_counted_as_live, "it may still be contacted");
+    let serving = members.serving(at_ms(31_100));
+    assert_eq!(serving.len(), 1, "nor does it serve");
+}
