--- a/crates/pinhaven-lab/src/membership/outcome.rs
+++ b/crates/pinhaven-lab/src/membership/outcome.rs
@@ -3,7 +3,7 @@
 use crate::membership::plan::MembershipPlan;
 
 /// Column heads of the table of results.
-pub const HEADS: [&str; 10] = [
+pub const HEADS: [&str; 11] = [
     "entries",
     "lost power",
     "lost datagrams",
@@ -12,6 +12,7 @@
     "named for ms",
     "lost named, share",
     "running not named, share",
+    "serving at once, most",
     "datagrams/s, median",
     "datagrams/s, busiest",
 ];
@@ -26,6 +27,8 @@
     /// Share of the entries that should be named, over all samples, that were not named although they ran. Samples in
     /// the first seconds after a loss don't count.
     pub running_unnamed_share: f64,
+    /// Maximum number of entries that consider themselves serving at the same time.
+    pub serving_max: usize,
     /// Datagrams that an entry sends per second, median and maximum over the entries.
     pub datagrams_per_s: (f64, f64),
 }
@@ -43,6 +46,7 @@
         format!("{:.0}", outcome.lost_named_for_ms),
         format!("{:.4}", outcome.lost_named_share),
         format!("{:.4}", outcome.running_unnamed_share),
+        outcome.serving_max.to_string(),
         format!("{median:.1}"),
         format!("{busiest:.1}"),
     ]
--- a/crates/pinhaven-lab/src/membership/world.rs
+++ b/crates/pinhaven-lab/src/membership/world.rs
@@ -88,6 +88,7 @@
     last_named_us: u64,
     expected_named: u64,
     running_unnamed: u64,
+    serving_max: usize,
 }
 
 impl<'plan> World<'plan> {
@@ -121,6 +122,7 @@
             last_named_us: 0,
             expected_named: 0,
             running_unnamed: 0,
+            serving_max: 0,
         };
         world.schedule_start();
         world
@@ -299,7 +301,9 @@
         let is_settled = self
             .lost_at_us
             .is_none_or(|lost_at_us| self.now_us >= lost_at_us + RECOVERY_US);
+        let mut serving_count = 0;
         for instance in self.instances.iter().filter(|entry| entry.is_running) {
+            serving_count += usize::from(instance.members.is_serving(now));
             let serving = instance.members.serving(now);
             let named: BTreeSet<Incarnation> = serving.iter().map(|row| row.incarnation).collect();
             let names_lost = !named.is_disjoint(&self.lost);
@@ -315,6 +319,7 @@
                 self.running_unnamed += expected.difference(&named).count() as u64;
             }
         }
+        self.serving_max = self.serving_max.max(serving_count);
         self.queue.schedule(self.now_us + SAMPLE_US, Event::Sample);
     }
 
@@ -351,6 +356,7 @@
             lost_named_for_ms: lost_named_for_us as f64 / 1_000.0,
             lost_named_share: share(self.samples_with_lost, self.samples_after_loss),
             running_unnamed_share: share(self.running_unnamed, self.expected_named),
+            serving_max: self.serving_max,
             datagrams_per_s: (per_s(sent.len() / 2), per_s(sent.len().saturating_sub(1))),
         }
     }
