Divide the added attempts among all known entries that stand by

Each entry that stands by divided its part by the members heard of lately, some fifty of 472.

It now divides by all known members.

--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -35,6 +35,9 @@
 /// Minimum number of store delegates in each failure domain.
 const DELEGATES_PER_DOMAIN: usize = 2;
 
+/// Share of the added attempts that the serving entries divide among themselves.
+const SERVING_ADDED_ATTEMPTS: f64 = 0.8;
+
 impl Membership {
     /// Entries that serve callers, region by region: first those that serve at any load, then those added for demand.
     pub fn serving(&self, now: Microseconds) -> Vec<&MemberRow> {
@@ -87,6 +90,24 @@
         named
     }
 
+    /// This entry's share of the added attempts that all entries together may send beyond those that their requests
+    /// allow. The serving entries divide most of them; the other entries divide the rest, for callers that still use
+    /// them.
+    pub fn added_attempts_share(&self, now: Microseconds) -> f64 {
+        let own = self.own();
+        let serving = self.serving(now);
+        if serving.contains(&own) {
+            // Callers distribute their requests over the serving entries in proportion to capacity.
+            let all: RequestRate = serving.iter().map(|row| row.capacity).sum();
+            let part = f64::from(own.capacity.per_second()) / f64::from(all.per_second().max(1));
+            SERVING_ADDED_ATTEMPTS * part
+        } else {
+            // Members that are heard seldom count as well: they send their shares however seldom they are heard.
+            let others = (self.contactable_peers().len() + 1).saturating_sub(serving.len());
+            (1.0 - SERVING_ADDED_ATTEMPTS) / others.max(1) as f64
+        }
+    }
+
     /// Whether this entry is a store delegate, one of the few entries that use the store on behalf of all entries.
     ///
     /// Delegates read changes of the configuration from the store. Entries that know no peers find the delegates by
--- a/crates/pinhaven-lab/src/membership/outcome.rs
+++ b/crates/pinhaven-lab/src/membership/outcome.rs
@@ -3,7 +3,7 @@
 use crate::membership::plan::MembershipPlan;
 
 /// Column heads of the table of results.
-pub const HEADS: [&str; 11] = [
+pub const HEADS: [&str; 12] = [
     "entries",
     "lost power",
     "lost datagrams",
@@ -13,6 +13,7 @@
     "lost named, share",
     "running not named, share",
     "serving at once, most",
+    "added attempts, share",
     "datagrams/s, median",
     "datagrams/s, busiest",
 ];
@@ -29,6 +30,8 @@
     pub running_unnamed_share: f64,
     /// Maximum number of entries that consider themselves serving at the same time.
     pub serving_max: usize,
+    /// Maximum sum of the shares of the added attempts that the running entries may send; 1 is what all may send.
+    pub added_attempts_max: f64,
     /// Datagrams that an entry sends per second, median and maximum over the entries.
     pub datagrams_per_s: (f64, f64),
 }
@@ -47,6 +50,7 @@
         format!("{:.4}", outcome.lost_named_share),
         format!("{:.4}", outcome.running_unnamed_share),
         outcome.serving_max.to_string(),
+        format!("{:.2}", outcome.added_attempts_max),
         format!("{median:.1}"),
         format!("{busiest:.1}"),
     ]
--- a/crates/pinhaven-lab/src/membership/world.rs
+++ b/crates/pinhaven-lab/src/membership/world.rs
@@ -89,6 +89,7 @@
     expected_named: u64,
     running_unnamed: u64,
     serving_max: usize,
+    added_attempts_max: f64,
 }
 
 impl<'plan> World<'plan> {
@@ -123,6 +124,7 @@
             expected_named: 0,
             running_unnamed: 0,
             serving_max: 0,
+            added_attempts_max: 0.0,
         };
         world.schedule_start();
         world
@@ -302,8 +304,10 @@
             .lost_at_us
             .is_none_or(|lost_at_us| self.now_us >= lost_at_us + RECOVERY_US);
         let mut serving_count = 0;
+        let mut added_attempts = 0.0;
         for instance in self.instances.iter().filter(|entry| entry.is_running) {
             serving_count += usize::from(instance.members.is_serving(now));
+            added_attempts += instance.members.added_attempts_share(now);
             let serving = instance.members.serving(now);
             let named: BTreeSet<Incarnation> = serving.iter().map(|row| row.incarnation).collect();
             let names_lost = !named.is_disjoint(&self.lost);
@@ -320,6 +324,7 @@
             }
         }
         self.serving_max = self.serving_max.max(serving_count);
+        self.added_attempts_max = self.added_attempts_max.max(added_attempts);
         self.queue.schedule(self.now_us + SAMPLE_US, Event::Sample);
     }
 
@@ -357,6 +362,7 @@
             lost_named_share: share(self.samples_with_lost, self.samples_after_loss),
             running_unnamed_share: share(self.running_unnamed, self.expected_named),
             serving_max: self.serving_max,
+            added_attempts_max: self.added_attempts_max,
             datagrams_per_s: (per_s(sent.len() / 2), per_s(sent.len().saturating_sub(1))),
         }
     }
--- a/crates/pinhaven-lab/tests/membership.rs
+++ b/crates/pinhaven-lab/tests/membership.rs
@@ -117,3 +117,15 @@
         }
     }
 }
+
+/// Guards against shares that count only the members heard of lately: each entry that stands by took a larger part.
+#[test]
+fn the_shares_of_added_attempts_of_all_entries_are_at_most_the_whole() {
+    for entries in ENTRIES {
+        let outcome = emulate(&plan(entries));
+        assert!(
+            outcome.added_attempts_max < 1.0 + 1e-9,
+            "{entries} entries: {outcome:?}"
+        );
+    }
+}
