--- a/crates/pinhaven-lab/src/versions/news.rs
+++ b/crates/pinhaven-lab/src/versions/news.rs
@@ -12,6 +12,8 @@
 use crate::versions::plan::VersionFault;
 use crate::versions::world::World;
 use pinhaven_agree::MemberRow;
+use pinhaven_agree::TrafficFacts;
+use pinhaven_agree::UpdateScope;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
 use std::net::SocketAddr;
@@ -19,12 +21,6 @@
 
 /// Interval between two rounds of datagrams with versions, in microseconds, as in an entry.
 const DATAGRAM_INTERVAL_US: u64 = 500_000;
-/// Entries per failure domain that send to the delegates of all failure domains, as in an entry.
-const CANDIDATES_PER_DOMAIN: usize = 8;
-/// Number of random recipients beside the fixed ones, of a delegate or candidate and of any other entry, as in an
-/// entry.
-const RANDOM_RECIPIENTS: usize = 3;
-const RANDOM_RECIPIENTS_MIN: usize = 1;
 /// Maximum number of relayed heartbeats in a datagram, as in an entry.
 const RELAYED_HEARTBEATS_MAX: usize = 6;
 /// Size of a datagram, and of each heartbeat in the datagram, in bytes.
@@ -80,50 +76,18 @@
     fn choose_recipients(&mut self, entry: usize, is_urgent: bool) -> Vec<SocketAddr> {
         let now = self.now();
         let members = &self.instances[entry].members;
-        let domain = &members.own().failure_domain;
-        let delegates: Vec<SocketAddr> = members
-            .delegates(now)
-            .into_iter()
-            .map(|row| row.peer_address)
-            .collect();
-        let peers = members.contactable_peers();
-        let is_delegate = delegates.contains(&members.own().peer_address);
-        if is_urgent && is_delegate {
-            return peers.into_iter().map(|row| row.peer_address).collect();
-        }
-        let is_candidate = members.is_within_domain_rank(CANDIDATES_PER_DOMAIN, now);
-        let (near, far): (Vec<&MemberRow>, Vec<&MemberRow>) = peers
-            .into_iter()
-            .partition(|row| row.failure_domain == *domain);
-        let is_delegate_row = |row: &&MemberRow| delegates.contains(&row.peer_address);
-        let delegates_far = far.iter().copied().filter(is_delegate_row);
-        let mut remaining_peers: Vec<&MemberRow> = far
-            .iter()
-            .copied()
-            .filter(|row| !is_delegate_row(row))
-            .collect();
-        let mut recipients: Vec<&MemberRow> =
-            near.iter().copied().filter(is_delegate_row).collect();
-        if is_delegate || is_candidate {
-            recipients.extend(delegates_far);
-        }
-        let remaining_near = near.iter().copied().filter(|row| !is_delegate_row(row));
-        match is_delegate {
-            true => recipients.extend(remaining_near),
-            false => remaining_peers.extend(remaining_near),
-        }
-        let count = match is_delegate || is_candidate {
-            true => RANDOM_RECIPIENTS,
-            false => RANDOM_RECIPIENTS_MIN,
+        let scope = match is_urgent && members.is_delegate(now) {
+            true => UpdateScope::Everyone,
+            false => UpdateScope::Heartbeat,
         };
-        let mut recipients: Vec<SocketAddr> =
-            recipients.into_iter().map(|row| row.peer_address).collect();
-        let remaining_peers: Vec<SocketAddr> = remaining_peers
-            .into_iter()
-            .map(|row| row.peer_address)
-            .collect();
-        recipients.extend(self.random.choose_multiple(remaining_peers, count));
-        recipients
+        let facts = TrafficFacts::default();
+        let recipients = members.recipients(scope, &facts, &mut self.random, now);
+        let groups = [
+            recipients.serving_near,
+            recipients.serving_far,
+            recipients.standby,
+        ];
+        groups.concat()
     }
 
     /// Rows of a datagram: the entry's own row, followed by rows of random live peers.
