Show when an entry last heard any target of a service, and how many failed since

Callers were refused at entries that reach no target. Whether targets or the entry's own links had failed could not be told from its records and metrics. Refusals now carry heard_age_ms and targets_failed, and the metrics and the status have both for each service. No decision changes.

--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -5,6 +5,7 @@
 use crate::atomic::LearnedMedian;
 use crate::availability::RetryStagger;
 use crate::budget::TokenBudget;
+use crate::connectivity::Connectivity;
 use crate::health;
 use crate::hedge::HedgeDelay;
 use crate::lapsed_orders::LapsedOrders;
@@ -81,6 +82,7 @@
     listed: Vec<BundledTargetState>,
     recent_runs: RecentRuns,
     lapsed_orders: LapsedOrders,
+    connectivity: Arc<Connectivity>,
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
     pub(crate) speed: ServiceSpeed,
@@ -167,6 +169,9 @@
             listed: service.targets.iter().map(|target| target.state).collect(),
             recent_runs,
             lapsed_orders,
+            connectivity: previous
+                .map(|previous| Arc::clone(&previous.connectivity))
+                .unwrap_or_default(),
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
             speed: ServiceSpeed::new(),
@@ -264,6 +269,11 @@
             .find(|target| target.address() == address)
     }
 
+    /// Whether this entry reaches the targets.
+    pub fn connectivity(&self) -> &Connectivity {
+        &self.connectivity
+    }
+
     /// Requests of the service that are in flight at targets.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.load(Ordering::Relaxed)
@@ -414,6 +424,7 @@
 
     pub(crate) fn begin(&self, target: &TargetState, now: Microseconds) {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.connectivity.record_sent(now);
         target.begin(now);
     }
 
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -149,10 +149,12 @@
     for _ in 0..STALE_CONNECTIONS_MAX {
         let connect_started_at = entry.now();
         let Ok(connected) = pool.connect(address, idle_max).await else {
+            service.state.connectivity().record_failed(address);
             return AttemptEnd::NotSent;
         };
         if connected.is_new {
             target.record_connection(connect_started_at);
+            entry.record_heard(&service);
             entry.counters.add(Count::Connections);
         }
         if entry.has_restarted(target) {
@@ -170,6 +172,7 @@
         };
         match sent {
             SendResult::Answer(response, sender) => {
+                entry.record_heard(&service);
                 let id = id.as_ref();
                 return match check_answer(&entry, &service, target, &response, id) {
                     Ok(facts) => {
@@ -182,6 +185,7 @@
             }
             SendResult::Unsent(unsent) => request = *unsent,
             SendResult::Broken(error) => {
+                service.state.connectivity().record_failed(address);
                 log::debug!(target: "proxy", "Sending a request to {address} failed: {error}.");
                 return AttemptEnd::Broken;
             }
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -194,7 +194,10 @@
     }
 
     fn target_counts(&self) -> TargetCounts {
-        let summary = self.job.service.state.summary(self.job.entry.now());
+        let now = self.job.entry.now();
+        let state = &self.job.service.state;
+        let summary = state.summary(now);
+        let heard_age = state.connectivity().heard_age(now);
         TargetCounts {
             all: summary.all,
             leaving: summary.leaving,
@@ -202,6 +205,8 @@
             ejected: summary.ejected,
             slow: summary.slow,
             full: summary.full,
+            failed: state.connectivity().failed_targets(),
+            heard_age_ms: heard_age.map(|age| age.as_ms() as u64),
         }
     }
 
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -5,6 +5,7 @@
 //! connections. The periodic tasks are started by `start`.
 
 pub(crate) mod added_attempts;
+pub(crate) mod connectivity;
 pub(crate) mod leaving;
 pub(crate) mod leaving_targets;
 pub(crate) mod listed_targets;
--- a/crates/pinhaven-entry/src/targets/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -156,6 +156,7 @@
         let Ok(answer) = answer else {
             return self.counters.add(Count::ProbeFailed);
         };
+        self.record_heard(service);
         // Orders in answers to probes apply in the same way as orders in answers to requests.
         let orders = self.dialect.read_orders(answer.status(), answer.headers());
         self.apply_orders(service, state, &orders, OrderSource::Probe);
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -121,6 +121,7 @@
                 return;
             }
         };
+        self.record_heard(service);
         let answered_by = self.dialect.probed_target(answer.headers());
         if answered_by.is_some() && answered_by.as_ref() != target.id() {
             log::info!(target: "probe", "Another target answered at the address {}.", target.address());
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -106,6 +106,10 @@
         gauge("hedges_total", service.hedges as f64);
         gauge("retries_total", service.retries as f64);
         gauge("ejections_total", service.ejections as f64);
+        gauge("failed_targets", f64::from(service.failed_targets));
+        if let Some(heard_age_ms) = service.heard_age_ms {
+            gauge("heard_age_ms", heard_age_ms);
+        }
         gauge("targets", service.targets.len() as f64);
         for state in ["ejected", "resting", "leaving"] {
             let targets = service.targets.iter();
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -8,6 +8,7 @@
 use pinhaven_agree::MemberRow;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
+use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
 use pinhaven_types::promise_check_count;
 use pinhaven_types::promise_violation_count;
@@ -94,6 +95,12 @@
     pub retries: u64,
     /// Number of ejections of targets so far.
     pub ejections: u64,
+    /// Time since any target of the service was heard, in milliseconds; `None` if none ever was.
+    #[serde(default)]
+    pub heard_age_ms: Option<f64>,
+    /// Number of targets that failed since.
+    #[serde(default)]
+    pub failed_targets: u32,
     /// Targets of the service.
     pub targets: Vec<TargetStatus>,
 }
@@ -203,6 +210,8 @@
                 hedges: counts.hedges,
                 retries: counts.retries,
                 ejections: counts.ejections,
+                heard_age_ms: state.connectivity().heard_age(now).map(Microseconds::as_ms),
+                failed_targets: state.connectivity().failed_targets(),
                 targets: state
                     .targets()
                     .iter()
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -36,6 +36,10 @@
     pub slow: u32,
     /// Targets without a free slot.
     pub full: u32,
+    /// Targets that failed since this entry last heard any target of the service.
+    pub failed: u32,
+    /// Time since this entry last heard any target of the service, in milliseconds; `None` if it never did.
+    pub heard_age_ms: Option<u64>,
 }
 
 /// An event of a request.
@@ -228,4 +232,6 @@
         .with("targets_ejected", targets.ejected)
         .with("targets_slow", targets.slow)
         .with("targets_full", targets.full)
+        .with("targets_failed", targets.failed)
+        .with("heard_age_ms", targets.heard_age_ms)
 }
