--- a/crates/pinhaven-lab/src/process.rs
+++ b/crates/pinhaven-lab/src/process.rs
@@ -73,6 +73,11 @@
         let _ = self.child.wait();
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Pauses the process with SIGSTOP.
     pub fn pause(&self) {
         self.signal(Signal::STOP);
