--- a/crates/pinhaven-decide/src/connectivity.rs
+++ b/crates/pinhaven-decide/src/connectivity.rs
@@ -1,17 +1,50 @@
 //! Whether this entry reaches the targets of a service.
 //!
 //! A connection that fails says little: the target may have crashed, or the links of this entry may be lost. An answer
-//! of any target shows that the links work.
+//! of any target shows that the links work. Only if no target has been heard for a while although requests are
+//! unanswered or connections failed, several targets are checked at once; if none of them accepts a connection either,
+//! the connectivity of the service counts as lost. From then on targets are checked at intervals until one is heard
+//! again.
+//!
+//! While connectivity is lost, requests are forwarded to another entry that reaches the targets. If no other entry
+//! does, the targets themselves are down, and requests are refused at once.
 
 use pinhaven_types::Microseconds;
 use pinhaven_types::TargetAddress;
 use std::hash::BuildHasher as _;
 use std::hash::BuildHasherDefault;
 use std::hash::DefaultHasher;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+/// Number of targets that are checked at once when connectivity is in doubt.
+const DOUBT_CHECK_TARGETS: usize = 4;
+/// Minimum time between two checks when connectivity is in doubt.
+const DOUBT_CHECK_INTERVAL: Microseconds = Microseconds::from_ms(200);
+/// Number of targets that are checked at once while connectivity is lost.
+const LOST_CHECK_TARGETS: usize = 2;
+/// Time between two checks while connectivity is lost.
+const LOST_CHECK_INTERVAL: Microseconds = Microseconds::from_ms(150);
+/// Silence of all targets after a failed connection from which connectivity is in doubt.
+const FAILURE_SILENCE: Microseconds = Microseconds::from_ms(100);
+/// Minimum silence of all targets from which connectivity is in doubt while requests are unanswered.
+const SILENCE_MIN: Microseconds = Microseconds::from_ms(300);
+/// Silence of all targets from which connectivity is in doubt, in typical times of a request.
+const SILENCE_TYPICAL_TIMES: f32 = 2.0;
+/// Number of targets that fail in succession, with none heard meanwhile, from which a request need not try another one.
+const DOUBT_TARGETS: u32 = 2;
+
+/// A change of connectivity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectivityChange {
+    /// No target is reached any more.
+    Lost,
+    /// A target is reached again, after this time without.
+    Regained(Microseconds),
+}
+
 /// Evidence on whether this entry reaches the targets of one service.
 #[derive(Debug, Default)]
 pub struct Connectivity {
@@ -21,41 +54,117 @@
     unanswered_since_us: AtomicU64,
     /// Number of targets that failed since any target was heard. A target counts again after a failure of another.
     failed_targets: AtomicU32,
+    /// Hash of the target that failed last.
     last_failed: AtomicU64,
+    checked_at_us: AtomicU64,
+    /// Time since which connectivity is lost; 0 while targets are reached.
+    lost_since_us: AtomicU64,
+    /// Whether another entry reaches the targets.
+    is_reached_by_peer: AtomicBool,
 }
 
 impl Connectivity {
     /// Records that a request was sent to a target.
     pub fn record_sent(&self, now: Microseconds) {
-        let (unset, ordering) = (0, Ordering::Relaxed);
         // Fails if an earlier request is unanswered, whose time is retained.
         let _ = self.unanswered_since_us.compare_exchange(
-            unset,
+            0,
             now.count().max(1),
-            ordering,
-            ordering,
+            Ordering::Relaxed,
+            Ordering::Relaxed,
         );
     }
 
-    /// Records that a target answered or accepted a connection.
-    pub fn record_heard(&self, now: Microseconds) {
+    /// Records that a target answered, or that a connection opened for a check stayed open. Returns the change if connectivity was lost.
+    pub fn record_heard(&self, now: Microseconds) -> Option<ConnectivityChange> {
         self.heard_at_us.store(now.count(), Ordering::Relaxed);
         self.unanswered_since_us.store(0, Ordering::Relaxed);
         self.failed_targets.store(0, Ordering::Relaxed);
+        let lost_since = self.lost_since()?;
+        // Another thread may have recorded the change at the same time.
+        let was_lost = self.lost_since_us.swap(0, Ordering::Relaxed) > 0;
+        was_lost.then(|| ConnectivityChange::Regained(now.saturating_sub(lost_since)))
     }
 
     /// Records that a connection to a target failed.
     pub fn record_failed(&self, target: TargetAddress) {
         let hash = BuildHasherDefault::<DefaultHasher>::default().hash_one(target);
-        if self.last_failed.swap(hash, Ordering::Relaxed) != hash || !self.has_failures() {
+        let is_other = self.last_failed.swap(hash, Ordering::Relaxed) != hash;
+        if is_other || self.failed_targets() == 0 {
             self.failed_targets.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Begins a check if one is due at `now`. Returns the number of targets to connect to. The caller records the
+    /// outcome by [`record_heard`](Self::record_heard) or [`record_check_failed`](Self::record_check_failed).
+    pub fn begin_check(&self, now: Microseconds, typical_ms: f32) -> Option<usize> {
+        let (is_needed, interval, targets) = match self.is_lost() {
+            true => (true, LOST_CHECK_INTERVAL, LOST_CHECK_TARGETS),
+            false => (
+                self.is_in_doubt(now, typical_ms),
+                DOUBT_CHECK_INTERVAL,
+                DOUBT_CHECK_TARGETS,
+            ),
+        };
+        let checked_at = Microseconds::new(self.checked_at_us.load(Ordering::Relaxed));
+        if !is_needed || now.saturating_sub(checked_at) < interval {
+            return None;
+        }
+        self.checked_at_us.store(now.count(), Ordering::Relaxed);
+        Some(targets)
+    }
+
+    /// Records that no target accepted a connection in a check that began at `began`. Returns the change if
+    /// connectivity is lost since.
+    pub fn record_check_failed(
+        &self,
+        began: Microseconds,
+        now: Microseconds,
+    ) -> Option<ConnectivityChange> {
+        let is_heard = self.heard_at_us.load(Ordering::Relaxed) >= began.count();
+        if is_heard || self.is_lost() {
+            return None;
+        }
+        self.lost_since_us
+            .store(now.count().max(1), Ordering::Relaxed);
+        Some(ConnectivityChange::Lost)
+    }
+
+    /// Sets whether another entry reaches the targets.
+    pub fn set_reached_by_peer(&self, is_reached: bool) {
+        self.is_reached_by_peer.store(is_reached, Ordering::Relaxed);
+    }
+
+    /// Whether another entry reaches the targets.
+    pub fn is_reached_by_peer(&self) -> bool {
+        self.is_reached_by_peer.load(Ordering::Relaxed)
+    }
+
+    /// Whether this entry reaches no target.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since().is_some()
+    }
+
+    /// Time since which this entry reaches no target.
+    pub fn lost_since(&self) -> Option<Microseconds> {
+        let since_us = self.lost_since_us.load(Ordering::Relaxed);
+        (since_us > 0).then(|| Microseconds::new(since_us))
+    }
+
+    /// Whether several targets have failed since any target was heard.
+    pub fn is_doubtful(&self) -> bool {
+        self.failed_targets() >= DOUBT_TARGETS
+    }
+
+    /// Last time at which any target was heard; `None` if none ever was.
+    pub fn heard_at(&self) -> Option<Microseconds> {
+        let heard_at_us = self.heard_at_us.load(Ordering::Relaxed);
+        (heard_at_us > 0).then(|| Microseconds::new(heard_at_us))
+    }
+
     /// Time since any target was heard; `None` if none ever was.
     pub fn heard_age(&self, now: Microseconds) -> Option<Microseconds> {
-        let heard_at_us = self.heard_at_us.load(Ordering::Relaxed);
-        (heard_at_us > 0).then(|| now.saturating_sub(Microseconds::new(heard_at_us)))
+        self.heard_at().map(|heard_at| now.saturating_sub(heard_at))
     }
 
     /// Number of targets that failed since any target was heard.
@@ -63,7 +172,17 @@
         self.failed_targets.load(Ordering::Relaxed)
     }
 
-    fn has_failures(&self) -> bool {
-        self.failed_targets() > 0
+    fn is_in_doubt(&self, now: Microseconds, typical_ms: f32) -> bool {
+        let is_silent = self.heard_age(now).is_none_or(|age| age >= FAILURE_SILENCE);
+        if self.failed_targets() > 0 && is_silent {
+            return true;
+        }
+        let unanswered_since_us = self.unanswered_since_us.load(Ordering::Relaxed);
+        if unanswered_since_us == 0 {
+            return false;
+        }
+        let silence = now.saturating_sub(Microseconds::new(unanswered_since_us));
+        let limit_us = typical_ms * SILENCE_TYPICAL_TIMES * 1_000.0;
+        silence >= SILENCE_MIN.max(Microseconds::new(limit_us as u64))
     }
 }
--- a/crates/pinhaven-decide/src/event.rs
+++ b/crates/pinhaven-decide/src/event.rs
@@ -1,6 +1,7 @@
 //! Events that a driver passes to a request, and the actions that the request returns.
 
 use crate::refusal::Refusal;
+use crate::refusal::RunState;
 use crate::report::LoadReport;
 use crate::service::ServiceState;
 use crate::target::TargetState;
@@ -39,6 +40,24 @@
     },
 }
 
+/// How the forwarding of a request to another entry ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ForwardOutcome {
+    /// The other entry did not take the request, so it did not run there.
+    NotTaken,
+    /// The other entry refused the request.
+    Refused {
+        /// Whether the request ran.
+        run_state: RunState,
+        /// Time after which the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The connection to the other entry failed; whether the request ran is unknown.
+    Broken,
+    /// The other entry returned the answer of a target.
+    Answered,
+}
+
 /// Something that happened to a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Event {
@@ -60,6 +79,13 @@
         /// Outcome of the attempt.
         outcome: AttemptOutcome,
     },
+    /// The forwarding of the request ended.
+    ForwardEnded {
+        /// Outcome of the forwarding.
+        outcome: ForwardOutcome,
+    },
+    /// This entry reaches no target of the service any more.
+    ConnectivityLost,
     /// The caller disconnected; no answer is needed any more.
     CallerLeft,
     /// The entry is stopping, and the request must get its final answer now.
@@ -114,6 +140,15 @@
     Cancel(AttemptId),
     /// Deliver the attempt's answer to the caller.
     Deliver(AttemptId),
+    /// Forward the request to another entry that reaches the targets.
+    Forward {
+        /// Maximum number of attempts that the other entry may make.
+        attempts_max: u32,
+    },
+    /// Cancel the forwarding and drop it.
+    CancelForward,
+    /// Deliver the answer of the forwarding to the caller.
+    DeliverForwarded,
     /// Answer the caller with this refusal.
     Refuse(Refusal),
     /// Pass in [`Event::CapacityFreed`] to a waiting request: this request leaves free capacity to one that has waited
--- a/crates/pinhaven-decide/src/refusal.rs
+++ b/crates/pinhaven-decide/src/refusal.rs
@@ -29,11 +29,13 @@
     EntryStopping,
     /// The request crashes the targets that run it.
     HeldBack,
+    /// This entry reaches no target, and the entry to which it forwarded the request refused it.
+    ForwardRefused,
 }
 
 impl RefusalReason {
     /// All reasons, for metrics that count refusals by reason.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::DeadlinePast,
         Self::NoTimeLeft,
         Self::Overloaded,
@@ -46,6 +48,7 @@
         Self::DeadlineCame,
         Self::EntryStopping,
         Self::HeldBack,
+        Self::ForwardRefused,
     ];
 
     /// Name of the reason in answers, logs and metrics.
@@ -63,6 +66,7 @@
             Self::DeadlineCame => "deadline_came",
             Self::EntryStopping => "entry_stopping",
             Self::HeldBack => "held_back",
+            Self::ForwardRefused => "forward_refused",
         }
     }
 }
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -6,6 +6,7 @@
 //! - After an attempt that certainly did not run, any request may be sent again.
 //! - After an attempt that may have run, only a repeatable request may be sent again.
 //! - Added attempts are limited by the budgets of the service and by the number of attempts that the caller allows.
+//! - A request at an entry that reaches no target is forwarded once to an entry that does.
 //! - A request that can't be served any more is refused in the step in which this is determined.
 
 use crate::availability::Availability;
@@ -18,6 +19,7 @@
 use crate::event::ChoiceFacts;
 use crate::event::Event;
 use crate::event::Step;
+use crate::forwarding::ForwardState;
 use crate::progress::Progress;
 use crate::refusal::RefusalReason;
 use crate::refusal::RunState;
@@ -63,6 +65,8 @@
     pub priority: Option<u8>,
     /// Time that the caller has already spent on earlier tries that failed.
     pub prior_wait: Microseconds,
+    /// Whether another entry forwarded the request, so that it must not be forwarded again.
+    pub is_forwarded: bool,
 }
 
 impl RequestFacts {
@@ -76,6 +80,7 @@
             entry_utilization: 0.0,
             priority: None,
             prior_wait: Microseconds::ZERO,
+            is_forwarded: false,
         }
     }
 }
@@ -113,6 +118,7 @@
     pub(crate) unsent: u32,
     pub(crate) hedge_at: Option<Microseconds>,
     pub(crate) has_outlasted_hedge_delay: bool,
+    pub(crate) forward: ForwardState,
 }
 
 impl RequestState {
@@ -129,6 +135,7 @@
             unsent: 0,
             hedge_at: None,
             has_outlasted_hedge_delay: false,
+            forward: ForwardState::default(),
         }
     }
 
@@ -226,7 +233,7 @@
     }
 
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
-        self.sent.iter().any(|sent| !sent.is_ended)
+        self.sent.iter().any(|sent| !sent.is_ended) || self.forward.is_in_flight
     }
 
     pub(crate) fn run_state(&self) -> RunState {
@@ -270,6 +277,8 @@
             (Phase::Waiting { .. }, Event::CapacityFreed) => self.capacity_freed(),
             (Phase::InFlight, Event::TimerFired) => self.timer_fired(),
             (_, Event::AttemptEnded { attempt, outcome }) => self.attempt_ended(attempt, outcome),
+            (_, Event::ForwardEnded { outcome }) => self.forward_ended(outcome),
+            (_, Event::ConnectivityLost) => self.connectivity_lost(),
             _ => {}
         }
     }
@@ -281,8 +290,11 @@
 
     fn arrived(&mut self) {
         self.request.arrived = self.now;
-        self.service.retry_budget.pay_in();
-        if self.request.facts.is_repeatable {
+        if !self.request.facts.is_forwarded {
+            // The entry that received the request from its caller has added its share already.
+            self.service.retry_budget.pay_in();
+        }
+        if self.request.facts.is_repeatable && !self.request.facts.is_forwarded {
             self.service.hedge_budget.pay_in();
         }
         if self.now >= self.request.facts.deadline {
@@ -296,7 +308,10 @@
     }
 
     /// Sends the request, makes it wait or refuses it.
-    fn admit(&mut self) {
+    pub(crate) fn admit(&mut self) {
+        if self.service.connectivity().is_lost() {
+            return self.refuse(RefusalReason::Unreachable);
+        }
         if self.uses_forecast() {
             return self.admit_by_forecast();
         }
@@ -475,11 +490,16 @@
     }
 
     pub(crate) fn has_attempts_left(&self) -> bool {
-        let mut made = self.request.sent.len() as u32;
+        self.attempts_left() > 0
+    }
+
+    /// Number of attempts that may still be made.
+    pub(crate) fn attempts_left(&self) -> u32 {
+        let mut made = self.request.sent.len() as u32 + self.request.forward.sent;
         if self.uses_forecast() {
             made -= self.request.unsent.min(UNSENT_ATTEMPTS_MAX);
         }
-        made < self.request.facts.attempts_max
+        self.request.facts.attempts_max.saturating_sub(made)
     }
 }
 
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -35,6 +35,9 @@
     /// Handles an attempt that was not sent. If no further attempt is possible, refuses the request with `reason`.
     fn attempt_not_sent(&mut self, reason: RefusalReason) {
         self.request.unsent += 1;
+        if self.service.connectivity().is_doubtful() && self.forward() {
+            return;
+        }
         if self.uses_forecast()
             && self.request.unsent <= UNSENT_ATTEMPTS_MAX
             && self.send_elsewhere()
@@ -112,7 +115,7 @@
     }
 
     /// Takes a retry from the budgets of the service. Returns whether they allow it.
-    fn take_retry(&self) -> bool {
+    pub(crate) fn take_retry(&self) -> bool {
         let priority = self.request.priority(self.service);
         let hedges = self.uses_forecast().then_some(&self.service.hedge_budget);
         self.service.retry_budget.take(priority, hedges, self.now)
@@ -170,10 +173,13 @@
     }
 
     pub(crate) fn refuse(&mut self, reason: RefusalReason) {
+        if self.may_forward_instead(reason) && self.forward() {
+            return;
+        }
         self.refuse_until(reason, None);
     }
 
-    fn refuse_until(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) {
+    pub(crate) fn refuse_until(&mut self, reason: RefusalReason, retry_after_ms: Option<u64>) {
         let run_state = self.request.run_state();
         let is_overload = matches!(reason, RefusalReason::Overloaded | RefusalReason::EntryFull);
         if is_overload {
@@ -208,7 +214,7 @@
     }
 
     /// Cancels all attempts in flight and ends the request.
-    fn finish(&mut self) {
+    pub(crate) fn finish(&mut self) {
         if !self.request.sent.is_empty() && !self.request.has_outlasted_hedge_delay {
             self.service.hedge_delay.record(false);
         }
@@ -222,6 +228,10 @@
             sent.target.record_censored(self.now, age);
             self.actions.push(Action::Cancel(sent.id));
         }
+        if std::mem::take(&mut self.request.forward.is_in_flight) {
+            self.request.may_have_run = true;
+            self.actions.push(Action::CancelForward);
+        }
         self.request.hedge_at = None;
         self.request.phase = Phase::Over;
     }
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -92,7 +92,7 @@
     /// Retries admission of a waiting request.
     pub(crate) fn retry_admission(&mut self) {
         self.end_wait();
-        self.admit_by_forecast();
+        self.admit();
     }
 
     fn send_by_forecast(&mut self, forecast: Forecast) {
--- a/crates/pinhaven-decide/tests/common/mod.rs
+++ b/crates/pinhaven-decide/tests/common/mod.rs
@@ -107,6 +107,7 @@
             .handle(&self.service, now, &mut self.random, event);
         let mut outcome = Outcome {
             sent: 0,
+            forwarded: 0,
             cancelled: 0,
             delivered: None,
             refused: None,
@@ -127,6 +128,8 @@
                 Action::Deliver(id) => outcome.delivered = Some(id),
                 Action::Refuse(refusal) => outcome.refused = Some(refusal),
                 Action::OfferCapacity => outcome.offers_capacity = true,
+                Action::Forward { .. } => outcome.forwarded += 1,
+                Action::CancelForward | Action::DeliverForwarded => {}
             }
         }
         outcome
@@ -148,6 +151,7 @@
 #[derive(Debug)]
 pub struct Outcome {
     pub sent: usize,
+    pub forwarded: usize,
     pub cancelled: usize,
     pub delivered: Option<AttemptId>,
     pub refused: Option<Refusal>,
--- a/crates/pinhaven-entry/src/callers/body.rs
+++ b/crates/pinhaven-entry/src/callers/body.rs
@@ -11,7 +11,6 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
@@ -55,7 +54,7 @@
 /// A body that is forwarded while it arrives.
 pub(crate) struct StreamedBody {
     first: Option<Bytes>,
-    rest: Incoming,
+    rest: AnyBody,
     /// Number of bytes that the rest may still have.
     remaining_bytes: u64,
 }
@@ -105,16 +104,17 @@
     pub(crate) accepted_bytes: u64,
 }
 
-/// Receives a request's body: completely if it fits the buffer limit, otherwise only its beginning.
+/// Receives a request's body of `declared` bytes, if the length is declared: completely if it fits the buffer limit,
+/// otherwise only its beginning.
 pub(crate) async fn receive_body(
     entry: &Arc<Entry>,
-    mut body: Incoming,
+    mut body: AnyBody,
+    declared: Option<u64>,
     limits: BodyLimits,
 ) -> Result<(RequestBody, Option<BodyMemory>), Problem> {
     if body.is_end_stream() {
         return Ok((RequestBody::Whole(Bytes::new()), None));
     }
-    let declared = body.size_hint().exact();
     if declared.is_some_and(|bytes| bytes > limits.accepted_bytes) {
         return Err(too_large(entry, limits.accepted_bytes));
     }
--- a/crates/pinhaven-entry/src/callers/job.rs
+++ b/crates/pinhaven-entry/src/callers/job.rs
@@ -26,6 +26,8 @@
     /// Time that the caller already waited during earlier, failed tries of the request.
     pub(crate) prior_wait: Microseconds,
     pub(crate) is_repeatable: bool,
+    /// Whether another entry forwarded the request to this one.
+    pub(crate) is_forwarded: bool,
     pub(crate) attempts_max: Option<u32>,
     pub(crate) body: RequestBody,
     /// Address that the caller connects from; `None` for a request that a peer relayed.
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -22,6 +22,8 @@
 use http::Response;
 use http::StatusCode;
 use http::request::Parts;
+use http_body::Body as _;
+use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use pinhaven_agree::MemberState;
 use pinhaven_bundle::PathRoute;
@@ -137,7 +139,9 @@
         .plus(holding_time(&facts, routed.config(), &service));
     let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
     let limits = body_limits(entry, &service, keeps_key);
-    let received = async { Some(receive_body(entry, body, limits).await) };
+    let declared_bytes = body.size_hint().exact();
+    let body = body.map_err(Into::into).boxed_unsync();
+    let received = async { Some(receive_body(entry, body, declared_bytes, limits).await) };
     let out_of_time = async {
         async_io::Timer::at(entry.clock.instant_of(deadline)).await;
         None
@@ -159,6 +163,7 @@
         deadline,
         prior_wait: prior_wait(&facts, &routed),
         is_repeatable,
+        is_forwarded: false,
         attempts_max: attempts_max(&facts, routed.config()),
         body,
         service,
--- a/crates/pinhaven-entry/src/callers/routes.rs
+++ b/crates/pinhaven-entry/src/callers/routes.rs
@@ -25,6 +25,12 @@
         &self.services[self.split.next_part()]
     }
 
+    /// Returns the service with this name, if the route sends requests to it.
+    pub(crate) fn service(&self, name: &ServiceName) -> Option<&Arc<ServiceEntry>> {
+        let mut services = self.services.iter();
+        services.find(|service| service.config.name == *name)
+    }
+
     /// Returns this route with the current services. The split of requests continues from its current position.
     fn with_services(&self, services: &HashMap<ServiceName, Arc<ServiceEntry>>) -> Arc<Self> {
         let current = |service: &Arc<ServiceEntry>| {
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -29,6 +29,7 @@
 use pinhaven_agree::SeatKeeper;
 use pinhaven_agree::StoreAccess;
 use pinhaven_agree::StoreLag;
+use pinhaven_agree::TargetReach;
 use pinhaven_agree::TransferBudget;
 use pinhaven_agree::VersionFetch;
 use pinhaven_agree::VersionInForce;
@@ -154,6 +155,8 @@
     pub(crate) caller_idle_ms: Arc<AtomicU64>,
     pub(crate) ledger: Mutex<Ledger>,
     pub(crate) members: Mutex<Membership>,
+    /// Entries that reach the targets of each service.
+    pub(crate) reach: Mutex<TargetReach>,
     pub(crate) seats: Mutex<SeatKeeper>,
     pub(crate) leaving: Mutex<LeavingTargets>,
     /// Targets that reported to this entry that they are leaving, to be advertised to peers.
@@ -253,6 +256,7 @@
             caller_idle_ms,
             ledger: Mutex::new(Ledger::new(limits)),
             members: Mutex::new(members),
+            reach: Mutex::default(),
             seats: Mutex::new(SeatKeeper::new(incarnation, 0)),
             leaving: Mutex::new(LeavingTargets::default()),
             reported_leaves: Mutex::default(),
--- a/crates/pinhaven-entry/src/once_only/relay_server.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_server.rs
@@ -100,6 +100,7 @@
         deadline: entry.now().plus(deadline),
         prior_wait: Microseconds::ZERO,
         is_repeatable: false,
+        is_forwarded: false,
         attempts_max: None,
         body: RequestBody::Whole(bytes.clone()),
         caller: None,
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -69,6 +69,7 @@
         }
         self.record_heartbeats(Some(incarnation), &datagram.beats);
         self.merge_suspects(&datagram.suspects);
+        self.record_reaches(incarnation, &datagram.reaches);
         self.record_reported_leaves(&datagram.leaving);
         let targets = datagram.targets.unwrap_or_default().rows();
         self.apply_target_updates(incarnation, &beat, &targets, datagram.is_whole);
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -262,6 +262,7 @@
             .await;
         let mut heartbeat = self.message(&[], standby);
         // Standby entries receive no evidence on requests that may be innocent: it would be sent to all of them.
+        heartbeat.reaches.extend(self.reaches_to_relay(now));
         heartbeat.suspects =
             self.suspects_to_advertise(SUSPECTS_PER_DATAGRAM, REPEATED_CRASHES_MIN);
         bytes += send_all(
@@ -436,9 +437,14 @@
                 self.leaves_to_advertise(round)
             }
         };
+        let reaches = match kind {
+            UpdateKind::Incremental => Vec::new(),
+            UpdateKind::Full { .. } => self.own_reaches(self.now()),
+        };
         let members = self.members.lock();
         let own = members.own();
         let mut message = News {
+            reaches,
             leaving,
             beats: vec![own_beat(own)],
             list: list.flatten(),
--- a/crates/pinhaven-entry/src/peers/gossip.rs
+++ b/crates/pinhaven-entry/src/peers/gossip.rs
@@ -16,6 +16,7 @@
 use crate::peers::gossip_message::to_bytes;
 use crate::peers::gossip_message::to_heartbeat;
 use crate::peers::gossip_message::to_incarnation;
+use crate::request::forwarded::serve_forwarded;
 use crate::watch::counters::Count;
 use pinhaven_agree::HeartbeatSource;
 use pinhaven_agree::MemberRow;
@@ -24,6 +25,8 @@
 use pinhaven_peer::ExchangeResponse;
 use pinhaven_peer::FetchBundleRequest;
 use pinhaven_peer::FetchBundleResponse;
+use pinhaven_peer::ForwardRequest;
+use pinhaven_peer::ForwardResponses;
 use pinhaven_peer::Identity;
 use pinhaven_peer::Peer;
 use pinhaven_peer::RelayOnceRequest;
@@ -31,7 +34,10 @@
 use pinhaven_peer::Request;
 use pinhaven_peer::Response;
 use pinhaven_peer::Status;
+use pinhaven_peer::Streaming;
+use pinhaven_peer::answer_parts;
 use pinhaven_peer::async_trait;
+use pinhaven_peer::receive_request;
 use pinhaven_platform::Condition;
 use pinhaven_platform::ENTRY_PREFIX;
 use pinhaven_platform::PlatformError;
@@ -263,6 +269,17 @@
 
 #[async_trait]
 impl Peer for PeerAnswers {
+    type ForwardStream = ForwardResponses;
+
+    async fn forward(
+        &self,
+        request: Request<Streaming<ForwardRequest>>,
+    ) -> Result<Response<ForwardResponses>, Status> {
+        let (head, body) = receive_request(request.into_inner()).await?;
+        let (answer, body) = serve_forwarded(&self.0, head, body).await;
+        Ok(Response::new(answer_parts(answer, body)))
+    }
+
     async fn exchange(
         &self,
         request: Request<ExchangeRequest>,
--- a/crates/pinhaven-entry/src/peers/mod.rs
+++ b/crates/pinhaven-entry/src/peers/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod gossip_message;
 pub(crate) mod peer_counts;
 pub(crate) mod peer_rows;
+pub(crate) mod reach;
 pub(crate) mod recipients;
--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -32,7 +32,7 @@
 
 /// Largest answer body that is buffered in full, in bytes. Typical answers have up to 30 KB, and the memory of a small
 /// instance holds a thousand buffers of this size at a time.
-const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
+pub(crate) const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
 
 /// Collects an answer's body; `None` if the body is truncated or larger than `bytes_max`.
 pub(crate) async fn collect_answer(mut body: AnyBody, bytes_max: usize) -> Option<Bytes> {
@@ -103,6 +103,42 @@
     }
 }
 
+/// Body of an answer from another entry, with the resources of the request.
+pub(crate) struct GuardedBody {
+    body: AnyBody,
+    /// Held only for its `Drop`.
+    _request_guard: RequestGuard,
+}
+
+impl GuardedBody {
+    pub(crate) fn new(body: AnyBody, request_guard: RequestGuard) -> Self {
+        Self {
+            body,
+            _request_guard: request_guard,
+        }
+    }
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Whether a truncation of the body can be detected: the body has ended, declares its length, or has a
 /// transfer encoding.
 pub(crate) fn is_bounded(headers: &HeaderMap, body: &Incoming) -> bool {
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -154,7 +154,6 @@
         };
         if connected.is_new {
             target.record_connection(connect_started_at);
-            entry.record_heard(&service);
             entry.counters.add(Count::Connections);
         }
         if entry.has_restarted(target) {
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -8,10 +8,14 @@
 use crate::callers::request_guard::RequestGuard;
 use crate::request::answer_body::AnswerBody;
 use crate::request::answer_body::AnswerGuard;
+use crate::request::answer_body::GuardedBody;
 use crate::request::attempt::Answer;
 use crate::request::attempt::AttemptEnd;
 use crate::request::attempt::prepare_request;
 use crate::request::attempt::run_attempt;
+use crate::request::forward::ForwardEnd;
+use crate::request::forward::prepare_forward;
+use crate::request::forward::run_forward;
 use crate::request::record_context::RecordContext;
 use crate::targets::pool::PooledSender;
 use crate::watch::counters::Count;
@@ -22,11 +26,13 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
+use pinhaven_agree::ServiceKey;
 use pinhaven_decide::Action;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 use pinhaven_decide::Event;
+use pinhaven_decide::ForwardOutcome;
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
@@ -37,6 +43,7 @@
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
+use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
@@ -58,6 +65,7 @@
         entry_utilization: job.entry.utilization(),
         priority: job.routed.config().map(|route| route.priority),
         prior_wait: job.prior_wait,
+        is_forwarded: job.is_forwarded,
     };
     let mut request = RequestState::new(facts);
     if let Some(route) = &job.routed.route {
@@ -69,6 +77,10 @@
         random: fastrand::Rng::new(),
         in_flight: Vec::new(),
         answers: Vec::new(),
+        forward: None,
+        forwarded_answer: None,
+        asked: Vec::new(),
+        connectivity_lost: job.service.connectivity_lost.listen(),
         request_guard,
         started_at: job.entry.now(),
         has_sent: false,
@@ -85,6 +97,16 @@
     outcome: Pin<Box<dyn Future<Output = AttemptEnd> + Send>>,
 }
 
+/// What [`RequestDriver::next_event`] waits for.
+enum Ended {
+    /// The attempt at this index ended.
+    Attempt(usize, AttemptEnd),
+    /// The forwarding ended.
+    Forward(ForwardEnd),
+    /// Another event occurred.
+    Other(Event),
+}
+
 /// State of a request that is being dispatched.
 struct RequestDriver<'job> {
     job: &'job Job,
@@ -93,6 +115,13 @@
     in_flight: Vec<AttemptInFlight>,
     /// Answers received and not yet delivered; their attempts still hold capacity.
     answers: Vec<(Attempt, Answer)>,
+    /// Future of the outcome of a forwarding in flight.
+    forward: Option<Pin<Box<dyn Future<Output = ForwardEnd> + Send>>>,
+    /// Answer of a forwarding that was not yet delivered.
+    forwarded_answer: Option<Response<AnyBody>>,
+    /// Entries that were asked to take the request.
+    asked: Vec<Incarnation>,
+    connectivity_lost: EventListener,
     request_guard: RequestGuard,
     started_at: Microseconds,
     /// Whether any attempt was made.
@@ -116,6 +145,7 @@
         let attempt_count = self.in_flight.len() + self.answers.len();
         self.in_flight.clear();
         self.answers.clear();
+        self.forward = None;
         // A request that ends without an attempt may have been notified of capacity that it did not use.
         let unused_notifications = usize::from(!self.has_sent);
         let freed = attempt_count + unused_notifications;
@@ -149,6 +179,9 @@
                     Action::Cancel(id) => self.cancel(id),
                     Action::Deliver(id) => return self.deliver(id),
                     Action::Refuse(refusal) => return self.refuse(refusal),
+                    Action::Forward { attempts_max } => self.forward(attempts_max),
+                    Action::CancelForward => self.cancel_forward(),
+                    Action::DeliverForwarded => return self.deliver_forwarded(),
                     Action::OfferCapacity => {}
                 }
             }
@@ -278,6 +311,69 @@
         self.job.service.capacity_freed.notify(1);
     }
 
+    /// Forwards the request to another entry that reaches the targets.
+    fn forward(&mut self, attempts_max: u32) {
+        let (entry, service) = (&self.job.entry, &self.job.service);
+        let key = ServiceKey::new(&service.config.name);
+        let forwarder = entry.choose_forwarder(service, key, &self.asked);
+        let prepared = forwarder.zip(prepare_forward(self.job, attempts_max));
+        let Some((forwarder, prepared)) = prepared else {
+            let end = ForwardEnd::without_answer(ForwardOutcome::NotTaken);
+            self.forward = Some(Box::pin(std::future::ready(end)));
+            return;
+        };
+        entry.counters.add(Count::ForwardSent);
+        self.asked.push(forwarder.incarnation);
+        let forwarding = run_forward(Arc::clone(entry), forwarder, prepared);
+        self.forward = Some(Box::pin(forwarding));
+        let peer = forwarder.peer_address.to_string();
+        self.add_trace(TraceEvent::Forwarded { peer });
+    }
+
+    fn cancel_forward(&mut self) {
+        self.forward = None;
+        self.add_trace(TraceEvent::ForwardCancelled);
+    }
+
+    /// Counts and records the end of a forwarding, and returns the event for the request's state.
+    fn finish_forward(&mut self, end: ForwardEnd) -> Event {
+        self.forward = None;
+        let ForwardEnd { outcome, answer } = end;
+        let (count, name) = match outcome {
+            ForwardOutcome::NotTaken => (Count::ForwardNotTaken, "not_taken"),
+            ForwardOutcome::Refused { .. } => (Count::ForwardRefused, "refused"),
+            ForwardOutcome::Broken => (Count::ForwardBroken, "broken"),
+            ForwardOutcome::Answered => (Count::ForwardAnswered, "answered"),
+        };
+        self.job.entry.counters.add(count);
+        let status = answer.as_ref().map(|answer| answer.status().as_u16());
+        self.add_trace(TraceEvent::ForwardEnded {
+            outcome: name,
+            status,
+        });
+        self.forwarded_answer = answer;
+        Event::ForwardEnded { outcome }
+    }
+
+    /// Builds the caller's answer from the answer of another entry.
+    fn deliver_forwarded(&mut self) -> Response<AnyBody> {
+        let answer = self.forwarded_answer.take();
+        let has_answer = require_promise(Promise::WholeOwnAnswer, answer.is_some(), || {
+            "the forwarding has no answer".to_owned()
+        });
+        let Some(answer) = answer.filter(|_| has_answer) else {
+            return Problem::unknown(StatusCode::BAD_GATEWAY, "broken", "the answer was lost")
+                .into_response();
+        };
+        self.outcome = Outcome::Answered;
+        self.job.entry.counters.add(Count::Answered);
+        self.add_trace(TraceEvent::ForwardDelivered {
+            status: answer.status().as_u16(),
+        });
+        let guard = std::mem::take(&mut self.request_guard);
+        answer.map(|body| GuardedBody::new(body, guard).boxed_unsync())
+    }
+
     /// Drops answers that the last step did not deliver, and releases the capacity of their attempts.
     fn drop_answers(&mut self) {
         if !self.answers.is_empty() {
@@ -293,29 +389,42 @@
         let mut timer = async_io::Timer::at(self.job.entry.clock.instant_of(wake_at));
         let mut stopping = std::pin::pin!(self.job.entry.stop_signal.wait());
         let event = poll_fn(|context| {
+            if let Some(forward) = &mut self.forward
+                && let Poll::Ready(end) = forward.as_mut().poll(context)
+            {
+                return Poll::Ready(Ended::Forward(end));
+            }
             for (index, attempt) in self.in_flight.iter_mut().enumerate() {
                 if let Poll::Ready(end) = attempt.outcome.as_mut().poll(context) {
-                    return Poll::Ready(Ok((index, end)));
+                    return Poll::Ready(Ended::Attempt(index, end));
                 }
             }
             if let Some(listener) = capacity
                 && Pin::new(listener).poll(context).is_ready()
             {
                 *capacity = None;
-                return Poll::Ready(Err(Event::CapacityFreed));
+                return Poll::Ready(Ended::Other(Event::CapacityFreed));
             }
             if stopping.as_mut().poll(context).is_ready() {
-                return Poll::Ready(Err(Event::EntryStopping));
+                return Poll::Ready(Ended::Other(Event::EntryStopping));
+            }
+            if Pin::new(&mut self.connectivity_lost)
+                .poll(context)
+                .is_ready()
+            {
+                self.connectivity_lost = self.job.service.connectivity_lost.listen();
+                return Poll::Ready(Ended::Other(Event::ConnectivityLost));
             }
             match Pin::new(&mut timer).poll(context) {
-                Poll::Ready(_) => Poll::Ready(Err(Event::TimerFired)),
+                Poll::Ready(_) => Poll::Ready(Ended::Other(Event::TimerFired)),
                 Poll::Pending => Poll::Pending,
             }
         })
         .await;
         match event {
-            Ok((index, end)) => self.finish_attempt(index, end),
-            Err(event) => event,
+            Ended::Attempt(index, end) => self.finish_attempt(index, end),
+            Ended::Forward(end) => self.finish_forward(end),
+            Ended::Other(event) => event,
         }
     }
 
--- a/crates/pinhaven-entry/src/request/mod.rs
+++ b/crates/pinhaven-entry/src/request/mod.rs
@@ -6,4 +6,6 @@
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
 pub(crate) mod dispatch;
+pub(crate) mod forward;
+pub(crate) mod forwarded;
 pub(crate) mod record_context;
--- a/crates/pinhaven-entry/src/targets/connectivity.rs
+++ b/crates/pinhaven-entry/src/targets/connectivity.rs
@@ -1,12 +1,130 @@
-//! Whether this entry reaches the targets of each service.
+//! Checks whether this entry reaches the targets of each service.
+//!
+//! The evidence comes from requests and probes. If it leaves doubt, or while connectivity is lost, connections to some
+//! targets are opened; those that come up are put into the pools and used for requests.
 
 use crate::entry::Entry;
 use crate::versions::service_entry::ServiceEntry;
+use crate::watch::counters::Count;
+use pinhaven_agree::ServiceKey;
+use pinhaven_decide::ConnectivityChange;
+use pinhaven_decide::TargetState;
+use pinhaven_record::Line;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use pinhaven_types::Microseconds;
+use std::sync::Arc;
+
+/// Interval at which the evidence is examined, in milliseconds.
+const EXAMINE_INTERVAL_MS: u64 = 50;
 
 impl Entry {
-    /// Records that a target of the service answered or accepted a connection.
+    /// Watches the connectivity of all services. Runs until the process exits.
+    pub(crate) async fn watch_connectivity(self: Arc<Self>) {
+        loop {
+            let snapshot = self.snapshot.load_full();
+            for service in snapshot.services.values() {
+                self.refresh_reached_by_peer(service);
+                self.check_connectivity_if_due(service);
+            }
+            sleep_ms(EXAMINE_INTERVAL_MS).await;
+        }
+    }
+
+    /// Records that a target of the service was heard.
     pub(crate) fn record_heard(&self, service: &ServiceEntry) {
+        let change = service.state.connectivity().record_heard(self.now());
+        self.record_connectivity(service, change);
+    }
+
+    fn refresh_reached_by_peer(&self, service: &ServiceEntry) {
+        let key = ServiceKey::new(&service.config.name);
+        let forwarder = self.choose_forwarder(service, key, &[]);
+        let connectivity = service.state.connectivity();
+        connectivity.set_reached_by_peer(forwarder.is_some());
+    }
+
+    fn check_connectivity_if_due(self: &Arc<Self>, service: &Arc<ServiceEntry>) {
+        let began = self.now();
+        let state = &service.state;
+        let due = state.connectivity().begin_check(began, state.typical_ms());
+        let Some(target_count) = due else {
+            return;
+        };
+        let is_candidate = |target: &&Arc<TargetState>| !target.is_leaving();
+        let candidates = state.targets().iter().filter(is_candidate);
+        let targets = fastrand::choose_multiple(candidates, target_count);
+        if targets.is_empty() {
+            return;
+        }
+        let targets = targets.into_iter().cloned().collect();
+        let (entry, service) = (Arc::clone(self), Arc::clone(service));
+        spawn(async move { entry.check_connectivity(&service, targets, began).await }).detach();
+    }
+
+    /// Opens connections to some targets, and records whether any of them came up.
+    async fn check_connectivity(
+        &self,
+        service: &Arc<ServiceEntry>,
+        targets: Vec<Arc<TargetState>>,
+        began: Microseconds,
+    ) {
+        self.counters.add(Count::ConnectivityChecks);
+        let checks = targets.into_iter().map(|target| {
+            let pool = service.pools.get(&target.address()).cloned();
+            spawn(async move {
+                match pool {
+                    Some(pool) => pool.open_for_later(target.address()).await,
+                    None => false,
+                }
+            })
+        });
+        let checks: Vec<_> = checks.collect();
+        let mut is_reached = false;
+        for check in checks {
+            is_reached |= check.await;
+        }
+        if is_reached {
+            return self.record_heard(service);
+        }
+        let connectivity = service.state.connectivity();
+        let change = connectivity.record_check_failed(began, self.now());
+        self.record_connectivity(service, change);
+    }
+
+    fn record_connectivity(&self, service: &ServiceEntry, change: Option<ConnectivityChange>) {
+        let name = &service.config.name;
         let connectivity = service.state.connectivity();
-        connectivity.record_heard(self.now());
+        match change {
+            None => {}
+            Some(ConnectivityChange::Lost) => {
+                let heard_age_ms = connectivity
+                    .heard_age(self.now())
+                    .map(|age| age.as_ms() as u64);
+                let is_reached_by_peer = connectivity.is_reached_by_peer();
+                let heard = heard_age_ms.map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+                log::warn!(
+                    target: "targets",
+                    "No target of service {name} is reached; the last was heard {heard}; other entries reach it: {is_reached_by_peer}."
+                );
+                self.record_line(|| {
+                    Line::new("service", "connectivity_lost", 0)
+                        .with("service", name.as_str())
+                        .with("heard_age_ms", heard_age_ms)
+                        .with("reached_by_peer", is_reached_by_peer)
+                });
+                service.pools.values().for_each(|pool| pool.clear());
+                service.connectivity_lost.notify(usize::MAX);
+            }
+            Some(ConnectivityChange::Regained(lost_for)) => {
+                let lost_ms = lost_for.as_ms() as u64;
+                log::info!(target: "targets", "Targets of service {name} are reached again after {lost_ms} ms.");
+                self.record_line(|| {
+                    Line::new("service", "connectivity_regained", 0)
+                        .with("service", name.as_str())
+                        .with("lost_ms", lost_ms)
+                });
+            }
+        }
     }
 }
--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -35,6 +35,9 @@
 /// How long a new connection must stay open to show that the target still runs, in milliseconds.
 const STAY_UP_MS: u64 = 2;
 
+/// How long a new connection must stay open to show that the target is reached, in milliseconds.
+const STAY_OPEN_MS: u64 = 30;
+
 /// Maximum idle time of a connection that is reused. Targets close idle connections after a timeout, often 10 s,
 /// and a request that is sent while the target closes the connection is lost.
 pub(crate) const IDLE_MAX: Duration = Duration::from_secs(8);
@@ -106,6 +109,24 @@
         false
     }
 
+    /// Opens a connection and puts it into the pool. Returns whether it was established and stays open.
+    pub(crate) async fn open_for_later(&self, target: TargetAddress) -> bool {
+        let connecting = http1_sender(target.socket_address());
+        let Some(Ok(sender)) = within(CONNECT_TIMEOUT, connecting).await else {
+            return false;
+        };
+        // What stands between this entry and an unreachable target may accept a connection and then close it.
+        sleep_ms(STAY_OPEN_MS).await;
+        let is_open = !sender.is_closed();
+        self.put(sender);
+        is_open
+    }
+
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        self.idle.lock().clear();
+    }
+
     /// Puts a connection into the pool after its answer has been read completely.
     pub(crate) fn put(&self, sender: Sender) {
         if !sender.is_closed() {
--- a/crates/pinhaven-entry/src/versions/service_entry.rs
+++ b/crates/pinhaven-entry/src/versions/service_entry.rs
@@ -22,6 +22,8 @@
     pub(crate) pools: HashMap<TargetAddress, Arc<TargetPool>>,
     /// Notified when a request of the service releases capacity.
     pub(crate) capacity_freed: Arc<CapacityFreed>,
+    /// Notified when this entry reaches no target of the service any more.
+    pub(crate) connectivity_lost: Arc<event_listener::Event>,
 }
 
 /// Builds the entry of a service in a new version. Retains the state and the connections of the previous
@@ -55,5 +57,8 @@
         capacity_freed: previous
             .map(|previous| Arc::clone(&previous.capacity_freed))
             .unwrap_or_default(),
+        connectivity_lost: previous
+            .map(|previous| Arc::clone(&previous.connectivity_lost))
+            .unwrap_or_default(),
     })
 }
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -123,9 +123,25 @@
     DatagramBytesDescribe,
     /// Bytes of `DatagramsCrash`.
     DatagramBytesCrash,
+    /// Checks whether this entry reaches the targets of a service.
+    ConnectivityChecks,
+    /// Requests forwarded to another entry.
+    ForwardSent,
+    /// Forwarded requests that another entry did not take.
+    ForwardNotTaken,
+    /// Forwarded requests that another entry refused.
+    ForwardRefused,
+    /// Forwarded requests whose connection failed.
+    ForwardBroken,
+    /// Forwarded requests that were answered by a target.
+    ForwardAnswered,
+    /// Requests received from other entries.
+    ForwardReceived,
+    /// Requests of other entries that this entry did not take.
+    ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 57] = [
+const COUNT_NAMES: [&str; 65] = [
     "requests",
     "answered",
     "addresses",
@@ -183,6 +199,14 @@
     "datagram_bytes.standby",
     "datagram_bytes.describe",
     "datagram_bytes.crash",
+    "connectivity.checks",
+    "forward.sent",
+    "forward.not_taken",
+    "forward.refused",
+    "forward.broken",
+    "forward.answered",
+    "forward.received",
+    "forward.declined",
 ];
 
 /// All counters of an entry.
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -107,6 +107,11 @@
         gauge("retries_total", service.retries as f64);
         gauge("ejections_total", service.ejections as f64);
         gauge("failed_targets", f64::from(service.failed_targets));
+        gauge("lost", f64::from(u8::from(service.is_lost)));
+        gauge(
+            "reached_by_peer",
+            f64::from(u8::from(service.is_reached_by_peer)),
+        );
         if let Some(heard_age_ms) = service.heard_age_ms {
             gauge("heard_age_ms", heard_age_ms);
         }
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -101,6 +101,12 @@
     /// Number of targets that failed since.
     #[serde(default)]
     pub failed_targets: u32,
+    /// Whether the entry reaches no target of the service.
+    #[serde(default)]
+    pub is_lost: bool,
+    /// Whether another entry reaches the targets.
+    #[serde(default)]
+    pub is_reached_by_peer: bool,
     /// Targets of the service.
     pub targets: Vec<TargetStatus>,
 }
@@ -212,6 +218,8 @@
                 ejections: counts.ejections,
                 heard_age_ms: state.connectivity().heard_age(now).map(Microseconds::as_ms),
                 failed_targets: state.connectivity().failed_targets(),
+                is_lost: state.connectivity().is_lost(),
+                is_reached_by_peer: state.connectivity().is_reached_by_peer(),
                 targets: state
                     .targets()
                     .iter()
--- a/crates/pinhaven-entry/src/wire/problem.rs
+++ b/crates/pinhaven-entry/src/wire/problem.rs
@@ -151,6 +151,10 @@
             StatusCode::BAD_GATEWAY,
             "targets crashed while they ran this request",
         ),
+        RefusalReason::ForwardRefused => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this entry reaches no target, and another entry refused the request",
+        ),
         RefusalReason::DeadlineCame => (
             StatusCode::GATEWAY_TIMEOUT,
             "the deadline came while a target had the request",
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -269,6 +269,8 @@
                 Action::Deliver(_) => self.end(request, Outcome::Answered),
                 Action::Refuse(refusal) => self.refuse(request, &refusal),
                 Action::OfferCapacity => self.offer_capacity(request),
+                // All emulated entries reach the targets.
+                Action::Forward { .. } | Action::CancelForward | Action::DeliverForwarded => {}
             }
         }
         if let Some(at) = step.wake_at.filter(|_| !self.calls[request].is_over) {
--- a/crates/pinhaven-peer/src/client.rs
+++ b/crates/pinhaven-peer/src/client.rs
@@ -5,15 +5,20 @@
 //! a call on a dead connection uses up its whole timeout.
 
 use crate::channel::Channel;
+use crate::forward::receive_answer;
+use crate::forward::request_parts;
 use crate::generated::ExchangeRequest;
 use crate::generated::ExchangeResponse;
 use crate::generated::FetchBundleRequest;
 use crate::generated::FetchBundleResponse;
+use crate::generated::ForwardAnswer;
+use crate::generated::ForwardHead;
 use crate::generated::RelayOnceRequest;
 use crate::generated::RelayOnceResponse;
 use crate::generated::peer_client::PeerClient;
 use displaydoc::Display as DisplayDoc;
 use parking_lot::Mutex;
+use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::within;
 use std::collections::HashMap;
 use std::future::Future;
@@ -39,6 +44,8 @@
     FetchBundle,
     /// relaying a once-only request
     RelayOnce,
+    /// forwarding a request
+    Forward,
 }
 
 /// {step} with the entry at {peer}: {message}
@@ -54,6 +61,13 @@
 
 impl std::error::Error for PeerError {}
 
+impl PeerError {
+    /// Whether the peer certainly did not receive the message.
+    pub fn is_not_sent(&self) -> bool {
+        self.step == PeerStep::Connect
+    }
+}
+
 /// Pooled connections to peers, opened on first use.
 #[derive(Default)]
 pub struct PeerClients {
@@ -134,6 +148,43 @@
         .await
     }
 
+    /// Forwards a request to a peer. Returns the head of the answer, and its body as a stream. Dropping the future or the
+    /// body cancels the request at the peer.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError`] when the peer can't be reached within `connect_timeout`, or when the stream fails before the head
+    /// of the answer. Unless [`PeerError::is_not_sent`], the peer may have run the request.
+    pub async fn forward(
+        &self,
+        peer: SocketAddr,
+        connect_timeout: Duration,
+        head: ForwardHead,
+        body: AnyBody,
+    ) -> Result<(ForwardAnswer, AnyBody), PeerError> {
+        let error = |step, message: String| PeerError {
+            step,
+            peer,
+            message,
+        };
+        let connected = within(connect_timeout, self.channel(peer)).await;
+        let channel = connected
+            .unwrap_or_else(|| Err("no connection within the timeout".to_owned()))
+            .map_err(|message| error(PeerStep::Connect, message))?;
+        let mut client = client_with_channel(channel, peer);
+        let forwarded = async {
+            let answered = client.forward(request_parts(head, body)).await?;
+            receive_answer(answered.into_inner()).await
+        };
+        let answer = forwarded
+            .await
+            .map_err(|status| error(PeerStep::Forward, status.message().to_owned()))?;
+        if let Some(pooled) = self.channels.lock().get_mut(&peer) {
+            pooled.answered_at = Instant::now();
+        }
+        Ok(answer)
+    }
+
     async fn call<T, F>(
         &self,
         peer: SocketAddr,
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -85,6 +85,20 @@
     pub heard_age_ms: Option<u32>,
 }
 
+/// An entry that hears targets of a service.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct ServiceReach {
+    /// Short hash of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Time since the entry heard any target of the service itself, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub heard_age_ms: u32,
+    /// Incarnation of the entry; empty for the sender.
+    #[prost(bytes = "vec", tag = "3")]
+    pub incarnation: Vec<u8>,
+}
+
 /// A datagram of state updates.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct News {
@@ -116,4 +130,7 @@
     /// Short hashes of target runs that announced directly to the sender that they are leaving.
     #[prost(fixed32, repeated, tag = "9")]
     pub leaving: Vec<u32>,
+    /// Entries that hear targets of services: the sender, and for entries that stand by also others.
+    #[prost(message, repeated, tag = "10")]
+    pub reaches: Vec<ServiceReach>,
 }
--- a/crates/pinhaven-peer/tests/silence.rs
+++ b/crates/pinhaven-peer/tests/silence.rs
@@ -7,6 +7,8 @@
 use pinhaven_peer::ExchangeResponse;
 use pinhaven_peer::FetchBundleRequest;
 use pinhaven_peer::FetchBundleResponse;
+use pinhaven_peer::ForwardRequest;
+use pinhaven_peer::ForwardResponses;
 use pinhaven_peer::Peer;
 use pinhaven_peer::PeerClients;
 use pinhaven_peer::RelayOnceRequest;
@@ -14,6 +16,7 @@
 use pinhaven_peer::Request;
 use pinhaven_peer::Response;
 use pinhaven_peer::Status;
+use pinhaven_peer::Streaming;
 use pinhaven_peer::answer_peer;
 use pinhaven_peer::async_trait;
 use pinhaven_runtime::HttpServer;
@@ -36,6 +39,15 @@
 
 #[async_trait]
 impl Peer for BundlePeer {
+    type ForwardStream = ForwardResponses;
+
+    async fn forward(
+        &self,
+        _: Request<Streaming<ForwardRequest>>,
+    ) -> Result<Response<ForwardResponses>, Status> {
+        Err(Status::unimplemented("not part of this test"))
+    }
+
     async fn exchange(
         &self,
         _request: Request<ExchangeRequest>,
--- a/crates/pinhaven-record/src/trace.rs
+++ b/crates/pinhaven-record/src/trace.rs
@@ -67,6 +67,25 @@
         /// Number of the attempt.
         attempt: u32,
     },
+    /// The request was forwarded to another entry.
+    Forwarded {
+        /// Address of the other entry.
+        peer: String,
+    },
+    /// The forwarding ended.
+    ForwardEnded {
+        /// Outcome: `answered`, `refused`, `not_taken` or `broken`.
+        outcome: &'static str,
+        /// Status of the answer, if there was one.
+        status: Option<u16>,
+    },
+    /// The forwarding was cancelled.
+    ForwardCancelled,
+    /// The answer of the other entry was delivered.
+    ForwardDelivered {
+        /// Status of the answer.
+        status: u16,
+    },
     /// The caller closed the connection before the answer.
     CallerLeft,
     /// The request was refused or abandoned.
@@ -126,10 +145,17 @@
             TraceEvent::Refused { .. } | TraceEvent::CallerLeft | TraceEvent::AnswerCut { .. } => {
                 true
             }
-            TraceEvent::Delivered { status, .. } => *status >= 400,
+            TraceEvent::Delivered { status, .. } | TraceEvent::ForwardDelivered { status } => {
+                *status >= 400
+            }
             _ => false,
         });
-        let is_sent = |(_, event): &&(u64, TraceEvent)| matches!(event, TraceEvent::Sent { .. });
+        let is_sent = |(_, event): &&(u64, TraceEvent)| {
+            matches!(
+                event,
+                TraceEvent::Sent { .. } | TraceEvent::Forwarded { .. }
+            )
+        };
         if has_failed {
             Importance::Failure
         } else if self.events.iter().filter(is_sent).count() > 1
@@ -161,6 +187,10 @@
         TraceEvent::Sent { .. } => "sent",
         TraceEvent::Ended { .. } => "ended",
         TraceEvent::Cancelled { .. } => "cancelled",
+        TraceEvent::Forwarded { .. } => "forwarded",
+        TraceEvent::ForwardEnded { .. } => "forward_ended",
+        TraceEvent::ForwardCancelled => "forward_cancelled",
+        TraceEvent::ForwardDelivered { .. } => "forward_delivered",
         TraceEvent::CallerLeft => "caller_left",
         TraceEvent::Refused { .. } => "refused",
         TraceEvent::AnswerCut { .. } => "answer_cut",
@@ -180,7 +210,12 @@
             .with("outcome", outcome)
             .with("status", status),
         TraceEvent::Cancelled { attempt } => line.with("attempt", attempt),
-        TraceEvent::CallerLeft => line,
+        TraceEvent::Forwarded { peer } => line.with("peer", peer),
+        TraceEvent::ForwardEnded { outcome, status } => {
+            line.with("outcome", outcome).with("status", status)
+        }
+        TraceEvent::ForwardDelivered { status } => line.with("status", status),
+        TraceEvent::ForwardCancelled | TraceEvent::CallerLeft => line,
         TraceEvent::Refused {
             reason,
             run,
