Give the targets of a service that their owner does not reach to another owner

Cause: owners are computed from who serves, whether or not it reaches the targets.

Entries now tell each other which services they do not reach while others do, and such an entry owns no target of them.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -69,6 +69,7 @@
 pub use membership::Silence;
 pub use owners::OwnedKeys;
 pub use owners::OwnerCandidate;
+pub use owners::UnassignedTarget;
 pub use packages::PackageStart;
 pub use packages::Packages;
 pub use reach::Forwarder;
--- a/crates/pinhaven-agree/src/reach.rs
+++ b/crates/pinhaven-agree/src/reach.rs
@@ -38,26 +38,50 @@
     pub peer_address: SocketAddr,
 }
 
-/// When other entries last heard targets of each service.
+/// When other entries last heard targets of each service, and which entries have lost their links to them.
 #[derive(Debug, Default)]
 pub struct TargetReach {
     heard_at: HashMap<ServiceKey, HashMap<Incarnation, Microseconds>>,
+    /// When each entry last stated that it reaches no target of a service.
+    lost_at: HashMap<Incarnation, HashMap<ServiceKey, Microseconds>>,
 }
 
 impl TargetReach {
     /// Records that an entry heard a target of a service at `heard_at`. An earlier time than the known one is ignored.
     pub fn record(&mut self, service: ServiceKey, entry: Incarnation, heard_at: Microseconds) {
+        if let Some(lost) = self.lost_at.get_mut(&entry) {
+            lost.remove(&service);
+        }
         let known = self.heard_at.entry(service).or_default();
         let known = known.entry(entry).or_insert(heard_at);
         *known = heard_at.max(*known);
     }
 
+    /// Records that an entry stated at `now` that it reaches no target of a service.
+    pub fn record_lost(&mut self, service: ServiceKey, entry: Incarnation, now: Microseconds) {
+        if let Some(known) = self.heard_at.get_mut(&service) {
+            known.remove(&entry);
+        }
+        self.lost_at.entry(entry).or_default().insert(service, now);
+    }
+
+    /// Services whose targets an entry does not reach, as it stated recently.
+    pub fn lost_services(&self, entry: Incarnation, now: Microseconds) -> Vec<ServiceKey> {
+        let lost = self.lost_at.get(&entry).into_iter().flatten();
+        let recent = lost.filter(|(_, at)| is_recent(**at, now));
+        recent.map(|(service, _)| *service).collect()
+    }
+
     /// Removes what is too old to be of use.
     pub fn remove_old(&mut self, now: Microseconds) {
         self.heard_at.retain(|_, entries| {
             entries.retain(|_, heard_at| is_recent(*heard_at, now));
             !entries.is_empty()
         });
+        self.lost_at.retain(|_, services| {
+            services.retain(|_, at| is_recent(*at, now));
+            !services.is_empty()
+        });
     }
 
     /// Up to `count` entries that heard the targets of a service last, with the time since.
--- a/crates/pinhaven-decide/src/connectivity.rs
+++ b/crates/pinhaven-decide/src/connectivity.rs
@@ -151,6 +151,14 @@
         (since_us > 0).then(|| Microseconds::new(since_us))
     }
 
+    /// Whether the targets have been silent for a while, connections failed, or connectivity is lost.
+    pub fn is_suspect(&self, now: Microseconds) -> bool {
+        let is_unanswered = self
+            .unanswered_for(now)
+            .is_some_and(|silence| silence >= FAILURE_SILENCE);
+        self.is_lost() || self.failed_targets() > 0 || is_unanswered
+    }
+
     /// Whether several targets have failed since any target was heard.
     pub fn is_doubtful(&self) -> bool {
         self.failed_targets() >= DOUBT_TARGETS
@@ -177,12 +185,15 @@
         if self.failed_targets() > 0 && is_silent {
             return true;
         }
-        let unanswered_since_us = self.unanswered_since_us.load(Ordering::Relaxed);
-        if unanswered_since_us == 0 {
-            return false;
-        }
-        let silence = now.saturating_sub(Microseconds::new(unanswered_since_us));
         let limit_us = typical_ms * SILENCE_TYPICAL_TIMES * 1_000.0;
-        silence >= SILENCE_MIN.max(Microseconds::new(limit_us as u64))
+        let limit = SILENCE_MIN.max(Microseconds::new(limit_us as u64));
+        self.unanswered_for(now)
+            .is_some_and(|silence| silence >= limit)
+    }
+
+    /// Time since the first request was sent to which no target has answered yet, nor to any request after it.
+    fn unanswered_for(&self, now: Microseconds) -> Option<Microseconds> {
+        let since_us = self.unanswered_since_us.load(Ordering::Relaxed);
+        (since_us > 0).then(|| now.saturating_sub(Microseconds::new(since_us)))
     }
 }
--- a/crates/pinhaven-entry/src/peers/reach.rs
+++ b/crates/pinhaven-entry/src/peers/reach.rs
@@ -16,16 +16,25 @@
 const RELAYED_PER_SERVICE: usize = 2;
 
 impl Entry {
-    /// Services whose targets this entry hears itself, a random selection if there are many.
+    /// Which services' targets this entry reaches itself, a random selection if there are many.
     pub(crate) fn own_reaches(&self, now: Microseconds) -> Vec<ServiceReach> {
         let snapshot = self.snapshot.load();
         let reaches = snapshot.services.values().filter_map(|service| {
             let connectivity = service.state.connectivity();
-            let heard_age = connectivity.heard_age(now)?;
-            (!connectivity.is_lost()).then(|| ServiceReach {
+            let is_lost = connectivity.is_lost();
+            // Where no entry reaches the targets, the targets are down and their owners stay.
+            if is_lost && !connectivity.is_reached_by_peer() {
+                return None;
+            }
+            let heard_age = match is_lost {
+                true => Microseconds::ZERO,
+                false => connectivity.heard_age(now)?,
+            };
+            Some(ServiceReach {
                 service: ServiceKey::new(&service.config.name).0,
                 heard_age_ms: to_ms(heard_age),
                 incarnation: Vec::new(),
+                is_lost,
             })
         });
         fastrand::choose_multiple(reaches, SERVICES_MAX)
@@ -41,6 +50,7 @@
                 service: service.0,
                 heard_age_ms: to_ms(age),
                 incarnation: to_bytes(&entry),
+                is_lost: false,
             })
         });
         relayed.collect()
@@ -59,9 +69,15 @@
                 true => Some(sender),
                 false => to_incarnation(&reach.incarnation),
             };
-            let age = Microseconds::from_ms(u64::from(reach.heard_age_ms));
-            if let Some(entry) = entry.filter(|entry| *entry != self.incarnation) {
-                known.record(ServiceKey(reach.service), entry, now.saturating_sub(age));
+            let Some(entry) = entry.filter(|entry| *entry != self.incarnation) else {
+                continue;
+            };
+            let service = ServiceKey(reach.service);
+            if reach.is_lost {
+                known.record_lost(service, entry, now);
+            } else {
+                let age = Microseconds::from_ms(u64::from(reach.heard_age_ms));
+                known.record(service, entry, now.saturating_sub(age));
             }
         }
     }
--- a/crates/pinhaven-entry/src/targets/connectivity.rs
+++ b/crates/pinhaven-entry/src/targets/connectivity.rs
@@ -15,19 +15,30 @@
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
 
-/// Interval at which the evidence is examined, in milliseconds.
+/// Interval at which the evidence is examined while requests are in flight or targets are silent, in milliseconds.
 const EXAMINE_INTERVAL_MS: u64 = 50;
+/// Interval at which the evidence is examined otherwise, in milliseconds.
+const IDLE_INTERVAL_MS: u64 = 200;
 
 impl Entry {
     /// Watches the connectivity of all services. Runs until the process exits.
     pub(crate) async fn watch_connectivity(self: Arc<Self>) {
         loop {
             let snapshot = self.snapshot.load_full();
-            for service in snapshot.services.values() {
+            let now = self.now();
+            let is_suspect =
+                |service: &&Arc<ServiceEntry>| service.state.connectivity().is_suspect(now);
+            let mut is_idle = self.in_flight() == 0;
+            for service in snapshot.services.values().filter(is_suspect) {
+                is_idle = false;
                 self.refresh_reached_by_peer(service);
                 self.check_connectivity_if_due(service);
             }
-            sleep_ms(EXAMINE_INTERVAL_MS).await;
+            sleep_ms(match is_idle {
+                true => IDLE_INTERVAL_MS,
+                false => EXAMINE_INTERVAL_MS,
+            })
+            .await;
         }
     }
 
@@ -115,6 +126,7 @@
                 });
                 service.pools.values().for_each(|pool| pool.clear());
                 service.connectivity_lost.notify(usize::MAX);
+                self.urgent_update.notify(usize::MAX);
             }
             Some(ConnectivityChange::Regained(lost_for)) => {
                 let lost_ms = lost_for.as_ms() as u64;
@@ -124,6 +136,7 @@
                         .with("service", name.as_str())
                         .with("lost_ms", lost_ms)
                 });
+                self.urgent_update.notify(usize::MAX);
             }
         }
     }
--- a/crates/pinhaven-entry/src/targets/owned_targets.rs
+++ b/crates/pinhaven-entry/src/targets/owned_targets.rs
@@ -6,9 +6,12 @@
 //! when the own targets are full or slow.
 
 use crate::entry::Entry;
+use crate::versions::service_entry::ServiceEntry;
 use crate::versions::snapshot::Snapshot;
 use pinhaven_agree::OwnedKeys;
 use pinhaven_agree::OwnerCandidate;
+use pinhaven_agree::ServiceKey;
+use pinhaven_agree::UnassignedTarget;
 use std::sync::Arc;
 
 /// Entries whose capacity is below that of the largest entry divided by this number own no targets: probing would
@@ -39,7 +42,11 @@
             self.snapshot = Some(Arc::clone(snapshot));
         }
         let keyed = snapshot.keyed_targets().iter();
-        let targets = keyed.map(|(key, keyed)| (*key, keyed.target.failure_domain()));
+        let targets = keyed.map(|(key, keyed)| UnassignedTarget {
+            key: *key,
+            failure_domain: keyed.target.failure_domain(),
+            service: ServiceKey::new(&keyed.service.config.name),
+        });
         if !self
             .keys
             .assign(candidates(entry), has_new_targets, targets)
@@ -65,18 +72,38 @@
     }
 }
 
+impl Entry {
+    /// Services whose targets this entry does not reach while another entry does.
+    fn lost_services(&self) -> Vec<ServiceKey> {
+        let snapshot = self.snapshot.load();
+        let is_lost = |service: &&Arc<ServiceEntry>| {
+            let connectivity = service.state.connectivity();
+            connectivity.is_lost() && connectivity.is_reached_by_peer()
+        };
+        let lost = snapshot.services.values().filter(is_lost);
+        lost.map(|service| ServiceKey::new(&service.config.name))
+            .collect()
+    }
+}
+
 /// The serving entries whose capacity is large enough to own targets.
 fn candidates(entry: &Entry) -> Vec<OwnerCandidate> {
+    let now = entry.now();
     let members = entry.members.lock();
-    let serving = members.serving(entry.now());
+    let reach = entry.reach.lock();
+    let serving = members.serving(now);
     let largest = serving.iter().map(|row| row.capacity).max();
     let capacity_min = largest.unwrap_or_default().per_second() / OWNER_CAPACITY_DIVISOR;
     serving
         .into_iter()
         .filter(|row| row.capacity.per_second() >= capacity_min)
-        .map(|row| OwnerCandidate {
-            incarnation: row.incarnation,
-            failure_domain: row.failure_domain.clone(),
+        .map(|row| {
+            let unreached = match row.incarnation == entry.incarnation {
+                true => entry.lost_services(),
+                false => reach.lost_services(row.incarnation, now),
+            };
+            let candidate = OwnerCandidate::new(row.incarnation, row.failure_domain.clone());
+            candidate.with_unreached(unreached)
         })
         .collect()
 }
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -85,7 +85,7 @@
     pub heard_age_ms: Option<u32>,
 }
 
-/// An entry that hears targets of a service.
+/// Whether an entry reaches the targets of a service.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ServiceReach {
     /// Short hash of the service's name.
@@ -97,6 +97,9 @@
     /// Incarnation of the entry; empty for the sender.
     #[prost(bytes = "vec", tag = "3")]
     pub incarnation: Vec<u8>,
+    /// Whether the entry reaches no target of the service, while others do.
+    #[prost(bool, tag = "4")]
+    pub is_lost: bool,
 }
 
 /// A datagram of state updates.
