Count no crash of a target while only this entry's links to the targets are lost

Callers could be refused requests that crash nothing: while the links of entries are reset, an entry takes each request in flight for one that was there when its target crashed, and tells all entries.

Cause: a target that breaks a request off and then refuses connections counts as crashed, and lost links look the same.

Such a crash now counts at once only if another target accepts a connection. Otherwise it counts when any target is heard, or after 1.5 s, and not at all if connectivity is lost while other entries hear targets.

--- a/crates/pinhaven-agree/src/reach.rs
+++ b/crates/pinhaven-agree/src/reach.rs
@@ -72,6 +72,12 @@
         recent.map(|(service, _)| *service).collect()
     }
 
+    /// Whether any other entry heard a target of a service after `since`.
+    pub fn is_heard_since(&self, service: ServiceKey, since: Microseconds) -> bool {
+        let entries = self.heard_at.get(&service);
+        entries.is_some_and(|entries| entries.values().any(|heard_at| *heard_at > since))
+    }
+
     /// Removes what is too old to be of use.
     pub fn remove_old(&mut self, now: Microseconds) {
         self.heard_at.retain(|_, entries| {
--- a/crates/pinhaven-decide/src/connectivity.rs
+++ b/crates/pinhaven-decide/src/connectivity.rs
@@ -36,6 +36,9 @@
 /// Number of targets that fail in succession, with none heard meanwhile, from which a request need not try another one.
 const DOUBT_TARGETS: u32 = 2;
 
+/// Time after a crash within which other entries tell whether they still hear targets.
+const JUDGEMENT_PERIOD: Microseconds = Microseconds::from_ms(1_500);
+
 /// A change of connectivity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectivityChange {
@@ -45,6 +48,17 @@
     Regained(Microseconds),
 }
 
+/// Whether a target that broke a request off and refuses connections has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashJudgement {
+    /// The target has crashed.
+    Crashed,
+    /// The links of this entry are lost, which is no evidence against the request.
+    LinksLost,
+    /// Not known yet.
+    Undecided,
+}
+
 /// Evidence on whether this entry reaches the targets of one service.
 #[derive(Debug, Default)]
 pub struct Connectivity {
@@ -130,6 +144,25 @@
         Some(ConnectivityChange::Lost)
     }
 
+    /// Judges a crash of a target at `crashed_at` when no other target was reached from here at that moment.
+    /// `is_heard_by_peer` says whether another entry heard any target since.
+    pub fn judge_crash(
+        &self,
+        crashed_at: Microseconds,
+        is_heard_by_peer: bool,
+        now: Microseconds,
+    ) -> CrashJudgement {
+        if self.heard_at() > Some(crashed_at) {
+            CrashJudgement::Crashed
+        } else if self.is_lost() && is_heard_by_peer {
+            CrashJudgement::LinksLost
+        } else if now.saturating_sub(crashed_at) >= JUDGEMENT_PERIOD {
+            CrashJudgement::Crashed
+        } else {
+            CrashJudgement::Undecided
+        }
+    }
+
     /// Sets whether another entry reaches the targets.
     pub fn set_reached_by_peer(&self, is_reached: bool) {
         self.is_reached_by_peer.store(is_reached, Ordering::Relaxed);
--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -88,6 +88,7 @@
 pub use budget::TokenBudget;
 pub use connectivity::Connectivity;
 pub use connectivity::ConnectivityChange;
+pub use connectivity::CrashJudgement;
 pub use crashes::Audience;
 pub use crashes::CrashSuspects;
 pub use crashes::CrashedRun;
--- a/crates/pinhaven-entry/src/crashes/record.rs
+++ b/crates/pinhaven-entry/src/crashes/record.rs
@@ -4,8 +4,16 @@
 use crate::crashes::watch::HeldChange;
 use crate::entry::Entry;
 use crate::request::record_context::RecordContext;
+use pinhaven_agree::ServiceKey;
+use pinhaven_decide::CrashJudgement;
 use pinhaven_decide::TargetState;
 use pinhaven_record::Line;
+use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::spawn;
+use std::sync::Arc;
+
+/// Interval at which an undecided crash is judged again, in milliseconds.
+const JUDGEMENT_POLL_MS: u64 = 25;
 
 impl Entry {
     /// Records that a target crashed with a request in flight.
@@ -31,6 +39,34 @@
         });
     }
 
+    /// Records a crash of a target once it is known that the links of this entry to the targets work.
+    pub(crate) fn record_crash_if_reached(self: &Arc<Self>, job: &Job, target: &Arc<TargetState>) {
+        let crashed_at = self.now();
+        let (entry, target) = (Arc::clone(self), Arc::clone(target));
+        let service = Arc::clone(&job.service);
+        let fingerprints = job.fingerprints();
+        spawn(async move {
+            let key = ServiceKey::new(&service.config.name);
+            loop {
+                let is_heard_by_peer = entry.reach.lock().is_heard_since(key, crashed_at);
+                let connectivity = service.state.connectivity();
+                match connectivity.judge_crash(crashed_at, is_heard_by_peer, entry.now()) {
+                    CrashJudgement::Undecided => sleep_ms(JUDGEMENT_POLL_MS).await,
+                    CrashJudgement::Crashed => break,
+                    CrashJudgement::LinksLost => {
+                        return log::info!(
+                            target: "crashes",
+                            "Target {} is not reached from here, but other entries reach targets; not counted as a crash.",
+                            target.name()
+                        );
+                    }
+                }
+            }
+            entry.record_crash_evidence(fingerprints, &target);
+        })
+        .detach();
+    }
+
     /// Records which requests have been held back or released since the last call.
     pub(crate) fn record_held_back(&self) {
         let now = self.now();
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -31,6 +31,9 @@
 /// Maximum number of stale connections, closed by the target while idle, that one attempt may encounter.
 const STALE_CONNECTIONS_MAX: usize = 8;
 
+/// Maximum number of other targets to which connections are opened after one has crashed.
+const COMPARED_TARGETS: usize = 2;
+
 /// An answer of a target, with the connection that it arrived on and the facts read from its head.
 pub(crate) struct Answer {
     pub(crate) head: Parts,
@@ -60,7 +63,10 @@
     /// The answer's body was truncated before any part of the answer was forwarded.
     Cut,
     /// The connection or the answer broke, and the target's address refuses connections since.
-    Crashed,
+    Crashed {
+        /// Whether another target of the service accepts connections, so that the links of this entry work.
+        is_certain: bool,
+    },
     /// The target's answer passed all checks.
     Answer(Box<Answer>),
 }
@@ -124,15 +130,34 @@
 ) -> AttemptEnd {
     let address = target.address();
     let pool = service.pools.get(&address).cloned().unwrap_or_default();
-    let end = send_attempt(entry, service, &target, &pool, prepared).await;
+    let end = send_attempt(entry, Arc::clone(&service), &target, &pool, prepared).await;
     let is_broken = matches!(end, AttemptEnd::Broken | AttemptEnd::Cut);
     // The end of a leaving target is planned and is no crash, even if the target aborts its requests.
     if is_broken && !target.is_leaving() && pool.is_connection_refused(address).await {
-        return AttemptEnd::Crashed;
+        let is_certain = reaches_another_target(&service, &target).await;
+        return AttemptEnd::Crashed { is_certain };
     }
     end
 }
 
+/// Whether another target of the service accepts a connection; also true if there is no other target.
+async fn reaches_another_target(service: &ServiceEntry, crashed: &TargetState) -> bool {
+    let is_other = |target: &&Arc<TargetState>| target.address() != crashed.address();
+    let others = service.state.targets().iter().filter(is_other);
+    let others = fastrand::choose_multiple(others, COMPARED_TARGETS);
+    if others.is_empty() {
+        return true;
+    }
+    for other in others {
+        if let Some(pool) = service.pools.get(&other.address())
+            && pool.accepts_connection(other.address()).await
+        {
+            return true;
+        }
+    }
+    false
+}
+
 async fn send_attempt(
     entry: Arc<Entry>,
     service: Arc<ServiceEntry>,
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -442,7 +442,15 @@
                 self.release_capacity(attempt, Count::AttemptClosed);
                 AttemptOutcome::TargetClosed
             }
-            AttemptEnd::Crashed | AttemptEnd::Restarted => {
+            AttemptEnd::Crashed { is_certain: false } => {
+                self.may_have_run = true;
+                self.job
+                    .entry
+                    .record_crash_if_reached(self.job, &attempt.target);
+                self.release_capacity(attempt, Count::AttemptCrashed);
+                AttemptOutcome::Broken
+            }
+            AttemptEnd::Crashed { is_certain: true } | AttemptEnd::Restarted => {
                 self.may_have_run = true;
                 self.record_crash(&attempt.target);
                 self.release_capacity(attempt, Count::AttemptCrashed);
@@ -483,7 +491,7 @@
             AttemptEnd::HeldBack { .. } => ("held_back", None),
             AttemptEnd::OtherTarget => ("misdirected", None),
             AttemptEnd::Broken => ("broken", None),
-            AttemptEnd::Crashed => ("crashed", None),
+            AttemptEnd::Crashed { .. } => ("crashed", None),
             AttemptEnd::Restarted => ("restarted", None),
             AttemptEnd::Cut => ("cut", None),
             AttemptEnd::Answer(answer) => {
--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -122,6 +122,18 @@
         is_open
     }
 
+    /// Whether the target accepts a connection at once. The connection is put into the pool.
+    pub(crate) async fn accepts_connection(&self, target: TargetAddress) -> bool {
+        let connecting = http1_sender(target.socket_address());
+        match within(REFUSAL_TIMEOUT, connecting).await {
+            Some(Ok(sender)) => {
+                self.put(sender);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Closes all idle connections.
     pub(crate) fn clear(&self) {
         self.idle.lock().clear();
