--- a/crates/pinhaven-command/src/explain.rs
+++ b/crates/pinhaven-command/src/explain.rs
@@ -75,6 +75,7 @@
             && match line.part.as_str() {
                 "target" => targets.contains(&line.text("target")) || is_order(line, first),
                 "bundle" | "store" | "entry" => line.event != "log",
+                "service" => line.text("service") == first.text("service"),
                 _ => false,
             }
     };
@@ -89,7 +90,8 @@
         line.text("id") == id || (is_about(line) && (from_s..=to_s).contains(&line.time_s))
     };
     let lines = lines.iter().filter(is_shown);
-    explanation.extend(lines.map(|line| describe(line, first.time_s)));
+    let instance = first.text("instance");
+    explanation.extend(lines.map(|line| describe(line, first.time_s, &instance)));
     explanation
 }
 
@@ -99,13 +101,18 @@
     is_order_event && line.text("service") == request.text("service")
 }
 
-fn describe(line: &ReadLine, start_s: f64) -> String {
+/// Describes a line as text. The instance is included if it is another one than the entry of the request.
+fn describe(line: &ReadLine, start_s: f64, instance: &str) -> String {
     let at_ms = (line.time_s - start_s) * 1_000.0;
     let facts = line.facts.iter();
     let is_request = line.part == "request";
-    let is_in_header = |name: &str| is_request && HEADER_FACTS.contains(&name);
+    let is_own = line.text("instance") == instance;
+    let is_in_header = |name: &str| match name {
+        "instance" => is_own,
+        _ => is_request && HEADER_FACTS.contains(&name),
+    };
     let shown_facts: Vec<String> = facts
-        .filter(|(name, value)| !is_in_header(name) && *name != "instance" && !value.is_null())
+        .filter(|(name, value)| !is_in_header(name) && !value.is_null())
         .map(|(name, _)| format!("{name}={}", line.text(name)))
         .collect();
     let (part, event) = (&line.part, &line.event);
--- a/crates/pinhaven-record/src/timeline.rs
+++ b/crates/pinhaven-record/src/timeline.rs
@@ -36,16 +36,19 @@
             let at_s = line.time_s - first.time_s;
             let key = (line.text("instance"), line.text("id"));
             match (line.part.as_str(), line.event.as_str()) {
-                ("request", "sent") => {
+                ("request", "sent" | "forwarded") => {
                     sent_at_s.entry(key).or_insert(at_s);
                 }
-                ("request", "delivered") => {
+                ("request", "delivered" | "forward_delivered") => {
                     if let Some(start_s) = sent_at_s.remove(&key) {
                         timeline.add_answer(at_s, (at_s - start_s) * 1_000.0);
                     }
                 }
                 ("request", "refused") => timeline.add_refusal(at_s, line.text("reason")),
                 ("bundle", event) => timeline.add_mark(at_s, line, event, &["version"]),
+                ("service", event) => {
+                    timeline.add_mark(at_s, line, event, &["service", "instance"]);
+                }
                 ("target", event @ ("draining" | "gone" | "back" | "told_leaving")) => {
                     timeline.add_mark(at_s, line, event, &["target"]);
                 }
