Check targets by a probe rather than by a connection

An entry could go on refusing callers although it reaches no target: what stands between it and the targets may accept connections, answer nothing and close them late.

Cause: an accepted connection counted as a sign of a target. Where entries may probe targets, a check now needs an answer to a probe. Where only the holders of seats may, the connection must stay open as before. After a check that passed the next one waits a second, so that all entries together stay within the budget of probes.

--- a/crates/pinhaven-decide/src/connectivity.rs
+++ b/crates/pinhaven-decide/src/connectivity.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection that fails says little: the target may have crashed, or the links of this entry may be lost. An answer
 //! of any target shows that the links work. Only if no target has been heard for a while although requests are
-//! unanswered or connections failed, several targets are checked at once; if none of them accepts a connection either,
-//! the connectivity of the service counts as lost. From then on targets are checked at intervals until one is heard
+//! unanswered or connections failed, several targets are checked at once; if none of them answers either, the
+//! connectivity of the service counts as lost. From then on targets are checked at intervals until one is heard
 //! again.
 //!
 //! While connectivity is lost, requests are forwarded to another entry that reaches the targets. If no other entry
@@ -23,6 +23,9 @@
 const DOUBT_CHECK_TARGETS: usize = 4;
 /// Minimum time between two checks when connectivity is in doubt.
 const DOUBT_CHECK_INTERVAL: Microseconds = Microseconds::from_ms(200);
+/// Time after a check that found a target until the next one. All entries may be in doubt at the same time, and each
+/// check costs the targets a probe.
+const PASSED_CHECK_INTERVAL: Microseconds = Microseconds::from_ms(1_000);
 /// Number of targets that are checked at once while connectivity is lost.
 const LOST_CHECK_TARGETS: usize = 2;
 /// Time between two checks while connectivity is lost.
@@ -70,7 +73,8 @@
     failed_targets: AtomicU32,
     /// Hash of the target that failed last.
     last_failed: AtomicU64,
-    checked_at_us: AtomicU64,
+    /// Time from which another check may begin.
+    next_check_us: AtomicU64,
     /// Time since which connectivity is lost; 0 while targets are reached.
     lost_since_us: AtomicU64,
     /// Whether another entry reaches the targets.
@@ -89,7 +93,7 @@
         );
     }
 
-    /// Records that a target answered, or that a connection opened for a check stayed open. Returns the change if connectivity was lost.
+    /// Records that a target answered. Returns the change if connectivity was lost.
     pub fn record_heard(&self, now: Microseconds) -> Option<ConnectivityChange> {
         self.heard_at_us.store(now.count(), Ordering::Relaxed);
         self.unanswered_since_us.store(0, Ordering::Relaxed);
@@ -109,8 +113,8 @@
         }
     }
 
-    /// Begins a check if one is due at `now`. Returns the number of targets to connect to. The caller records the
-    /// outcome by [`record_heard`](Self::record_heard) or [`record_check_failed`](Self::record_check_failed).
+    /// Begins a check if one is due at `now`. Returns the number of targets to check. The caller records the outcome by
+    /// [`record_check_passed`](Self::record_check_passed) or [`record_check_failed`](Self::record_check_failed).
     pub fn begin_check(&self, now: Microseconds, typical_ms: f32) -> Option<usize> {
         let (is_needed, interval, targets) = match self.is_lost() {
             true => (true, LOST_CHECK_INTERVAL, LOST_CHECK_TARGETS),
@@ -120,15 +124,22 @@
                 DOUBT_CHECK_TARGETS,
             ),
         };
-        let checked_at = Microseconds::new(self.checked_at_us.load(Ordering::Relaxed));
-        if !is_needed || now.saturating_sub(checked_at) < interval {
+        if !is_needed || now.count() < self.next_check_us.load(Ordering::Relaxed) {
             return None;
         }
-        self.checked_at_us.store(now.count(), Ordering::Relaxed);
+        let next = now.plus(interval);
+        self.next_check_us.store(next.count(), Ordering::Relaxed);
         Some(targets)
     }
 
-    /// Records that no target accepted a connection in a check that began at `began`. Returns the change if
+    /// Records that a target was heard in a check. Returns the change if connectivity was lost.
+    pub fn record_check_passed(&self, now: Microseconds) -> Option<ConnectivityChange> {
+        let next = now.plus(PASSED_CHECK_INTERVAL);
+        self.next_check_us.store(next.count(), Ordering::Relaxed);
+        self.record_heard(now)
+    }
+
+    /// Records that no target was heard in a check that began at `began`. Returns the change if
     /// connectivity is lost since.
     pub fn record_check_failed(
         &self,
--- a/crates/pinhaven-entry/src/targets/connectivity.rs
+++ b/crates/pinhaven-entry/src/targets/connectivity.rs
@@ -1,9 +1,11 @@
 //! Checks whether this entry reaches the targets of each service.
 //!
 //! The evidence comes from requests and probes. If it leaves doubt, or while connectivity is lost, connections to some
-//! targets are opened; those that come up are put into the pools and used for requests.
+//! targets are opened and a probe is sent on each. Where only the holders of seats may probe, a connection that stays
+//! open suffices. The connections are then used for requests.
 
 use crate::entry::Entry;
+use crate::targets::pool::Probe;
 use crate::versions::service_entry::ServiceEntry;
 use crate::watch::counters::Count;
 use pinhaven_agree::ServiceKey;
@@ -62,7 +64,7 @@
         let Some(target_count) = due else {
             return;
         };
-        let is_candidate = |target: &&Arc<TargetState>| !target.is_leaving();
+        let is_candidate = |target: &&Arc<TargetState>| target.send_permit(began).is_ok();
         let candidates = state.targets().iter().filter(is_candidate);
         let targets = fastrand::choose_multiple(candidates, target_count);
         if targets.is_empty() {
@@ -73,36 +75,45 @@
         spawn(async move { entry.check_connectivity(&service, targets, began).await }).detach();
     }
 
-    /// Opens connections to some targets, and records whether any of them came up.
+    /// Checks some targets, and records whether any of them was heard.
     async fn check_connectivity(
-        &self,
+        self: &Arc<Self>,
         service: &Arc<ServiceEntry>,
         targets: Vec<Arc<TargetState>>,
         began: Microseconds,
     ) {
         self.counters.add(Count::ConnectivityChecks);
-        let checks = targets.into_iter().map(|target| {
-            let pool = service.pools.get(&target.address()).cloned();
-            spawn(async move {
-                match pool {
-                    Some(pool) => pool.open_for_later(target.address()).await,
-                    None => false,
-                }
-            })
-        });
-        let checks: Vec<_> = checks.collect();
+        let mut checks = Vec::new();
+        for target in targets {
+            let address = target.address();
+            let Some(pool) = service.pools.get(&address).cloned() else {
+                continue;
+            };
+            let (entry, service) = (Arc::clone(self), Arc::clone(service));
+            let probe = move || entry.probe_for_check(&service, &target);
+            checks.push(spawn(async move { pool.check(address, probe).await }));
+        }
         let mut is_reached = false;
         for check in checks {
             is_reached |= check.await;
         }
-        if is_reached {
-            return self.record_heard(service);
-        }
         let connectivity = service.state.connectivity();
-        let change = connectivity.record_check_failed(began, self.now());
+        let change = match is_reached {
+            true => connectivity.record_check_passed(self.now()),
+            false => connectivity.record_check_failed(began, self.now()),
+        };
         self.record_connectivity(service, change);
     }
 
+    /// The probe of a check; `None` if this entry may not send one.
+    fn probe_for_check(&self, service: &ServiceEntry, target: &TargetState) -> Option<Probe> {
+        let may_probe = self.settings.discovery.is_some();
+        let path = service.config.probe_path.as_ref().filter(|_| may_probe)?;
+        let permit = target.send_permit(self.now()).ok()?;
+        self.counters.add(Count::Probes);
+        Probe::new(permit, target.address(), path)
+    }
+
     fn record_connectivity(&self, service: &ServiceEntry, change: Option<ConnectivityChange>) {
         let name = &service.config.name;
         let connectivity = service.state.connectivity();
--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -4,7 +4,9 @@
 //! it has been idle for too long. Requests and probes need a [`SendPermit`] to be sent.
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
+use http_body_util::BodyExt as _;
 use hyper::client::conn::http1;
 use parking_lot::Mutex;
 use pinhaven_decide::SendPermit;
@@ -12,6 +14,7 @@
 use pinhaven_runtime::BoxError;
 use pinhaven_runtime::http1_sender;
 use pinhaven_runtime::sleep_ms;
+use pinhaven_runtime::whole_body;
 use pinhaven_runtime::within;
 use pinhaven_types::TargetAddress;
 use std::io::ErrorKind;
@@ -35,6 +38,8 @@
 /// How long a new connection must stay open to show that the target still runs, in milliseconds.
 const STAY_UP_MS: u64 = 2;
 
+/// Timeout for a target's answer to the probe of a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a new connection must stay open to show that the target is reached, in milliseconds.
 const STAY_OPEN_MS: u64 = 30;
 
@@ -109,13 +114,26 @@
         false
     }
 
-    /// Opens a connection and puts it into the pool. Returns whether it was established and stays open.
-    pub(crate) async fn open_for_later(&self, target: TargetAddress) -> bool {
+    /// Opens a connection to a target, sends a probe if there is one, and puts the connection into the pool. Returns
+    /// whether the target is reached: it answered the probe, or without a probe, the connection stays open.
+    pub(crate) async fn check(
+        &self,
+        target: TargetAddress,
+        probe: impl FnOnce() -> Option<Probe>,
+    ) -> bool {
         let connecting = http1_sender(target.socket_address());
-        let Some(Ok(sender)) = within(CONNECT_TIMEOUT, connecting).await else {
+        let Some(Ok(mut sender)) = within(CONNECT_TIMEOUT, connecting).await else {
             return false;
         };
-        // What stands between this entry and an unreachable target may accept a connection and then close it.
+        if let Some(probe) = probe() {
+            // What stands between this entry and an unreachable target may accept connections.
+            let answered = within(CHECK_TIMEOUT, probe.send(&mut sender)).await;
+            let is_answered = answered.unwrap_or(false);
+            if is_answered {
+                self.put(sender);
+            }
+            return is_answered;
+        }
         sleep_ms(STAY_OPEN_MS).await;
         let is_open = !sender.is_closed();
         self.put(sender);
@@ -214,6 +232,29 @@
     }
 }
 
+/// A probe that may be sent at this moment.
+pub(crate) struct Probe {
+    request: Request<AnyBody>,
+}
+
+impl Probe {
+    /// Creates a probe of a path; consumes the permit to send it. Returns `None` if the path is invalid.
+    pub(crate) fn new(permit: SendPermit, target: TargetAddress, path: &str) -> Option<Self> {
+        let mut request = probe_request(permit, path)?.map(whole_body);
+        let host = HeaderValue::from_str(&target.to_string()).ok()?;
+        request.headers_mut().insert(http::header::HOST, host);
+        Some(Self { request })
+    }
+
+    /// Sends the probe. Returns whether a whole answer came, whatever it says.
+    async fn send(self, sender: &mut Sender) -> bool {
+        let Ok(answer) = sender.send_request(self.request).await else {
+            return false;
+        };
+        answer.into_body().collect().await.is_ok()
+    }
+}
+
 /// Builds the request of a probe; consumes the permit to send it. Returns `None` if the path is invalid.
 pub(crate) fn probe_request(_permit: SendPermit, path: &str) -> Option<Request<Bytes>> {
     Request::get(path).body(Bytes::new()).ok()
