--- a/crates/pinhaven-decide/src/crashes/crash_count.rs
+++ b/crates/pinhaven-decide/src/crashes/crash_count.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// Whether the target has crashed and no connection has been established since.
+    pub(crate) fn is_down(&self) -> bool {
+        self.is_down.load(Ordering::Acquire)
+    }
+
     /// Records an established connection whose attempt began at `started_at`.
     pub(crate) fn record_connection(&self, started_at: Microseconds) {
         if started_at.count() > self.refused_at_us.load(Ordering::Acquire) {
--- a/crates/pinhaven-decide/src/target/eligibility.rs
+++ b/crates/pinhaven-decide/src/target/eligibility.rs
@@ -97,6 +97,11 @@
         CrashedRun::of(&self.name(), start.unwrap_or(crash_number))
     }
 
+    /// Whether the target has crashed and has not accepted a connection since.
+    pub fn is_down(&self) -> bool {
+        self.crashes.is_down()
+    }
+
     /// Records a successful connection to the target whose attempt began at `began`.
     pub fn record_connection(&self, began: Microseconds) {
         self.crashes.record_connection(began);
