--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -269,6 +269,17 @@
             .find(|target| target.address() == address)
     }
 
+    /// Targets whose reachability tells whether `crashed` has crashed or the links of this entry are lost: all others that
+    /// are not known to be down.
+    pub fn targets_to_compare(
+        &self,
+        crashed: &TargetState,
+    ) -> impl Iterator<Item = &Arc<TargetState>> {
+        let address = crashed.address();
+        let others = self.targets.iter();
+        others.filter(move |other| other.address() != address && !other.is_down())
+    }
+
     /// Whether this entry reaches the targets.
     pub fn connectivity(&self) -> &Connectivity {
         &self.connectivity
--- a/crates/pinhaven-decide/src/target/eligibility.rs
+++ b/crates/pinhaven-decide/src/target/eligibility.rs
@@ -98,7 +98,7 @@
     }
 
     /// Whether the target has crashed and has not accepted a connection since.
-    pub fn is_down(&self) -> bool {
+    pub(crate) fn is_down(&self) -> bool {
         self.crashes.is_down()
     }
 
--- a/crates/pinhaven-decide/tests/connectivity.rs
+++ b/crates/pinhaven-decide/tests/connectivity.rs
@@ -226,3 +226,17 @@
     connectivity.record_heard(at_ms(60));
     assert_eq!(judge(true, 100), CrashJudgement::Crashed);
 }
+
+/// Guards against crashes that are recorded late in a small service, whose other target is down since an earlier one.
+#[test]
+fn a_crashed_target_is_compared_only_with_targets_that_are_not_known_to_be_down() {
+    let service = service(2, 4);
+    let [first, second] = service.targets() else {
+        panic!("the service has two targets");
+    };
+    assert_eq!(service.targets_to_compare(second).count(), 1);
+    first.record_crash(at_ms(10));
+    assert_eq!(service.targets_to_compare(second).count(), 0);
+    first.record_connection(at_ms(20));
+    assert_eq!(service.targets_to_compare(second).count(), 1);
+}
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -143,9 +143,7 @@
 /// Whether another target of the service accepts a connection; also true if all others are known to be down. One that
 /// has crashed before says nothing about the links of this entry.
 async fn reaches_another_target(service: &ServiceEntry, crashed: &TargetState) -> bool {
-    let is_other =
-        |target: &&Arc<TargetState>| target.address() != crashed.address() && !target.is_down();
-    let others = service.state.targets().iter().filter(is_other);
+    let others = service.state.targets_to_compare(crashed);
     let others = fastrand::choose_multiple(others, COMPARED_TARGETS);
     if others.is_empty() {
         return true;
