Split the forwarding of requests from their event loop, and join what stood twice

The conversion of header fields between entries has a place of its own, both directions of a forwarding receive their parts by the same code, and the limit of attempts is attempts_max in messages that are new. No change of behaviour.

--- a/crates/pinhaven-entry/src/once_only/relay_client.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_client.rs
@@ -6,18 +6,16 @@
 use crate::callers::job::Job;
 use crate::entry::Entry;
 use crate::watch::counters::Count;
+use crate::wire::fields::from_fields;
+use crate::wire::fields::to_fields;
 use crate::wire::header;
 use crate::wire::problem::Problem;
 use bytes::Bytes;
-use http::HeaderMap;
-use http::HeaderName;
-use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use pinhaven_agree::Home;
 use pinhaven_agree::MemberState;
 use pinhaven_decide::RunState;
-use pinhaven_peer::Header;
 use pinhaven_peer::RelayOnceRequest;
 use pinhaven_peer::RelayOnceResponse;
 use pinhaven_runtime::AnyBody;
@@ -88,23 +86,3 @@
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     response
 }
-
-pub(crate) fn to_fields(headers: &HeaderMap) -> Vec<Header> {
-    let field = |(name, value): (&HeaderName, &HeaderValue)| Header {
-        name: name.to_string(),
-        value: value.as_bytes().to_vec(),
-    };
-    headers.iter().map(field).collect()
-}
-
-pub(crate) fn from_fields(fields: Vec<Header>) -> HeaderMap {
-    let mut headers = HeaderMap::new();
-    for field in fields {
-        let name = HeaderName::try_from(field.name);
-        let value = HeaderValue::from_bytes(&field.value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            headers.append(name, value);
-        }
-    }
-    headers
-}
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -4,18 +4,17 @@
 //! actions that the state returns: send or cancel an attempt, deliver an answer, or refuse the request. The request's
 //! trace is recorded when the driver is dropped, so that it is recorded even if the caller disconnects.
 
+mod forwarding;
+
 use crate::callers::job::Job;
 use crate::callers::request_guard::RequestGuard;
 use crate::request::answer_body::AnswerBody;
 use crate::request::answer_body::AnswerGuard;
-use crate::request::answer_body::GuardedBody;
 use crate::request::attempt::Answer;
 use crate::request::attempt::AttemptEnd;
 use crate::request::attempt::prepare_request;
 use crate::request::attempt::run_attempt;
 use crate::request::forward::ForwardEnd;
-use crate::request::forward::prepare_forward;
-use crate::request::forward::run_forward;
 use crate::request::record_context::RecordContext;
 use crate::targets::pool::PooledSender;
 use crate::watch::counters::Count;
@@ -26,13 +25,11 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
-use pinhaven_agree::ServiceKey;
 use pinhaven_decide::Action;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 use pinhaven_decide::Event;
-use pinhaven_decide::ForwardOutcome;
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
@@ -311,69 +308,6 @@
         self.job.service.capacity_freed.notify(1);
     }
 
-    /// Forwards the request to another entry that reaches the targets.
-    fn forward(&mut self, attempts_max: u32) {
-        let (entry, service) = (&self.job.entry, &self.job.service);
-        let key = ServiceKey::new(&service.config.name);
-        let forwarder = entry.choose_forwarder(service, key, &self.asked);
-        let prepared = forwarder.zip(prepare_forward(self.job, attempts_max));
-        let Some((forwarder, prepared)) = prepared else {
-            let end = ForwardEnd::without_answer(ForwardOutcome::NotTaken);
-            self.forward = Some(Box::pin(std::future::ready(end)));
-            return;
-        };
-        entry.counters.add(Count::ForwardSent);
-        self.asked.push(forwarder.incarnation);
-        let forwarding = run_forward(Arc::clone(entry), forwarder, prepared);
-        self.forward = Some(Box::pin(forwarding));
-        let peer = forwarder.peer_address.to_string();
-        self.add_trace(TraceEvent::Forwarded { peer });
-    }
-
-    fn cancel_forward(&mut self) {
-        self.forward = None;
-        self.add_trace(TraceEvent::ForwardCancelled);
-    }
-
-    /// Counts and records the end of a forwarding, and returns the event for the request's state.
-    fn finish_forward(&mut self, end: ForwardEnd) -> Event {
-        self.forward = None;
-        let ForwardEnd { outcome, answer } = end;
-        let (count, name) = match outcome {
-            ForwardOutcome::NotTaken => (Count::ForwardNotTaken, "not_taken"),
-            ForwardOutcome::Refused { .. } => (Count::ForwardRefused, "refused"),
-            ForwardOutcome::Broken => (Count::ForwardBroken, "broken"),
-            ForwardOutcome::Answered => (Count::ForwardAnswered, "answered"),
-        };
-        self.job.entry.counters.add(count);
-        let status = answer.as_ref().map(|answer| answer.status().as_u16());
-        self.add_trace(TraceEvent::ForwardEnded {
-            outcome: name,
-            status,
-        });
-        self.forwarded_answer = answer;
-        Event::ForwardEnded { outcome }
-    }
-
-    /// Builds the caller's answer from the answer of another entry.
-    fn deliver_forwarded(&mut self) -> Response<AnyBody> {
-        let answer = self.forwarded_answer.take();
-        let has_answer = require_promise(Promise::WholeOwnAnswer, answer.is_some(), || {
-            "the forwarding has no answer".to_owned()
-        });
-        let Some(answer) = answer.filter(|_| has_answer) else {
-            return Problem::unknown(StatusCode::BAD_GATEWAY, "broken", "the answer was lost")
-                .into_response();
-        };
-        self.outcome = Outcome::Answered;
-        self.job.entry.counters.add(Count::Answered);
-        self.add_trace(TraceEvent::ForwardDelivered {
-            status: answer.status().as_u16(),
-        });
-        let guard = std::mem::take(&mut self.request_guard);
-        answer.map(|body| GuardedBody::new(body, guard).boxed_unsync())
-    }
-
     /// Drops answers that the last step did not deliver, and releases the capacity of their attempts.
     fn drop_answers(&mut self) {
         if !self.answers.is_empty() {
--- a/crates/pinhaven-entry/src/request/forward.rs
+++ b/crates/pinhaven-entry/src/request/forward.rs
@@ -2,10 +2,10 @@
 
 use crate::callers::job::Job;
 use crate::entry::Entry;
-use crate::once_only::relay_client::from_fields;
-use crate::once_only::relay_client::to_fields;
 use crate::request::answer_body::BUFFERED_BYTES_MAX;
 use crate::request::answer_body::collect_answer;
+use crate::wire::fields::from_fields;
+use crate::wire::fields::to_fields;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -57,7 +57,7 @@
         headers: to_fields(&job.headers),
         left_ms: left.as_ms() as u64,
         prior_wait_ms: job.prior_wait.as_ms() as u64,
-        attempts_most: attempts_max,
+        attempts_max,
         version: job.entry.snapshot.load().version.number(),
     };
     let body = job.body.to_send()?;
--- a/crates/pinhaven-entry/src/request/forwarded.rs
+++ b/crates/pinhaven-entry/src/request/forwarded.rs
@@ -10,12 +10,12 @@
 use crate::callers::request_guard::RequestGuard;
 use crate::callers::routes::Routed;
 use crate::entry::Entry;
-use crate::once_only::relay_client::from_fields;
-use crate::once_only::relay_client::to_fields;
 use crate::request::dispatch::dispatch;
 use crate::versions::service_entry::ServiceEntry;
 use crate::versions::snapshot::Snapshot;
 use crate::watch::counters::Count;
+use crate::wire::fields::from_fields;
+use crate::wire::fields::to_fields;
 use crate::wire::header;
 use http::HeaderMap;
 use http::Method;
@@ -108,7 +108,7 @@
         headers: from_fields(head.headers),
         deadline: entry.now().plus(Microseconds::from_ms(head.left_ms)),
         prior_wait: Microseconds::from_ms(head.prior_wait_ms),
-        attempts_max: head.attempts_most.max(1),
+        attempts_max: head.attempts_max.max(1),
     })
 }
 
--- a/crates/pinhaven-peer/src/forward.rs
+++ b/crates/pinhaven-peer/src/forward.rs
@@ -28,6 +28,34 @@
 /// Parts of the answer to a forwarded request.
 pub type ForwardResponses = Pin<Box<dyn Stream<Item = Result<ForwardResponse, Status>> + Send>>;
 
+/// A part of a message that is sent in several.
+trait MessagePart: Send + 'static {
+    type Head;
+
+    /// Splits the part into the head, in the first part only, and a part of the body.
+    fn split(self) -> (Option<Self::Head>, BodyPart);
+}
+
+impl MessagePart for ForwardRequest {
+    type Head = ForwardHead;
+
+    fn split(self) -> (Option<ForwardHead>, BodyPart) {
+        let bytes = self.body.into();
+        let is_last = self.is_last;
+        (self.head, BodyPart { bytes, is_last })
+    }
+}
+
+impl MessagePart for ForwardResponse {
+    type Head = ForwardAnswer;
+
+    fn split(self) -> (Option<ForwardAnswer>, BodyPart) {
+        let bytes = self.body.into();
+        let is_last = self.is_last;
+        (self.head, BodyPart { bytes, is_last })
+    }
+}
+
 /// A part of a body.
 struct BodyPart {
     bytes: Bytes,
@@ -128,17 +156,9 @@
 ///
 /// [`Status`] if the stream fails or does not begin with a head.
 pub async fn receive_request(
-    mut parts: Streaming<ForwardRequest>,
+    parts: Streaming<ForwardRequest>,
 ) -> Result<(ForwardHead, AnyBody), Status> {
-    let first = parts.message().await?;
-    let Some((head, is_last)) = first.and_then(|first| Some((first.head?, first.is_last))) else {
-        return Err(Status::invalid_argument("the first part has no head"));
-    };
-    let body = body_of_parts(parts, is_last, |part| BodyPart {
-        bytes: part.body.into(),
-        is_last: part.is_last,
-    });
-    Ok((head, body))
+    receive(parts).await
 }
 
 /// Receives the head of the answer to a forwarded request, and its body as a stream.
@@ -147,33 +167,33 @@
 ///
 /// [`Status`] if the stream fails or does not begin with a head.
 pub(crate) async fn receive_answer(
-    mut parts: Streaming<ForwardResponse>,
+    parts: Streaming<ForwardResponse>,
 ) -> Result<(ForwardAnswer, AnyBody), Status> {
-    let first = parts.message().await?;
-    let Some((head, is_last)) = first.and_then(|first| Some((first.head?, first.is_last))) else {
+    receive(parts).await
+}
+
+async fn receive<P: MessagePart>(mut parts: Streaming<P>) -> Result<(P::Head, AnyBody), Status> {
+    let first = parts.message().await?.map(MessagePart::split);
+    let Some((Some(head), body)) = first else {
         return Err(Status::invalid_argument("the first part has no head"));
     };
-    let body = body_of_parts(parts, is_last, |part| BodyPart {
-        bytes: part.body.into(),
-        is_last: part.is_last,
-    });
+    let body = match body.is_last {
+        true => whole_body(Bytes::new()),
+        false => join_parts(parts),
+    };
     Ok((head, body))
 }
 
 /// Joins the parts of a body. The body fails if the stream ends without a last part.
-fn body_of_parts<P: Send + 'static>(
-    parts: Streaming<P>,
-    is_over: bool,
-    to_part: fn(P) -> BodyPart,
-) -> AnyBody {
-    if is_over {
-        return whole_body(Bytes::new());
-    }
+fn join_parts<P: MessagePart>(parts: Streaming<P>) -> AnyBody {
     let frames = stream::unfold(Some(parts), move |parts: Option<Streaming<P>>| async move {
         let mut parts = parts?;
-        match parts.message().await.map(|part| part.map(to_part)) {
-            Ok(Some(part)) if part.is_last => None,
-            Ok(Some(part)) => Some((Ok(Frame::data(part.bytes)), Some(parts))),
+        match parts.message().await {
+            Ok(Some(part)) => {
+                let (_, part) = part.split();
+                let frame = Ok(Frame::data(part.bytes));
+                (!part.is_last).then_some((frame, Some(parts)))
+            }
             Ok(None) => Some((Err("the stream ended before its last part".into()), None)),
             Err(status) => Some((Err(status.into()), None)),
         }
