Send nothing to the targets of a failure domain that operators have drained

Symptom: operators empty a failure domain, the store acknowledges the order, and entries go on sending there.

Cause: the orders under `op/evacuate/` were not read; a failure domain could not be drained at all.

Change: DrainedDomains is the set of all orders at one revision of the store. Those who read the store follow it with the configuration, pass it on in each full datagram and at once when it changes; each entry keeps the set of the highest revision, so a withdrawn order does not come back. An entry is not ready before it knows the set. TargetState::send_permit, without which nothing is written to a target, refuses targets of a drained domain; the choice leaves them out; if no other target is left, requests are refused at once as not run (`drained`, 1 to 2 s). Targets of drained domains no longer count against the share of targets that may be ejected. A bundle names drained domains too.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -9,13 +9,14 @@
 //! A process can be paused between a check of its lease and the action that relies on the check. Agreement
 //! therefore never depends on such a check alone:
 //!
-//! - The version in force of an entry never decreases.
+//! - The version in force of an entry never decreases, nor does the revision of its drained failure domains.
 //! - A once-only request has one home, and only the home may dispatch the request.
 //! - A member that has announced its stop never becomes ready again in the same incarnation.
 //! - The holder of a seat checks its lease by its own clock before each probe. A pause after the check
 //!   allows at most one probe too many, and the measuring budget reserves that probe in advance.
 
 mod demand;
+mod drained_domains;
 mod heartbeat_routes;
 mod latest_runs;
 mod ledger;
@@ -41,6 +42,10 @@
 mod version_lag;
 
 pub use demand::DemandMeter;
+pub use drained_domains::DrainChange;
+pub use drained_domains::DrainOrder;
+pub use drained_domains::DrainedDomains;
+pub use drained_domains::KnownDrains;
 pub use heartbeat_routes::Recipients;
 pub use heartbeat_routes::TrafficFacts;
 pub use heartbeat_routes::UpdateScope;
--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -14,10 +14,12 @@
 use displaydoc::Display as DisplayDoc;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::Digest;
+use pinhaven_types::FailureDomain;
 use pinhaven_types::ServiceName;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Difference that turns one version of a bundle into another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -43,6 +45,9 @@
     /// New value of `limits`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<RequestLimits>,
+    /// New value of `drained_domains`.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub drained_domains: BTreeSet<FailureDomain>,
 }
 
 /// Reason for which a difference cannot be applied.
@@ -93,6 +98,7 @@
             hosts: routes.is_none().then(|| to.hosts.clone()),
             routes: routes.unwrap_or_default(),
             limits: to.limits,
+            drained_domains: to.drained_domains.clone(),
         }
     }
 
@@ -137,6 +143,7 @@
             services: Vec::new(),
             hosts: held.hosts.clone(),
             limits: held.limits,
+            drained_domains: held.drained_domains.clone(),
         };
         for delta in deltas {
             if bundle.version != delta.from {
@@ -149,6 +156,7 @@
             bundle.measuring = delta.measuring;
             bundle.address_keep_ms = delta.address_keep_ms;
             bundle.limits = delta.limits;
+            bundle.drained_domains = delta.drained_domains;
             match delta.hosts {
                 Some(hosts) => bundle.hosts = hosts,
                 None => bundle.hosts = delta.routes.apply(bundle.hosts),
@@ -200,6 +208,10 @@
     if from.limits != to.limits {
         lines.push("~ limits".to_owned());
     }
+    let drained = to.drained_domains.difference(&from.drained_domains);
+    lines.extend(drained.map(|domain| format!("~ failure domain {domain} is drained")));
+    let restored = from.drained_domains.difference(&to.drained_domains);
+    lines.extend(restored.map(|domain| format!("~ failure domain {domain} is restored")));
     lines.extend(delta.removed.iter().map(|name| format!("- {name}")));
     for service in &delta.changed {
         match old.get(&service.name) {
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -11,6 +11,7 @@
 use pinhaven_types::TargetIncarnation;
 use serde::Deserialize;
 use serde::Serialize;
+use std::collections::BTreeSet;
 
 /// One version of the whole configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,6 +33,9 @@
     /// Limits on the size of requests and on the time that connections are idle.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub limits: Option<RequestLimits>,
+    /// Failure domains whose targets receive nothing.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub drained_domains: BTreeSet<FailureDomain>,
 }
 
 /// How the load of targets is measured.
--- a/crates/pinhaven-bundle/tests/difference.rs
+++ b/crates/pinhaven-bundle/tests/difference.rs
@@ -101,3 +101,23 @@
     let error = BundleDelta::apply_all(gap, &bundles[0], last.digest()).unwrap_err();
     assert!(matches!(error, DeltaError::WrongStart { .. }));
 }
+
+#[test]
+fn a_difference_drains_and_restores_failure_domains() {
+    let with_drained = |version, names: &[&str]| Bundle {
+        drained_domains: names.iter().map(|name| name.parse().unwrap()).collect(),
+        ..bundle(version, &[1])
+    };
+    for (before, after) in [(&["a"][..], &["b", "c"][..]), (&[], &["a"]), (&["a"], &[])] {
+        let before = CanonicalBundle::new(with_drained(1, before));
+        let after = CanonicalBundle::new(with_drained(2, after));
+        let delta = BundleDelta::between(before.bundle(), after.bundle());
+        assert_eq!(delta.apply(before.bundle(), after.digest()), Ok(after));
+    }
+    let lines = describe_changes(&with_drained(1, &["a"]), &with_drained(2, &["b"]));
+    let expected = [
+        "~ failure domain b is drained",
+        "~ failure domain a is restored",
+    ];
+    assert_eq!(lines, expected);
+}
--- a/crates/pinhaven-decide/src/availability.rs
+++ b/crates/pinhaven-decide/src/availability.rs
@@ -1,4 +1,4 @@
-//! When a service whose targets all leave or rest becomes available again, and when its callers should retry.
+//! When a service whose targets all leave, rest or stand in drained failure domains becomes available again, and when its callers should retry.
 //!
 //! A request that no target can receive within its permitted wait is refused at once. The refusal names the end of
 //! the first rest. Callers that retry at the same moment would overload the targets and cause the next rest, so each
@@ -21,6 +21,8 @@
     Now,
     /// When the first rest ends.
     At(Microseconds),
+    /// When operators restore the failure domains of its targets.
+    Drained,
     /// Not before the list of targets changes.
     Unknown,
 }
@@ -52,6 +54,12 @@
             if target.is_leaving() {
                 continue;
             }
+            if target.is_domain_drained() {
+                if first_available == Availability::Unknown {
+                    first_available = Availability::Drained;
+                }
+                continue;
+            }
             let Some(until) = target.rests_until(now) else {
                 return Availability::Now;
             };
--- a/crates/pinhaven-decide/src/health.rs
+++ b/crates/pinhaven-decide/src/health.rs
@@ -15,7 +15,8 @@
 const EJECTION_INITIAL: Microseconds = Microseconds::from_ms(500);
 /// Number of doublings after which ejections get no longer.
 const EJECTION_DOUBLINGS_MAX: u32 = 6;
-/// Maximum share of targets that may be ejected at a time. Targets that leave or rest count as well.
+/// Maximum share of targets that may be ejected at a time. Targets that leave or rest count as well; those in drained
+/// failure domains are left out altogether.
 const EJECTED_SHARE_MAX: f32 = 0.34;
 
 /// Records a failure of a target. Returns whether the failure ejected it.
@@ -47,12 +48,13 @@
     if target.is_ejected(now) {
         return false;
     }
-    let targets = service.targets();
-    let excluded = targets
-        .iter()
-        .filter(|other| other.is_ejected(now) || other.is_closed(now))
-        .count();
-    if (excluded + 1) as f32 > targets.len() as f32 * EJECTED_SHARE_MAX {
+    let (mut all, mut excluded) = (0, 0);
+    let targets = service.targets().iter();
+    for other in targets.filter(|other| !other.is_domain_drained()) {
+        all += 1;
+        excluded += u32::from(other.is_ejected(now) || other.is_closed(now));
+    }
+    if (excluded + 1) as f32 > all as f32 * EJECTED_SHARE_MAX {
         return false;
     }
     let doublings = target
--- a/crates/pinhaven-decide/src/orders.rs
+++ b/crates/pinhaven-decide/src/orders.rs
@@ -48,6 +48,8 @@
 pub enum TargetClosed {
     /// The target is leaving.
     Leaving,
+    /// Operators have drained the target's failure domain.
+    DomainDrained,
     /// The target asked for a rest that is not over.
     Resting {
         /// End of the rest.
@@ -56,19 +58,15 @@
 }
 
 impl SendPermit {
-    /// Permission to send now, unless the target leaves or rests.
+    /// Permission to send now, unless the target is closed.
     ///
     /// # Errors
     ///
-    /// [`TargetClosed`] if the target leaves or rests.
-    pub(crate) fn new(
-        is_leaving: bool,
-        rests_until: Option<Microseconds>,
-    ) -> Result<Self, TargetClosed> {
-        match (is_leaving, rests_until) {
-            (true, _) => Err(TargetClosed::Leaving),
-            (false, Some(until)) => Err(TargetClosed::Resting { until }),
-            (false, None) => Ok(Self(())),
+    /// The reason for which the target is closed, if it is.
+    pub(crate) fn unless(closed: Option<TargetClosed>) -> Result<Self, TargetClosed> {
+        match closed {
+            Some(closed) => Err(closed),
+            None => Ok(Self(())),
         }
     }
 }
--- a/crates/pinhaven-decide/src/refusal.rs
+++ b/crates/pinhaven-decide/src/refusal.rs
@@ -15,6 +15,8 @@
     EntryFull,
     /// No target may receive the request.
     NoTarget,
+    /// Each target that does not leave stands in a failure domain that operators have drained.
+    Drained,
     /// Each target that does not leave is resting.
     Resting,
     /// The targets shed the request, and no further attempt was possible.
@@ -35,12 +37,13 @@
 
 impl RefusalReason {
     /// All reasons, for metrics that count refusals by reason.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::DeadlinePast,
         Self::NoTimeLeft,
         Self::Overloaded,
         Self::EntryFull,
         Self::NoTarget,
+        Self::Drained,
         Self::Resting,
         Self::Shed,
         Self::Unreachable,
@@ -59,6 +62,7 @@
             Self::Overloaded => "overloaded",
             Self::EntryFull => "entry_full",
             Self::NoTarget => "no_target",
+            Self::Drained => "drained",
             Self::Resting => "resting",
             Self::Shed => "shed",
             Self::Unreachable => "unreachable",
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -341,6 +341,7 @@
     pub(crate) fn unavailable_until(&self, until: Microseconds) -> Option<RefusalReason> {
         match self.service.availability(self.now) {
             Availability::Unknown => Some(RefusalReason::NoTarget),
+            Availability::Drained => Some(RefusalReason::Drained),
             Availability::At(at) if at > until => Some(RefusalReason::Resting),
             Availability::At(_) | Availability::Now => None,
         }
@@ -412,7 +413,7 @@
         let is_open = !target.is_closed(self.now);
         let holds = require_promise(Promise::LeavingTarget, is_open, || {
             format!(
-                "{} was chosen although it leaves or rests",
+                "{} was chosen although it leaves or rests, or its failure domain is drained",
                 target.address()
             )
         });
--- a/crates/pinhaven-decide/src/retry_after.rs
+++ b/crates/pinhaven-decide/src/retry_after.rs
@@ -3,7 +3,8 @@
 //! Two load patterns need different answers. Where targets are full, a caller should come back when the backlog has
 //! drained, which takes longer the more requests are refused. Where targets turn away requests although they have free
 //! slots, there is no backlog: the next try is as likely to be served now as later, and each millisecond of the delay is
-//! lost from the aim of the request.
+//! lost from the aim of the request. While operators keep the failure domains of all targets drained, the time of the
+//! next answer depends on people, and an early try only loads the entries.
 
 use crate::availability::Availability;
 use crate::forecast::TargetFilter;
@@ -13,6 +14,8 @@
 /// Bounds of the delay where a target with a free slot is known, in milliseconds. The delay is random, so that requests
 /// that were turned away together don't return together.
 const FREE_SLOT_DELAY_MS: std::ops::Range<u64> = 10..40;
+/// Bounds of the delay while the failure domains of all targets are drained, in milliseconds.
+const DRAINED_DELAY_MS: std::ops::Range<u64> = 1_000..2_000;
 
 impl EventHandler<'_> {
     /// Time after which the caller should retry, in milliseconds, and not before the first time at which a target
@@ -26,6 +29,7 @@
             Availability::At(rest_ends) => {
                 by_load_ms.max(self.service.staggered_retry_after_ms(self.now, rest_ends))
             }
+            Availability::Drained => self.random.u64(DRAINED_DELAY_MS),
             Availability::Now | Availability::Unknown => by_load_ms,
         }
     }
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -74,6 +74,7 @@
     pub(crate) ejections: AtomicU32,
     pub(crate) ejected_until_us: AtomicU64,
     is_leaving: AtomicBool,
+    is_domain_drained: AtomicBool,
     /// Orders, shared by all states of this run so that they survive a temporary absence from the list.
     orders: Arc<OrderState>,
     closed_until: CachedClosedUntil,
@@ -100,6 +101,8 @@
     pub is_ejected: bool,
     /// Whether the target is leaving.
     pub is_leaving: bool,
+    /// Whether the target's failure domain is drained.
+    pub is_domain_drained: bool,
     /// Whether this entry owns the target.
     pub is_owned: bool,
     /// Remaining time of the rest that the target asked for, in milliseconds.
@@ -143,6 +146,7 @@
             ejections: AtomicU32::new(0),
             ejected_until_us: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
+            is_domain_drained: AtomicBool::new(false),
             orders: Arc::default(),
             closed_until: CachedClosedUntil::new(OrderState::default().closed_until()),
             is_owned: AtomicBool::new(false),
@@ -307,6 +311,7 @@
             latency_ms: self.latency_ms.get(),
             is_ejected: self.is_ejected(now),
             is_leaving: self.is_leaving(),
+            is_domain_drained: self.is_domain_drained(),
             is_owned: self.is_owned(),
             rests_for_ms: self
                 .rests_until(now)
--- a/crates/pinhaven-decide/src/target/eligibility.rs
+++ b/crates/pinhaven-decide/src/target/eligibility.rs
@@ -1,5 +1,5 @@
-//! Eligibility of a target for new work, by leaving, rests, ejection and capacity; and identification of its crashed
-//! runs.
+//! Eligibility of a target for new work, by leaving, rests, its failure domain, ejection and capacity; and
+//! identification of its crashed runs.
 //!
 //! The choice of a target reads a cached copy of the orders beside the other fields of the target's state. A
 //! permission to send reads the orders themselves, which all states of one run share.
@@ -46,6 +46,16 @@
         self.is_leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether operators have drained the target's failure domain.
+    pub fn is_domain_drained(&self) -> bool {
+        self.is_domain_drained.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether operators have drained the target's failure domain.
+    pub fn set_domain_drained(&self, is_drained: bool) {
+        self.is_domain_drained.store(is_drained, Ordering::Relaxed);
+    }
+
     /// Records the orders of an answer that arrived at `now`. Returns what they changed.
     pub fn record_orders(&self, orders: &AnswerOrders, now: Microseconds) -> OrderChanges {
         let changes = self.orders.record(orders, now);
@@ -72,16 +82,30 @@
     ///
     /// # Errors
     ///
-    /// [`TargetClosed`] if the target leaves or rests.
+    /// [`TargetClosed`] if the target leaves or rests, or if its failure domain is drained.
     pub fn send_permit(&self, now: Microseconds) -> Result<SendPermit, TargetClosed> {
         // Orders that arrived for an earlier state of this run take effect here at the latest.
         self.closed_until.set(self.orders.closed_until());
-        SendPermit::new(self.is_leaving(), self.rests_until(now))
+        SendPermit::unless(self.closed(now))
     }
 
-    /// Whether the target is known to leave or to rest at `now`.
+    /// Why nothing may be sent to the target at `now`; `None` if something may.
+    fn closed(&self, now: Microseconds) -> Option<TargetClosed> {
+        if self.is_leaving() {
+            return Some(TargetClosed::Leaving);
+        }
+        if self.is_domain_drained() {
+            return Some(TargetClosed::DomainDrained);
+        }
+        let until = self.rests_until(now)?;
+        Some(TargetClosed::Resting { until })
+    }
+
+    /// Whether nothing may be sent to the target at `now`, as far as is known.
     pub(crate) fn is_closed(&self, now: Microseconds) -> bool {
-        self.is_leaving.load(Ordering::Relaxed) || self.closed_until.get().is_closed(now)
+        self.is_leaving.load(Ordering::Relaxed)
+            || self.is_domain_drained()
+            || self.closed_until.get().is_closed(now)
     }
 
     /// Whether a request may be sent to the target at `now`, by its orders, its failures and its connection limit.
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -17,6 +17,7 @@
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
 use pinhaven_agree::Home;
+use pinhaven_agree::KnownDrains;
 use pinhaven_agree::KnownTargets;
 use pinhaven_agree::Ledger;
 use pinhaven_agree::LedgerLimits;
@@ -118,6 +119,8 @@
     /// Addresses to contact while no peer is known; a reload of the settings replaces them.
     pub(crate) peer_seeds: ArcSwap<Vec<SocketAddr>>,
     pub(crate) targets: Mutex<KnownTargets>,
+    /// Failure domains that operators have drained by orders in the store.
+    pub(crate) drains: Mutex<KnownDrains>,
     pub(crate) restarts: Restarts,
     /// Fingerprints of the requests in flight when targets crashed.
     pub(crate) crashes: CrashWatch,
@@ -234,6 +237,7 @@
             settings_reader: environment.settings_reader,
             peer_seeds: ArcSwap::from_pointee(settings.peer_seeds.clone()),
             targets: Mutex::new(KnownTargets::new()),
+            drains: Mutex::default(),
             restarts: Restarts::default(),
             crashes: CrashWatch::default(),
             peer_counts: Mutex::new(PeerCounts::default()),
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -71,6 +71,9 @@
         self.merge_suspects(&datagram.suspects);
         self.record_reaches(incarnation, &datagram.reaches);
         self.record_reported_leaves(&datagram.leaving);
+        if let Some(drains) = datagram.drains {
+            self.learn_peer_drains(drains, peer);
+        }
         let targets = datagram.targets.unwrap_or_default().rows();
         self.apply_target_updates(incarnation, &beat, &targets, datagram.is_whole);
         let rpc_address = self.rpc_address(incarnation).unwrap_or(peer);
@@ -129,7 +132,7 @@
     }
 
     /// Wakes one waiting request of each service, so that the request retries admission.
-    fn wake_waiting(&self) {
+    pub(crate) fn wake_waiting(&self) {
         for service in self.snapshot.load().services.values() {
             if service.state.waiting() > 0 {
                 service.capacity_freed.notify(1);
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -441,9 +441,14 @@
             UpdateKind::Incremental => Vec::new(),
             UpdateKind::Full { .. } => self.own_reaches(self.now()),
         };
+        let drains = match kind {
+            UpdateKind::Incremental => None,
+            UpdateKind::Full { .. } => self.drains_to_advertise(),
+        };
         let members = self.members.lock();
         let own = members.own();
         let mut message = News {
+            drains,
             reaches,
             leaving,
             beats: vec![own_beat(own)],
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod added_attempts;
 pub(crate) mod connectivity;
+pub(crate) mod drains;
 pub(crate) mod leaving;
 pub(crate) mod leaving_targets;
 pub(crate) mod listed_targets;
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -4,6 +4,7 @@
 //! to rest applies only to the entry that received the answer.
 
 use crate::entry::Entry;
+use crate::targets::drains::apply_drains;
 use crate::versions::service_entry::ServiceEntry;
 use crate::versions::snapshot::KeyedTarget;
 use crate::versions::snapshot::Snapshot;
@@ -104,12 +105,14 @@
         self.apply_leaves(&self.snapshot.load(), keys);
     }
 
-    /// Puts a snapshot in place after applying all known leaves to it. A target may be listed later than its leave
-    /// becomes known.
+    /// Puts a snapshot in place after applying all known leaves and drains to it. A target may be listed later than its
+    /// leave becomes known.
     pub(crate) fn store_snapshot(&self, next: Snapshot) {
-        // While the lock is held, no leave can be recorded and applied to the previous snapshot only.
+        // While the locks are held, no order can be recorded and applied to the previous snapshot only.
         let leaves = self.reported_leaves.lock();
+        let drains = self.drains.lock();
         self.apply_leaves(&next, &leaves.all());
+        apply_drains(&next, &drains);
         self.snapshot.store(Arc::new(next));
     }
 
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -294,11 +294,12 @@
         self.become_ready();
     }
 
-    /// Makes this entry ready if it is starting, a version is in force and, with a store, the targets are
-    /// known.
-    fn become_ready(&self) {
+    /// Makes this entry ready if it is starting, a version is in force and, with a store, the targets and the
+    /// drained failure domains are known.
+    pub(crate) fn become_ready(&self) {
         let knows_version = self.version.lock().version() > BundleVersion::NONE;
-        let knows_targets = self.discovery.is_none() || self.targets.lock().is_known();
+        let knows_targets = self.discovery.is_none()
+            || (self.targets.lock().is_known() && self.drains.lock().is_known());
         let mut members = self.members.lock();
         if members.own().state == MemberState::Starting && knows_version && knows_targets {
             members.advance_state(MemberState::Ready);
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -1,4 +1,5 @@
-//! Follows the configuration in a store that also holds the targets and the peers.
+//! Follows the configuration in a store that also holds the targets and the peers, and the operators' orders about
+//! failure domains.
 //!
 //! Only a few entries, the delegates, use the store directly; the others fetch new versions from peers.
 //! An entry whose calls to the store fail relies on its peers, and an entry without live peers uses the
@@ -7,12 +8,15 @@
 use crate::entry::Entry;
 use crate::versions::store_pace::FIRST_RANK;
 use crate::versions::store_pace::pause_before_retry;
+use pinhaven_agree::DrainedDomains;
 use pinhaven_agree::RetryBackoff;
 use pinhaven_agree::StoreAccessFacts;
 use pinhaven_agree::pause_after_answer;
 use pinhaven_bundle::CanonicalBundle;
 use pinhaven_platform::ConfigurationUpdate;
 use pinhaven_platform::Discovery;
+use pinhaven_platform::DrainUpdate;
+use pinhaven_platform::FeedPosition;
 use pinhaven_runtime::AnswerTimes;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
@@ -40,6 +44,15 @@
 /// a call in about 4 ms. A slow store takes hundreds of milliseconds, and its calls need no pause.
 const PRIOR_CHANGE_WAIT_MAX: Duration = Duration::from_millis(100);
 
+/// Brings the drained failure domains up to date with what was read.
+fn read_drains(drained: &mut DrainedDomains, update: &ConfigurationUpdate) {
+    let FeedPosition(revision) = update.position;
+    match &update.drains {
+        DrainUpdate::Whole(whole) => drained.clone_from(whole),
+        DrainUpdate::Orders(orders) => drained.carry_out(revision, orders.iter().cloned()),
+    }
+}
+
 impl Entry {
     /// The store of the configuration, the targets and the peers, if there is one.
     pub(crate) fn store(&self) -> Option<Arc<dyn Discovery>> {
@@ -53,6 +66,8 @@
             return;
         };
         let mut position = None;
+        // As of `position`. What peers told this entry may be newer, and orders of the store must not be added to that.
+        let mut drained = DrainedDomains::default();
         let mut pause = RetryBackoff::default();
         loop {
             let is_in_force = self.version.lock().version() > BundleVersion::NONE;
@@ -79,6 +94,8 @@
                     position = Some(update.position);
                     let has_configuration = update.bundle.is_some();
                     let times = update.times;
+                    read_drains(&mut drained, &update);
+                    self.learn_drained_domains(drained.clone());
                     self.accept_configuration(update).await;
                     self.pause_for_link_share(times).await;
                     if !has_configuration && !self.uses_store(true) {
--- a/crates/pinhaven-entry/src/versions/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -19,6 +19,7 @@
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::ServiceName;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::LazyLock;
@@ -34,6 +35,7 @@
     services: Vec::new(),
     hosts: Vec::new(),
     limits: None,
+    drained_domains: BTreeSet::new(),
 });
 
 /// All services in one version, with the indexes for routing.
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -47,6 +47,10 @@
     TargetRests,
     /// Demands for a rest that were malformed or longer than allowed.
     TargetRestBad,
+    /// Failure domains drained by operators.
+    DomainDrained,
+    /// Failure domains restored by operators.
+    DomainRestored,
     /// Probes sent.
     Probes,
     /// Probes that failed.
@@ -141,7 +145,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 65] = [
+const COUNT_NAMES: [&str; 67] = [
     "requests",
     "answered",
     "addresses",
@@ -161,6 +165,8 @@
     "target.left",
     "target.rests",
     "target.rest_bad",
+    "domain.drained",
+    "domain.restored",
     "probes",
     "probe.failed",
     "refused.bad_request",
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -88,6 +88,15 @@
         format!("pinhaven_members_examined {}", members.examined()),
         format!("pinhaven_state {}", members.own().state as u8),
     ];
+    if let Some(newest) = entry.drains.lock().newest() {
+        lines.push(format!("pinhaven_drains_revision {}", newest.revision));
+    }
+    let domains = entry.drained_domains();
+    lines.extend(
+        domains
+            .iter()
+            .map(|domain| format!("pinhaven_domain_drained{{domain=\"{domain}\"}} 1")),
+    );
     if let Some(age) = list_age_ms {
         lines.push(format!("pinhaven_list_age_ms {:.0}", age.as_ms()));
     }
@@ -116,7 +125,7 @@
             gauge("heard_age_ms", heard_age_ms);
         }
         gauge("targets", service.targets.len() as f64);
-        for state in ["ejected", "resting", "leaving"] {
+        for state in ["ejected", "resting", "drained", "leaving"] {
             let targets = service.targets.iter();
             let count = targets.filter(|target| target.state == state).count();
             gauge(&format!("targets_{state}"), count as f64);
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -8,6 +8,7 @@
 use pinhaven_agree::MemberRow;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
+use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
 use pinhaven_types::promise_check_count;
@@ -15,6 +16,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Path that serves the status.
 pub(crate) const PATH: &str = "/status";
@@ -37,6 +39,9 @@
     pub counters: BTreeMap<String, u64>,
     /// Check counts of the promises by name.
     pub promises: BTreeMap<String, PromiseStatus>,
+    /// Failure domains that operators have drained.
+    #[serde(default)]
+    pub drained_domains: BTreeSet<FailureDomain>,
     /// Other entries as this entry sees them.
     pub members: Vec<MemberStatus>,
     /// Services and their targets as this entry sees them.
@@ -124,7 +129,7 @@
     pub others: f32,
     /// Recent latency, in milliseconds.
     pub latency_ms: f32,
-    /// State of the target: `live`, `ejected`, `resting` or `leaving`.
+    /// State of the target: `live`, `ejected`, `resting`, `drained` or `leaving`.
     pub state: String,
     /// Whether this entry owns the target.
     #[serde(default)]
@@ -170,6 +175,7 @@
         seat: entry.seats.lock().seat(now),
         counters: entry.counters.all(),
         promises: promises(),
+        drained_domains: entry.drained_domains(),
         members: peers,
         services: services_of(entry),
     }
@@ -235,6 +241,8 @@
 fn target_of(view: &pinhaven_decide::TargetView) -> TargetStatus {
     let state = if view.is_leaving {
         "leaving"
+    } else if view.is_domain_drained {
+        "drained"
     } else if view.rests_for_ms.is_some() {
         "resting"
     } else if view.is_ejected {
--- a/crates/pinhaven-entry/src/wire/problem.rs
+++ b/crates/pinhaven-entry/src/wire/problem.rs
@@ -130,6 +130,10 @@
             StatusCode::SERVICE_UNAVAILABLE,
             "the service has no target that may take the request",
         ),
+        RefusalReason::Drained => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "operators have drained the failure domains of the service's targets",
+        ),
         RefusalReason::Resting => (
             StatusCode::SERVICE_UNAVAILABLE,
             "the targets of the service asked for rest",
--- a/crates/pinhaven-peer/src/lib.rs
+++ b/crates/pinhaven-peer/src/lib.rs
@@ -41,6 +41,7 @@
 pub use generated::Suspect;
 pub use generated::fetch_bundle_response::Body as FetchedBody;
 pub use generated::peer_server::Peer;
+pub use news::DrainNews;
 pub use news::ListNews;
 pub use news::News;
 pub use news::ServiceReach;
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -85,6 +85,17 @@
     pub heard_age_ms: Option<u32>,
 }
 
+/// The failure domains that operators have drained, as of one revision of the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct DrainNews {
+    /// Revision of the store.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// The drained failure domains.
+    #[prost(string, repeated, tag = "2")]
+    pub domains: Vec<String>,
+}
+
 /// Whether an entry reaches the targets of a service.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct ServiceReach {
@@ -136,4 +147,7 @@
     /// Entries that hear targets of services: the sender, and for entries that stand by also others.
     #[prost(message, repeated, tag = "10")]
     pub reaches: Vec<ServiceReach>,
+    /// Drained failure domains, if the sender knows which they are.
+    #[prost(message, optional, tag = "11")]
+    pub drains: Option<DrainNews>,
 }
--- a/crates/pinhaven-platform/src/discovery.rs
+++ b/crates/pinhaven-platform/src/discovery.rs
@@ -6,6 +6,8 @@
 use crate::PlatformError;
 use crate::StoreCall;
 use async_trait::async_trait;
+use pinhaven_agree::DrainOrder;
+use pinhaven_agree::DrainedDomains;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
@@ -16,11 +18,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct FeedPosition(pub u64);
 
+/// What a read or a wait shows of the drained failure domains.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum DrainUpdate {
+    /// All of them.
+    Whole(DrainedDomains),
+    /// The orders since the position of the call, in the order in which they were given.
+    Orders(Vec<DrainOrder>),
+}
+
 /// Result of a read or a wait for the configuration.
 #[derive(Debug)]
 pub struct ConfigurationUpdate {
     /// Configuration, if there is one that is newer than the position of the call.
     pub bundle: Option<Bundle>,
+    /// The drained failure domains.
+    pub drains: DrainUpdate,
     /// Position for the next call.
     pub position: FeedPosition,
     /// Time until a change arrived and time of its transfer; absent if the current configuration was read without
@@ -32,7 +45,8 @@
 #[async_trait]
 pub trait Discovery: Send + Sync {
     /// Reads the current configuration if `position` is `None`; otherwise waits for a change after `position` and
-    /// reads the changed configuration. Returns without a configuration when the wait ends without a change.
+    /// reads the changed configuration. Returns without a configuration when the wait ends without a change. The operators'
+    /// orders about failure domains are read in the same way.
     ///
     /// # Errors
     ///
--- a/crates/pinhaven-platform/src/lib.rs
+++ b/crates/pinhaven-platform/src/lib.rs
@@ -21,6 +21,7 @@
 pub use calls::StoreCalls;
 pub use discovery::ConfigurationUpdate;
 pub use discovery::Discovery;
+pub use discovery::DrainUpdate;
 pub use discovery::FeedPosition;
 pub use error::PlatformError;
 pub use error::PlatformStep;
