--- a/crates/pinhaven-command/src/bundle/mod.rs
+++ b/crates/pinhaven-command/src/bundle/mod.rs
@@ -4,7 +4,7 @@
 mod diff;
 mod history;
 mod key;
-mod roll;
+pub(crate) mod roll;
 mod sign;
 mod status;
 
--- a/crates/pinhaven-command/src/bundle/roll.rs
+++ b/crates/pinhaven-command/src/bundle/roll.rs
@@ -52,18 +52,19 @@
             "the body was changed after it was signed off; sign it again",
         ));
     }
-    run_calls(roll(arguments, &head, &body))?;
+    run_calls(check_and_roll(&arguments.platform, &head, &body))?;
     println!("Version {} is the newest.", head.version);
     Ok(())
 }
 
-async fn roll(
-    arguments: &RollArguments,
+/// Makes a signed version the newest one, if it follows the newest one.
+pub(crate) async fn check_and_roll(
+    platform: &PlatformArguments,
     head: &BundleHead,
     body: &CanonicalBundle,
 ) -> Result<(), CommandError> {
-    let table = arguments.platform.table();
-    let objects = arguments.platform.objects();
+    let table = platform.table();
+    let objects = platform.objects();
     objects
         .write(&bundle_object(head.digest), body.bytes().to_vec())
         .await?;
--- a/crates/pinhaven-command/src/lib.rs
+++ b/crates/pinhaven-command/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod bundle;
 mod completions;
+mod domains;
 mod entry;
 mod explain;
 mod instances;
@@ -36,6 +37,9 @@
     /// Check, sign off and roll bundles, and see what is in force.
     #[command(subcommand)]
     Bundle(bundle::BundleCommand),
+    /// Drain failure domains and restore them.
+    #[command(subcommand)]
+    Domains(domains::DomainsCommand),
     /// Explain what happened to one request, from the records of entries.
     Explain(explain::ExplainArguments),
     /// Draw refusals and answers over time, from the records of entries.
@@ -118,6 +122,7 @@
     match command {
         Command::Entry(arguments) => entry::run(&arguments),
         Command::Bundle(command) => bundle::run(command),
+        Command::Domains(command) => domains::run(command),
         Command::Explain(arguments) => explain::run(&arguments),
         Command::Report(arguments) => report::run(&arguments),
         Command::Instances(arguments) => instances::run(&arguments),
