Send cold targets no more than they bear, from all entries together

Cause: a cold target had a smaller weight (twice the work in forecasts), but no limit, and an entry learns of the others' requests only later. A target that turned cold again was never seen as cold.

Change: a service may set what a cold target bears (`cold_limit`; on the platform from its configuration). Only the owner of a target sends there, two requests at once and then at that rate, and only while it is certain to be the one owner: 1.5 s old, with a live peer, seeing more than half of the instances. While ownership changes two owners may send 13 in a second, the bound is 14.75. Without owners each entry has an equal share. The owner's probes read for how long a target is cold, its reports tell the others, who may only prolong that. Targets of a restored domain count as cold until they report.

--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -530,6 +530,22 @@
             .any(|member| self.is_live(member, now))
     }
 
+    /// Whether more than half of the instances that may be running are live, this one included. Instances that said that
+    /// they stop don't count, and of several incarnations of an instance one does.
+    pub fn sees_majority(&self, now: Microseconds) -> bool {
+        let mut instances: BTreeMap<&InstanceId, bool> = BTreeMap::new();
+        for member in self.members.values() {
+            if !member.is_confirmed || member.row.state >= MemberState::Stopping {
+                continue;
+            }
+            let is_live = instances.entry(&member.row.instance_id).or_default();
+            *is_live |= self.is_live(member, now);
+        }
+        instances.insert(&self.own.instance_id, true);
+        let live = instances.values().filter(|is_live| **is_live).count();
+        2 * live > instances.len()
+    }
+
     /// Rows of the live members other than this entry.
     pub fn live_peers(&self, now: Microseconds) -> Vec<&MemberRow> {
         self.members
--- a/crates/pinhaven-agree/tests/membership.rs
+++ b/crates/pinhaven-agree/tests/membership.rs
@@ -297,3 +297,40 @@
     let known = [1, 2, 101].map(|number| members.member(Incarnation::new(number)).is_some());
     assert_eq!(known, [false, true, true]);
 }
+
+/// Guards against entries that are cut off and each take themselves for the only one left.
+#[test]
+fn an_entry_sees_a_majority_while_more_than_half_of_the_instances_are_live() {
+    let mut members = members(5);
+    assert!(members.sees_majority(at_ms(100)));
+    let later = SILENT_AFTER.as_ms() as u64 * 6;
+    assert!(
+        !members.sees_majority(at_ms(later)),
+        "all others are silent"
+    );
+    for number in [1, 2] {
+        let mut back = row(number, MemberState::Ready);
+        back.heartbeat = 9;
+        members.record_member(back, at_ms(later));
+    }
+    assert!(
+        !members.sees_majority(at_ms(later)),
+        "three of six are live"
+    );
+    let mut restarted = row(3, MemberState::Ready);
+    restarted.incarnation = Incarnation::new(103);
+    members.record_member(restarted, at_ms(later));
+    assert!(members.sees_majority(at_ms(later)), "four of six are live");
+}
+
+#[test]
+fn entries_that_said_that_they_stop_are_not_needed_for_a_majority() {
+    let mut members = members(4);
+    for number in 1..=4 {
+        let mut stopping = row(number, MemberState::Stopping);
+        stopping.heartbeat = 2;
+        members.record_member(stopping, at_ms(10));
+    }
+    let later = SILENT_AFTER.as_ms() as u64 * 6;
+    assert!(members.sees_majority(at_ms(later)));
+}
--- a/crates/pinhaven-bundle/src/check.rs
+++ b/crates/pinhaven-bundle/src/check.rs
@@ -204,6 +204,14 @@
             "more would be kept than is taken",
             "write at most body_bytes",
         );
+        if let Some(limit) = &service.cold_limit {
+            self.require(
+                limit.requests_per_s.is_finite() && limit.requests_per_s > 0.0,
+                &format!("{at}.cold_limit.requests_per_s"),
+                "a cold target would never get a request",
+                "write a rate above zero, or leave cold_limit out",
+            );
+        }
         self.check_lists(at, service);
     }
 
--- a/crates/pinhaven-bundle/src/lib.rs
+++ b/crates/pinhaven-bundle/src/lib.rs
@@ -31,6 +31,7 @@
 pub use route_delta::RouteDelta;
 pub use route_delta::sort_routes;
 pub use schema::Bundle;
+pub use schema::ColdLimit;
 pub use schema::Measuring;
 pub use schema::Policy;
 pub use schema::Route;
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -122,6 +122,9 @@
     /// Maximum size of a request body, in bytes.
     #[serde(default = "default_body_bytes")]
     pub body_bytes: u64,
+    /// Limit of the requests to targets that are cold, that is, slow after a start or once again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_limit: Option<ColdLimit>,
     /// Rules for which requests may be repeated; the first matching route applies.
     #[serde(default)]
     pub routes: Vec<Route>,
@@ -130,6 +133,16 @@
     pub targets: Vec<Target>,
 }
 
+/// What a cold target bears.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdLimit {
+    /// Maximum rate of requests to one target from all entries together.
+    pub requests_per_s: f64,
+    /// Time for which a target is cold after a start, in milliseconds.
+    pub duration_ms: u64,
+}
+
 /// Rule for which requests of a service may be repeated.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -252,6 +265,7 @@
             unbounded_answers: false,
             replay_bytes: default_replay_bytes(),
             body_bytes: default_body_bytes(),
+            cold_limit: None,
             routes: Vec::new(),
             targets: Vec::new(),
         }
--- a/crates/pinhaven-decide/src/choice.rs
+++ b/crates/pinhaven-decide/src/choice.rs
@@ -157,8 +157,7 @@
     now: Microseconds,
     constraints: &ChoiceConstraints<'_>,
 ) -> bool {
-    target.is_eligible(now, service.connections_per_target())
-        && !constraints.tried.contains(&target.address())
+    service.may_send_to(target, now) && !constraints.tried.contains(&target.address())
 }
 
 /// Returns the score of a target, where lower is better, and its estimated load.
--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -325,5 +325,5 @@
     now: Microseconds,
     tried: &[TargetAddress],
 ) -> bool {
-    target.is_eligible(now, service.connections_per_target()) && !tried.contains(&target.address())
+    service.may_send_to(target, now) && !tried.contains(&target.address())
 }
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -5,6 +5,7 @@
 use crate::atomic::LearnedMedian;
 use crate::availability::RetryStagger;
 use crate::budget::TokenBudget;
+use crate::cold::ColdLimit;
 use crate::connectivity::Connectivity;
 use crate::health;
 use crate::hedge::HedgeDelay;
@@ -80,6 +81,7 @@
     /// Targets that this entry owns.
     owned: ArcSwap<Vec<Arc<TargetState>>>,
     listed: Vec<BundledTargetState>,
+    cold_limit: Option<ColdLimit>,
     recent_runs: RecentRuns,
     lapsed_orders: LapsedOrders,
     connectivity: Arc<Connectivity>,
@@ -167,6 +169,7 @@
             targets,
             owned: ArcSwap::default(),
             listed: service.targets.iter().map(|target| target.state).collect(),
+            cold_limit: ColdLimit::of(service),
             recent_runs,
             lapsed_orders,
             connectivity: previous
@@ -420,10 +423,6 @@
         self.priority
     }
 
-    pub(crate) fn connections_per_target(&self) -> u32 {
-        self.connections_per_target
-    }
-
     /// Typical time of a request, in milliseconds.
     pub fn typical_ms(&self) -> f32 {
         self.typical_ms.get()
@@ -433,7 +432,18 @@
         self.mean_peer_load.get()
     }
 
+    /// Limit of the requests to cold targets, if the service sets one.
+    pub(crate) fn cold_limit(&self) -> Option<&ColdLimit> {
+        self.cold_limit.as_ref()
+    }
+
+    /// Whether this entry may send one more request to the target at `now`.
+    pub(crate) fn may_send_to(&self, target: &TargetState, now: Microseconds) -> bool {
+        target.is_eligible(now, self.connections_per_target) && self.has_cold_turn(target, now)
+    }
+
     pub(crate) fn begin(&self, target: &TargetState, now: Microseconds) {
+        self.take_cold_turn(target, now);
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         self.connectivity.record_sent(now);
         target.begin(now);
--- a/crates/pinhaven-decide/src/target.rs
+++ b/crates/pinhaven-decide/src/target.rs
@@ -7,6 +7,7 @@
 mod eligibility;
 
 use crate::atomic::AtomicF32;
+use crate::cold::ColdPace;
 use crate::crashes::CrashCount;
 use crate::orders::AnswerOrders;
 use crate::orders::CachedClosedUntil;
@@ -57,8 +58,9 @@
     speed: ReportedSpeed,
     direct_report_at_us: AtomicU64,
     peers_in_flight: AtomicU32,
-    /// End of the time after its start for which the target reports that it works slowly.
-    cold_until: Microseconds,
+    /// Time until which the target is cold: slow, and able to bear few requests.
+    cold_until_us: AtomicU64,
+    cold_pace: ColdPace,
     in_flight: AtomicU32,
     start_sum_us: AtomicU64,
     peer_load: AtomicF32,
@@ -103,6 +105,8 @@
     pub is_leaving: bool,
     /// Whether the target's failure domain is drained.
     pub is_domain_drained: bool,
+    /// Whether the target is cold.
+    pub is_cold: bool,
     /// Whether this entry owns the target.
     pub is_owned: bool,
     /// Remaining time of the rest that the target asked for, in milliseconds.
@@ -131,7 +135,10 @@
             speed: ReportedSpeed::unknown(),
             direct_report_at_us: AtomicU64::new(0),
             peers_in_flight: AtomicU32::new(0),
-            cold_until: now.plus(Microseconds::from_ms(target.warm_up_ms)),
+            cold_until_us: AtomicU64::new(
+                now.plus(Microseconds::from_ms(target.warm_up_ms)).count(),
+            ),
+            cold_pace: ColdPace::default(),
             in_flight: AtomicU32::new(0),
             start_sum_us: AtomicU64::new(0),
             peer_load: AtomicF32::new(0.0),
@@ -281,9 +288,32 @@
         age.is_some_and(|age| age.as_ms() as f32 <= recent_ms)
     }
 
-    /// Whether the target still works slowly after its start.
-    pub(crate) fn is_cold(&self, now: Microseconds) -> bool {
-        now < self.cold_until
+    /// Whether the target is cold at `now`, after a start or because it turned cold again.
+    pub fn is_cold(&self, now: Microseconds) -> bool {
+        now.count() < self.cold_until_us.load(Ordering::Relaxed)
+    }
+
+    /// Time until the target is warm; zero if it is.
+    pub fn cold_left(&self, now: Microseconds) -> Microseconds {
+        let until = Microseconds::new(self.cold_until_us.load(Ordering::Relaxed));
+        until.saturating_sub(now)
+    }
+
+    /// Records that the target itself reported at `now` for how much longer it is cold. Returns whether it has turned cold.
+    pub fn record_cold(&self, now: Microseconds, left: Microseconds) -> bool {
+        let until = now.plus(left);
+        let previous_us = self.cold_until_us.swap(until.count(), Ordering::Relaxed);
+        left > Microseconds::ZERO && previous_us <= now.count()
+    }
+
+    /// Records that the target may be cold until a time, as another entry knows or as is assumed.
+    pub fn extend_cold(&self, until: Microseconds) {
+        self.cold_until_us
+            .fetch_max(until.count(), Ordering::Relaxed);
+    }
+
+    pub(crate) fn cold_pace(&self) -> &ColdPace {
+        &self.cold_pace
     }
 
     /// Whether this entry owns the target and sends requests there before other entries do.
@@ -312,6 +342,7 @@
             is_ejected: self.is_ejected(now),
             is_leaving: self.is_leaving(),
             is_domain_drained: self.is_domain_drained(),
+            is_cold: self.is_cold(now),
             is_owned: self.is_owned(),
             rests_for_ms: self
                 .rests_until(now)
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -35,6 +35,7 @@
 use pinhaven_agree::VersionFetch;
 use pinhaven_agree::VersionInForce;
 use pinhaven_agree::VersionLag;
+use pinhaven_decide::ColdAccess;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::ForeignRow;
@@ -119,6 +120,8 @@
     /// Addresses to contact while no peer is known; a reload of the settings replaces them.
     pub(crate) peer_seeds: ArcSwap<Vec<SocketAddr>>,
     pub(crate) targets: Mutex<KnownTargets>,
+    /// Who may send requests to cold targets, as last decided.
+    pub(crate) cold_access: Mutex<ColdAccess>,
     /// Failure domains that operators have drained by orders in the store.
     pub(crate) drains: Mutex<KnownDrains>,
     pub(crate) restarts: Restarts,
@@ -237,6 +240,7 @@
             settings_reader: environment.settings_reader,
             peer_seeds: ArcSwap::from_pointee(settings.peer_seeds.clone()),
             targets: Mutex::new(KnownTargets::new()),
+            cold_access: Mutex::new(ColdAccess::Closed),
             drains: Mutex::default(),
             restarts: Restarts::default(),
             crashes: CrashWatch::default(),
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -76,7 +76,7 @@
 /// Minimum number of crashes with a request in flight before standby entries receive evidence on the request.
 const REPEATED_CRASHES_MIN: usize = 2;
 /// Maximum number of targets in one datagram, so that the datagram fits into one packet.
-const TARGETS_MAX: usize = 160;
+const TARGETS_MAX: usize = 140;
 
 /// Socket for datagrams between entries.
 pub(crate) type DatagramSocket = Async<UdpSocket>;
--- a/crates/pinhaven-entry/src/peers/peer_counts.rs
+++ b/crates/pinhaven-entry/src/peers/peer_counts.rs
@@ -17,6 +17,9 @@
 /// then.
 const COUNTS_EXPIRE_AFTER: Microseconds = Microseconds::from_ms(1_600);
 
+/// Milliseconds in a tenth of a second.
+const TENTH_MS: u64 = 100;
+
 /// Updates on all targets whose state should be advertised now according to [`AdvertisedTargets`].
 pub(crate) fn collect_updates(
     advertised: &mut AdvertisedTargets,
@@ -41,6 +44,7 @@
             in_flight: state.in_flight,
             slowdown_tenths: new_report.map_or(0, |(slowdown, _)| (slowdown * 10.0).round() as u32),
             age_ms: new_report.map_or(0, |(_, at)| now.saturating_sub(at).as_ms() as u32),
+            cold_left_tenths: new_report.map_or(0, |_| cold_left_tenths(target, now)),
         });
     }
     if advertised.len() > targets.len() {
@@ -49,6 +53,12 @@
     updates
 }
 
+/// Time for which a target stays cold, in tenths of a second, rounded up.
+fn cold_left_tenths(target: &TargetState, now: Microseconds) -> u32 {
+    let left = target.cold_left(now).count();
+    left.div_ceil(Microseconds::from_ms(TENTH_MS).count()) as u32
+}
+
 /// Requests of one peer in flight at targets.
 struct PeerCount {
     heartbeat: u64,
@@ -119,6 +129,10 @@
             if !is_late {
                 count.set(update.key, target, update.in_flight);
             }
+            if update.cold_left_tenths > 0 {
+                let left = Microseconds::from_ms(u64::from(update.cold_left_tenths) * TENTH_MS);
+                target.extend_cold(now.plus(left));
+            }
             if update.slowdown_tenths > 0 {
                 let at = now.saturating_sub(Microseconds::from_ms(u64::from(update.age_ms)));
                 let slowdown = update.slowdown_tenths as f32 / 10.0;
--- a/crates/pinhaven-entry/src/targets/drains.rs
+++ b/crates/pinhaven-entry/src/targets/drains.rs
@@ -12,6 +12,7 @@
 use pinhaven_peer::DrainNews;
 use pinhaven_record::Line;
 use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
@@ -24,7 +25,7 @@
         let Some(change) = drains.record(set) else {
             return;
         };
-        apply_drains(&self.snapshot.load(), &drains);
+        apply_drains(&self.snapshot.load(), &drains, self.now());
         drop(drains);
         self.record_drains(&change, revision);
         self.wake_waiting();
@@ -88,13 +89,18 @@
     }
 }
 
-/// Marks each target of a snapshot by whether its failure domain is drained.
-pub(crate) fn apply_drains(snapshot: &Snapshot, drains: &KnownDrains) {
+/// Marks each target of a snapshot by whether its failure domain is drained. Nobody probes targets of a drained domain, so
+/// each may have turned cold meanwhile.
+pub(crate) fn apply_drains(snapshot: &Snapshot, drains: &KnownDrains, now: Microseconds) {
     let by_bundle = &snapshot.bundle().drained_domains;
     for service in snapshot.services.values() {
         for target in service.state.targets() {
             let domain = target.failure_domain();
-            target.set_domain_drained(by_bundle.contains(domain) || drains.is_drained(domain));
+            let is_drained = by_bundle.contains(domain) || drains.is_drained(domain);
+            if target.is_domain_drained() && !is_drained {
+                service.state.assume_cold(target, now);
+            }
+            target.set_domain_drained(is_drained);
         }
     }
 }
--- a/crates/pinhaven-entry/src/targets/mod.rs
+++ b/crates/pinhaven-entry/src/targets/mod.rs
@@ -5,6 +5,7 @@
 //! connections. The periodic tasks are started by `start`.
 
 pub(crate) mod added_attempts;
+pub(crate) mod cold_targets;
 pub(crate) mod connectivity;
 pub(crate) mod drains;
 pub(crate) mod leaving;
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -112,7 +112,8 @@
         let leaves = self.reported_leaves.lock();
         let drains = self.drains.lock();
         self.apply_leaves(&next, &leaves.all());
-        apply_drains(&next, &drains);
+        apply_drains(&next, &drains, self.now());
+        self.set_cold_access(&next);
         self.snapshot.store(Arc::new(next));
     }
 
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -14,6 +14,7 @@
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
+use pinhaven_types::Microseconds;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -38,6 +39,7 @@
     pub(crate) async fn probe_speeds(self: Arc<Self>) {
         let mut owned = OwnedTargets::new(&self);
         let mut probed: HashMap<u32, ProbedTarget> = HashMap::new();
+        let mut cold_access_due = Microseconds::ZERO;
         loop {
             let snapshot = self.snapshot.load_full();
             owned.refresh(&self, &snapshot);
@@ -46,6 +48,7 @@
                 sleep_ms(IDLE_TICK_MS).await;
                 continue;
             }
+            self.refresh_cold_access(&snapshot, &mut cold_access_due);
             probed.retain(|key, _| owned.contains(*key));
             for key in owned.own_keys() {
                 if let Some(keyed) = snapshot.keyed_targets().get(key) {
@@ -138,6 +141,7 @@
         }
         let orders = self.dialect.read_orders(answer.status(), answer.headers());
         self.apply_orders(service, target, &orders, OrderSource::Probe);
+        self.record_cold(service, target, answer.headers());
         match self.dialect.read_probe(answer.headers(), answer.body()) {
             Some(report) => service.state.record_report(target, self.now(), &report),
             None => self.counters.add(Count::ProbeFailed),
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -132,6 +132,8 @@
         }
         let owned = service.targets.iter().filter(|target| target.is_owned);
         gauge("targets_owned", owned.count() as f64);
+        let cold = service.targets.iter().filter(|target| target.is_cold);
+        gauge("targets_cold", cold.count() as f64);
         let ages = service
             .targets
             .iter()
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -134,6 +134,9 @@
     /// Whether this entry owns the target.
     #[serde(default)]
     pub is_owned: bool,
+    /// Whether the target is cold: slow, and able to bear few requests.
+    #[serde(default)]
+    pub is_cold: bool,
     /// Remaining time of the rest that the target asked for, in milliseconds.
     #[serde(default)]
     pub rests_for_ms: Option<f64>,
@@ -258,6 +261,7 @@
         latency_ms: view.latency_ms,
         state: state.to_owned(),
         is_owned: view.is_owned,
+        is_cold: view.is_cold,
         rests_for_ms: view.rests_for_ms,
         slowdown: view.slowdown,
         report_age_ms: view.report_age_ms,
--- a/crates/pinhaven-entry/src/wire/dialect.rs
+++ b/crates/pinhaven-entry/src/wire/dialect.rs
@@ -19,6 +19,7 @@
 use pinhaven_decide::RunState;
 use pinhaven_runtime::AnyBody;
 use pinhaven_types::FailureDomain;
+use pinhaven_types::Microseconds;
 use pinhaven_types::Region;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetId;
@@ -146,6 +147,11 @@
     /// Reads the load report of a probe's answer; `None` if the answer has none.
     fn read_probe(&self, headers: &HeaderMap, body: &[u8]) -> Option<LoadReport>;
 
+    /// Reads for how much longer the target that answered a probe is cold; `None` if the answer does not say.
+    fn read_cold(&self, _headers: &HeaderMap) -> Option<Microseconds> {
+        None
+    }
+
     /// Returns the id of the target that answered a probe, if the answer states one.
     fn probed_target(&self, headers: &HeaderMap) -> Option<TargetId>;
 
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -18,10 +18,14 @@
     pub slowdown_tenths: u32,
     /// Age of the reported slowdown, in milliseconds.
     pub age_ms: u32,
+    /// Time for which the target stays cold, in tenths of a second, rounded up; 0 if it is warm or the sender does not
+    /// know.
+    pub cold_left_tenths: u32,
 }
 
 /// Load and speed of several targets, one column per field. Columns take seven bytes per target, half of
-/// what one message per target takes, and entries send hundreds of targets many times a second.
+/// what one message per target takes, and entries send hundreds of targets many times a second. The column of cold
+/// targets takes one byte more and is left out while all are warm.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct TargetColumns {
     #[prost(fixed32, repeated, tag = "1")]
@@ -32,17 +36,24 @@
     slowdown_tenths: Vec<u32>,
     #[prost(uint32, repeated, tag = "4")]
     age_ms: Vec<u32>,
+    #[prost(uint32, repeated, tag = "5")]
+    cold_left_tenths: Vec<u32>,
 }
 
 impl TargetColumns {
     /// Encodes `targets` as columns.
     pub fn new(targets: &[TargetNews]) -> Self {
         let column = |field: fn(&TargetNews) -> u32| targets.iter().map(field).collect();
+        let is_any_cold = targets.iter().any(|target| target.cold_left_tenths > 0);
         Self {
             keys: column(|target| target.key),
             in_flight: column(|target| target.in_flight),
             slowdown_tenths: column(|target| target.slowdown_tenths),
             age_ms: column(|target| target.age_ms),
+            cold_left_tenths: match is_any_cold {
+                true => column(|target| target.cold_left_tenths),
+                false => Vec::new(),
+            },
         }
     }
 
@@ -50,14 +61,16 @@
     pub fn rows(&self) -> Vec<TargetNews> {
         let load = self.keys.iter().zip(&self.in_flight);
         let speed = self.slowdown_tenths.iter().zip(&self.age_ms);
-        let rows = load
-            .zip(speed)
-            .map(|((key, in_flight), (slowdown, age_ms))| TargetNews {
+        let cold = self.cold_left_tenths.iter().chain(std::iter::repeat(&0));
+        let rows = load.zip(speed).zip(cold).map(
+            |(((key, in_flight), (slowdown, age_ms)), cold_left_tenths)| TargetNews {
                 key: *key,
                 in_flight: *in_flight,
                 slowdown_tenths: *slowdown,
                 age_ms: *age_ms,
-            });
+                cold_left_tenths: *cold_left_tenths,
+            },
+        );
         rows.collect()
     }
 }
