Leave closed targets out of the sample among which a request chooses

Symptom: while a failure domain is drained, a request at an entry that owns none of the other targets can wait 15 ms although targets are free.

Cause: a choice looks at 32 targets of other owners, one after another from a random place of the list. The list is in the order of addresses, so that the targets of a domain stand together: with 97 of 271 drained, about a quarter of the samples (computed) hold drained ones only.

Change: closed targets are passed over before they are counted. The bound on the cost holds but for reading the state of closed targets.

Evidence: the new test, 180 of 240 targets drained, fails without the change (seed in its output) and passes with it.

--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -148,10 +148,13 @@
     }
     let own = service.owned();
     let own_start = random.usize(..own.len().max(1));
-    let own_candidates = rotated(&own, own_start).take(OWN_CANDIDATES_MAX);
+    // Closed targets often stand one after another, as the targets of a drained failure domain do.
+    let is_open = |target: &&Arc<TargetState>| !target.is_closed(now);
+    let own_candidates = rotated(&own, own_start).filter(is_open);
     let start = random.usize(..targets.len());
     let others = rotated(targets, start).filter(|target| !target.is_owned());
-    let candidates = own_candidates.chain(others.take(OTHER_CANDIDATES_MAX));
+    let others = others.filter(is_open).take(OTHER_CANDIDATES_MAX);
+    let candidates = own_candidates.take(OWN_CANDIDATES_MAX).chain(others);
     let mut earliest: Option<(f32, Forecast)> = None;
     let mut usage_at_usual_speed = SlotUsage::default();
     for target in candidates {
--- a/crates/pinhaven-decide/tests/drained_domains.rs
+++ b/crates/pinhaven-decide/tests/drained_domains.rs
@@ -81,6 +81,22 @@
     }
 }
 
+/// Lists are in the order of addresses, so that the targets of a domain often stand one after another. Guards against a
+/// sample that holds targets of the drained domain only.
+#[test]
+fn a_request_is_sent_at_once_although_most_of_the_listed_targets_are_drained() {
+    let service = state_with(240, json!({"policy": "forecast"}));
+    for target in &service.targets()[..180] {
+        target.set_domain_drained(true);
+    }
+    for seed in 0..500 {
+        let mut request = Driven::once(&service);
+        request.random = fastrand::Rng::with_seed(seed);
+        assert_eq!(request.handle(0, Event::Arrived).sent, 1, "seed {seed}");
+        request.end(10, 0, good(0, 0));
+    }
+}
+
 /// Guards against failing targets that get requests on because a drained domain uses up the share of targets that may be
 /// ejected.
 #[test]
