--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -34,9 +34,6 @@
 const REMOTE_DOMAIN_SHARE: f32 = 0.10;
 /// Minimum cost of a target in another failure domain, in milliseconds.
 const REMOTE_DOMAIN_MIN_MS: f32 = 2.0;
-/// Cost of sending one byte of a body to another failure domain, in milliseconds. Traffic between failure domains is
-/// billed, and a few large bodies are most of it.
-const REMOTE_DOMAIN_MS_PER_BYTE: f32 = 0.001;
 /// Cost of a target that another entry owns, as a share of the work. Updates about the requests that other
 /// entries have in flight there arrive late, and the owner needs the target when its other targets are full.
 const NOT_OWNED_SHARE: f32 = 0.15;
@@ -77,17 +74,6 @@
     optimistic_ms: Option<f32>,
 }
 
-/// What a choice among targets depends on besides their state.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ForecastRequest<'request> {
-    /// Time that the request takes at an idle target of usual speed, in milliseconds.
-    pub(crate) work_ms: f32,
-    /// Size of the request's body, in bytes.
-    pub(crate) body_bytes: u64,
-    /// Targets to which the request has been sent.
-    pub(crate) tried: &'request [TargetAddress],
-}
-
 /// Which targets a request may go to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TargetFilter {
@@ -152,10 +138,10 @@
     service: &ServiceState,
     now: Microseconds,
     random: &mut fastrand::Rng,
-    wanted: &ForecastRequest<'_>,
+    work_ms: f32,
+    tried: &[TargetAddress],
     filter: TargetFilter,
 ) -> Option<Forecast> {
-    let work_ms = wanted.work_ms;
     let targets = service.targets();
     if targets.is_empty() {
         return None;
@@ -172,7 +158,7 @@
     let mut earliest: Option<(f32, Forecast)> = None;
     let mut usage_at_usual_speed = SlotUsage::default();
     for target in candidates {
-        if !is_usable(service, target, now, wanted.tried) {
+        if !is_usable(service, target, now, tried) {
             continue;
         }
         let forecast = forecast(service, target, now, work_ms);
@@ -184,7 +170,7 @@
         if forecast.load >= slots || (filter == TargetFilter::Spare && !is_spare) {
             continue;
         }
-        let score_ms = score_ms(service, &forecast, now, wanted);
+        let score_ms = score_ms(service, &forecast, now, work_ms);
         let score_ms = score_ms * (1.0 + TIE_JITTER_SHARE * random.f32());
         if earliest
             .as_ref()
@@ -194,7 +180,7 @@
         }
     }
     if filter == TargetFilter::Spare && usage_at_usual_speed.free_share() > SPARE_FREE_SHARE_MIN {
-        return self::earliest(service, now, random, wanted, TargetFilter::Any);
+        return self::earliest(service, now, random, work_ms, tried, TargetFilter::Any);
     }
     if filter == TargetFilter::Spare {
         earliest.take_if(|(_, forecast)| {
@@ -311,13 +297,7 @@
 
 /// Returns the score by which targets are compared, in milliseconds: the forecast plus the cost of the choice to
 /// other requests. The target with the lowest score is chosen.
-fn score_ms(
-    service: &ServiceState,
-    forecast: &Forecast,
-    now: Microseconds,
-    wanted: &ForecastRequest<'_>,
-) -> f32 {
-    let work_ms = wanted.work_ms;
+fn score_ms(service: &ServiceState, forecast: &Forecast, now: Microseconds, work_ms: f32) -> f32 {
     let target = &forecast.target;
     let mut score_ms = forecast.answer_ms;
     if forecast.is_crowded() {
@@ -325,7 +305,6 @@
     }
     if !service.is_near(target) {
         score_ms += (work_ms * REMOTE_DOMAIN_SHARE).max(REMOTE_DOMAIN_MIN_MS);
-        score_ms += wanted.body_bytes as f32 * REMOTE_DOMAIN_MS_PER_BYTE;
     }
     if !target.is_owned() {
         score_ms += work_ms * NOT_OWNED_SHARE;
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -67,8 +67,6 @@
     pub prior_wait: Microseconds,
     /// Whether another entry forwarded the request, so that it must not be forwarded again.
     pub is_forwarded: bool,
-    /// Size of the body, in bytes, as far as it is known.
-    pub body_bytes: u64,
 }
 
 impl RequestFacts {
@@ -83,7 +81,6 @@
             priority: None,
             prior_wait: Microseconds::ZERO,
             is_forwarded: false,
-            body_bytes: 0,
         }
     }
 }
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -13,7 +13,6 @@
 use crate::event::AttemptId;
 use crate::forecast;
 use crate::forecast::Forecast;
-use crate::forecast::ForecastRequest;
 use crate::forecast::TargetFilter;
 use crate::progress::Progress;
 use crate::refusal::RefusalReason;
@@ -108,12 +107,9 @@
     }
 
     pub(crate) fn earliest(&mut self, filter: TargetFilter) -> Option<Forecast> {
-        let wanted = ForecastRequest {
-            work_ms: self.work_ms(),
-            body_bytes: self.request.facts.body_bytes,
-            tried: &self.request.tried,
-        };
-        forecast::earliest(self.service, self.now, self.random, &wanted, filter)
+        let work_ms = self.work_ms();
+        let tried = &self.request.tried;
+        forecast::earliest(self.service, self.now, self.random, work_ms, tried, filter)
     }
 
     fn work_ms(&self) -> f32 {
--- a/crates/pinhaven-entry/src/callers/body.rs
+++ b/crates/pinhaven-entry/src/callers/body.rs
@@ -34,11 +34,6 @@
         matches!(self, Self::Whole(_))
     }
 
-    /// Size of a body that is buffered completely, in bytes; 0 for a streamed one.
-    pub(crate) fn known_bytes(&self) -> u64 {
-        self.whole().map_or(0, |bytes| bytes.len() as u64)
-    }
-
     /// Returns the body if it is buffered completely.
     pub(crate) fn whole(&self) -> Option<&Bytes> {
         match self {
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -63,7 +63,6 @@
         priority: job.routed.config().map(|route| route.priority),
         prior_wait: job.prior_wait,
         is_forwarded: job.is_forwarded,
-        body_bytes: job.body.known_bytes(),
     };
     let mut request = RequestState::new(facts);
     if let Some(route) = &job.routed.route {
