--- a/crates/pinhaven-agree/src/heartbeat_routes.rs
+++ b/crates/pinhaven-agree/src/heartbeat_routes.rs
@@ -4,9 +4,9 @@
 //! the target list and bundle version of the sender, mostly from entries of their own failure domain: traffic between
 //! failure domains is expensive, and with many entries it would be the larger part of the traffic between entries.
 
-use crate::membership::Heartbeat;
-use crate::membership::MemberRow;
-use crate::membership::MemberState;
+use crate::member::Heartbeat;
+use crate::member::MemberRow;
+use crate::member::MemberState;
 use crate::membership::Membership;
 use fastrand::Rng;
 use pinhaven_types::FailureDomain;
--- a/crates/pinhaven-agree/src/ranking.rs
+++ b/crates/pinhaven-agree/src/ranking.rs
@@ -4,7 +4,7 @@
 //! Few entries are selected, and they rank first, so a selection examines entries in this order and ends early. The
 //! order only changes when an entry becomes known, is removed or describes itself differently.
 
-use crate::membership::MemberRow;
+use crate::member::MemberRow;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Region;
--- a/crates/pinhaven-agree/src/reach.rs
+++ b/crates/pinhaven-agree/src/reach.rs
@@ -4,7 +4,7 @@
 //! the targets forwards requests to one that heard them later, in its own failure domain if possible: a route through
 //! another failure domain costs bytes between the two.
 
-use crate::membership::MemberState;
+use crate::member::MemberState;
 use crate::membership::Membership;
 use fastrand::Rng;
 use pinhaven_types::Digest;
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -10,8 +10,8 @@
 //! that knows only two entries can be left without a usable one until its next address request when many
 //! entries fail at once.
 
-use crate::membership::MemberRow;
-use crate::membership::MemberState;
+use crate::member::MemberRow;
+use crate::member::MemberState;
 use crate::membership::Membership;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Incarnation;
