Refuse connections in a test by a port that no other test can get

Cause: the test takes a free port, releases it and calls it. The answer, version 1 of a row, is that of a stand-in platform which another test of the same program started meanwhile at a port chosen by the system, the one just released.

Change: the test keeps the port bound without listening, so that connections are refused and nobody else gets the port. The check is the same.

--- a/crates/pinhaven-platform/tests/http.rs
+++ b/crates/pinhaven-platform/tests/http.rs
@@ -14,6 +14,9 @@
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::block_on;
 use pinhaven_stand_in::platform::Platform;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
@@ -124,10 +127,11 @@
 #[test]
 fn a_call_to_an_unreachable_platform_has_no_effect() {
     block_on(async {
-        // A port that was just released has no listener.
-        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        drop(listener);
+        // A bound port on which nothing listens refuses connections, and no other test can get it meanwhile.
+        let any_port: SocketAddr = (Ipv4Addr::LOCALHOST, 0).into();
+        let bound = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        bound.bind(&any_port.into()).unwrap();
+        let address = bound.local_addr().unwrap().as_socket().unwrap();
         let table = HttpTableService::new(address, TIMEOUT_MS);
         let written = table.write("a", Condition::Absent, "1".to_owned()).await;
         assert_eq!(kind_of(written), Kind::NoEffect);
