Tell other failure domains of counts less often where many entries serve

Hypothesis: with a fixed interval the traffic between failure domains grows with the square of the number of serving entries and is what the deployment pays for at 300 entries.

Change: above eight recipients in other domains the interval grows in proportion to their number. The intervals are a decision of their own now (agree/round_pace.rs), apart from the datagrams.

--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -19,6 +19,7 @@
 use crate::watch::state_changes::LivePeers;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
+use pinhaven_agree::FillLevel;
 use pinhaven_agree::Recipients;
 use pinhaven_agree::UpdateScope;
 use pinhaven_decide::AdvertisedTargets;
@@ -35,21 +36,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Interval between rounds while targets have capacity, in milliseconds. The speed of a target stays valid for some
-/// hundred milliseconds, and a slot that is taken between rounds is not the last free slot.
-const ROUND_MAX_MS: f32 = 50.0;
-/// Interval between rounds when targets are full, in milliseconds. The target with the last free slot then changes with
-/// each request.
-const ROUND_MIN_MS: f32 = 8.0;
-/// Factor by which the interval is longer for recipients in other failure domains while targets have capacity. Each
-/// target has an owner in its own failure domain, and entries of other domains send requests there only when the
-/// targets of their own domain are full. Together with the data omitted from datagrams, the factor halves the traffic
-/// between failure domains at low load.
-const FAR_ROUND_FACTOR: f32 = 2.5;
 /// Interval between rounds of an entry that has nothing to advertise but its heartbeat.
 const IDLE_ROUND: Duration = Duration::from_millis(250);
-/// Utilization of a service's slots above which intervals get shorter, and at which they are shortest.
-const BUSY_UTILIZATION: (f32, f32) = (0.15, 0.45);
 /// Interval between full datagrams, which compensate for lost datagrams.
 const FULL_INTERVAL: Microseconds = Microseconds::from_ms(500);
 /// Maximum share of the link that datagrams may use. Intervals get longer where the share would be exceeded.
@@ -229,8 +217,8 @@
             let mut bytes = self
                 .send_to_group(near, &mut sender.near, incremental, socket)
                 .await;
-            if now.saturating_sub(sender.far.sent_at) >= self.far_interval() {
-                let far = &recipients.serving_far;
+            let far = &recipients.serving_far;
+            if now.saturating_sub(sender.far.sent_at) >= self.fill_level().far_interval(far.len()) {
                 bytes += self
                     .send_to_group(far, &mut sender.far, incremental, socket)
                     .await;
@@ -368,28 +356,18 @@
         if !sender.sends_every_round && self.in_flight() == 0 {
             return IDLE_ROUND;
         }
-        let round_ms = round_ms(self.fill_level());
-        Duration::from_micros((round_ms * 1_000.0) as u64).max(sender.delay_min)
+        let interval = self.fill_level().round_interval();
+        Duration::from_micros(interval.count()).max(sender.delay_min)
     }
 
-    /// Interval between rounds for recipients in other failure domains.
-    fn far_interval(&self) -> Microseconds {
-        let fill_level = self.fill_level();
-        let factor = 1.0 + (FAR_ROUND_FACTOR - 1.0) * (1.0 - fill_level);
-        // Half a round is subtracted, so that a round that is up to half a round early is not skipped.
-        Microseconds::new((round_ms(fill_level) * (factor - 0.5) * 1_000.0) as u64)
-    }
-
-    /// Position of the utilization of the fullest service within [`BUSY_UTILIZATION`], from 0 to 1.
-    fn fill_level(&self) -> f32 {
+    /// How full the targets of the fullest service are.
+    fn fill_level(&self) -> FillLevel {
         let (snapshot, now) = (self.snapshot.load(), self.now());
         let utilizations = snapshot
             .services
             .values()
             .map(|service| service.state.utilization(now));
-        let highest = utilizations.fold(0.0, f32::max);
-        let (from, to) = BUSY_UTILIZATION;
-        ((highest - from) / (to - from)).clamp(0.0, 1.0)
+        FillLevel::new(utilizations.fold(0.0, f32::max))
     }
 
     /// When this entry itself last read the target list.
@@ -478,11 +456,6 @@
     }
 }
 
-/// Interval between rounds at this fill level, in milliseconds.
-fn round_ms(fill_level: f32) -> f32 {
-    ROUND_MAX_MS + (ROUND_MIN_MS - ROUND_MAX_MS) * fill_level
-}
-
 /// Sends a message to several peers. Returns the number of bytes sent.
 pub(crate) async fn send_all(
     entry: &Entry,
