Bound the interval between requests to a cold target

Symptom: found by reading the diff; an entry panics in debug builds, or lets everything pass in release, where operators set a rate of almost nothing for cold targets.

Cause: the interval between two requests, the inverse of the rate, does not fit into the arithmetic of the pace.

The new test failed before ("attempt to add with overflow").

--- a/crates/pinhaven-decide/src/availability.rs
+++ b/crates/pinhaven-decide/src/availability.rs
@@ -1,4 +1,5 @@
-//! When a service whose targets all leave, rest or stand in drained failure domains becomes available again, and when its callers should retry.
+//! When a service whose targets all leave, rest or stand in drained failure domains becomes available again, and when
+//! its callers should retry.
 //!
 //! A request that no target can receive within its permitted wait is refused at once. The refusal names the end of
 //! the first rest. Callers that retry at the same moment would overload the targets and cause the next rest, so each
--- a/crates/pinhaven-decide/src/cold.rs
+++ b/crates/pinhaven-decide/src/cold.rs
@@ -19,6 +19,8 @@
 /// Number of requests that the owner of a cold target may send at once. While ownership changes, two entries may each
 /// send as many.
 const OWNER_BURST: u64 = 2;
+/// Maximum interval between two requests to a cold target, in microseconds: one day. Operators may set any rate.
+const INTERVAL_US_MAX: f64 = 86_400e6;
 
 /// Who may send requests to cold targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,11 +51,10 @@
     pub(crate) fn of(service: &Service) -> Option<Self> {
         let limit = service.cold_limit.as_ref()?;
         let interval_us = 1_000_000.0 / limit.requests_per_s;
+        let interval = |us: f64| Microseconds::new(us.min(INTERVAL_US_MAX) as u64);
         Some(Self {
-            interval: Microseconds::new(interval_us as u64),
-            shared_interval: Microseconds::new(
-                (interval_us * f64::from(service.entries_most)) as u64,
-            ),
+            interval: interval(interval_us),
+            shared_interval: interval(interval_us * f64::from(service.entries_most)),
             duration: Microseconds::from_ms(limit.duration_ms),
             access: AtomicU8::new(ColdAccess::Closed as u8),
         })
--- a/crates/pinhaven-decide/tests/cold_targets.rs
+++ b/crates/pinhaven-decide/tests/cold_targets.rs
@@ -24,7 +24,16 @@
 
 /// State of a service of `targets` cold targets at one entry, which owns all of them.
 fn cold_service(targets: u16, policy: &str, access: ColdAccess) -> Arc<ServiceState> {
-    let limit = json!({"requests_per_s": REQUESTS_PER_S, "duration_ms": 3_000});
+    cold_service_with_rate(targets, policy, access, REQUESTS_PER_S)
+}
+
+fn cold_service_with_rate(
+    targets: u16,
+    policy: &str,
+    access: ColdAccess,
+    requests_per_s: f64,
+) -> Arc<ServiceState> {
+    let limit = json!({"requests_per_s": requests_per_s, "duration_ms": 3_000});
     let fields = json!({"policy": policy, "cold_limit": limit, "entries_most": 6});
     let config = service_with(targets, fields);
     let service = Arc::new(ServiceState::new(&config, None, at_ms(0)));
@@ -154,3 +163,12 @@
     }
     assert_eq!(outcome.refused.unwrap().run_state, RunState::NotRun);
 }
+
+/// Operators may set any rate above zero.
+#[test]
+fn a_rate_of_almost_nothing_lets_the_first_requests_pass_only() {
+    for requests_per_s in [1e-12, 1e-300] {
+        let entry = cold_service_with_rate(1, "forecast", ColdAccess::Owner, requests_per_s);
+        assert_eq!(send_times_ms(&[entry], 2).len(), 2, "{requests_per_s}");
+    }
+}
