--- a/crates/pinhaven-entry/src/targets/cold_targets.rs
+++ b/crates/pinhaven-entry/src/targets/cold_targets.rs
@@ -1,9 +1,9 @@
 //! Cold targets: what they report about themselves, and whether this entry may send them requests.
 //!
-//! The owner of a target probes it and tells its peers with its report when the target is cold. Two entries may take themselves for the
-//! owner of a target while they don't know each other: after a start, or when one of them is cut off. An entry is
-//! therefore certain that it owns its targets only after it has had time to learn of the others, and while it sees more
-//! than half of them.
+//! The owner of a target probes it and tells its peers with its report when the target is cold. Two entries may take
+//! themselves for the owner of a target while they don't know each other: after a start, or when one of them is cut off.
+//! An entry is therefore certain that it owns its targets only after it has had time to learn of the others, and while
+//! it sees more than half of them.
 
 use crate::entry::Entry;
 use crate::versions::service_entry::ServiceEntry;
