Let busy entries get help at any rate of requests

The busiest entries use 92 and 96% of their processors, the middle one 6%.

Cause: further entries serve once 1.2 times the demand is more than the serving ones carry. Demand was the rate of requests sent to targets, and what an entry carries assumes 0.7 ms of processor time for each. With 3,000 targets a request takes longer, so that entries whose processors are full send fewer requests than they are thought to carry. Six of 300 entries (two of each failure domain) served.

Change: demand is at least the share of the capacity that corresponds to the busy time of the executor's threads, measured over 2 s and at most four times the rate of requests. Processor time was tried first; where an instance has a share of a processor, busy time says how full the share is without knowing its size.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -44,6 +44,7 @@
 mod version_lag;
 
 pub use demand::DemandMeter;
+pub use demand::EntryWork;
 pub use drained_domains::DrainChange;
 pub use drained_domains::DrainOrder;
 pub use drained_domains::DrainedDomains;
--- a/crates/pinhaven-agree/tests/steering.rs
+++ b/crates/pinhaven-agree/tests/steering.rs
@@ -1,6 +1,7 @@
 //! Steering: which entries serve, which are named to a caller, and which are store delegates.
 
 use pinhaven_agree::DemandMeter;
+use pinhaven_agree::EntryWork;
 use pinhaven_agree::MemberRow;
 use pinhaven_agree::MemberState;
 use pinhaven_agree::Membership;
@@ -189,18 +190,65 @@
     assert_eq!(count, 6);
 }
 
+/// Records that an entry has sent `requests` and was busy for `busy_ms` until `at_ms`. Returns its demand.
+fn demand(meter: &mut DemandMeter, at_ms: u64, requests: u64, busy_ms: u64) -> RequestRate {
+    let total = EntryWork {
+        requests,
+        busy_time: Microseconds::from_ms(busy_ms),
+    };
+    meter.record(total, Microseconds::from_ms(at_ms))
+}
+
 #[test]
 fn demand_is_the_most_of_the_last_seconds() {
-    let mut meter = DemandMeter::default();
-    let at = Microseconds::from_ms;
-    assert_eq!(meter.record(50, at(500)), RequestRate::new(100));
-    assert_eq!(meter.record(150, at(1_000)), RequestRate::new(200));
+    let mut meter = DemandMeter::new(RequestRate::new(600));
+    assert_eq!(demand(&mut meter, 500, 50, 0), RequestRate::new(100));
+    assert_eq!(demand(&mut meter, 1_000, 150, 0), RequestRate::new(200));
     // The window is shorter than the minimum, so the rate does not change.
-    assert_eq!(meter.record(400, at(1_010)), RequestRate::new(200));
-    let lull = meter.record(400, at(11_000)).per_second();
+    assert_eq!(demand(&mut meter, 1_010, 400, 0), RequestRate::new(200));
+    let lull = demand(&mut meter, 11_000, 400, 0).per_second();
     assert!((95..=105).contains(&lull), "{lull}");
 }
 
+/// Guards against a few entries that are overloaded by fewer requests than their capacity while others stand by.
+#[test]
+fn entries_that_are_always_busy_get_help_at_any_rate() {
+    const CAPACITY: u32 = 170;
+    let mut meter = DemandMeter::new(RequestRate::new(CAPACITY));
+    let demand_of = |second: u64| demand(&mut meter, second * 1_000, second * 100, second * 1_000);
+    let own_demand = (1..=4).map(demand_of).last().unwrap();
+    assert!(own_demand.per_second() > CAPACITY, "{own_demand}");
+    let mut rows: Vec<MemberRow> = (0..12).map(|number| row(number, CAPACITY)).collect();
+    let serves_with = |demand: RequestRate, rows: &mut Vec<MemberRow>| {
+        rows[..6].iter_mut().for_each(|row| row.demand = demand);
+        members_of(0, rows).serving(NOW).len()
+    };
+    let at_rate = RequestRate::new(100);
+    assert_eq!(serves_with(at_rate, &mut rows), 6);
+    assert_eq!(serves_with(own_demand, &mut rows), 12);
+}
+
+#[test]
+fn an_entry_that_is_busy_without_requests_asks_for_no_help() {
+    let mut meter = DemandMeter::new(RequestRate::new(170));
+    for second in 1..=4 {
+        let demand = demand(&mut meter, second * 1_000, second * 5, second * 1_000);
+        assert!(demand <= RequestRate::new(20), "{demand} at {second} s");
+    }
+}
+
+#[test]
+fn an_entry_that_is_busy_for_a_moment_asks_for_no_help() {
+    let mut meter = DemandMeter::new(RequestRate::new(170));
+    // Usual requests keep the entry busy for a third of the time, and at 3 s a new version does for 400 ms.
+    for half_second in 1..=12 {
+        let (at_ms, requests) = (half_second * 500, half_second * 50);
+        let version_ms = if at_ms > 3_000 { 400 } else { 0 };
+        let demand = demand(&mut meter, at_ms, requests, at_ms / 3 + version_ms);
+        assert!(demand <= RequestRate::new(170), "{demand} at {at_ms} ms");
+    }
+}
+
 #[test]
 fn each_entry_has_a_rank_of_its_own_and_serving_entries_rank_first() {
     let rows = mixed();
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -5,6 +5,7 @@
 //! other entries receive only an occasional heartbeat. An entry that does not serve sends its heartbeat to serving
 //! entries, which relay it.
 
+use crate::capacity::capacity_of;
 use crate::crashes::advertise::SUSPECTS_PER_DATAGRAM;
 use crate::entry::Entry;
 use crate::error::EntryError;
@@ -19,6 +20,7 @@
 use crate::watch::state_changes::LivePeers;
 use async_io::Async;
 use pinhaven_agree::DemandMeter;
+use pinhaven_agree::EntryWork;
 use pinhaven_agree::FillLevel;
 use pinhaven_agree::Recipients;
 use pinhaven_agree::UpdateScope;
@@ -27,6 +29,7 @@
 use pinhaven_peer::News;
 use pinhaven_peer::TargetColumns;
 use pinhaven_peer::TargetNews;
+use pinhaven_runtime::busy_time;
 use pinhaven_runtime::within;
 use pinhaven_types::Microseconds;
 use prost::Message as _;
@@ -136,7 +139,7 @@
 }
 
 impl Sender {
-    fn new() -> Self {
+    fn new(demand: DemandMeter) -> Self {
         Self {
             full_sent_at: Microseconds::ZERO,
             identity_sent_at: Microseconds::ZERO,
@@ -145,7 +148,7 @@
             live_peers: LivePeers::default(),
             sends_every_round: false,
             list_advertised_at: None,
-            demand: DemandMeter::default(),
+            demand,
             delay_min: Duration::ZERO,
         }
     }
@@ -154,7 +157,8 @@
 impl Entry {
     /// Sends datagrams in rounds. Runs until the process exits.
     pub(crate) async fn send_datagrams(self: Arc<Self>, socket: Arc<DatagramSocket>) {
-        let mut sender = Sender::new();
+        let capacity = capacity_of(&self.settings.resources);
+        let mut sender = Sender::new(DemandMeter::new(capacity));
         // Peers should learn of this entry at once.
         self.send_round(&mut sender, &socket, true).await;
         loop {
@@ -304,9 +308,11 @@
     fn refresh_peers(&self, sender: &mut Sender, now: Microseconds) {
         self.members.lock().remove_silent(now);
         self.peer_counts.lock().remove_silent(now);
-        let demand = sender
-            .demand
-            .record(self.counters.get(Count::Attempts), now);
+        let total = EntryWork {
+            requests: self.counters.get(Count::Attempts),
+            busy_time: Microseconds::new(busy_time().as_micros() as u64),
+        };
+        let demand = sender.demand.record(total, now);
         self.members.lock().set_demand(demand);
         self.share_added_attempts();
         self.record_peers(&mut sender.live_peers);
--- a/crates/pinhaven-runtime/src/executor.rs
+++ b/crates/pinhaven-runtime/src/executor.rs
@@ -1,5 +1,7 @@
 //! The task executor of the process.
 
+use crate::busy_time::count_busy;
+use crate::busy_time::set_threads;
 use async_executor::Executor;
 use async_executor::Task;
 use std::future::Future;
@@ -14,12 +16,13 @@
 
 /// Blocks the current thread on a future and runs spawned tasks meanwhile.
 pub fn block_on<T>(future: impl Future<Output = T>) -> T {
-    async_io::block_on(EXECUTOR.run(future))
+    async_io::block_on(count_busy(EXECUTOR.run(future)))
 }
 
 /// Blocks the current thread on a future and runs spawned tasks on `thread_count` threads in total, the current one
 /// included.
 pub fn run_with_threads<T>(thread_count: usize, future: impl Future<Output = T>) -> T {
+    set_threads(thread_count);
     let (stop_sender, stop_receiver) = async_channel::bounded::<()>(1);
     // The closure owns the sender: a panic in the closure drops the sender, which stops the other threads.
     std::thread::scope(move |scope| {
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -4,12 +4,14 @@
 //! connects hyper to async-io's sockets and timers, limits what a connection may use, and stops a server
 //! without resetting connections that wait to be accepted.
 
+mod busy_time;
 mod client;
 mod executor;
 mod priority_event;
 mod server;
 
 pub use async_executor::Task;
+pub use busy_time::busy_time;
 pub use client::AnswerTimes;
 pub use client::CallError;
 pub use client::CallStep;
