--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -2,9 +2,9 @@
 //!
 //! - A request is sent to the target with the earliest expected answer, if this answer meets the aim (the latency
 //!   objective of the request).
-//! - Otherwise the request waits at this entry for a free slot or for a slow target to recover; requests of a higher
-//!   priority go first, unless they can't be answered within their aims any more. A request for which no target has a slot, not even for a late answer, is refused after a short
-//!   share of its aim.
+//! - Otherwise the request waits at this entry for a free slot or for a slow target to recover. Requests of a higher
+//!   priority go first, unless they can't be answered within their aims any more. A request for which no target has a
+//!   slot, not even for a late answer, is refused after a short share of its aim.
 //! - A request that can't meet its aim any more is sent only to a slot that requests within their aim don't need.
 //! - While an attempt is in flight, the reports of its target are checked. If the attempt is expected to miss the aim,
 //!   and another target is expected to meet the aim or to answer much earlier, a repeatable request is hedged.
