Authenticate requests by the keys of organisations

Cause: where operators list organisations, callers send keys; the key was passed on to targets and nobody checked it. Change: a bundle lists organisations with key digests, priority and limit. An entry removes the credentials before anything else reads the header, refuses missing, malformed and unknown keys with 401, and names the organisation to targets. Differences between versions, forwarded and relayed requests carry organisations. Not measured yet; without organisations in the bundle nothing changes.

--- a/crates/pinhaven-bundle/src/canonical.rs
+++ b/crates/pinhaven-bundle/src/canonical.rs
@@ -12,7 +12,8 @@
 }
 
 impl CanonicalBundle {
-    /// Converts a bundle to canonical form: services sorted by name, targets by address, without white space.
+    /// Converts a bundle to canonical form: services and organisations sorted by name, targets by
+    /// address, keys by digest, without white space.
     ///
     /// # Panics
     ///
@@ -22,6 +23,12 @@
         for service in &mut bundle.services {
             service.targets.sort_by_key(|target| target.address);
         }
+        if let Some(organisations) = &mut bundle.organisations {
+            organisations.sort_by(|a, b| a.name.cmp(&b.name));
+            for organisation in organisations {
+                organisation.key_digests.sort_unstable();
+            }
+        }
         let bytes = serde_json::to_vec(&bundle).expect("a bundle can be written as JSON");
         let digest = Digest::of(&bytes);
         Self {
--- a/crates/pinhaven-bundle/src/check.rs
+++ b/crates/pinhaven-bundle/src/check.rs
@@ -1,6 +1,7 @@
 //! Checks of a bundle beyond what its types enforce.
 
 use crate::Bundle;
+use crate::Organisation;
 use crate::PathRoute;
 use crate::Service;
 use pinhaven_document::Document;
@@ -108,6 +109,46 @@
                 self.check_path_route(&format!("{at}.paths[{path_index}]"), route, &names);
             }
         }
+        self.check_organisations(bundle.organisations.as_deref().unwrap_or_default());
+    }
+
+    fn check_organisations(&mut self, organisations: &[Organisation]) {
+        let mut names = HashSet::new();
+        let mut digests = HashSet::new();
+        for (index, organisation) in organisations.iter().enumerate() {
+            let at = format!("organisations[{index}]");
+            self.require(
+                names.insert(&organisation.name),
+                &format!("{at}.name"),
+                "another organisation has this name",
+                "give each organisation a name of its own",
+            );
+            for (key_index, digest) in organisation.key_digests.iter().enumerate() {
+                self.require(
+                    digests.insert(digest),
+                    &format!("{at}.key_digests[{key_index}]"),
+                    "this key is listed already, so that its requests would belong to two organisations",
+                    "list each key once, and give each organisation keys of its own",
+                );
+            }
+            self.require(
+                organisation
+                    .priority
+                    .is_none_or(|priority| priority <= PRIORITY_MAX),
+                &format!("{at}.priority"),
+                "there is no such priority",
+                "write 0 (refused first) to 3 (refused last)",
+            );
+            let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
+            self.require(
+                organisation
+                    .limit
+                    .is_none_or(|limit| is_amount(limit.requests_per_s) && is_amount(limit.burst)),
+                &format!("{at}.limit"),
+                "a rate and a burst can't be negative",
+                "write numbers from zero up, or leave limit out for no limit",
+            );
+        }
     }
 
     fn check_path_route(&mut self, at: &str, route: &PathRoute, names: &HashSet<&ServiceName>) {
--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -8,6 +8,7 @@
 use crate::CanonicalBundle;
 use crate::HostRoutes;
 use crate::Measuring;
+use crate::OrganisationDelta;
 use crate::RequestLimits;
 use crate::RouteDelta;
 use crate::Service;
@@ -48,6 +49,9 @@
     /// New value of `drained_domains`.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub drained_domains: BTreeSet<FailureDomain>,
+    /// Organisations that are new, changed or removed; absent if the version lists none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<OrganisationDelta>,
 }
 
 /// Reason for which a difference cannot be applied.
@@ -99,15 +103,23 @@
             routes: routes.unwrap_or_default(),
             limits: to.limits,
             drained_domains: to.drained_domains.clone(),
+            organisations: OrganisationDelta::between(
+                from.organisations.as_ref(),
+                to.organisations.as_ref(),
+            ),
         }
     }
 
-    /// Number of services, targets and routes in the difference, as a measure of the cost to store and send it.
+    /// Number of services, targets, routes and organisations in the difference, as a measure of the cost to store and send it.
     pub fn size(&self) -> usize {
         let whole_hosts = self.hosts.iter().flatten();
         let whole_routes: usize = whole_hosts.map(|host| host.paths.len()).sum();
         let changed: usize = self.changed.iter().map(|s| 1 + s.targets.len()).sum();
-        changed + self.removed.len() + whole_routes + self.routes.size()
+        let organisations = self
+            .organisations
+            .as_ref()
+            .map_or(0, OrganisationDelta::size);
+        changed + self.removed.len() + whole_routes + self.routes.size() + organisations
     }
 
     /// Applies the difference and checks the resulting body against the signed digest.
@@ -144,6 +156,7 @@
             hosts: held.hosts.clone(),
             limits: held.limits,
             drained_domains: held.drained_domains.clone(),
+            organisations: held.organisations.clone(),
         };
         for delta in deltas {
             if bundle.version != delta.from {
@@ -157,6 +170,8 @@
             bundle.address_keep_ms = delta.address_keep_ms;
             bundle.limits = delta.limits;
             bundle.drained_domains = delta.drained_domains;
+            let organisations = bundle.organisations.take();
+            bundle.organisations = delta.organisations.map(|delta| delta.apply(organisations));
             match delta.hosts {
                 Some(hosts) => bundle.hosts = hosts,
                 None => bundle.hosts = delta.routes.apply(bundle.hosts),
@@ -212,6 +227,13 @@
     lines.extend(drained.map(|domain| format!("~ failure domain {domain} is drained")));
     let restored = from.drained_domains.difference(&to.drained_domains);
     lines.extend(restored.map(|domain| format!("~ failure domain {domain} is restored")));
+    if let Some(organisations) = &delta.organisations {
+        let (changed, removed) = organisations.names();
+        lines.extend(changed.map(|name| format!("~ organisation {name}")));
+        lines.extend(removed.iter().map(|name| format!("- organisation {name}")));
+    } else if from.organisations.is_some() {
+        lines.push("- organisations: requests need no key".to_owned());
+    }
     lines.extend(delta.removed.iter().map(|name| format!("- {name}")));
     for service in &delta.changed {
         match old.get(&service.name) {
--- a/crates/pinhaven-bundle/src/lib.rs
+++ b/crates/pinhaven-bundle/src/lib.rs
@@ -7,6 +7,7 @@
 mod canonical;
 mod check;
 mod difference;
+mod organisation;
 mod package;
 mod route;
 mod route_delta;
@@ -19,6 +20,9 @@
 pub use difference::BundleDelta;
 pub use difference::DeltaError;
 pub use difference::describe_changes;
+pub use organisation::Organisation;
+pub use organisation::OrganisationDelta;
+pub use organisation::RateLimit;
 pub use package::BundlePackage;
 pub use package::PackageContent;
 pub use package::PackageError;
--- a/crates/pinhaven-bundle/src/route.rs
+++ b/crates/pinhaven-bundle/src/route.rs
@@ -39,6 +39,13 @@
     pub attempts_most: u32,
     /// Services that share the requests of the route, with their weights; at least one.
     pub split: Vec<SplitPart>,
+    /// Whether requests need no key although the bundle lists organisations.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub public: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// Part of a route's requests that goes to one service.
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -1,6 +1,7 @@
 //! The fields of a bundle.
 
 use crate::HostRoutes;
+use crate::Organisation;
 use crate::RequestLimits;
 use pinhaven_types::BundleVersion;
 use pinhaven_types::FailureDomain;
@@ -36,6 +37,9 @@
     /// Failure domains whose targets receive nothing.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub drained_domains: BTreeSet<FailureDomain>,
+    /// Organisations whose callers authenticate with keys. Without this list requests need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// How the load of targets is measured.
--- /dev/null
+++ b/crates/pinhaven-entry/src/callers/authentication.rs
@@ -0,0 +1,58 @@
+//! Authentication of requests by the keys of organisations.
+//!
+//! Applies only where the version in force lists organisations. The credentials are removed from the request before
+//! anything else reads its header fields, so that no attempt, relay, record or fingerprint contains them. Attempts
+//! carry the name of the organisation instead, and whatever the caller sent in that field is removed too.
+
+use crate::callers::routes::Routed;
+use crate::entry::Entry;
+use crate::versions::organisations::OrganisationIndex;
+use crate::watch::counters::Count;
+use crate::wire::problem::Problem;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::AUTHORIZATION;
+use pinhaven_bundle::Organisation;
+use std::sync::Arc;
+
+/// Removes the credentials from a request's header and returns the organisation that holds them; `None` if the request
+/// belongs to no organisation, which only requests of public routes may do.
+///
+/// # Errors
+///
+/// A refusal with status 401 if the route is not public and the key is missing, malformed or unknown.
+pub(crate) fn authenticate(
+    entry: &Entry,
+    organisations: &OrganisationIndex,
+    routed: &Routed,
+    headers: &mut HeaderMap,
+) -> Result<Option<Arc<Organisation>>, Problem> {
+    let key = entry.dialect.read_key(headers);
+    headers.remove(AUTHORIZATION);
+    headers.remove(entry.dialect.organisation_field());
+    let holder = match &key {
+        Ok(Some(key)) => organisations.holder(key),
+        Ok(None) | Err(_) => None,
+    };
+    if let Some(holder) = holder {
+        return Ok(Some(Arc::clone(holder)));
+    }
+    if routed.config().is_some_and(|route| route.public) {
+        return Ok(None);
+    }
+    let (count, reason, detail) = match key {
+        Ok(Some(_)) => (
+            Count::KeyUnknown,
+            "unknown_key",
+            "no organisation holds this key",
+        ),
+        Ok(None) => (
+            Count::KeyRequired,
+            "key_required",
+            "this route requires a key in the Authorization field",
+        ),
+        Err(field) => (Count::KeyBad, field.reason, field.expected),
+    };
+    entry.counters.add(count);
+    Err(Problem::not_run(StatusCode::UNAUTHORIZED, reason, detail))
+}
--- a/crates/pinhaven-entry/src/callers/job.rs
+++ b/crates/pinhaven-entry/src/callers/job.rs
@@ -6,8 +6,10 @@
 use crate::entry::Entry;
 use crate::versions::service_entry::ServiceEntry;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Method;
 use http::Uri;
+use pinhaven_bundle::Organisation;
 use pinhaven_runtime::CallerAddress;
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
@@ -22,6 +24,8 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
+    /// Organisation of the caller; `None` on public routes and where the version lists no organisations.
+    pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) deadline: Microseconds,
     /// Time that the caller already waited during earlier, failed tries of the request.
     pub(crate) prior_wait: Microseconds,
@@ -35,3 +39,25 @@
     /// Fingerprints of the request, computed at first use.
     pub(crate) fingerprints: OnceLock<RequestFingerprints>,
 }
+
+impl Job {
+    /// Name of the caller's organisation for a message to another entry; empty without an organisation.
+    pub(crate) fn organisation_name(&self) -> String {
+        let name = self
+            .organisation
+            .as_ref()
+            .map(|organisation| &organisation.name);
+        name.map(ToString::to_string).unwrap_or_default()
+    }
+
+    /// What tells callers with different rights apart: the organisation, or the credentials that are passed to targets.
+    pub(crate) fn credentials(&self) -> &[u8] {
+        match &self.organisation {
+            Some(organisation) => organisation.name.as_str().as_bytes(),
+            None => self
+                .headers
+                .get(http::header::AUTHORIZATION)
+                .map_or(&[][..], HeaderValue::as_bytes),
+        }
+    }
+}
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request from its head to the decision how the request is dispatched.
 
 use crate::callers::address;
+use crate::callers::authentication::authenticate;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::receive_body;
 use crate::callers::job::Job;
@@ -11,6 +12,7 @@
 use crate::once_only::execute;
 use crate::request::dispatch::dispatch;
 use crate::versions::service_entry::ServiceEntry;
+use crate::versions::snapshot::Snapshot;
 use crate::watch::counters::Count;
 use crate::wire::dialect;
 use crate::wire::dialect::CallerFacts;
@@ -119,9 +121,15 @@
     request: Request<Incoming>,
 ) -> Result<(Job, Option<BodyMemory>), Problem> {
     entry.wait_until_ready().await;
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
     let caller = head.extensions.get::<CallerAddress>().copied();
-    let (service, routed) = find_route(entry, &head)?;
+    let snapshot = entry.snapshot.load();
+    let (service, routed) = find_route(entry, &snapshot, &head)?;
+    let organisation = match &snapshot.organisations {
+        Some(organisations) => authenticate(entry, organisations, &routed, &mut head.headers)?,
+        None => None,
+    };
+    drop(snapshot);
     require_path(entry, &head)?;
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
     if routed.route.is_none() {
@@ -160,6 +168,7 @@
         method: head.method,
         uri: head.uri,
         headers: head.headers,
+        organisation,
         deadline,
         prior_wait: prior_wait(&facts, &routed),
         is_repeatable,
@@ -264,7 +273,11 @@
     authority.or_else(|| head.headers.get(http::header::HOST)?.to_str().ok())
 }
 
-fn find_route(entry: &Entry, head: &Parts) -> Result<(Arc<ServiceEntry>, Routed), Problem> {
+fn find_route(
+    entry: &Entry,
+    snapshot: &Snapshot,
+    head: &Parts,
+) -> Result<(Arc<ServiceEntry>, Routed), Problem> {
     let Some(host) = host_of(head) else {
         entry.counters.add(Count::BadRequest);
         return Err(Problem::not_run(
@@ -273,7 +286,6 @@
             "the request names no host",
         ));
     };
-    let snapshot = entry.snapshot.load();
     if snapshot.version == pinhaven_types::BundleVersion::NONE {
         entry.counters.add(Count::NotReady);
         return Err(Problem::not_run(
--- a/crates/pinhaven-entry/src/crashes/fingerprints.rs
+++ b/crates/pinhaven-entry/src/crashes/fingerprints.rs
@@ -2,7 +2,6 @@
 
 use crate::callers::job::Job;
 use http::HeaderMap;
-use http::header::AUTHORIZATION;
 use http::header::CONTENT_LENGTH;
 use http::header::COOKIE;
 use http::header::HOST;
@@ -40,7 +39,7 @@
         let address = job.caller.map_or(String::new(), address_of);
         let caller = [
             address.as_bytes(),
-            field(&job.headers, AUTHORIZATION.as_str()),
+            job.credentials(),
             field(&job.headers, COOKIE.as_str()),
         ];
         Self {
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -47,6 +47,7 @@
 pub use wire::dialect::OwnDialect;
 pub use wire::dialect::query_value;
 pub use wire::dialect::use_standard_fields;
+pub use wire::dialect::write_organisation;
 pub use wire::rest::ReceivedOrders;
 pub use wire::rest::ReceivedRest;
 pub use wire::rest::read_rest;
--- a/crates/pinhaven-entry/src/once_only/execute.rs
+++ b/crates/pinhaven-entry/src/once_only/execute.rs
@@ -291,11 +291,10 @@
 /// caller that reuses another caller's key never receives the other caller's answer.
 fn fingerprint(job: &Job, body: &Bytes) -> OnceFingerprint {
     let path = job.uri.path_and_query().map_or("/", |path| path.as_str());
-    let credentials = job.headers.get(http::header::AUTHORIZATION);
     OnceFingerprint(Digest::of_parts(&[
         job.method.as_str().as_bytes(),
         path.as_bytes(),
-        credentials.map_or(&[][..], HeaderValue::as_bytes),
+        job.credentials(),
         body,
     ]))
 }
--- a/crates/pinhaven-entry/src/once_only/relay_client.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_client.rs
@@ -44,6 +44,7 @@
         headers: to_fields(&job.headers),
         body: bytes.to_vec(),
         deadline_ms: remaining.as_ms() as u64,
+        organisation: job.organisation_name(),
     };
     let timeout = Duration::from_micros(remaining.count());
     match job.entry.peers.relay_once(peer, timeout, request).await {
--- a/crates/pinhaven-entry/src/once_only/relay_server.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_server.rs
@@ -88,6 +88,9 @@
     let snapshot = entry.snapshot.load();
     let service = snapshot.services.get(&name).cloned();
     let service = service.ok_or_else(|| bad_relay("unknown service"))?;
+    let organisation = snapshot
+        .organisation_of_message(&request.organisation, &Routed::default())
+        .map_err(bad_relay)?;
     let bytes = Bytes::from(request.body);
     let deadline = Microseconds::from_ms(request.deadline_ms);
     let job = Job {
@@ -97,6 +100,7 @@
         method,
         uri,
         headers: from_fields(request.headers),
+        organisation,
         deadline: entry.now().plus(deadline),
         prior_wait: Microseconds::ZERO,
         is_repeatable: false,
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -106,6 +106,10 @@
         attempts_left,
         target: attempt.target.id(),
         attempt_id: &attempt_id,
+        organisation: job
+            .organisation
+            .as_ref()
+            .map(|organisation| &organisation.name),
     };
     let id = job.entry.dialect.write_attempt(headers, &facts);
     let idle_max = if job.is_repeatable {
--- a/crates/pinhaven-entry/src/request/forward.rs
+++ b/crates/pinhaven-entry/src/request/forward.rs
@@ -59,6 +59,7 @@
         prior_wait_ms: job.prior_wait.as_ms() as u64,
         attempts_max,
         version: job.entry.snapshot.load().version.number(),
+        organisation: job.organisation_name(),
     };
     let body = job.body.to_send()?;
     Some(PreparedForward { head, body })
--- a/crates/pinhaven-entry/src/request/forwarded.rs
+++ b/crates/pinhaven-entry/src/request/forwarded.rs
@@ -23,6 +23,7 @@
 use http::Uri;
 use http::header::CONTENT_LENGTH;
 use pinhaven_agree::MemberState;
+use pinhaven_bundle::Organisation;
 use pinhaven_decide::RunState;
 use pinhaven_peer::ForwardAnswer;
 use pinhaven_peer::ForwardHead;
@@ -80,6 +81,7 @@
     method: Method,
     uri: Uri,
     headers: HeaderMap,
+    organisation: Option<Arc<Organisation>>,
     deadline: Microseconds,
     prior_wait: Microseconds,
     attempts_max: u32,
@@ -100,7 +102,9 @@
     if service.state.connectivity().is_lost() {
         return Err("it reaches no target either");
     }
+    let organisation = snapshot.organisation_of_message(&head.organisation, &routed)?;
     Ok(Forwarded {
+        organisation,
         service,
         routed,
         method,
@@ -156,6 +160,7 @@
             method: self.method,
             uri: self.uri,
             headers: self.headers,
+            organisation: self.organisation,
             deadline: self.deadline,
             prior_wait: self.prior_wait,
             is_repeatable,
--- a/crates/pinhaven-entry/src/versions/mod.rs
+++ b/crates/pinhaven-entry/src/versions/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod bundles;
 pub(crate) mod discovered;
 pub(crate) mod fetch;
+pub(crate) mod organisations;
 pub(crate) mod reload;
 pub(crate) mod serve;
 pub(crate) mod service_entry;
--- a/crates/pinhaven-entry/src/versions/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -5,12 +5,15 @@
 
 use crate::callers::routes::RouteEntry;
 use crate::callers::routes::RouteTable;
+use crate::callers::routes::Routed;
+use crate::versions::organisations::OrganisationIndex;
 use crate::versions::service_entry::ServiceEntry;
 use crate::versions::service_entry::build_service_entry;
 use pinhaven_agree::ListedTarget;
 use pinhaven_agree::TargetList;
 use pinhaven_bundle::Bundle;
 use pinhaven_bundle::CanonicalBundle;
+use pinhaven_bundle::Organisation;
 use pinhaven_bundle::RequestLimits;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::Target;
@@ -18,6 +21,7 @@
 use pinhaven_types::BundleVersion;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
+use pinhaven_types::OrganisationName;
 use pinhaven_types::ServiceName;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
@@ -36,6 +40,7 @@
     hosts: Vec::new(),
     limits: None,
     drained_domains: BTreeSet::new(),
+    organisations: None,
 });
 
 /// All services in one version, with the indexes for routing.
@@ -47,6 +52,8 @@
     routes: RouteTable,
     /// Targets with an id, by the short key that identifies them in messages between entries.
     by_key: HashMap<u32, KeyedTarget>,
+    /// Organisations of the version; `None` if requests need no key.
+    pub(crate) organisations: Option<Arc<OrganisationIndex>>,
 }
 
 /// A target and its service.
@@ -75,6 +82,7 @@
             hosts: HashMap::new(),
             routes: RouteTable::default(),
             by_key: HashMap::new(),
+            organisations: None,
         }
     }
 
@@ -107,6 +115,13 @@
             false => RouteTable::new(&bundle.hosts, &services, &previous.routes),
         };
         let by_key = index_by_key(&services);
+        let organisations = match is_same_body {
+            true => previous.organisations.clone(),
+            false => {
+                let listed = bundle.organisations.as_deref();
+                listed.map(|listed| Arc::new(OrganisationIndex::new(listed)))
+            }
+        };
         Self {
             version: bundle.version,
             body: Some(body),
@@ -114,6 +129,7 @@
             hosts,
             routes,
             by_key,
+            organisations,
         }
     }
 
@@ -157,6 +173,30 @@
         }
     }
 
+    /// The organisation of a request that another entry passes on; an empty name stands for none.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if this version doesn't have the organisation, or requires one for the request's route.
+    pub(crate) fn organisation_of_message(
+        &self,
+        name: &str,
+        routed: &Routed,
+    ) -> Result<Option<Arc<Organisation>>, &'static str> {
+        if name.is_empty() {
+            let is_public = routed.config().is_some_and(|route| route.public);
+            return match self.organisations.is_none() || is_public {
+                true => Ok(None),
+                false => Err("its version requires a key"),
+            };
+        }
+        let name: OrganisationName = name.parse().map_err(|_| "bad organisation")?;
+        let organisations = self.organisations.as_ref();
+        let organisation = organisations.and_then(|organisations| organisations.named(&name));
+        let organisation = organisation.ok_or("its version has no such organisation")?;
+        Ok(Some(Arc::clone(organisation)))
+    }
+
     /// The service for a `Host` field, with or without a port.
     pub(crate) fn service_for_host(&self, host: &str) -> Option<&Arc<ServiceEntry>> {
         if let Some(entry) = self.hosts.get(host) {
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -63,6 +63,12 @@
     BodyTooLarge,
     /// Requests whose body did not arrive completely.
     BodyCut,
+    /// Requests refused for the lack of a key.
+    KeyRequired,
+    /// Requests refused because of malformed credentials.
+    KeyBad,
+    /// Requests refused because no organisation holds their key.
+    KeyUnknown,
     /// Requests refused because no bundle version is in force here.
     NotReady,
     /// Requests refused because the memory for bodies is used up.
@@ -145,7 +151,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 67] = [
+const COUNT_NAMES: [&str; 70] = [
     "requests",
     "answered",
     "addresses",
@@ -173,6 +179,9 @@
     "refused.unknown_service",
     "refused.body_too_large",
     "refused.body_cut",
+    "refused.key_required",
+    "refused.bad_key",
+    "refused.unknown_key",
     "refused.not_ready",
     "refused.body_memory",
     "refused.key_missing",
--- a/crates/pinhaven-entry/src/wire/dialect.rs
+++ b/crates/pinhaven-entry/src/wire/dialect.rs
@@ -9,17 +9,21 @@
 use crate::wire::rest::ReceivedOrders;
 use crate::wire::rest::read_rest;
 use http::HeaderMap;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
 use http::Uri;
+use http::header::AUTHORIZATION;
 use http::header::RETRY_AFTER;
 use pinhaven_bundle::Service;
 use pinhaven_decide::LoadReport;
 use pinhaven_decide::RunState;
 use pinhaven_runtime::AnyBody;
+use pinhaven_types::ApiKey;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
+use pinhaven_types::OrganisationName;
 use pinhaven_types::Region;
 use pinhaven_types::ServiceName;
 use pinhaven_types::TargetId;
@@ -56,6 +60,8 @@
     pub target: Option<&'job TargetId>,
     /// Unique id of the attempt.
     pub attempt_id: &'job str,
+    /// Organisation of the caller, if the version in force lists organisations.
+    pub organisation: Option<&'job OrganisationName>,
 }
 
 /// Facts that a target sends with an answer.
@@ -110,6 +116,18 @@
     /// [`BadField`] if a field is present and can't be parsed.
     fn read_caller(&self, headers: &HeaderMap) -> Result<CallerFacts, BadField>;
 
+    /// Reads the key of a request; `None` if the request has no credentials.
+    ///
+    /// # Errors
+    ///
+    /// [`BadField`] if the credentials are not exactly one well-formed key.
+    fn read_key(&self, headers: &HeaderMap) -> Result<Option<ApiKey>, BadField> {
+        read_bearer_key(headers)
+    }
+
+    /// Field in which targets receive the name of the caller's organisation.
+    fn organisation_field(&self) -> HeaderName;
+
     /// Writes the facts of an attempt into the headers of a caller's request. Returns the id that the answer must
     /// carry, if any.
     fn write_attempt(
@@ -201,6 +219,10 @@
         })
     }
 
+    fn organisation_field(&self) -> HeaderName {
+        header::ORGANISATION
+    }
+
     fn write_attempt(
         &self,
         headers: &mut HeaderMap,
@@ -209,6 +231,7 @@
         headers.insert(header::DEADLINE_MS, facts.left_ms.into());
         headers.insert(header::ATTEMPTS_LEFT, facts.attempts_left.into());
         headers.remove(header::HOME);
+        write_organisation(headers, header::ORGANISATION, facts.organisation);
         let id = HeaderValue::from_str(facts.attempt_id).ok()?;
         headers.insert(header::REQUEST_ID, id.clone());
         Some(id)
@@ -297,6 +320,40 @@
     }
 }
 
+/// Reads a key from `Authorization: Bearer KEY` (RFC 6750).
+fn read_bearer_key(headers: &HeaderMap) -> Result<Option<ApiKey>, BadField> {
+    let bad = BadField {
+        reason: "bad_key",
+        expected: "the Authorization field is given once and has the form 'Bearer KEY'",
+    };
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad);
+    }
+    let text = value.to_str().map_err(|_| bad)?;
+    let (scheme, key) = text.split_once(' ').ok_or(bad)?;
+    if !scheme.eq_ignore_ascii_case("Bearer") {
+        return Err(bad);
+    }
+    let key = key.trim_matches(' ').parse().map_err(|_| bad)?;
+    Ok(Some(key))
+}
+
+/// Writes the name of the caller's organisation, if there is one, in place of anything in its field.
+pub fn write_organisation(
+    headers: &mut HeaderMap,
+    field: HeaderName,
+    organisation: Option<&OrganisationName>,
+) {
+    let name = organisation.and_then(|name| HeaderValue::from_str(name.as_str()).ok());
+    if let Some(name) = name {
+        headers.insert(field, name);
+    }
+}
+
 /// Returns the value of a query parameter, if present and valid.
 pub fn query_value<T: std::str::FromStr>(query: &str, name: &str) -> Option<T> {
     query
--- a/crates/pinhaven-entry/src/wire/header.rs
+++ b/crates/pinhaven-entry/src/wire/header.rs
@@ -16,6 +16,8 @@
 pub(crate) const RUN: HeaderName = HeaderName::from_static("pinhaven-run");
 /// Time to wait before a retry, in milliseconds; `Retry-After` carries the same time in whole seconds.
 pub(crate) const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("pinhaven-retry-after-ms");
+/// Organisation of the caller, on requests to targets.
+pub(crate) const ORGANISATION: HeaderName = HeaderName::from_static("pinhaven-organisation");
 /// Key of a once-only request, from the IETF draft "The Idempotency-Key HTTP Header Field".
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Id that matches an answer to its request.
--- a/crates/pinhaven-entry/src/wire/problem.rs
+++ b/crates/pinhaven-entry/src/wire/problem.rs
@@ -84,6 +84,10 @@
         let seconds = self.retry_after_ms.div_ceil(1_000).max(1);
         headers.insert(http::header::RETRY_AFTER, seconds.into());
         headers.insert(header::RETRY_AFTER_MS, self.retry_after_ms.into());
+        if self.status == StatusCode::UNAUTHORIZED {
+            let challenge = HeaderValue::from_static("Bearer");
+            headers.insert(http::header::WWW_AUTHENTICATE, challenge);
+        }
         response
     }
 }
--- a/crates/pinhaven-types/src/lib.rs
+++ b/crates/pinhaven-types/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each id is a separate type, so that the compiler rejects an id that is passed as the wrong parameter. `Display`
 //! writes an id and `FromStr` parses it.
 
+mod api_key;
 mod digest;
 mod incarnation;
 mod name;
@@ -11,11 +12,15 @@
 mod request_fingerprint;
 mod target_incarnation;
 
+pub use api_key::ApiKey;
+pub use api_key::KeyDigest;
+pub use api_key::ParseKeyError;
 pub use digest::Digest;
 pub use incarnation::Incarnation;
 pub use name::FailureDomain;
 pub use name::InstanceId;
 pub use name::OperationId;
+pub use name::OrganisationName;
 pub use name::ParseNameError;
 pub use name::Region;
 pub use name::RouteName;
--- a/crates/pinhaven-types/src/name.rs
+++ b/crates/pinhaven-types/src/name.rs
@@ -106,6 +106,10 @@
     /// Name of a route.
     RouteName
 }
+name_type! {
+    /// Name of an organisation whose callers share the entries with those of others.
+    OrganisationName
+}
 name_type! {
     /// Name of the person who signs a bundle.
     SignerName
