Describe and check organisations without their secrets

Cause: faults could quote a key that was written in place of a digest or a list, two tenants could hold one key, changes of an organisation didn't say what changed, and the size of a version left organisations out, so that a difference could look larger than the version. Differences are computed without copying unchanged organisations.

--- a/crates/pinhaven-bundle/src/difference.rs
+++ b/crates/pinhaven-bundle/src/difference.rs
@@ -104,13 +104,14 @@
             limits: to.limits,
             drained_domains: to.drained_domains.clone(),
             organisations: OrganisationDelta::between(
-                from.organisations.as_ref(),
-                to.organisations.as_ref(),
+                from.organisations.as_deref(),
+                to.organisations.as_deref(),
             ),
         }
     }
 
-    /// Number of services, targets, routes and organisations in the difference, as a measure of the cost to store and send it.
+    /// Number of services, targets, routes and organisations in the difference, as a measure of the cost to store and
+    /// send it.
     pub fn size(&self) -> usize {
         let whole_hosts = self.hosts.iter().flatten();
         let whole_routes: usize = whole_hosts.map(|host| host.paths.len()).sum();
@@ -227,12 +228,15 @@
     lines.extend(drained.map(|domain| format!("~ failure domain {domain} is drained")));
     let restored = from.drained_domains.difference(&to.drained_domains);
     lines.extend(restored.map(|domain| format!("~ failure domain {domain} is restored")));
-    if let Some(organisations) = &delta.organisations {
-        let (changed, removed) = organisations.names();
-        lines.extend(changed.map(|name| format!("~ organisation {name}")));
-        lines.extend(removed.iter().map(|name| format!("- organisation {name}")));
-    } else if from.organisations.is_some() {
-        lines.push("- organisations: requests need no key".to_owned());
+    match (&from.organisations, &delta.organisations) {
+        (held, Some(organisations)) => {
+            if held.is_none() {
+                lines.push("~ requests need a key".to_owned());
+            }
+            lines.extend(organisations.describe(held.as_deref().unwrap_or_default()));
+        }
+        (Some(_), None) => lines.push("~ requests need no key".to_owned()),
+        (None, None) => {}
     }
     lines.extend(delta.removed.iter().map(|name| format!("- {name}")));
     for service in &delta.changed {
--- a/crates/pinhaven-bundle/src/organisation.rs
+++ b/crates/pinhaven-bundle/src/organisation.rs
@@ -36,6 +36,33 @@
             limit: None,
         }
     }
+
+    /// Describes the organisation without its key digests.
+    fn facts(&self) -> String {
+        let keys = self.key_digests.len();
+        format!(
+            "{keys} keys, {}, {}",
+            self.priority_fact(),
+            self.limit_fact()
+        )
+    }
+
+    fn priority_fact(&self) -> String {
+        match self.priority {
+            Some(priority) => format!("priority {priority}"),
+            None => "priority of the route".to_owned(),
+        }
+    }
+
+    fn limit_fact(&self) -> String {
+        match self.limit {
+            Some(RateLimit {
+                requests_per_s,
+                burst,
+            }) => format!("limit {requests_per_s}/s, burst {burst}"),
+            None => "no limit".to_owned(),
+        }
+    }
 }
 
 /// Limit of a rate of requests.
@@ -59,25 +86,22 @@
     removed: Vec<OrganisationName>,
 }
 
-type ByName = BTreeMap<OrganisationName, Organisation>;
-
 impl OrganisationDelta {
     /// Computes the difference; `None` if the newer version has no list of organisations.
     pub(crate) fn between(
-        from: Option<&Vec<Organisation>>,
-        to: Option<&Vec<Organisation>>,
+        from: Option<&[Organisation]>,
+        to: Option<&[Organisation]>,
     ) -> Option<Self> {
-        let old = by_name(from);
-        let new = by_name(Some(to?));
+        let to = to?;
+        let old = by_name(from.unwrap_or_default());
+        let new = by_name(to);
         let removed = old.keys().filter(|name| !new.contains_key(*name));
-        let removed = removed.cloned().collect();
-        let changed = new
-            .into_iter()
-            .filter(|(name, organisation)| old.get(name) != Some(organisation))
-            .map(|(_, organisation)| organisation);
+        let changed = to
+            .iter()
+            .filter(|organisation| old.get(&organisation.name) != Some(organisation));
         Some(Self {
-            changed: changed.collect(),
-            removed,
+            changed: changed.cloned().collect(),
+            removed: removed.copied().cloned().collect(),
         })
     }
 
@@ -86,28 +110,62 @@
         self.changed.len() + self.removed.len()
     }
 
-    /// Names of the organisations that are new or changed, and of those that were removed.
-    pub(crate) fn names(&self) -> (impl Iterator<Item = &OrganisationName>, &[OrganisationName]) {
-        let changed = self.changed.iter().map(|organisation| &organisation.name);
-        (changed, &self.removed)
+    /// Describes the difference from the organisations in `held`, a line for each organisation, without key digests.
+    pub(crate) fn describe(&self, held: &[Organisation]) -> impl Iterator<Item = String> {
+        let held = by_name(held);
+        let removed = self.removed.iter();
+        let removed = removed.map(|name| format!("- organisation {name}"));
+        let changed = self.changed.iter().map(move |organisation| {
+            let name = &organisation.name;
+            match held.get(name) {
+                None => format!("+ organisation {name} {}", organisation.facts()),
+                Some(old) => format!("~ organisation {name} {}", changed_facts(old, organisation)),
+            }
+        });
+        removed.chain(changed)
     }
 
-    /// Applies the difference to the organisations in `held`.
+    /// Applies the difference to the organisations in `held`. They come out sorted by name, as in a canonical bundle.
     pub(crate) fn apply(self, held: Option<Vec<Organisation>>) -> Vec<Organisation> {
-        let mut organisations = by_name(held.as_ref());
+        if self.changed.is_empty() && self.removed.is_empty() {
+            return held.unwrap_or_default();
+        }
+        let named = |organisation: Organisation| (organisation.name.clone(), organisation);
+        let held = held.into_iter().flatten();
+        let mut organisations: BTreeMap<OrganisationName, Organisation> = held.map(named).collect();
         for name in &self.removed {
             organisations.remove(name);
         }
-        let changed = self.changed.into_iter();
-        organisations.extend(changed.map(|organisation| (organisation.name.clone(), organisation)));
+        organisations.extend(self.changed.into_iter().map(named));
         organisations.into_values().collect()
     }
 }
 
-fn by_name(organisations: Option<&Vec<Organisation>>) -> ByName {
-    organisations
-        .into_iter()
-        .flatten()
-        .map(|organisation| (organisation.name.clone(), organisation.clone()))
+/// Describes what changed of an organisation.
+fn changed_facts(old: &Organisation, new: &Organisation) -> String {
+    let count_missing = |listed: &Organisation, other: &Organisation| {
+        let missing = listed.key_digests.iter();
+        missing
+            .filter(|digest| !other.key_digests.contains(digest))
+            .count()
+    };
+    let mut facts = Vec::new();
+    let (added, removed) = (count_missing(new, old), count_missing(old, new));
+    if (added, removed) != (0, 0) {
+        facts.push(format!("+{added} -{removed} keys"));
+    }
+    if old.priority != new.priority {
+        facts.push(new.priority_fact());
+    }
+    if old.limit != new.limit {
+        facts.push(new.limit_fact());
+    }
+    facts.join(", ")
+}
+
+fn by_name(organisations: &[Organisation]) -> BTreeMap<&OrganisationName, &Organisation> {
+    let named = organisations.iter();
+    named
+        .map(|organisation| (&organisation.name, organisation))
         .collect()
 }
--- a/crates/pinhaven-bundle/src/schema.rs
+++ b/crates/pinhaven-bundle/src/schema.rs
@@ -233,14 +233,15 @@
 }
 
 impl Bundle {
-    /// Number of services, targets and routes in the bundle.
+    /// Number of services, targets, routes and organisations in the bundle.
     pub fn size(&self) -> usize {
         let services = self
             .services
             .iter()
             .map(|service| 1 + service.targets.len());
         let routes = self.hosts.iter().map(|host| host.paths.len());
-        services.chain(routes).sum()
+        let organisations = self.organisations.as_ref().map_or(0, Vec::len);
+        services.chain(routes).sum::<usize>() + organisations
     }
 }
 
--- a/crates/pinhaven-command/src/bundle/mod.rs
+++ b/crates/pinhaven-command/src/bundle/mod.rs
@@ -4,6 +4,7 @@
 mod diff;
 mod history;
 mod key;
+mod key_digest;
 pub(crate) mod roll;
 mod sign;
 mod status;
@@ -19,6 +20,8 @@
 pub(crate) enum BundleCommand {
     /// Create a key to sign bundles off with.
     Key(key::KeyArguments),
+    /// Read the key of an organisation from standard input and print its digest.
+    KeyDigest,
     /// Check a bundle and print every fault.
     Check(check::CheckArguments),
     /// Sign a bundle off.
@@ -36,6 +39,7 @@
 pub(crate) fn run(command: BundleCommand) -> Result<(), CommandError> {
     match command {
         BundleCommand::Key(arguments) => key::run(&arguments),
+        BundleCommand::KeyDigest => key_digest::run(),
         BundleCommand::Check(arguments) => check::run(&arguments),
         BundleCommand::Sign(arguments) => sign::run(arguments),
         BundleCommand::Roll(arguments) => roll::run(&arguments),
--- a/crates/pinhaven-entry/src/callers/authentication.rs
+++ b/crates/pinhaven-entry/src/callers/authentication.rs
@@ -4,7 +4,6 @@
 //! anything else reads its header fields, so that no attempt, relay, record or fingerprint contains them. Attempts
 //! carry the name of the organisation instead, and whatever the caller sent in that field is removed too.
 
-use crate::callers::routes::Routed;
 use crate::entry::Entry;
 use crate::versions::organisations::OrganisationIndex;
 use crate::watch::counters::Count;
@@ -13,6 +12,7 @@
 use http::StatusCode;
 use http::header::AUTHORIZATION;
 use pinhaven_bundle::Organisation;
+use pinhaven_bundle::PathRoute;
 use std::sync::Arc;
 
 /// Removes the credentials from a request's header and returns the organisation that holds them; `None` if the request
@@ -24,12 +24,11 @@
 pub(crate) fn authenticate(
     entry: &Entry,
     organisations: &OrganisationIndex,
-    routed: &Routed,
+    route: Option<&PathRoute>,
     headers: &mut HeaderMap,
 ) -> Result<Option<Arc<Organisation>>, Problem> {
     let key = entry.dialect.read_key(headers);
-    headers.remove(AUTHORIZATION);
-    headers.remove(entry.dialect.organisation_field());
+    remove_credentials(entry, headers);
     let holder = match &key {
         Ok(Some(key)) => organisations.holder(key),
         Ok(None) | Err(_) => None,
@@ -37,7 +36,7 @@
     if let Some(holder) = holder {
         return Ok(Some(Arc::clone(holder)));
     }
-    if routed.config().is_some_and(|route| route.public) {
+    if route.is_some_and(|route| route.public) {
         return Ok(None);
     }
     let (count, reason, detail) = match key {
@@ -56,3 +55,10 @@
     entry.counters.add(count);
     Err(Problem::not_run(StatusCode::UNAUTHORIZED, reason, detail))
 }
+
+/// Removes the fields that belong to the entry where the version in force lists organisations: the key, and the name
+/// of the organisation. Messages of entries that don't know of organisations yet still contain what the caller sent.
+pub(crate) fn remove_credentials(entry: &Entry, headers: &mut HeaderMap) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(entry.dialect.organisation_field());
+}
--- a/crates/pinhaven-entry/src/callers/body.rs
+++ b/crates/pinhaven-entry/src/callers/body.rs
@@ -76,7 +76,11 @@
         let Some(frame) = frame.transpose()? else {
             return Poll::Ready(None);
         };
-        let bytes = frame.data_ref().map_or(0, |data| data.len() as u64);
+        // Trailers are dropped: a target could take them for fields that only the entry may set.
+        let Some(data) = frame.data_ref() else {
+            return Poll::Ready(None);
+        };
+        let bytes = data.len() as u64;
         if bytes > self.remaining_bytes {
             return Poll::Ready(Some(Err(
                 "the body exceeds the size limit of the service".into()
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -34,6 +34,7 @@
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::CallerAddress;
+use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -61,12 +62,12 @@
         .as_ref()
         .and_then(|_| entry.dialect.request_id(request.headers()));
     let is_keyed = request.headers().contains_key(header::IDEMPOTENCY_KEY);
-    let keyed_headers = is_keyed.then(|| request.headers().clone());
+    let keyed_sending = is_keyed.then(|| execute::sending_of(request.headers()));
     let mut response = match receive_request(&entry, request).await {
         Err(problem) => {
             record_problem(&entry, id.as_deref(), &problem);
-            match keyed_headers {
-                Some(headers) => execute::downgrade_unproven(&headers, problem).into_response(),
+            match keyed_sending {
+                Some(sending) => execute::downgrade_unproven(sending, problem).into_response(),
                 None => problem.into_response(),
             }
         }
@@ -124,12 +125,18 @@
     let (mut head, body) = request.into_parts();
     let caller = head.extensions.get::<CallerAddress>().copied();
     let snapshot = entry.snapshot.load();
-    let (service, routed) = find_route(entry, &snapshot, &head)?;
+    require_version(entry, &snapshot)?;
+    let found = find_route(entry, &snapshot, &head);
     let organisation = match &snapshot.organisations {
-        Some(organisations) => authenticate(entry, organisations, &routed, &mut head.headers)?,
+        // Callers without a key don't learn which hosts and paths have routes.
+        Some(organisations) => {
+            let route = found.as_ref().ok().and_then(|(_, routed)| routed.config());
+            authenticate(entry, organisations, route, &mut head.headers)?
+        }
         None => None,
     };
     drop(snapshot);
+    let (service, routed) = found?;
     require_path(entry, &head)?;
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
     if routed.route.is_none() {
@@ -273,6 +280,19 @@
     authority.or_else(|| head.headers.get(http::header::HOST)?.to_str().ok())
 }
 
+/// Refuses requests that come before any version is in force.
+fn require_version(entry: &Entry, snapshot: &Snapshot) -> Result<(), Problem> {
+    if snapshot.version > BundleVersion::NONE {
+        return Ok(());
+    }
+    entry.counters.add(Count::NotReady);
+    Err(Problem::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_ready",
+        "this entry does not know the version in force yet",
+    ))
+}
+
 fn find_route(
     entry: &Entry,
     snapshot: &Snapshot,
@@ -286,14 +306,6 @@
             "the request names no host",
         ));
     };
-    if snapshot.version == pinhaven_types::BundleVersion::NONE {
-        entry.counters.add(Count::NotReady);
-        return Err(Problem::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not_ready",
-            "this entry does not know the version in force yet",
-        ));
-    }
     if let Some(route) = snapshot.route_for(host, head.uri.path()) {
         let service = Arc::clone(route.next_service());
         let route = Some(Arc::clone(route));
--- a/crates/pinhaven-entry/src/once_only/execute.rs
+++ b/crates/pinhaven-entry/src/once_only/execute.rs
@@ -54,7 +54,7 @@
 /// Answers a once-only request: dispatches it if this entry is its home, otherwise relays it to the home.
 pub(crate) async fn answer(job: Job, hold: RequestGuard) -> Response<AnyBody> {
     match find_home(&job).await {
-        Err(problem) => downgrade_unproven(&job.headers, problem).into_response(),
+        Err(problem) => downgrade_unproven(sending_of(&job.headers), problem).into_response(),
         Ok((home, key, bytes)) => {
             if home.incarnation == job.entry.incarnation {
                 run_at_home(job, hold, home.epoch, key, bytes).await
@@ -103,8 +103,8 @@
 /// Changes the run state of a refusal to "unknown" if the refused request is not known to be the first
 /// sending. Used for refusals that no ledger record of the key supports: an earlier sending may still reach
 /// the home and run, so "not run" is certain only for a first sending.
-pub(crate) fn downgrade_unproven(headers: &HeaderMap, problem: Problem) -> Problem {
-    let is_first = sending_of(headers) == Some(Sending::FIRST);
+pub(crate) fn downgrade_unproven(sending: Option<Sending>, problem: Problem) -> Problem {
+    let is_first = sending == Some(Sending::FIRST);
     if problem.run_state == RunState::NotRun && !is_first {
         problem.with_run_state(RunState::Unknown)
     } else {
@@ -113,7 +113,7 @@
 }
 
 /// Sending number from the request's headers; `None` if it is missing or invalid.
-fn sending_of(headers: &HeaderMap) -> Option<Sending> {
+pub(crate) fn sending_of(headers: &HeaderMap) -> Option<Sending> {
     let number = header::parse_number(headers, &header::SENDING).ok()??;
     u32::try_from(number).ok().map(Sending)
 }
@@ -245,7 +245,7 @@
                 "ledger_full",
                 "this entry can't remember more keys now",
             );
-            downgrade_unproven(&job.headers, problem).into_response()
+            downgrade_unproven(sending_of(&job.headers), problem).into_response()
         }
         BeginOutcome::NeverIssued => {
             counters.add(Count::BadRequest);
@@ -254,7 +254,7 @@
                 "bad_home",
                 "this home was never given out",
             );
-            downgrade_unproven(&job.headers, problem).into_response()
+            downgrade_unproven(sending_of(&job.headers), problem).into_response()
         }
         BeginOutcome::Unknown | BeginOutcome::Forgotten => {
             counters.add(Count::OnceUnknown);
--- a/crates/pinhaven-entry/src/once_only/relay_client.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_client.rs
@@ -45,6 +45,7 @@
         body: bytes.to_vec(),
         deadline_ms: remaining.as_ms() as u64,
         organisation: job.organisation_name(),
+        is_public: job.routed.config().is_some_and(|route| route.public),
     };
     let timeout = Duration::from_micros(remaining.count());
     match job.entry.peers.relay_once(peer, timeout, request).await {
--- a/crates/pinhaven-entry/src/once_only/relay_server.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_server.rs
@@ -1,5 +1,6 @@
 //! Server side of relaying: runs a once-only request that another entry relayed to this entry, its home.
 
+use crate::callers::authentication::remove_credentials;
 use crate::callers::body::RequestBody;
 use crate::callers::job::Job;
 use crate::callers::request_guard::RequestGuard;
@@ -88,9 +89,22 @@
     let snapshot = entry.snapshot.load();
     let service = snapshot.services.get(&name).cloned();
     let service = service.ok_or_else(|| bad_relay("unknown service"))?;
+    let mut headers = from_fields(request.headers);
     let organisation = snapshot
-        .organisation_of_message(&request.organisation, &Routed::default())
-        .map_err(bad_relay)?;
+        .organisation_of_message(&request.organisation, request.is_public)
+        .map_err(|detail| {
+            // The versions of the two entries differ, so that the caller can succeed shortly.
+            entry.counters.add(Count::OrganisationUnknown);
+            let problem = Problem::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "organisation_unknown",
+                detail,
+            );
+            execute::downgrade_unproven(execute::sending_of(&headers), problem)
+        })?;
+    if snapshot.organisations.is_some() {
+        remove_credentials(entry, &mut headers);
+    }
     let bytes = Bytes::from(request.body);
     let deadline = Microseconds::from_ms(request.deadline_ms);
     let job = Job {
@@ -99,7 +113,7 @@
         routed: Routed::default(),
         method,
         uri,
-        headers: from_fields(request.headers),
+        headers,
         organisation,
         deadline: entry.now().plus(deadline),
         prior_wait: Microseconds::ZERO,
--- a/crates/pinhaven-entry/src/request/forwarded.rs
+++ b/crates/pinhaven-entry/src/request/forwarded.rs
@@ -3,6 +3,7 @@
 //! A forwarded request is served like a caller's own and never forwarded again. What this entry certainly can't serve it
 //! declines, so that the other entry can ask a third one.
 
+use crate::callers::authentication::remove_credentials;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::RequestBody;
 use crate::callers::body::receive_body;
@@ -102,14 +103,19 @@
     if service.state.connectivity().is_lost() {
         return Err("it reaches no target either");
     }
-    let organisation = snapshot.organisation_of_message(&head.organisation, &routed)?;
+    let is_public = routed.config().is_some_and(|route| route.public);
+    let organisation = snapshot.organisation_of_message(&head.organisation, is_public)?;
+    let mut headers = from_fields(head.headers);
+    if snapshot.organisations.is_some() {
+        remove_credentials(entry, &mut headers);
+    }
     Ok(Forwarded {
         organisation,
         service,
         routed,
         method,
         uri,
-        headers: from_fields(head.headers),
+        headers,
         deadline: entry.now().plus(Microseconds::from_ms(head.left_ms)),
         prior_wait: Microseconds::from_ms(head.prior_wait_ms),
         attempts_max: head.attempts_max.max(1),
--- a/crates/pinhaven-entry/src/versions/snapshot.rs
+++ b/crates/pinhaven-entry/src/versions/snapshot.rs
@@ -5,7 +5,6 @@
 
 use crate::callers::routes::RouteEntry;
 use crate::callers::routes::RouteTable;
-use crate::callers::routes::Routed;
 use crate::versions::organisations::OrganisationIndex;
 use crate::versions::service_entry::ServiceEntry;
 use crate::versions::service_entry::build_service_entry;
@@ -115,7 +114,8 @@
             false => RouteTable::new(&bundle.hosts, &services, &previous.routes),
         };
         let by_key = index_by_key(&services);
-        let organisations = match is_same_body {
+        let is_same_list = is_same_body || previous.bundle().organisations == bundle.organisations;
+        let organisations = match is_same_list {
             true => previous.organisations.clone(),
             false => {
                 let listed = bundle.organisations.as_deref();
@@ -177,14 +177,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the reason if this version doesn't have the organisation, or requires one for the request's route.
+    /// Returns the reason if this version doesn't have the organisation, or requires one for a request whose route
+    /// is not public.
     pub(crate) fn organisation_of_message(
         &self,
         name: &str,
-        routed: &Routed,
+        is_public: bool,
     ) -> Result<Option<Arc<Organisation>>, &'static str> {
         if name.is_empty() {
-            let is_public = routed.config().is_some_and(|route| route.public);
             return match self.organisations.is_none() || is_public {
                 true => Ok(None),
                 false => Err("its version requires a key"),
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -69,6 +69,8 @@
     KeyBad,
     /// Requests refused because no organisation holds their key.
     KeyUnknown,
+    /// Relayed requests refused because the version here lacks the organisation that the sender's version has.
+    OrganisationUnknown,
     /// Requests refused because no bundle version is in force here.
     NotReady,
     /// Requests refused because the memory for bodies is used up.
@@ -151,7 +153,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 70] = [
+const COUNT_NAMES: [&str; 71] = [
     "requests",
     "answered",
     "addresses",
@@ -182,6 +184,7 @@
     "refused.key_required",
     "refused.bad_key",
     "refused.unknown_key",
+    "refused.organisation_unknown",
     "refused.not_ready",
     "refused.body_memory",
     "refused.key_missing",
--- a/crates/pinhaven-types/src/api_key.rs
+++ b/crates/pinhaven-types/src/api_key.rs
@@ -60,11 +60,32 @@
     }
 }
 
+/// Reason for which a text is not a key digest. Contains no part of the text, which may be a key by mistake.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+#[displaydoc("a key digest has 64 hexadecimal digits, as `pinhaven bundle key-digest` prints it")]
+pub struct ParseKeyDigestError;
+
+impl std::error::Error for ParseKeyDigestError {}
+
 /// SHA-256 digest of an [`ApiKey`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(try_from = "String", into = "String")]
 pub struct KeyDigest(Digest);
 
+impl TryFrom<String> for KeyDigest {
+    type Error = ParseKeyDigestError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> String {
+        digest.to_string()
+    }
+}
+
 impl fmt::Display for KeyDigest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(&self.0, f)
@@ -72,9 +93,9 @@
 }
 
 impl FromStr for KeyDigest {
-    type Err = <Digest as FromStr>::Err;
+    type Err = ParseKeyDigestError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        text.parse().map(Self)
+        text.parse().map(Self).map_err(|_| ParseKeyDigestError)
     }
 }
--- a/crates/pinhaven-types/src/lib.rs
+++ b/crates/pinhaven-types/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub use api_key::ApiKey;
 pub use api_key::KeyDigest;
+pub use api_key::ParseKeyDigestError;
 pub use api_key::ParseKeyError;
 pub use digest::Digest;
 pub use incarnation::Incarnation;
