Count requests per organisation and list them for operators

Cause: operators could not tell which organisation sends much, is late or is refused, nor why a key was refused. Change: an entry counts the requests of each organisation by their end, with reasons of refusals. Metrics and status name the 20 with the most requests and sum the others; `/organisations` on the peer address and `pinhaven organisations` list all. `explain` says what a refusal because of a key means. The present use is left to the limits.

--- a/crates/pinhaven-command/src/explain.rs
+++ b/crates/pinhaven-command/src/explain.rs
@@ -10,7 +10,14 @@
 /// Time before the request's first event from which state changes are shown, in seconds.
 const CONTEXT_BEFORE_S: f64 = 5.0;
 /// Facts in the header of the explanation, which the lines of the request don't repeat.
-const HEADER_FACTS: [&str; 5] = ["id", "instance", "route", "service", "version"];
+const HEADER_FACTS: [&str; 6] = [
+    "id",
+    "instance",
+    "route",
+    "service",
+    "version",
+    "organisation",
+];
 
 #[derive(Debug, Args)]
 pub(crate) struct ExplainArguments {
@@ -79,19 +86,29 @@
                 _ => false,
             }
     };
-    let mut explanation = vec![format!(
-        "request {id} at {}: route {}, service {}, version {}",
-        first.text("instance"),
-        first.text("route"),
-        first.text("service"),
-        first.text("version")
-    )];
+    let mut header = format!("request {id} at {}:", first.text("instance"));
+    // A request that was refused before its route was known has a version only.
+    let facts = ["route", "service", "version", "organisation"];
+    let known = facts.iter().map(|name| (name, first.text(name)));
+    let known = known.filter(|(_, value)| !value.is_empty());
+    let known: Vec<String> = known
+        .map(|(name, value)| format!("{name} {value}"))
+        .collect();
+    header.push(' ');
+    header.push_str(&known.join(", "));
+    let mut explanation = vec![header];
     let is_shown = |line: &&ReadLine| {
         line.text("id") == id || (is_about(line) && (from_s..=to_s).contains(&line.time_s))
     };
     let lines = lines.iter().filter(is_shown);
     let instance = first.text("instance");
     explanation.extend(lines.map(|line| describe(line, first.time_s, &instance)));
+    let reasons = own.iter().map(|line| line.text("reason"));
+    explanation.extend(
+        reasons
+            .filter_map(|reason| advice(&reason))
+            .map(ToOwned::to_owned),
+    );
     explanation
 }
 
@@ -118,3 +135,23 @@
     let (part, event) = (&line.part, &line.event);
     format!("{at_ms:+9.1} ms  {part} {event}  {}", shown_facts.join(" "))
 }
+
+/// What a refusal because of the request's key means; `None` for other reasons.
+fn advice(reason: &str) -> Option<&'static str> {
+    match reason {
+        "key_required" => {
+            Some("The request had no Authorization field, and its route is not public.")
+        }
+        "bad_key" => Some(
+            "The credentials were not one 'Bearer KEY' of at most 512 visible ASCII characters without spaces.",
+        ),
+        "unknown_key" => Some(
+            "No organisation of this version holds the key: compare `pinhaven bundle key-digest` with `key_digests` of \
+             the version, and look for a version that dropped it.",
+        ),
+        "organisation_unknown" => Some(
+            "The entry that took the request and the entry that had to run it had different versions.",
+        ),
+        _ => None,
+    }
+}
--- a/crates/pinhaven-command/src/lib.rs
+++ b/crates/pinhaven-command/src/lib.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod instances;
 mod logging;
+mod organisations;
 mod output;
 mod platform;
 mod report;
@@ -48,6 +49,8 @@
     Instances(instances::InstancesArguments),
     /// List the targets as the entries see them.
     Targets(targets::TargetsArguments),
+    /// List the organisations with their limits and requests, summed over the entries.
+    Organisations(organisations::OrganisationsArguments),
     /// Check settings.
     #[command(subcommand)]
     Settings(settings::SettingsCommand),
@@ -127,6 +130,7 @@
         Command::Report(arguments) => report::run(&arguments),
         Command::Instances(arguments) => instances::run(&arguments),
         Command::Targets(arguments) => targets::run(&arguments),
+        Command::Organisations(arguments) => organisations::run(&arguments),
         Command::Settings(command) => settings::run(&command),
         Command::Completions(arguments) => completions::run(&arguments),
     }
--- a/crates/pinhaven-command/src/platform.rs
+++ b/crates/pinhaven-command/src/platform.rs
@@ -90,11 +90,38 @@
     Ok(listed)
 }
 
+/// Peer addresses of the entries that the table service lists, or of an entry and the live entries that it knows.
+pub(crate) async fn list_peers(
+    table: Option<&HttpTableService>,
+    peer: Option<SocketAddr>,
+) -> Result<Vec<SocketAddr>, CommandError> {
+    if let Some(table) = table {
+        let rows = table.list(ENTRY_PREFIX).await?;
+        let rows = rows.iter().filter_map(parse_or_skip::<MemberRow>);
+        return Ok(rows.map(|row| row.peer_address).collect());
+    }
+    let Some(peer) = peer else {
+        return Ok(Vec::new());
+    };
+    let status = status_of(peer).await;
+    let status =
+        status.ok_or_else(|| CommandError::new(format!("the entry at {peer} does not answer")))?;
+    let live = status.members.iter().filter(|member| member.is_live);
+    let others = live.map(|member| member.row.peer_address);
+    Ok(std::iter::once(peer).chain(others).collect())
+}
+
 async fn status_of(peer: SocketAddr) -> Option<InstanceStatus> {
+    read_from_entry(peer, "/status").await
+}
+
+/// Reads a JSON document from the peer address of an entry; `None` if there is no valid answer.
+pub(crate) async fn read_from_entry<T: DeserializeOwned>(
+    peer: SocketAddr,
+    path: &str,
+) -> Option<T> {
     let client = HttpClient::new(peer, STATUS_TIMEOUT_MS);
-    let request = http::Request::get("/status")
-        .body(Default::default())
-        .ok()?;
+    let request = http::Request::get(path).body(Default::default()).ok()?;
     let answer = client.call(request).await.ok()?;
     serde_json::from_slice(answer.body()).ok()
 }
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -28,6 +28,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use pinhaven_agree::MemberState;
+use pinhaven_bundle::Organisation;
 use pinhaven_bundle::PathRoute;
 use pinhaven_record::Importance;
 use pinhaven_record::Trace;
@@ -117,13 +118,21 @@
     recorder.record_trace(trace, now_us, Importance::Failure, id, &facts);
 }
 
+/// A request that was assigned to a service and authenticated, and whose body has not arrived.
+struct Received {
+    head: Parts,
+    body: Incoming,
+    service: Arc<ServiceEntry>,
+    routed: Routed,
+    organisation: Option<Arc<Organisation>>,
+}
+
 async fn receive_request(
     entry: &Arc<Entry>,
     request: Request<Incoming>,
 ) -> Result<(Job, Option<BodyMemory>), Problem> {
     entry.wait_until_ready().await;
     let (mut head, body) = request.into_parts();
-    let caller = head.extensions.get::<CallerAddress>().copied();
     let snapshot = entry.snapshot.load();
     require_version(entry, &snapshot)?;
     let found = find_route(entry, &snapshot, &head);
@@ -136,58 +145,92 @@
         None => None,
     };
     drop(snapshot);
-    let (service, routed) = found?;
-    require_path(entry, &head)?;
-    let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
-    if routed.route.is_none() {
-        require_key(entry, &service, &head, has_key)?;
-    }
-    let is_repeatable = match routed.config() {
-        Some(route) => route.kind.is_repeatable(),
-        None => service
-            .config
-            .is_repeatable(head.method.as_str(), head.uri.path()),
-    };
-    let facts = read_caller(entry, &head.headers)?;
-    let deadline = entry
-        .now()
-        .plus(holding_time(&facts, routed.config(), &service));
-    let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
-    let limits = body_limits(entry, &service, keeps_key);
-    let declared_bytes = body.size_hint().exact();
-    let body = body.map_err(Into::into).boxed_unsync();
-    let received = async { Some(receive_body(entry, body, declared_bytes, limits).await) };
-    let out_of_time = async {
-        async_io::Timer::at(entry.clock.instant_of(deadline)).await;
-        None
-    };
-    let Some(received) = futures_lite::future::or(received, out_of_time).await else {
-        entry.counters.add(Count::BodyCut);
-        return Err(Problem::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_slow",
-            "the body had not come by the deadline",
-        ));
-    };
-    let (body, memory) = received?;
-    let job = Job {
-        entry: Arc::clone(entry),
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
-        organisation,
-        deadline,
-        prior_wait: prior_wait(&facts, &routed),
-        is_repeatable,
-        is_forwarded: false,
-        attempts_max: attempts_max(&facts, routed.config()),
-        body,
-        service,
-        routed,
-        caller,
-        fingerprints: OnceLock::new(),
+    let of_organisation = organisation.clone();
+    let received = match found {
+        Ok((service, routed)) => {
+            let received = Received {
+                head,
+                body,
+                service,
+                routed,
+                organisation,
+            };
+            received.into_job(entry).await
+        }
+        Err(problem) => Err(problem),
     };
-    Ok((job, memory))
+    received.inspect_err(|problem| {
+        if let Some(organisation) = of_organisation {
+            entry
+                .organisation_counters
+                .record_problem(&organisation, problem);
+        }
+    })
+}
+
+impl Received {
+    /// Checks the header and receives the body.
+    async fn into_job(self, entry: &Arc<Entry>) -> Result<(Job, Option<BodyMemory>), Problem> {
+        let Self {
+            head,
+            body,
+            service,
+            routed,
+            organisation,
+        } = self;
+        let caller = head.extensions.get::<CallerAddress>().copied();
+        require_path(entry, &head)?;
+        let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
+        if routed.route.is_none() {
+            require_key(entry, &service, &head, has_key)?;
+        }
+        let is_repeatable = match routed.config() {
+            Some(route) => route.kind.is_repeatable(),
+            None => service
+                .config
+                .is_repeatable(head.method.as_str(), head.uri.path()),
+        };
+        let facts = read_caller(entry, &head.headers)?;
+        let deadline = entry
+            .now()
+            .plus(holding_time(&facts, routed.config(), &service));
+        let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
+        let limits = body_limits(entry, &service, keeps_key);
+        let declared_bytes = body.size_hint().exact();
+        let body = body.map_err(Into::into).boxed_unsync();
+        let received = async { Some(receive_body(entry, body, declared_bytes, limits).await) };
+        let out_of_time = async {
+            async_io::Timer::at(entry.clock.instant_of(deadline)).await;
+            None
+        };
+        let Some(received) = futures_lite::future::or(received, out_of_time).await else {
+            entry.counters.add(Count::BodyCut);
+            return Err(Problem::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_slow",
+                "the body had not come by the deadline",
+            ));
+        };
+        let (body, memory) = received?;
+        let job = Job {
+            entry: Arc::clone(entry),
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            organisation,
+            deadline,
+            prior_wait: prior_wait(&facts, &routed),
+            is_repeatable,
+            is_forwarded: false,
+            attempts_max: attempts_max(&facts, routed.config()),
+            body,
+            service,
+            routed,
+            caller,
+            fingerprints: OnceLock::new(),
+        };
+        Ok((job, memory))
+    }
 }
 
 /// How long the entry works on a request: at most the timeout of the request's route, and short enough
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -13,6 +13,7 @@
 use crate::watch::counters::Count;
 use crate::watch::counters::Counters;
 use crate::watch::latencies::Latencies;
+use crate::watch::organisations::OrganisationCounters;
 use crate::wire::dialect::Dialect;
 use arc_swap::ArcSwap;
 use parking_lot::Mutex;
@@ -183,6 +184,7 @@
     pub(crate) objects: HttpObjectStore,
     pub(crate) peers: PeerClients,
     pub(crate) counters: Counters,
+    pub(crate) organisation_counters: OrganisationCounters,
     pub(crate) request_times: Latencies,
     pub(crate) attempt_times: Latencies,
     /// How long the entries named in address answers had been silent.
@@ -278,6 +280,7 @@
             objects: HttpObjectStore::new(settings.object_address, timeout_ms),
             peers: PeerClients::new(),
             counters: Counters::new(),
+            organisation_counters: OrganisationCounters::default(),
             request_times: Latencies::new("pinhaven_request_ms", "route"),
             attempt_times: Latencies::new("pinhaven_attempt_ms", "target"),
             named_silences: Latencies::new("pinhaven_named_silence_ms", "last_source"),
--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -32,6 +32,8 @@
 pub use error::EntryError;
 pub use error::EntryStep;
 pub use start::run_entry;
+pub use watch::organisations::OrganisationCounts;
+pub use watch::organisations::OrganisationStatus;
 pub use watch::status::InstanceStatus;
 pub use watch::status::MemberStatus;
 pub use watch::status::PromiseStatus;
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -208,7 +208,7 @@
     }
 
     fn refuse(&mut self, refusal: Refusal) -> Response<AnyBody> {
-        self.outcome = Outcome::Refused;
+        self.outcome = Outcome::Refused(refusal.reason);
         self.job.entry.counters.add_refusal(refusal.reason);
         let problem = Problem::from(refusal);
         self.add_trace(TraceEvent::Refused {
@@ -266,8 +266,9 @@
     fn record_latency(&self) {
         let route = self.job.routed.config().map(|route| route.name.as_str());
         let elapsed = self.job.entry.now().saturating_sub(self.started_at);
-        let times = &self.job.entry.request_times;
-        let outcome = self.outcome.name();
+        let entry = &self.job.entry;
+        entry.count_for_organisation(self.job, self.outcome, elapsed);
+        let (times, outcome) = (&entry.request_times, self.outcome.name());
         times.record(route.unwrap_or_default(), outcome, elapsed.as_ms() as u64);
     }
 
--- a/crates/pinhaven-entry/src/request/record_context.rs
+++ b/crates/pinhaven-entry/src/request/record_context.rs
@@ -9,7 +9,7 @@
 /// Id of a request, with the route, service and configuration version that its record lines name.
 pub(crate) struct RecordContext {
     id: String,
-    facts: [(&'static str, String); 3],
+    facts: Vec<(&'static str, String)>,
 }
 
 impl RecordContext {
@@ -20,13 +20,17 @@
         let route = route.map_or_else(String::new, |route| route.name.to_string());
         let version = job.entry.snapshot.load().version.to_string();
         let id = job.entry.dialect.request_id(&job.headers);
+        let mut facts = vec![
+            ("route", route),
+            ("service", job.service.config.name.to_string()),
+            ("version", version),
+        ];
+        if job.organisation.is_some() {
+            facts.push(("organisation", job.organisation_name()));
+        }
         Some(Self {
             id: id.unwrap_or_default(),
-            facts: [
-                ("route", route),
-                ("service", job.service.config.name.to_string()),
-                ("version", version),
-            ],
+            facts,
         })
     }
 
--- a/crates/pinhaven-entry/src/start.rs
+++ b/crates/pinhaven-entry/src/start.rs
@@ -15,6 +15,7 @@
 use crate::targets::listed_targets;
 use crate::watch::metrics;
 use crate::watch::metrics_text;
+use crate::watch::organisations;
 use crate::watch::status;
 use async_signal::Signal;
 use async_signal::Signals;
@@ -147,6 +148,7 @@
 ) -> Response<AnyBody> {
     match request.uri().path() {
         status::PATH => return status::answer(entry),
+        organisations::PATH => return organisations::answer(entry),
         metrics_text::PATH => return Response::new(whole_body(metrics_text::text(entry))),
         listed_targets::TARGETS_PATH => return listed_targets::answer_targets(entry),
         listed_targets::TARGET_STEPS_PATH => {
--- a/crates/pinhaven-entry/src/versions/bundles.rs
+++ b/crates/pinhaven-entry/src/versions/bundles.rs
@@ -247,7 +247,10 @@
         if self.version.lock().put_in_force(verified).is_err() {
             return true;
         }
+        let organisations = next.organisations.clone();
         self.store_snapshot(next);
+        self.organisation_counters
+            .retain_listed(organisations.as_deref());
         self.share_added_attempts();
         if previous.version > BundleVersion::NONE {
             let delta = BundleDelta::between(previous.bundle(), body.bundle());
--- a/crates/pinhaven-entry/src/watch/latencies.rs
+++ b/crates/pinhaven-entry/src/watch/latencies.rs
@@ -2,6 +2,7 @@
 
 use hdrhistogram::Histogram;
 use parking_lot::Mutex;
+use pinhaven_decide::RefusalReason;
 use std::collections::BTreeMap;
 
 /// Maximum duration that histograms distinguish, in milliseconds; the timeouts of routes are shorter.
@@ -17,12 +18,12 @@
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.99, 0.999];
 
 /// Outcome of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
     /// A target's answer was passed on to the caller.
     Answered,
     /// The request was refused or abandoned.
-    Refused,
+    Refused(RefusalReason),
     /// The caller disconnected before its answer was complete.
     CallerLeft,
 }
@@ -31,7 +32,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Answered => "answered",
-            Self::Refused => "refused",
+            Self::Refused(_) => "refused",
             Self::CallerLeft => "caller_left",
         }
     }
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -1,6 +1,7 @@
 //! Metrics in the Prometheus text exposition format.
 
 use crate::entry::Entry;
+use crate::watch::organisations;
 use crate::watch::status;
 use pinhaven_types::Promise;
 use pinhaven_types::promise_check_count;
@@ -32,6 +33,7 @@
     lines.extend(store_call_lines(entry));
     lines.extend(gauges(entry));
     lines.extend(service_lines(entry));
+    lines.extend(organisations::metric_lines(entry));
     lines.extend(record_lines(entry));
     lines.extend(entry.request_times.lines());
     lines.extend(entry.attempt_times.lines());
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -3,6 +3,7 @@
 //! `GET /status` returns an [`InstanceStatus`]; the `instances`, `targets` and `bundle status` commands read it.
 
 use crate::entry::Entry;
+use crate::watch::organisations::OrganisationStatus;
 use http::Response;
 use http::StatusCode;
 use pinhaven_agree::MemberRow;
@@ -44,6 +45,9 @@
     pub drained_domains: BTreeSet<FailureDomain>,
     /// Other entries as this entry sees them.
     pub members: Vec<MemberStatus>,
+    /// Organisations with the most requests of this entry; the others are summed.
+    #[serde(default)]
+    pub organisations: Vec<OrganisationStatus>,
     /// Services and their targets as this entry sees them.
     pub services: Vec<ServiceStatus>,
 }
@@ -180,6 +184,7 @@
         promises: promises(),
         drained_domains: entry.drained_domains(),
         members: peers,
+        organisations: OrganisationStatus::largest(entry.organisations()),
         services: services_of(entry),
     }
 }
--- a/crates/pinhaven-lab/tests/command_line.rs
+++ b/crates/pinhaven-lab/tests/command_line.rs
@@ -5,10 +5,12 @@
 use common::run_serially;
 use common::start_default_lab;
 use pinhaven_lab::Process;
+use std::io::Write as _;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::process::Stdio;
 
 /// Runs the program `pinhaven` and returns its output.
 fn pinhaven(args: &[&str]) -> Output {
@@ -226,3 +228,50 @@
     assert!(printed.contains(expected), "{printed}");
     assert!(!printed.contains("BEHIND: e1"), "{printed}");
 }
+
+#[test]
+fn the_digest_of_a_key_is_printed_and_a_text_that_is_no_key_is_not_repeated() {
+    let digest_of = |input: &str| {
+        let mut command = Command::new(Process::program("pinhaven"));
+        command.args(["bundle", "key-digest"]);
+        command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        child
+            .stdin
+            .take()
+            .unwrap()
+            .write_all(input.as_bytes())
+            .unwrap();
+        child.wait_with_output().unwrap()
+    };
+    // SHA-256 of "abc" from FIPS 180-2.
+    let expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad\n";
+    for input in ["abc", "abc\n", "abc\r\n"] {
+        assert_eq!(text(&digest_of(input).stdout), expected);
+    }
+    let long = "k".repeat(513);
+    for input in ["", "\n", "secret key\n", "secret\n\n", &long] {
+        let output = digest_of(input);
+        assert_eq!(output.status.code(), Some(1), "{input:?}");
+        assert_eq!(text(&output.stdout), "");
+        assert!(!text(&output.stderr).contains("secret"), "{input:?}");
+    }
+}
+
+#[test]
+fn a_request_that_was_refused_for_its_key_is_explained() {
+    let records = r#"{"time_s": 11.0, "part": "request", "event": "refused", "id": "r-1", "instance": "e1",
+        "reason": "unknown_key", "run": "not-run", "status": 401, "version": "7"}"#;
+    let file = write_file("refused-key.log", &records.replace('\n', ""));
+    let output = pinhaven(&["explain", "r-1", &file.display().to_string()]);
+    let printed = text(&output.stdout);
+    assert!(
+        printed.contains("request r-1 at e1: version 7\n"),
+        "{printed}"
+    );
+    assert!(printed.contains("reason=unknown_key"), "{printed}");
+    assert!(printed.contains("pinhaven bundle key-digest"), "{printed}");
+}
--- a/crates/pinhaven-types/tests/types.rs
+++ b/crates/pinhaven-types/tests/types.rs
@@ -1,7 +1,9 @@
 //! Parsing and formatting of names, quantities and ids, and counting of promise checks.
 
+use pinhaven_types::ApiKey;
 use pinhaven_types::Digest;
 use pinhaven_types::Incarnation;
+use pinhaven_types::KeyDigest;
 use pinhaven_types::Percent;
 use pinhaven_types::Promise;
 use pinhaven_types::ServiceName;
@@ -77,3 +79,27 @@
         assert!(bad.parse::<TargetIncarnation>().is_err(), "{bad:?}");
     }
 }
+
+#[test]
+fn a_key_is_visible_ascii_and_shows_nowhere() {
+    let longest = "k".repeat(512);
+    for good in ["k", "a.b_c-~!\"", &longest] {
+        let key: ApiKey = good.parse().unwrap();
+        assert_eq!(
+            key.digest().to_string(),
+            Digest::of(good.as_bytes()).to_string()
+        );
+        assert_eq!(format!("{key:?}"), "ApiKey(..)");
+    }
+    let long = "k".repeat(513);
+    for bad in ["", " ", "a b", "a\t", "caf\u{e9}", "\u{7f}", &long] {
+        assert!(bad.parse::<ApiKey>().is_err(), "{bad:?}");
+    }
+    let error = "a-key-in-place-of-a-digest"
+        .parse::<KeyDigest>()
+        .unwrap_err();
+    assert!(
+        !format!("{error} {error:?}").contains("in-place"),
+        "{error}"
+    );
+}
