--- a/crates/pinhaven-bundle/src/check.rs
+++ b/crates/pinhaven-bundle/src/check.rs
@@ -127,7 +127,7 @@
                 self.require(
                     digests.insert(digest),
                     &format!("{at}.key_digests[{key_index}]"),
-                    "this key is listed already, so that its requests would belong to two organisations",
+                    "this key is listed already",
                     "list each key once, and give each organisation keys of its own",
                 );
             }
--- a/crates/pinhaven-lab/tests/keys.rs
+++ b/crates/pinhaven-lab/tests/keys.rs
@@ -200,7 +200,7 @@
                 .unwrap();
             assert_eq!(response.status(), status, "{credentials:?}");
         }
-        let heads = heads.lock().unwrap();
+        let heads = heads.lock().unwrap().clone();
         assert_eq!(heads.len(), 1, "{heads:?}");
         assert!(
             !heads[0].contains("authorization") && !heads[0].contains(KEY),
