Check keys before a service is chosen

Cause: a request without a valid key took a turn in the split of its route and was counted as unknown_service as well. Change: the route is looked up for its public flag only, and only where no organisation holds the key.

--- a/crates/pinhaven-entry/src/callers/authentication.rs
+++ b/crates/pinhaven-entry/src/callers/authentication.rs
@@ -7,16 +7,27 @@
 use crate::entry::Entry;
 use crate::versions::organisations::OrganisationIndex;
 use crate::watch::counters::Count;
+use crate::wire::dialect::BadField;
 use crate::wire::problem::Problem;
 use http::HeaderMap;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
 use pinhaven_bundle::Organisation;
-use pinhaven_bundle::PathRoute;
+use pinhaven_types::ApiKey;
 use std::sync::Arc;
 
-/// Removes the credentials from a request's header and returns the organisation that holds them; `None` if the request
-/// belongs to no organisation, which only requests of public routes may do.
+/// Key of a request: none, one, or malformed credentials.
+pub(crate) type Credentials = Result<Option<ApiKey>, BadField>;
+
+/// Removes the credentials from a request's header and returns them.
+pub(crate) fn take_credentials(entry: &Entry, headers: &mut HeaderMap) -> Credentials {
+    let key = entry.dialect.read_key(headers);
+    remove_credentials(entry, headers);
+    key
+}
+
+/// Returns the organisation that holds the key; `None` if the request belongs to no organisation, which only requests of
+/// public routes may do.
 ///
 /// # Errors
 ///
@@ -24,11 +35,9 @@
 pub(crate) fn authenticate(
     entry: &Entry,
     organisations: &OrganisationIndex,
-    route: Option<&PathRoute>,
-    headers: &mut HeaderMap,
+    key: Credentials,
+    is_public: impl FnOnce() -> bool,
 ) -> Result<Option<Arc<Organisation>>, Problem> {
-    let key = entry.dialect.read_key(headers);
-    remove_credentials(entry, headers);
     let holder = match &key {
         Ok(Some(key)) => organisations.holder(key),
         Ok(None) | Err(_) => None,
@@ -36,7 +45,7 @@
     if let Some(holder) = holder {
         return Ok(Some(Arc::clone(holder)));
     }
-    if route.is_some_and(|route| route.public) {
+    if is_public() {
         return Ok(None);
     }
     let (count, reason, detail) = match key {
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::address;
 use crate::callers::authentication::authenticate;
+use crate::callers::authentication::take_credentials;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::receive_body;
 use crate::callers::job::Job;
@@ -135,15 +136,17 @@
     let (mut head, body) = request.into_parts();
     let snapshot = entry.snapshot.load();
     require_version(entry, &snapshot)?;
-    let found = find_route(entry, &snapshot, &head);
     let organisation = match &snapshot.organisations {
-        // Callers without a key don't learn which hosts and paths have routes.
+        // Before a service is found: callers without a key neither learn which paths have routes, nor take a turn in the
+        // split of a route.
         Some(organisations) => {
-            let route = found.as_ref().ok().and_then(|(_, routed)| routed.config());
-            authenticate(entry, organisations, route, &mut head.headers)?
+            let credentials = take_credentials(entry, &mut head.headers);
+            let is_public = || is_public(&snapshot, &head);
+            authenticate(entry, organisations, credentials, is_public)?
         }
         None => None,
     };
+    let found = find_route(entry, &snapshot, &head);
     drop(snapshot);
     let of_organisation = organisation.clone();
     let received = match found {
@@ -336,6 +339,12 @@
     ))
 }
 
+/// Whether the route of a request needs no key.
+fn is_public(snapshot: &Snapshot, head: &Parts) -> bool {
+    let route = host_of(head).and_then(|host| snapshot.route_for(host, head.uri.path()));
+    route.is_some_and(|route| route.config.public)
+}
+
 fn find_route(
     entry: &Entry,
     snapshot: &Snapshot,
