Name the organisation in records of refusals before dispatch

Cause: a request refused for its body or path was recorded without the organisation that its key named. Change: the refusal carries the organisation to the record and to the counts.

--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -66,8 +66,9 @@
     let is_keyed = request.headers().contains_key(header::IDEMPOTENCY_KEY);
     let keyed_sending = is_keyed.then(|| execute::sending_of(request.headers()));
     let mut response = match receive_request(&entry, request).await {
-        Err(problem) => {
-            record_problem(&entry, id.as_deref(), &problem);
+        Err(rejected) => {
+            record_rejected(&entry, id.as_deref(), &rejected);
+            let problem = rejected.problem;
             match keyed_sending {
                 Some(sending) => execute::downgrade_unproven(sending, problem).into_response(),
                 None => problem.into_response(),
@@ -97,8 +98,32 @@
     response
 }
 
-/// Records a request that was refused before a target was chosen.
-fn record_problem(entry: &Entry, id: Option<&str>, problem: &Problem) {
+/// A request that was refused before it was dispatched.
+struct Rejected {
+    problem: Problem,
+    /// Organisation of the caller, if it is known.
+    organisation: Option<Arc<Organisation>>,
+}
+
+impl From<Problem> for Rejected {
+    fn from(problem: Problem) -> Self {
+        Self {
+            problem,
+            organisation: None,
+        }
+    }
+}
+
+/// Counts and records a request that was refused before it was dispatched.
+fn record_rejected(entry: &Entry, id: Option<&str>, rejected: &Rejected) {
+    let Rejected {
+        problem,
+        organisation,
+    } = rejected;
+    if let Some(organisation) = organisation {
+        let counters = &entry.organisation_counters;
+        counters.record_problem(organisation, problem);
+    }
     let Some(recorder) = &entry.recorder else {
         return;
     };
@@ -114,7 +139,10 @@
         targets: None,
     };
     trace.add(now_us, event);
-    let facts = [("version", entry.snapshot.load().version.to_string())];
+    let mut facts = vec![("version", entry.snapshot.load().version.to_string())];
+    if let Some(organisation) = organisation {
+        facts.push(("organisation", organisation.name.to_string()));
+    }
     let id = id.unwrap_or_default();
     recorder.record_trace(trace, now_us, Importance::Failure, id, &facts);
 }
@@ -131,7 +159,7 @@
 async fn receive_request(
     entry: &Arc<Entry>,
     request: Request<Incoming>,
-) -> Result<(Job, Option<BodyMemory>), Problem> {
+) -> Result<(Job, Option<BodyMemory>), Rejected> {
     entry.wait_until_ready().await;
     let (mut head, body) = request.into_parts();
     let snapshot = entry.snapshot.load();
@@ -148,27 +176,19 @@
     };
     let found = find_route(entry, &snapshot, &head);
     drop(snapshot);
-    let of_organisation = organisation.clone();
-    let received = match found {
-        Ok((service, routed)) => {
-            let received = Received {
-                head,
-                body,
-                service,
-                routed,
-                organisation,
-            };
-            received.into_job(entry).await
-        }
-        Err(problem) => Err(problem),
+    let reject = |problem| Rejected {
+        problem,
+        organisation: organisation.clone(),
     };
-    received.inspect_err(|problem| {
-        if let Some(organisation) = of_organisation {
-            entry
-                .organisation_counters
-                .record_problem(&organisation, problem);
-        }
-    })
+    let (service, routed) = found.map_err(reject)?;
+    let received = Received {
+        head,
+        body,
+        service,
+        routed,
+        organisation: organisation.clone(),
+    };
+    received.into_job(entry).await.map_err(reject)
 }
 
 impl Received {
