--- a/crates/pinhaven-lab/tests/keys.rs
+++ b/crates/pinhaven-lab/tests/keys.rs
@@ -135,6 +135,13 @@
             .map(|status| status.counters["once.relayed"])
             .sum();
         assert!(relayed > 0, "no request was relayed");
+        let words = ["organisations", "--format", "json"];
+        let listed: Value = serde_json::from_str(&lab.command(&words).unwrap()).unwrap();
+        // Each request is counted once, at its home, and not by the entry that relayed it.
+        assert_eq!(
+            (&listed[0]["name"], &listed[0]["in_aim"]),
+            (&json!("acme"), &json!(9))
+        );
         let heads = heads.lock().unwrap();
         assert_eq!(heads.len(), 9, "each request runs once");
         for head in heads.iter() {
