--- a/crates/pinhaven-entry/src/callers/authentication.rs
+++ b/crates/pinhaven-entry/src/callers/authentication.rs
@@ -4,19 +4,30 @@
 //! anything else reads its header fields, so that no attempt, relay, record or fingerprint contains them. Attempts
 //! carry the name of the organisation instead, and whatever the caller sent in that field is removed too.
 
-use crate::callers::routes::Routed;
 use crate::entry::Entry;
 use crate::versions::organisations::OrganisationIndex;
 use crate::watch::counters::Count;
+use crate::wire::dialect::BadField;
 use crate::wire::problem::Problem;
 use http::HeaderMap;
 use http::StatusCode;
 use http::header::AUTHORIZATION;
 use pinhaven_bundle::Organisation;
+use pinhaven_types::ApiKey;
 use std::sync::Arc;
 
-/// Removes the credentials from a request's header and returns the organisation that holds them; `None` if the request
-/// belongs to no organisation, which only requests of public routes may do.
+/// Key of a request: none, one, or malformed credentials.
+pub(crate) type Credentials = Result<Option<ApiKey>, BadField>;
+
+/// Removes the credentials from a request's header and returns them.
+pub(crate) fn take_credentials(entry: &Entry, headers: &mut HeaderMap) -> Credentials {
+    let key = entry.dialect.read_key(headers);
+    remove_credentials(entry, headers);
+    key
+}
+
+/// Returns the organisation that holds the key; `None` if the request belongs to no organisation, which only requests of
+/// public routes may do.
 ///
 /// # Errors
 ///
@@ -24,12 +35,9 @@
 pub(crate) fn authenticate(
     entry: &Entry,
     organisations: &OrganisationIndex,
-    routed: &Routed,
-    headers: &mut HeaderMap,
+    key: Credentials,
+    is_public: impl FnOnce() -> bool,
 ) -> Result<Option<Arc<Organisation>>, Problem> {
-    let key = entry.dialect.read_key(headers);
-    headers.remove(AUTHORIZATION);
-    headers.remove(entry.dialect.organisation_field());
     let holder = match &key {
         Ok(Some(key)) => organisations.holder(key),
         Ok(None) | Err(_) => None,
@@ -37,7 +45,7 @@
     if let Some(holder) = holder {
         return Ok(Some(Arc::clone(holder)));
     }
-    if routed.config().is_some_and(|route| route.public) {
+    if is_public() {
         return Ok(None);
     }
     let (count, reason, detail) = match key {
@@ -56,3 +64,10 @@
     entry.counters.add(count);
     Err(Problem::not_run(StatusCode::UNAUTHORIZED, reason, detail))
 }
+
+/// Removes the fields that belong to the entry where the version in force lists organisations: the key, and the name
+/// of the organisation. Messages of entries that don't know of organisations yet still contain what the caller sent.
+pub(crate) fn remove_credentials(entry: &Entry, headers: &mut HeaderMap) {
+    headers.remove(AUTHORIZATION);
+    headers.remove(entry.dialect.organisation_field());
+}
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::address;
 use crate::callers::authentication::authenticate;
+use crate::callers::authentication::take_credentials;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::receive_body;
 use crate::callers::job::Job;
@@ -28,12 +29,14 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use pinhaven_agree::MemberState;
+use pinhaven_bundle::Organisation;
 use pinhaven_bundle::PathRoute;
 use pinhaven_record::Importance;
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::CallerAddress;
+use pinhaven_types::BundleVersion;
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -61,12 +64,13 @@
         .as_ref()
         .and_then(|_| entry.dialect.request_id(request.headers()));
     let is_keyed = request.headers().contains_key(header::IDEMPOTENCY_KEY);
-    let keyed_headers = is_keyed.then(|| request.headers().clone());
+    let keyed_sending = is_keyed.then(|| execute::sending_of(request.headers()));
     let mut response = match receive_request(&entry, request).await {
-        Err(problem) => {
-            record_problem(&entry, id.as_deref(), &problem);
-            match keyed_headers {
-                Some(headers) => execute::downgrade_unproven(&headers, problem).into_response(),
+        Err(rejected) => {
+            record_rejected(&entry, id.as_deref(), &rejected);
+            let problem = rejected.problem;
+            match keyed_sending {
+                Some(sending) => execute::downgrade_unproven(sending, problem).into_response(),
                 None => problem.into_response(),
             }
         }
@@ -94,8 +98,32 @@
     response
 }
 
-/// Records a request that was refused before a target was chosen.
-fn record_problem(entry: &Entry, id: Option<&str>, problem: &Problem) {
+/// A request that was refused before it was dispatched.
+struct Rejected {
+    problem: Problem,
+    /// Organisation of the caller, if it is known.
+    organisation: Option<Arc<Organisation>>,
+}
+
+impl From<Problem> for Rejected {
+    fn from(problem: Problem) -> Self {
+        Self {
+            problem,
+            organisation: None,
+        }
+    }
+}
+
+/// Counts and records a request that was refused before it was dispatched.
+fn record_rejected(entry: &Entry, id: Option<&str>, rejected: &Rejected) {
+    let Rejected {
+        problem,
+        organisation,
+    } = rejected;
+    if let Some(organisation) = organisation {
+        let counters = &entry.organisation_counters;
+        counters.record_problem(organisation, problem);
+    }
     let Some(recorder) = &entry.recorder else {
         return;
     };
@@ -111,76 +139,121 @@
         targets: None,
     };
     trace.add(now_us, event);
-    let facts = [("version", entry.snapshot.load().version.to_string())];
+    let mut facts = vec![("version", entry.snapshot.load().version.to_string())];
+    if let Some(organisation) = organisation {
+        facts.push(("organisation", organisation.name.to_string()));
+    }
     let id = id.unwrap_or_default();
     recorder.record_trace(trace, now_us, Importance::Failure, id, &facts);
 }
 
+/// A request that was assigned to a service and authenticated, and whose body has not arrived.
+struct Received {
+    head: Parts,
+    body: Incoming,
+    service: Arc<ServiceEntry>,
+    routed: Routed,
+    organisation: Option<Arc<Organisation>>,
+}
+
 async fn receive_request(
     entry: &Arc<Entry>,
     request: Request<Incoming>,
-) -> Result<(Job, Option<BodyMemory>), Problem> {
+) -> Result<(Job, Option<BodyMemory>), Rejected> {
     entry.wait_until_ready().await;
     let (mut head, body) = request.into_parts();
-    let caller = head.extensions.get::<CallerAddress>().copied();
     let snapshot = entry.snapshot.load();
-    let (service, routed) = find_route(entry, &snapshot, &head)?;
+    require_version(entry, &snapshot)?;
     let organisation = match &snapshot.organisations {
-        Some(organisations) => authenticate(entry, organisations, &routed, &mut head.headers)?,
+        // Before a service is found: callers without a key neither learn which paths have routes, nor take a turn in the
+        // split of a route.
+        Some(organisations) => {
+            let credentials = take_credentials(entry, &mut head.headers);
+            let is_public = || is_public(&snapshot, &head);
+            authenticate(entry, organisations, credentials, is_public)?
+        }
         None => None,
     };
+    let found = find_route(entry, &snapshot, &head);
     drop(snapshot);
-    require_path(entry, &head)?;
-    let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
-    if routed.route.is_none() {
-        require_key(entry, &service, &head, has_key)?;
-    }
-    let is_repeatable = match routed.config() {
-        Some(route) => route.kind.is_repeatable(),
-        None => service
-            .config
-            .is_repeatable(head.method.as_str(), head.uri.path()),
-    };
-    let facts = read_caller(entry, &head.headers)?;
-    let deadline = entry
-        .now()
-        .plus(holding_time(&facts, routed.config(), &service));
-    let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
-    let limits = body_limits(entry, &service, keeps_key);
-    let declared_bytes = body.size_hint().exact();
-    let body = body.map_err(Into::into).boxed_unsync();
-    let received = async { Some(receive_body(entry, body, declared_bytes, limits).await) };
-    let out_of_time = async {
-        async_io::Timer::at(entry.clock.instant_of(deadline)).await;
-        None
-    };
-    let Some(received) = futures_lite::future::or(received, out_of_time).await else {
-        entry.counters.add(Count::BodyCut);
-        return Err(Problem::not_run(
-            StatusCode::REQUEST_TIMEOUT,
-            "body_slow",
-            "the body had not come by the deadline",
-        ));
+    let reject = |problem| Rejected {
+        problem,
+        organisation: organisation.clone(),
     };
-    let (body, memory) = received?;
-    let job = Job {
-        entry: Arc::clone(entry),
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
-        organisation,
-        deadline,
-        prior_wait: prior_wait(&facts, &routed),
-        is_repeatable,
-        is_forwarded: false,
-        attempts_max: attempts_max(&facts, routed.config()),
+    let (service, routed) = found.map_err(reject)?;
+    let received = Received {
+        head,
         body,
         service,
         routed,
-        caller,
-        fingerprints: OnceLock::new(),
+        organisation: organisation.clone(),
     };
-    Ok((job, memory))
+    received.into_job(entry).await.map_err(reject)
+}
+
+impl Received {
+    /// Checks the header and receives the body.
+    async fn into_job(self, entry: &Arc<Entry>) -> Result<(Job, Option<BodyMemory>), Problem> {
+        let Self {
+            head,
+            body,
+            service,
+            routed,
+            organisation,
+        } = self;
+        let caller = head.extensions.get::<CallerAddress>().copied();
+        require_path(entry, &head)?;
+        let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
+        if routed.route.is_none() {
+            require_key(entry, &service, &head, has_key)?;
+        }
+        let is_repeatable = match routed.config() {
+            Some(route) => route.kind.is_repeatable(),
+            None => service
+                .config
+                .is_repeatable(head.method.as_str(), head.uri.path()),
+        };
+        let facts = read_caller(entry, &head.headers)?;
+        let deadline = entry
+            .now()
+            .plus(holding_time(&facts, routed.config(), &service));
+        let keeps_key = entry.keeps_once_keys() && has_key && !is_repeatable;
+        let limits = body_limits(entry, &service, keeps_key);
+        let declared_bytes = body.size_hint().exact();
+        let body = body.map_err(Into::into).boxed_unsync();
+        let received = async { Some(receive_body(entry, body, declared_bytes, limits).await) };
+        let out_of_time = async {
+            async_io::Timer::at(entry.clock.instant_of(deadline)).await;
+            None
+        };
+        let Some(received) = futures_lite::future::or(received, out_of_time).await else {
+            entry.counters.add(Count::BodyCut);
+            return Err(Problem::not_run(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_slow",
+                "the body had not come by the deadline",
+            ));
+        };
+        let (body, memory) = received?;
+        let job = Job {
+            entry: Arc::clone(entry),
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            organisation,
+            deadline,
+            prior_wait: prior_wait(&facts, &routed),
+            is_repeatable,
+            is_forwarded: false,
+            attempts_max: attempts_max(&facts, routed.config()),
+            body,
+            service,
+            routed,
+            caller,
+            fingerprints: OnceLock::new(),
+        };
+        Ok((job, memory))
+    }
 }
 
 /// How long the entry works on a request: at most the timeout of the request's route, and short enough
@@ -273,6 +346,25 @@
     authority.or_else(|| head.headers.get(http::header::HOST)?.to_str().ok())
 }
 
+/// Refuses requests that come before any version is in force.
+fn require_version(entry: &Entry, snapshot: &Snapshot) -> Result<(), Problem> {
+    if snapshot.version > BundleVersion::NONE {
+        return Ok(());
+    }
+    entry.counters.add(Count::NotReady);
+    Err(Problem::not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "not_ready",
+        "this entry does not know the version in force yet",
+    ))
+}
+
+/// Whether the route of a request needs no key.
+fn is_public(snapshot: &Snapshot, head: &Parts) -> bool {
+    let route = host_of(head).and_then(|host| snapshot.route_for(host, head.uri.path()));
+    route.is_some_and(|route| route.config.public)
+}
+
 fn find_route(
     entry: &Entry,
     snapshot: &Snapshot,
@@ -286,14 +378,6 @@
             "the request names no host",
         ));
     };
-    if snapshot.version == pinhaven_types::BundleVersion::NONE {
-        entry.counters.add(Count::NotReady);
-        return Err(Problem::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "not_ready",
-            "this entry does not know the version in force yet",
-        ));
-    }
     if let Some(route) = snapshot.route_for(host, head.uri.path()) {
         let service = Arc::clone(route.next_service());
         let route = Some(Arc::clone(route));
