Emulate failure domains and count what crosses between them

Cause: the emulator had all targets near, so that no crossing could be measured. Plans without domains draw the same random numbers as before.

--- a/crates/pinhaven-lab/src/emulate/entry.rs
+++ b/crates/pinhaven-lab/src/emulate/entry.rs
@@ -26,10 +26,11 @@
 
 /// Creates an entry of a plan. Targets are assigned to owners in turn, by their numbers.
 pub(super) fn new_entry(plan: &EmulationPlan, number: usize) -> EmulatedEntry {
+    let domains = plan.domains.as_ref().map_or(3, |plan| plan.domains);
     let targets: Vec<serde_json::Value> = (0..plan.targets)
         .map(|target| {
             let address = format!("127.0.0.1:{}", FIRST_PORT + target);
-            json!({"address": address, "failure_domain": format!("domain-{}", target % 3)})
+            json!({"address": address, "failure_domain": format!("domain-{}", target % domains)})
         })
         .collect();
     let service = json!({
@@ -39,11 +40,20 @@
     });
     let service = serde_json::from_value(service)
         .unwrap_or_else(|error| unreachable!("the service above must be valid: {error}"));
-    let state = ServiceState::new(
+    let mut state = ServiceState::new(
         &service,
         None,
         Microseconds::new((START_MS * 1_000.0) as u64),
     );
+    if let Some(domains) = &plan.domains {
+        let domain = format!("domain-{}", domains.domain_of(number));
+        let domain = domain
+            .parse()
+            .unwrap_or_else(|error| unreachable!("the name above must be valid: {error}"));
+        state = state
+            .with_domain(&domain)
+            .with_crossing_cost(domains.crossing_cost);
+    }
     for (target, target_state) in state.targets().iter().enumerate() {
         target_state.set_owned(target % plan.entries == number);
     }
--- a/crates/pinhaven-lab/src/emulate/mod.rs
+++ b/crates/pinhaven-lab/src/emulate/mod.rs
@@ -6,7 +6,9 @@
 //! retry after a refusal. Not emulated are processor time, connections, packet loss and the store.
 //! docs/MEASUREMENTS.md says where the results therefore differ from the users' own measurements.
 
+mod domains;
 mod entry;
+mod locality;
 mod orders;
 mod outcome;
 mod plan;
@@ -14,6 +16,14 @@
 mod target;
 mod world;
 
+pub use domains::BodySizes;
+pub use domains::CrossingTally;
+pub use domains::DomainChange;
+pub use domains::DomainPlan;
+pub use domains::TargetsState;
+pub use locality::LOCALITY_HEADS;
+pub use locality::LocalityDay;
+pub use locality::locality_row;
 pub use orders::OrderTally;
 pub use outcome::Tally;
 pub use plan::Change;
--- a/crates/pinhaven-lab/src/emulate/outcome.rs
+++ b/crates/pinhaven-lab/src/emulate/outcome.rs
@@ -1,5 +1,6 @@
 //! Statistics of an emulation run.
 
+use super::domains::CrossingTally;
 use super::orders::OrderTally;
 use super::plan::EmulationPlan;
 use super::plan::RequestKind;
@@ -43,6 +44,8 @@
     pub added: u64,
     /// How entries followed the orders of targets.
     pub orders: OrderTally,
+    /// What crossed between failure domains.
+    pub crossings: CrossingTally,
     total: Credit,
     windows: Vec<Credit>,
     latencies_us: Histogram<u64>,
@@ -59,6 +62,7 @@
             refused: 0,
             added: 0,
             orders: OrderTally::default(),
+            crossings: CrossingTally::new(plan.domains.as_ref().map_or(1, |plan| plan.domains)),
             total: Credit::default(),
             windows: vec![Credit::default(); windows.max(1)],
             latencies_us: Histogram::new_with_max(LATENCY_US_MAX, 3)
@@ -69,6 +73,7 @@
     pub(super) fn count(
         &mut self,
         kind: usize,
+        domain: usize,
         started_ms: f64,
         latency_ms: f64,
         outcome: Outcome,
@@ -76,6 +81,8 @@
         let request_kind = self.kinds[kind];
         let is_in_time = latency_ms <= request_kind.aim_ms as f64;
         self.requests += 1;
+        self.crossings
+            .count_end(domain, is_in_time && outcome == Outcome::Answered);
         let share = match outcome {
             Outcome::Refused => {
                 self.refused += 1;
--- a/crates/pinhaven-lab/src/emulate/plan.rs
+++ b/crates/pinhaven-lab/src/emulate/plan.rs
@@ -1,5 +1,6 @@
 //! Plan of an emulation run: targets, load, entries, and how often entries exchange and collect state.
 
+use super::domains::DomainPlan;
 use super::target::TargetPlan;
 use pinhaven_bundle::Policy;
 
@@ -78,6 +79,8 @@
     pub probe_ms: f64,
     /// Policy by which entries choose targets.
     pub policy: Policy,
+    /// Failure domains; without a plan all targets are in the domain of the entries.
+    pub domains: Option<DomainPlan>,
     /// Length of the run, in milliseconds.
     pub length_ms: f64,
     /// Seed of the random number generator.
@@ -267,6 +270,7 @@
         update_interval_ms: 15.0,
         probe_ms: 40.0,
         policy: Policy::Forecast,
+        domains: None,
         length_ms: 20_000.0,
         seed: 1,
     }
--- a/crates/pinhaven-lab/src/emulate/queue.rs
+++ b/crates/pinhaven-lab/src/emulate/queue.rs
@@ -29,6 +29,11 @@
     SendUpdates,
     ProbeTargets,
     TargetsLeave(f64),
+    /// A change of the domain plan, by its number, begins or ends.
+    DomainChanges {
+        change: usize,
+        begins: bool,
+    },
 }
 
 /// Scheduled events.
--- a/crates/pinhaven-lab/src/emulate/target.rs
+++ b/crates/pinhaven-lab/src/emulate/target.rs
@@ -51,6 +51,9 @@
 pub(super) struct EmulatedTarget {
     plan: TargetPlan,
     is_slow: bool,
+    /// Factors by which work takes longer in the target's whole failure domain, reported and not reported.
+    pub(super) domain_slowdown: f64,
+    pub(super) unreported_slowdown: f64,
     running: Vec<Work>,
     queue: VecDeque<Work>,
     advanced_to_ms: f64,
@@ -64,6 +67,8 @@
         Self {
             plan,
             is_slow,
+            domain_slowdown: 1.0,
+            unreported_slowdown: 1.0,
             running: Vec::new(),
             queue: VecDeque::new(),
             advanced_to_ms: 0.0,
@@ -71,15 +76,19 @@
         }
     }
 
+    fn reported_slowdown(&self) -> f64 {
+        let own = match self.is_slow {
+            true => self.plan.slow_factor,
+            false => 1.0,
+        };
+        own * self.domain_slowdown
+    }
+
     /// Factor by which work takes longer than at normal speed while `running` requests are worked on.
     fn slowdown(&self, running: usize) -> f64 {
         let (knee_share, knee_slowdown) = self.plan.knee;
         let is_nearly_full = running as f64 > self.plan.slots as f64 * knee_share;
-        let slow = if self.is_slow {
-            self.plan.slow_factor
-        } else {
-            1.0
-        };
+        let slow = self.reported_slowdown() * self.unreported_slowdown;
         if is_nearly_full {
             slow * knee_slowdown
         } else {
@@ -140,7 +149,7 @@
     }
 
     /// Applies the target's current speed to running work, unless work keeps the speed at which it started.
-    fn update_slowdowns(&mut self) {
+    pub(super) fn update_slowdowns(&mut self) {
         if self.plan.has_fixed_speed {
             return;
         }
@@ -151,16 +160,11 @@
     }
 
     pub(super) fn report(&self) -> LoadReport {
-        let slow = if self.is_slow {
-            self.plan.slow_factor
-        } else {
-            1.0
-        };
         LoadReport {
             running: self.running.len() as u32,
             waiting: self.queue.len() as u32,
             is_draining: false,
-            slowdown: Some(slow as f32),
+            slowdown: Some(self.reported_slowdown() as f32),
         }
     }
 
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -1,6 +1,9 @@
 //! Entries, targets and callers in emulated time. Emulated entries decide with the code of real entries;
 //! everything around the decision code is emulated.
 
+mod domain_changes;
+
+use self::domain_changes::Direction;
 use super::entry::CALLER_ROUND_TRIP_MS;
 use super::entry::EmulatedEntry;
 use super::entry::FIRST_PORT;
@@ -43,6 +46,8 @@
 /// A caller's request, with its retries after refusals.
 struct Call {
     kind: usize,
+    /// Failure domain of the caller.
+    domain: usize,
     entry: usize,
     started_ms: f64,
     tries: u32,
@@ -112,6 +117,7 @@
                 self.schedule_in(at_ms, EmulatedEvent::TargetsLeave(share));
             }
         }
+        self.schedule_domain_changes();
     }
 
     fn schedule_in(&mut self, in_ms: f64, event: EmulatedEvent) {
@@ -186,6 +192,7 @@
             EmulatedEvent::SendUpdates => self.send_updates(),
             EmulatedEvent::ProbeTargets => self.probe_targets(),
             EmulatedEvent::TargetsLeave(share) => self.mark_leaving(share),
+            EmulatedEvent::DomainChanges { change, begins } => self.change_domain(change, begins),
         }
     }
 
@@ -198,10 +205,12 @@
             return;
         }
         let kind = self.sample_kind();
-        let entry = self.random.usize(..self.entries.len());
+        let domain = self.sample_domain();
+        let entry = self.sample_entry(domain);
         let state = self.new_state(kind, entry, self.now_ms);
         self.calls.push(Call {
             kind,
+            domain,
             entry,
             started_ms: self.now_ms,
             tries: 0,
@@ -233,12 +242,15 @@
             .plus(Microseconds::new((remaining_ms.max(0.0) * 1_000.0) as u64));
         let mut facts = RequestFacts::new(request_kind.is_repeatable, deadline);
         facts.priority = Some(request_kind.priority);
+        if let Some(domains) = &self.plan.domains {
+            facts.body_bytes = domains.bodies[kind].request_bytes;
+        }
         facts.prior_wait = Microseconds::new((waited_ms * 1_000.0) as u64);
         RequestState::new(facts).with_route(Arc::clone(&self.entries[entry].routes[kind]))
     }
 
     fn begin_try(&mut self, request: usize) {
-        let entry = self.random.usize(..self.entries.len());
+        let entry = self.sample_entry(self.calls[request].domain);
         let (kind, started_ms) = (self.calls[request].kind, self.calls[request].started_ms);
         let state = self.new_state(kind, entry, started_ms);
         let call = &mut self.calls[request];
@@ -282,6 +294,7 @@
     fn send(&mut self, request: usize, attempt: Attempt) {
         let target = usize::from(attempt.target.address().socket_address().port()) - FIRST_PORT;
         let id = attempt.id;
+        self.count_crossing(request, target, Direction::Request);
         self.calls[request].attempts.insert(id.0, (attempt, target));
         self.schedule_in(
             TARGET_DELAY_MS,
@@ -323,8 +336,10 @@
         call.is_over = true;
         call.attempts.clear();
         let latency_ms = self.now_ms - call.started_ms + CALLER_ROUND_TRIP_MS;
-        let (kind, entry, started_ms) = (call.kind, call.entry, call.started_ms);
-        self.tally.count(kind, started_ms, latency_ms, outcome);
+        let (kind, domain, entry) = (call.kind, call.domain, call.entry);
+        let started_ms = call.started_ms;
+        self.tally
+            .count(kind, domain, started_ms, latency_ms, outcome);
         self.capacity_freed(entry);
     }
 
@@ -457,8 +472,11 @@
     }
 
     fn attempt_ended(&mut self, request: usize, attempt: AttemptId, outcome: AttemptOutcome) {
-        if self.calls[request].attempts.remove(&attempt.0).is_none() {
+        let Some((_, target)) = self.calls[request].attempts.remove(&attempt.0) else {
             return;
+        };
+        if matches!(outcome, AttemptOutcome::Answered { .. }) {
+            self.count_crossing(request, target, Direction::Answer);
         }
         self.handle_request_event(request, Event::AttemptEnded { attempt, outcome });
         self.capacity_freed(self.calls[request].entry);
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -9,6 +9,9 @@
 use pinhaven_lab::emulate::Day;
 use pinhaven_lab::emulate::Deployment;
 use pinhaven_lab::emulate::EmulationPlan;
+use pinhaven_lab::emulate::LOCALITY_HEADS;
+use pinhaven_lab::emulate::LocalityDay;
+use pinhaven_lab::emulate::locality_row;
 use pinhaven_lab::measure;
 use pinhaven_lab::measure::MeasureSettings;
 use pinhaven_lab::measure::Part;
@@ -23,6 +26,7 @@
 use pinhaven_lab::versions::VersionChange;
 use pinhaven_lab::versions::VersionsPlan;
 use pinhaven_runtime::run_with_threads;
+use pinhaven_types::CrossingCost;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -76,6 +80,21 @@
         #[arg(long)]
         entries: Option<usize>,
     },
+    /// Run the decision logic over several failure domains, in emulated time, and print what crosses between them.
+    Locality {
+        /// Run only these days.
+        #[arg(long, value_enum, value_delimiter = ',')]
+        days: Vec<LocalityDay>,
+        /// Seeds of all random choices; the table has a row for each.
+        #[arg(long, value_delimiter = ',', default_value = "1")]
+        seeds: Vec<u64>,
+        /// Load as a share of the throughput of all slots of targets that are not slow.
+        #[arg(long, default_value_t = 0.5)]
+        load: f64,
+        /// How expensive a crossing is; without it, the usual cost.
+        #[arg(long)]
+        crossing_cost: Option<CrossingCost>,
+    },
     /// Distribute versions to all entries, in emulated time, and print when the versions are in force.
     Versions(VersionsArguments),
     /// Lose entries, in emulated time, and print for how long the others still name them to callers.
@@ -285,6 +304,23 @@
     true
 }
 
+/// Runs the days over several failure domains and prints a table of the results.
+fn print_localities(
+    days: &[LocalityDay],
+    seeds: &[u64],
+    change: impl Fn(LocalityDay, u64) -> EmulationPlan,
+) {
+    let all_days = LocalityDay::value_variants().iter();
+    let mut rows = Vec::new();
+    for day in all_days.filter(|day| days.is_empty() || days.contains(day)) {
+        for seed in seeds {
+            let tally = emulate::emulate(&change(*day, *seed));
+            rows.push(locality_row(format!("{} {seed}", name_of(day)), &tally));
+        }
+    }
+    pinhaven_lab::print_table(&LOCALITY_HEADS, &rows);
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = run_with_threads(THREADS, async {
@@ -312,6 +348,16 @@
                 };
                 Ok(print_emulations(&days, deployment, &policies, seed, change))
             }
+            Command::Locality {
+                days,
+                seeds,
+                load,
+                crossing_cost,
+            } => {
+                let plan = |day, seed| EmulationPlan::for_locality(day, crossing_cost, load, seed);
+                print_localities(&days, &seeds, plan);
+                Ok(true)
+            }
             Command::Versions(arguments) => {
                 print_versions(&arguments);
                 Ok(true)
