Let hedges cross only to meet the aim, and compare all domains if the drawn one is too slow

Cause: with a crossing cost, a hedge crossed also where its answer was expected after the aim; and a request whose drawn domain had only slow answers to offer waited although another domain had faster ones. Change: such a hedge isn't sent; if the best target of the drawn domain isn't expected well within the aim, targets of all other domains are compared.

--- a/crates/pinhaven-decide/src/locality.rs
+++ b/crates/pinhaven-decide/src/locality.rs
@@ -145,13 +145,22 @@
         for (targets, (start, free)) in domains {
             remaining -= free;
             if *free > 0.0 && remaining <= 0.0 {
-                return self.best(self.open_from(targets, *start), random);
+                let drawn = self.best(self.open_from(targets, *start), random);
+                if drawn
+                    .as_ref()
+                    .is_some_and(|(_, far)| far.answer_ms <= self.crossing.near_max_ms)
+                {
+                    return drawn;
+                }
+                break;
             }
         }
-        // No target that was examined is free and of usual speed.
-        let far = self.service.far();
-        let start = random.usize(..far.len().max(1));
-        self.best(self.open_from(far, start), random)
+        // The drawn domain would miss the aim, or no target that was examined is free and of usual speed.
+        let per_domain = FAR_CANDIDATES_MAX.div_ceil(starts.len().max(1));
+        let domains = self.service.far_by_domain().iter().zip(&starts);
+        let candidates = domains
+            .flat_map(|(targets, (start, _))| self.open_from(targets, *start).take(per_domain));
+        self.best(candidates, random)
     }
 
     fn open_from<'target>(
@@ -240,6 +249,16 @@
             && near_ms <= far.answer_ms + crossing.cost_ms
     }
 
+    /// Whether a hedge may go to a target. Where a crossing has a cost, a hedge crosses only if it is expected to meet
+    /// the aim there.
+    pub(crate) fn may_hedge_at(&self, hedge: &Forecast) -> bool {
+        if self.service.crossing_cost().is_none() || self.service.is_near(&hedge.target) {
+            return true;
+        }
+        let left_ms = self.request.time_to_aim_ms(self.now);
+        hedge.answer_ms + REMOTE_DOMAIN_MIN_MS <= left_ms
+    }
+
     /// Expected wait until this entry's own requests free a slot at a near target of usual speed, and time from then
     /// to the answer, in milliseconds. `None` if this entry has no request there.
     fn near_after_wait_ms(&self) -> Option<(f32, f32)> {
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -266,7 +266,9 @@
         if miss_chance <= gain_min {
             return None;
         }
-        let earliest = self.earliest(TargetFilter::Any)?;
+        let earliest = self
+            .earliest(TargetFilter::Any)
+            .filter(|hedge| self.may_hedge_at(hedge))?;
         let slowdown = earliest.slowdown;
         let hedge_miss_chance =
             work.miss_chance(0.0, left_ms - ROUND_TRIP_MS, slowdown, &self.service.speed);
@@ -281,7 +283,9 @@
         if left_ms <= time_to_aim_ms {
             return None;
         }
-        let earliest = self.earliest(TargetFilter::Any)?;
+        let earliest = self
+            .earliest(TargetFilter::Any)
+            .filter(|hedge| self.may_hedge_at(hedge))?;
         let gain_ms = left_ms - earliest.answer_ms;
         let meets_aim = earliest.answer_ms <= time_to_aim_ms;
         let is_worth_it = meets_aim || earliest.answer_ms * LATE_HEDGE_FACTOR < left_ms;
