Wait for a near target only while other domains have free capacity

Cause: the wait for a near target ignored by how much a request in the freed slot delays the others there, which the choice of a free target counts; so a request could wait for a slot that it then didn't take. And it waited while the slots of other domains were scarce, too. Change: the forecast after the wait counts that delay, and a request whose best far target is nearly full crosses at once.

--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -21,7 +21,7 @@
 pub(crate) const NEAR_CANDIDATES_MAX: usize = 32;
 pub(crate) const FAR_CANDIDATES_MAX: usize = 32;
 /// Utilization of a target's slots from which the target counts as nearly full.
-const CROWDED_UTILIZATION: f32 = 0.8;
+pub(crate) const CROWDED_UTILIZATION: f32 = 0.8;
 /// Factor by which work takes longer at a target that has just started. Targets report how long they are slow
 /// after a start, but not by how much.
 const COLD_FACTOR: f32 = 2.0;
--- a/crates/pinhaven-decide/src/locality.rs
+++ b/crates/pinhaven-decide/src/locality.rs
@@ -11,6 +11,7 @@
 
 use crate::event::Action;
 use crate::forecast;
+use crate::forecast::CROWDED_UTILIZATION;
 use crate::forecast::FAR_CANDIDATES_MAX;
 use crate::forecast::Forecast;
 use crate::forecast::NEAR_CANDIDATES_MAX;
@@ -214,6 +215,15 @@
     }
 }
 
+/// Forecast for a slot that is not free yet, in milliseconds.
+struct AfterWait {
+    wait_ms: f32,
+    /// Time from the end of the wait to the answer.
+    answer_ms: f32,
+    /// Time by which the request would delay those in the other slots of the target.
+    delay_of_others_ms: f32,
+}
+
 impl EventHandler<'_> {
     /// Cost of a crossing for this request now; `None` if the operators set none.
     pub(crate) fn crossing(&self) -> Option<Crossing> {
@@ -231,7 +241,8 @@
         let Some(crossing) = self.crossing() else {
             return false;
         };
-        if self.service.is_near(&far.target) {
+        if self.service.is_near(&far.target) || far.is_crowded() {
+            // While slots are scarce in other domains too, one that is free now may be taken after the wait.
             return false;
         }
         let aim_ms = self.request.aim().as_ms() as f32;
@@ -240,13 +251,13 @@
         if wait_max_ms <= 0.0 {
             return false;
         }
-        let Some((wait_ms, answer_ms)) = self.near_after_wait_ms() else {
+        let Some(near) = self.near_after_wait() else {
             return false;
         };
-        let near_ms = wait_ms + answer_ms;
-        wait_ms <= wait_max_ms
+        let near_ms = near.wait_ms + near.answer_ms;
+        near.wait_ms <= wait_max_ms
             && near_ms <= crossing.near_max_ms
-            && near_ms <= far.answer_ms + crossing.cost_ms
+            && near_ms + near.delay_of_others_ms <= far.answer_ms + crossing.cost_ms
     }
 
     /// Whether a hedge may go to a target. Where a crossing has a cost, a hedge crosses only if it is expected to meet
@@ -259,9 +270,9 @@
         hedge.answer_ms + REMOTE_DOMAIN_MIN_MS <= left_ms
     }
 
-    /// Expected wait until this entry's own requests free a slot at a near target of usual speed, and time from then
-    /// to the answer, in milliseconds. `None` if this entry has no request there.
-    fn near_after_wait_ms(&self) -> Option<(f32, f32)> {
+    /// Forecast for the slot that one of this entry's own requests frees first at a near target of usual speed. `None` if
+    /// this entry has no request there.
+    fn near_after_wait(&self) -> Option<AfterWait> {
         let (service, now) = (self.service, self.now);
         let is_usual = |target: &&Arc<TargetState>| {
             !target.is_cold(now)
@@ -276,16 +287,29 @@
             .filter(|target| service.is_near(target))
             .take(OWN_CANDIDATES_MAX)
             .chain(others.take(NEAR_CANDIDATES_MAX));
-        let in_flight: u32 = examined
-            .filter(is_usual)
-            .map(|target| target.in_flight())
-            .sum();
+        let (mut in_flight, mut usable) = (0, 0.0);
+        for target in examined.filter(is_usual) {
+            in_flight += target.in_flight();
+            usable = forecast::usable_slots(service, target, now);
+        }
         if in_flight == 0 {
             return None;
         }
-        let answer_ms = self.work_ms() * service.crowding.get();
+        let (work_ms, crowding) = (self.work_ms(), service.crowding.get());
+        let is_crowded = usable >= service.slots() * CROWDED_UTILIZATION;
+        let (answer_ms, delay_of_others_ms) = match is_crowded {
+            true => (
+                work_ms * crowding,
+                work_ms * (crowding - 1.0) * (usable - 1.0),
+            ),
+            false => (work_ms, 0.0),
+        };
         let ahead = service.waiting.count_near() + 1;
-        Some((ahead as f32 * answer_ms / in_flight as f32, answer_ms))
+        Some(AfterWait {
+            wait_ms: ahead as f32 * work_ms * crowding / in_flight as f32,
+            answer_ms,
+            delay_of_others_ms,
+        })
     }
 
     /// Makes the request wait for a target of the entry's failure domain.
