--- a/crates/pinhaven-decide/src/locality.rs
+++ b/crates/pinhaven-decide/src/locality.rs
@@ -331,36 +331,67 @@
     }
 }
 
-/// Attempts of a service and the bytes of their request bodies, within this entry's failure domain and to others.
+/// What a service sent to targets of this entry's failure domain and of others, and got from there.
 #[derive(Debug, Default)]
 pub struct CrossingCounts {
-    near: [AtomicU64; 2],
-    far: [AtomicU64; 2],
+    near: SentCounters,
+    far: SentCounters,
+}
+
+#[derive(Debug, Default)]
+struct SentCounters {
+    attempts: AtomicU64,
+    request_bytes: AtomicU64,
+    answer_bytes: AtomicU64,
+}
+
+/// Numbers of attempts and body bytes, since the start of the entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SentCounts {
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Bytes of the request bodies.
+    pub request_bytes: u64,
+    /// Bytes of the delivered answers' bodies, as far as the answers declare them.
+    pub answer_bytes: u64,
 }
 
 impl CrossingCounts {
+    fn of(&self, is_near: bool) -> &SentCounters {
+        if is_near { &self.near } else { &self.far }
+    }
+
     pub(crate) fn record(&self, is_near: bool, body_bytes: u64) {
-        let [attempts, bytes] = if is_near { &self.near } else { &self.far };
-        attempts.fetch_add(1, Ordering::Relaxed);
-        bytes.fetch_add(body_bytes, Ordering::Relaxed);
+        let counters = self.of(is_near);
+        counters.attempts.fetch_add(1, Ordering::Relaxed);
+        counters
+            .request_bytes
+            .fetch_add(body_bytes, Ordering::Relaxed);
     }
 
-    /// Number of attempts at targets of this entry's failure domain, and the bytes of their request bodies.
-    pub fn near(&self) -> (u64, u64) {
-        let [attempts, bytes] = &self.near;
-        (
-            attempts.load(Ordering::Relaxed),
-            bytes.load(Ordering::Relaxed),
-        )
+    pub(crate) fn record_answer(&self, is_near: bool, body_bytes: u64) {
+        let counter = &self.of(is_near).answer_bytes;
+        counter.fetch_add(body_bytes, Ordering::Relaxed);
     }
 
-    /// Number of attempts at targets of other failure domains, and the bytes of their request bodies.
-    pub fn far(&self) -> (u64, u64) {
-        let [attempts, bytes] = &self.far;
-        (
-            attempts.load(Ordering::Relaxed),
-            bytes.load(Ordering::Relaxed),
-        )
+    /// What went to targets of this entry's failure domain.
+    pub fn near(&self) -> SentCounts {
+        self.near.get()
+    }
+
+    /// What went to targets of other failure domains.
+    pub fn far(&self) -> SentCounts {
+        self.far.get()
+    }
+}
+
+impl SentCounters {
+    fn get(&self) -> SentCounts {
+        SentCounts {
+            attempts: self.attempts.load(Ordering::Relaxed),
+            request_bytes: self.request_bytes.load(Ordering::Relaxed),
+            answer_bytes: self.answer_bytes.load(Ordering::Relaxed),
+        }
     }
 }
 
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -430,6 +430,12 @@
         &self.crossings
     }
 
+    /// Records the size of the body of an answer that a target gave.
+    pub fn record_answer_bytes(&self, target: &TargetState, body_bytes: u64) {
+        self.crossings
+            .record_answer(self.is_near(target), body_bytes);
+    }
+
     /// The targets in other failure domains, by domain.
     pub(crate) fn far_by_domain(&self) -> &[Vec<Arc<TargetState>>] {
         &self.far_by_domain
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -494,8 +494,10 @@
         let (attempt, answer) = self.answers.swap_remove(position);
         self.outcome = Outcome::Answered;
         self.job.entry.counters.add(Count::Answered);
+        let bytes = http_body::Body::size_hint(&answer.body).lower();
+        let service = &self.job.service.state;
+        service.record_answer_bytes(&attempt.target, bytes);
         if let Some(route) = &self.job.routed.route {
-            let bytes = http_body::Body::size_hint(&answer.body).lower();
             route.state.record_answer_bytes(bytes);
         }
         self.add_trace(TraceEvent::Delivered {
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -32,6 +32,7 @@
     lines.extend(store_call_lines(entry));
     lines.extend(gauges(entry));
     lines.extend(service_lines(entry));
+    lines.extend(crossing_lines(entry));
     lines.extend(record_lines(entry));
     lines.extend(entry.request_times.lines());
     lines.extend(entry.attempt_times.lines());
@@ -145,6 +146,28 @@
     lines
 }
 
+/// Returns lines that count what each service sent within the failure domain of the entry and to others.
+fn crossing_lines(entry: &Entry) -> Vec<String> {
+    let snapshot = entry.snapshot.load();
+    let mut lines = Vec::new();
+    for (name, service) in &snapshot.services {
+        let crossings = service.state.crossings();
+        for (side, sent) in [("near", crossings.near()), ("far", crossings.far())] {
+            let label = format!("service=\"{name}\",domain=\"{side}\"");
+            for (metric, count) in [
+                ("attempts", sent.attempts),
+                ("request_bytes", sent.request_bytes),
+                ("answer_bytes", sent.answer_bytes),
+            ] {
+                lines.push(format!(
+                    "pinhaven_service_sent_{metric}_total{{{label}}} {count}"
+                ));
+            }
+        }
+    }
+    lines
+}
+
 fn record_lines(entry: &Entry) -> Vec<String> {
     let Some(recorder) = &entry.recorder else {
         return Vec::new();
--- a/crates/pinhaven-entry/src/watch/mod.rs
+++ b/crates/pinhaven-entry/src/watch/mod.rs
@@ -7,5 +7,6 @@
 pub(crate) mod latencies;
 pub(crate) mod metrics;
 pub(crate) mod metrics_text;
+pub(crate) mod spill_over;
 pub(crate) mod state_changes;
 pub(crate) mod status;
