Name entries of the caller's failure domain first, if operators set it

Cause: an answer names all serving entries of the region, so that with four domains three in four requests run in another domain than their caller's. Change: the setting near_entries_first (default off, as before) names the caller's domain while two of its entries serve, one entry of another domain (two beside eight) for the failure of the whole domain, and more as far as the domain lacks capacity for its demand; serving entries follow the demand of each domain. Not measured under load.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -24,6 +24,7 @@
 mod listed_target;
 mod member;
 mod membership;
+mod near_entries;
 mod owners;
 mod packages;
 mod ranking;
--- a/crates/pinhaven-agree/src/membership.rs
+++ b/crates/pinhaven-agree/src/membership.rs
@@ -48,6 +48,8 @@
     own: MemberRow,
     members: BTreeMap<Incarnation, Member>,
     ranking: Ranking,
+    /// Whether answers to callers name the entries of the caller's failure domain first.
+    pub(crate) names_near_first: bool,
     /// Members that last published a demand above zero.
     demanding: BTreeSet<Incarnation>,
     /// Number of members examined so far for the selections by rank.
@@ -72,6 +74,7 @@
             own,
             members: BTreeMap::new(),
             ranking,
+            names_near_first: false,
             demanding: BTreeSet::new(),
             examined: Cell::new(0),
             silent_after,
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -25,9 +25,9 @@
 const SERVING_PER_DOMAIN: usize = 2;
 /// Ratio of the capacity of the serving entries to the demand. Bursts of 1.6 times the usual rate
 /// are common, but the known demand is already the peak of the last seconds.
-const HEADROOM: f64 = 1.2;
+pub(crate) const HEADROOM: f64 = 1.2;
 /// Minimum number of entries named in an answer, if that many serve.
-const NAMED_MIN: usize = 2;
+pub(crate) const NAMED_MIN: usize = 2;
 /// Maximum number of entries named in an answer; callers ignore any beyond it.
 const NAMED_MAX: usize = 64;
 /// Minimum number of store delegates in all failure domains, as each may lose its connection to the store.
@@ -43,7 +43,8 @@
     pub fn serving(&self, now: Microseconds) -> Vec<&MemberRow> {
         let selection_of = |(region, domains)| {
             let demand = self.demand_in(region, now);
-            (region, ServingSelection::new(domains, demand))
+            let required = self.required_by_domain(region, now);
+            (region, ServingSelection::new(domains, demand, required))
         };
         let mut by_region: BTreeMap<Option<&Region>, ServingSelection<'_>> =
             self.ranking().regions().map(selection_of).collect();
@@ -78,13 +79,10 @@
         if serving.iter().filter(|row| is_near(row)).count() >= NAMED_MIN {
             serving.retain(is_near);
         }
-        let largest = serving.iter().map(|row| row.capacity).max();
-        let largest = largest.unwrap_or_default().per_second() as f32;
-        let (mut named, spare): (Vec<&MemberRow>, Vec<&MemberRow>) = serving
-            .into_iter()
-            .partition(|row| draw() * largest <= row.capacity.per_second() as f32);
-        let missing = NAMED_MIN.saturating_sub(named.len());
-        named.extend(spare.into_iter().take(missing));
+        let near_first = domain
+            .filter(|_| self.names_near_first)
+            .and_then(|domain| self.name_near_first(&serving, domain, &mut draw, now));
+        let mut named = near_first.unwrap_or_else(|| name_by_capacity(serving, &mut draw));
         named.truncate(NAMED_MAX);
         named.sort_by_key(|row| Some(&row.failure_domain) != domain);
         named
@@ -191,6 +189,21 @@
     }
 }
 
+/// Entries to name out of `rows`, each with a probability in proportion to its capacity.
+pub(crate) fn name_by_capacity<'row>(
+    rows: Vec<&'row MemberRow>,
+    draw: &mut impl FnMut() -> f32,
+) -> Vec<&'row MemberRow> {
+    let largest = rows.iter().map(|row| row.capacity).max();
+    let largest = largest.unwrap_or_default().per_second() as f32;
+    let (mut named, spare): (Vec<&MemberRow>, Vec<&MemberRow>) = rows
+        .into_iter()
+        .partition(|row| draw() * largest <= row.capacity.per_second() as f32);
+    let missing = NAMED_MIN.saturating_sub(named.len());
+    named.extend(spare.into_iter().take(missing));
+    named
+}
+
 /// Counts the entries of each failure domain up to a limit.
 #[derive(Debug)]
 struct DomainPrefix<'row> {
@@ -227,6 +240,10 @@
     /// Known failure domains of the region without enough serving entries so far.
     open_domains: usize,
     required_capacity: f64,
+    /// Capacity that single failure domains need.
+    required_by_domain: BTreeMap<&'row FailureDomain, f64>,
+    /// Capacity that is still missing of it among the entries added so far.
+    missing_by_domain: BTreeMap<&'row FailureDomain, f64>,
     per_domain: DomainPrefix<'row>,
     serving: Vec<&'row MemberRow>,
     spare: Vec<&'row MemberRow>,
@@ -235,8 +252,14 @@
 }
 
 impl<'row> ServingSelection<'row> {
-    fn new(domains: usize, demand: RequestRate) -> Self {
+    fn new(
+        domains: usize,
+        demand: RequestRate,
+        required_by_domain: BTreeMap<&'row FailureDomain, f64>,
+    ) -> Self {
         Self {
+            missing_by_domain: required_by_domain.clone(),
+            required_by_domain,
             open_domains: domains,
             required_capacity: f64::from(demand.per_second()) * HEADROOM,
             per_domain: DomainPrefix::new(SERVING_PER_DOMAIN),
@@ -248,6 +271,9 @@
 
     fn add(&mut self, row: &'row MemberRow) {
         self.capacity += capacity_of(row);
+        if let Some(missing) = self.missing_by_domain.get_mut(&row.failure_domain) {
+            *missing -= capacity_of(row);
+        }
         if self.per_domain.add(row) {
             self.serving.push(row);
             self.open_domains -= usize::from(self.per_domain.is_full(row));
@@ -258,13 +284,29 @@
 
     /// Whether no further entry can change the selection.
     fn is_complete(&self) -> bool {
-        self.open_domains == 0 && self.capacity >= self.required_capacity
+        self.open_domains == 0
+            && self.capacity >= self.required_capacity
+            && self
+                .missing_by_domain
+                .values()
+                .all(|missing| *missing <= 0.0)
     }
 
     fn into_rows(self) -> Vec<&'row MemberRow> {
         let mut serving = self.serving;
+        let mut missing = self.required_by_domain;
+        for row in &serving {
+            if let Some(missing) = missing.get_mut(&row.failure_domain) {
+                *missing -= capacity_of(row);
+            }
+        }
+        let (needed, spare): (Vec<&MemberRow>, Vec<&MemberRow>) = self
+            .spare
+            .into_iter()
+            .partition(|row| takes_part(&mut missing, row));
+        serving.extend(needed);
         let mut capacity: f64 = serving.iter().map(|row| capacity_of(row)).sum();
-        for row in self.spare {
+        for row in spare {
             if capacity >= self.required_capacity {
                 break;
             }
@@ -275,6 +317,16 @@
     }
 }
 
-fn capacity_of(row: &MemberRow) -> f64 {
+/// Whether the failure domain of an entry misses capacity. Subtracts that of the entry if so.
+fn takes_part(missing: &mut BTreeMap<&FailureDomain, f64>, row: &MemberRow) -> bool {
+    let missing = missing.get_mut(&row.failure_domain);
+    let Some(missing) = missing.filter(|missing| **missing > 0.0) else {
+        return false;
+    };
+    *missing -= capacity_of(row);
+    true
+}
+
+pub(crate) fn capacity_of(row: &MemberRow) -> f64 {
     f64::from(row.capacity.per_second())
 }
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -104,6 +104,10 @@
     /// of the network) to 10. Without it, targets of other domains count as slower by a tenth.
     #[serde(default)]
     pub crossing_cost: Option<CrossingCost>,
+    /// Whether answers to callers name the entries of the caller's failure domain first, and others only as far as
+    /// needed; all entries must have the same value.
+    #[serde(default)]
+    pub near_entries_first: bool,
     /// Format, levels and sampling of logs.
     #[serde(default)]
     pub log: LogSettings,
