Let the tests of cold targets and of hedges fail without their checks

Cause: two mutants of the crossing cost survived: a cold target's forecast was beyond the preferred share of the aim anyway, and a hedge that misses the aim wasn't sent for another reason. Change: both tests use short work, so that only the check in question decides.

--- a/crates/pinhaven-decide/tests/crossing_cost.rs
+++ b/crates/pinhaven-decide/tests/crossing_cost.rs
@@ -10,6 +10,7 @@
 use common::good;
 use common::service_with;
 use pinhaven_decide::Event;
+use pinhaven_decide::Microseconds;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
 use pinhaven_decide::RouteState;
@@ -61,11 +62,9 @@
 }
 
 /// Sends requests one after another. Returns the failure domains of their targets.
-fn domains(service: &Arc<ServiceState>, aim_ms: u64, body_bytes: u64) -> Vec<String> {
+fn domains(request: impl Fn() -> Driven) -> Vec<String> {
     let domain_of = |seed| {
-        // A new route, because requests that end at once would count as little work.
-        let route = Arc::new(RouteState::new(aim_ms));
-        let mut request = request(service, &route, body_bytes);
+        let mut request = request();
         request.random = fastrand::Rng::with_seed(seed);
         assert_eq!(request.handle(0, Event::Arrived).sent, 1);
         let domain = request.under_way[0].target.failure_domain().to_string();
@@ -75,6 +74,13 @@
     (0..200).map(domain_of).collect()
 }
 
+/// Domains of requests with a third of the aim as their work.
+fn domains_by_route(service: &Arc<ServiceState>, aim_ms: u64, body_bytes: u64) -> Vec<String> {
+    // A new route for each, because requests that end at once would count as little work.
+    let new = || request(service, &Arc::new(RouteState::new(aim_ms)), body_bytes);
+    domains(new)
+}
+
 fn near_share(domains: &[String]) -> f64 {
     let near = domains.iter().filter(|domain| *domain == OWN_DOMAIN);
     near.count() as f64 / domains.len() as f64
@@ -83,8 +89,11 @@
 #[test]
 fn a_large_body_does_not_cross_for_an_answer_that_is_a_little_earlier() {
     let service = service_at(1.0, 6, 1.8);
-    assert_eq!(near_share(&domains(&service, 600, LARGE_BODY_BYTES)), 1.0);
-    assert_eq!(near_share(&domains(&service, 600, 0)), 0.0);
+    assert_eq!(
+        near_share(&domains_by_route(&service, 600, LARGE_BODY_BYTES)),
+        1.0
+    );
+    assert_eq!(near_share(&domains_by_route(&service, 600, 0)), 0.0);
 }
 
 #[test]
@@ -100,7 +109,9 @@
         for target in near(&service) {
             change(target);
         }
-        assert_eq!(near_share(&domains(&service, 600, LARGE_BODY_BYTES)), 0.0);
+        // Work of 20 ms and an aim of 1 s, so that also slow and cold targets would answer well within the aim.
+        let domains = domains(|| Driven::once(&service));
+        assert_eq!(near_share(&domains), 0.0);
     }
 }
 
@@ -111,7 +122,7 @@
         // Of 6 slots 4 are worth using, so that the first domain has half the free slots of the last one.
         target.record_peer_in_flight(0, [2, 6, 0][index / TARGETS]);
     }
-    let domains = domains(&service, 600, 0);
+    let domains = domains_by_route(&service, 600, 0);
     let first = domains
         .iter()
         .filter(|domain| *domain == "domain-0")
@@ -184,19 +195,22 @@
 
 #[test]
 fn a_hedge_crosses_only_if_it_meets_the_aim() {
-    for (check_ms, hedges) in [(50, 1), (550, 0)] {
+    for (left_ms, hedges) in [(300, 1), (50, 0)] {
         let service = service(1.0, 6);
-        let mut facts = RequestFacts::new(true, at_ms(30_000));
-        facts.body_bytes = LARGE_BODY_BYTES;
+        for target in service.targets() {
+            // Speeds that last for long, so that the slow attempt is expected to end late.
+            service.record_speed(target, at_ms(400), 1.0);
+        }
+        let mut facts = RequestFacts::new(true, at_ms(30_400));
+        facts.prior_wait = Microseconds::from_ms(30_000 - left_ms);
         let mut request = Driven::new(&service, facts);
-        request.request = RequestState::new(facts).with_route(Arc::new(RouteState::new(600)));
-        assert_eq!(request.handle(0, Event::Arrived).sent, 1);
+        assert_eq!(request.handle(400, Event::Arrived).sent, 1);
         assert!(is_near(&request));
         for target in near(&service) {
             target.record_peer_in_flight(0, 6);
         }
         let slow = &request.under_way[0].target;
-        service.record_speed(slow, at_ms(check_ms), 40.0);
-        assert_eq!(request.handle(check_ms, Event::TimerFired).sent, hedges);
+        service.record_speed(slow, at_ms(401), 400.0);
+        assert_eq!(request.handle(445, Event::TimerFired).sent, hedges);
     }
 }
