--- a/crates/pinhaven-decide/src/locality.rs
+++ b/crates/pinhaven-decide/src/locality.rs
@@ -331,6 +331,35 @@
     }
 }
 
+impl ServiceState {
+    /// Sets how expensive it is to send a request to another failure domain. Without a cost, a target there counts as
+    /// slower by a tenth.
+    pub fn with_crossing_cost(mut self, cost: Option<CrossingCost>) -> Self {
+        self.crossing_cost = cost;
+        self
+    }
+
+    pub(crate) fn crossing_cost(&self) -> Option<CrossingCost> {
+        self.crossing_cost
+    }
+
+    /// What entries sent to targets of their own failure domain and of others.
+    pub fn crossings(&self) -> &CrossingCounts {
+        &self.crossings
+    }
+
+    /// Records the size of the body of an answer that a target gave.
+    pub fn record_answer_bytes(&self, target: &TargetState, body_bytes: u64) {
+        self.crossings
+            .record_answer(self.is_near(target), body_bytes);
+    }
+
+    /// The targets in other failure domains, by domain.
+    pub(crate) fn far_by_domain(&self) -> &[Vec<Arc<TargetState>>] {
+        &self.far_by_domain
+    }
+}
+
 /// What a service sent to targets of this entry's failure domain and of others, and got from there.
 #[derive(Debug, Default)]
 pub struct CrossingCounts {
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -87,8 +87,8 @@
     /// Targets in other failure domains.
     far: Vec<Arc<TargetState>>,
     /// The targets of `far`, by failure domain.
-    far_by_domain: Vec<Vec<Arc<TargetState>>>,
-    crossing_cost: Option<CrossingCost>,
+    pub(crate) far_by_domain: Vec<Vec<Arc<TargetState>>>,
+    pub(crate) crossing_cost: Option<CrossingCost>,
     pub(crate) crossings: Arc<CrossingCounts>,
     /// Targets that this entry owns.
     owned: ArcSwap<Vec<Arc<TargetState>>>,
@@ -414,33 +414,6 @@
         self
     }
 
-    /// Sets how expensive it is to send a request to another failure domain. Without a cost, a target there counts as
-    /// slower by a tenth.
-    pub fn with_crossing_cost(mut self, cost: Option<CrossingCost>) -> Self {
-        self.crossing_cost = cost;
-        self
-    }
-
-    pub(crate) fn crossing_cost(&self) -> Option<CrossingCost> {
-        self.crossing_cost
-    }
-
-    /// What entries sent to targets of their own failure domain and of others.
-    pub fn crossings(&self) -> &CrossingCounts {
-        &self.crossings
-    }
-
-    /// Records the size of the body of an answer that a target gave.
-    pub fn record_answer_bytes(&self, target: &TargetState, body_bytes: u64) {
-        self.crossings
-            .record_answer(self.is_near(target), body_bytes);
-    }
-
-    /// The targets in other failure domains, by domain.
-    pub(crate) fn far_by_domain(&self) -> &[Vec<Arc<TargetState>>] {
-        &self.far_by_domain
-    }
-
     /// The targets in this entry's failure domain, in the bundle's order; all targets if the domain is not known.
     pub(crate) fn near(&self) -> &[Arc<TargetState>] {
         &self.near
