--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -14,6 +14,7 @@
 use crate::forecast;
 use crate::forecast::Forecast;
 use crate::forecast::TargetFilter;
+use crate::locality::LocalChoice;
 use crate::progress::Progress;
 use crate::refusal::RefusalReason;
 use crate::report::LoadReport;
@@ -67,6 +68,9 @@
             && self.is_acceptable(&earliest)
             && self.has_precedence()
         {
+            if self.prefers_wait_for_near(&earliest) {
+                return self.wait_for_near();
+            }
             if has_waited || !self.would_overtake(&earliest) {
                 return self.send_by_forecast(earliest);
             }
@@ -112,11 +116,22 @@
 
     pub(crate) fn earliest(&mut self, filter: TargetFilter) -> Option<Forecast> {
         let work_ms = self.work_ms();
+        let crossing = self.crossing();
         let tried = &self.request.tried;
+        if let Some(crossing) = crossing.filter(|_| filter == TargetFilter::Any) {
+            let choice = LocalChoice {
+                service: self.service,
+                now: self.now,
+                work_ms,
+                tried,
+                crossing,
+            };
+            return choice.earliest(self.random);
+        }
         forecast::earliest(self.service, self.now, self.random, work_ms, tried, filter)
     }
 
-    fn work_ms(&self) -> f32 {
+    pub(crate) fn work_ms(&self) -> f32 {
         match &self.request.route {
             Some(route) => route.work_ms(),
             None => self.service.typical_ms(),
@@ -251,7 +266,9 @@
         if miss_chance <= gain_min {
             return None;
         }
-        let earliest = self.earliest(TargetFilter::Any)?;
+        let earliest = self
+            .earliest(TargetFilter::Any)
+            .filter(|hedge| self.may_hedge_at(hedge))?;
         let slowdown = earliest.slowdown;
         let hedge_miss_chance =
             work.miss_chance(0.0, left_ms - ROUND_TRIP_MS, slowdown, &self.service.speed);
@@ -266,7 +283,9 @@
         if left_ms <= time_to_aim_ms {
             return None;
         }
-        let earliest = self.earliest(TargetFilter::Any)?;
+        let earliest = self
+            .earliest(TargetFilter::Any)
+            .filter(|hedge| self.may_hedge_at(hedge))?;
         let gain_ms = left_ms - earliest.answer_ms;
         let meets_aim = earliest.answer_ms <= time_to_aim_ms;
         let is_worth_it = meets_aim || earliest.answer_ms * LATE_HEDGE_FACTOR < left_ms;
--- a/crates/pinhaven-settings/src/lib.rs
+++ b/crates/pinhaven-settings/src/lib.rs
@@ -6,6 +6,7 @@
 use pinhaven_bundle::TrustedSigner;
 use pinhaven_document::Document;
 use pinhaven_document::Fault;
+use pinhaven_types::CrossingCost;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::InstanceId;
 use pinhaven_types::Region;
@@ -99,6 +100,14 @@
     /// Maximum time that a planned stop waits for requests in flight, in milliseconds.
     #[serde(default = "default_stop_most_ms")]
     pub stop_most_ms: u64,
+    /// How expensive it is to send a request to a target of another failure domain, as a factor from 0 (only the delay
+    /// of the network) to 10. Without it, targets of other domains count as slower by a tenth.
+    #[serde(default)]
+    pub crossing_cost: Option<CrossingCost>,
+    /// Whether answers to callers name the entries of the caller's failure domain first, and others only as far as
+    /// needed; all entries must have the same value.
+    #[serde(default)]
+    pub near_entries_first: bool,
     /// Format, levels and sampling of logs.
     #[serde(default)]
     pub log: LogSettings,
--- a/crates/pinhaven-types/src/lib.rs
+++ b/crates/pinhaven-types/src/lib.rs
@@ -4,6 +4,7 @@
 //! writes an id and `FromStr` parses it.
 
 mod api_key;
+mod crossing_cost;
 mod digest;
 mod incarnation;
 mod name;
@@ -16,6 +17,7 @@
 pub use api_key::KeyDigest;
 pub use api_key::ParseKeyDigestError;
 pub use api_key::ParseKeyError;
+pub use crossing_cost::CrossingCost;
 pub use digest::Digest;
 pub use incarnation::Incarnation;
 pub use name::FailureDomain;
