Add the decision on rate limits over all entries

Cause: a limit of an organisation has to hold over all entries together, without a coordinator. Change: the crate pinhaven-limits decides from counts that entries exchange; nothing calls it yet.

--- /dev/null
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -0,0 +1,409 @@
+//! State of one organisation at one entry, and the decision on its requests.
+
+use crate::Limit;
+use crate::OverLimit;
+use crate::estimate::Estimate;
+use crate::estimate::OwnUse;
+use crate::estimate::RecentAdmissions;
+use crate::estimate::overdraft;
+use crate::peers::Peers;
+use crate::places::Places;
+use crate::use_meter::EPOCH;
+use crate::use_meter::UseMeter;
+use pinhaven_types::Incarnation;
+use pinhaven_types::Microseconds;
+use std::collections::BTreeMap;
+
+/// Weight of the entries' total demand in the shares of an organisation's use, in requests.
+const DEMAND_WEIGHT: f64 = 3.0;
+
+/// What is known of an organisation's use at a peer.
+#[derive(Debug, Default)]
+struct PeerUse {
+    /// Last count; `None` if the peer has not advertised one.
+    count: Option<u32>,
+    meter: UseMeter,
+    /// What is reserved for the peer while it is silent.
+    reserved: Option<Reserved>,
+}
+
+/// What is reserved for a silent peer.
+#[derive(Debug, Clone, Copy)]
+struct Reserved {
+    /// Share of the rate and of the capacity.
+    share: f64,
+    /// Tokens that the peer may have used since it was last heard.
+    tokens: f64,
+}
+
+/// State of one organisation.
+#[derive(Debug)]
+pub(crate) struct Organisation {
+    limit: Option<Limit>,
+    /// Tokens in the bucket; negative if more was admitted than the limit allows.
+    level: f64,
+    advanced_at: Microseconds,
+    count: u32,
+    changed_at: Microseconds,
+    admissions: RecentAdmissions,
+    own: UseMeter,
+    /// Own count one epoch ago, which corresponds to the counts of the peers that have arrived.
+    lagged_count: u32,
+    epoch_at: Microseconds,
+    peers: BTreeMap<Incarnation, PeerUse>,
+    places: Places,
+    pub(crate) refused: u64,
+    pub(crate) refused_at: Microseconds,
+    pub(crate) is_reported_at_limit: bool,
+}
+
+impl Organisation {
+    /// Creates the state of an organisation, with an empty bucket.
+    pub(crate) fn new(limit: Option<Limit>, now: Microseconds) -> Self {
+        Self {
+            limit,
+            level: 0.0,
+            advanced_at: now,
+            count: 0,
+            changed_at: Microseconds::ZERO,
+            admissions: RecentAdmissions::new(),
+            own: UseMeter::default(),
+            lagged_count: 0,
+            epoch_at: now,
+            peers: BTreeMap::new(),
+            places: Places::default(),
+            refused: 0,
+            refused_at: Microseconds::ZERO,
+            is_reported_at_limit: false,
+        }
+    }
+
+    /// Fills the bucket of an organisation that is new while the entry is serving.
+    pub(crate) fn with_full_bucket(mut self) -> Self {
+        self.level = self.limit.map_or(0.0, |limit| limit.burst);
+        self
+    }
+
+    pub(crate) fn limit(&self) -> Option<Limit> {
+        self.limit
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        self.count
+    }
+
+    pub(crate) fn changed_at(&self) -> Microseconds {
+        self.changed_at
+    }
+
+    /// Sets the limit. Tokens beyond a lowered burst are lost at once.
+    pub(crate) fn set_limit(&mut self, limit: Option<Limit>) {
+        if self.limit == limit {
+            return;
+        }
+        self.level = match (self.limit, limit) {
+            (_, None) => 0.0,
+            (None, Some(limit)) => limit.burst,
+            (Some(_), Some(limit)) => self.level.clamp(-limit.slack(), limit.burst),
+        };
+        self.limit = limit;
+        self.places.clear();
+    }
+
+    /// Decides on a request of a caller.
+    pub(crate) fn admit(
+        &mut self,
+        peers: &Peers,
+        is_later_try: bool,
+        now: Microseconds,
+    ) -> Result<(), OverLimit> {
+        let estimate = self.advance(peers, now);
+        let Some(limit) = self.limit else {
+            self.take(now);
+            return Ok(());
+        };
+        let share = self.heard_share(peers, now);
+        let available = self.level - estimate.total() + overdraft(&limit) * share;
+        let promised = match is_later_try {
+            true => 0,
+            false => self.places.due(now),
+        };
+        if available - promised as f64 >= 1.0 {
+            if is_later_try {
+                self.places.take(now);
+            }
+            self.take(now);
+            return Ok(());
+        }
+        self.refused += 1;
+        self.refused_at = now;
+        let rate = limit.requests_per_s * share;
+        let own_share = self.own_share(peers).max(1.0 / peers.sharers(now) as f64);
+        let first = now.plus(time_for(1.0 - available, rate));
+        let spacing = time_for(1.0, rate * own_share);
+        let retry_after = self.places.give(first, spacing, now);
+        Err(OverLimit { retry_after })
+    }
+
+    /// Takes a token for a hedge if there is one that nobody else needs.
+    pub(crate) fn admit_hedge(&mut self, peers: &Peers, now: Microseconds) -> bool {
+        let estimate = self.advance(peers, now);
+        let has_token = match self.limit {
+            Some(_) => self.level - estimate.total() - self.places.due(now) as f64 >= 1.0,
+            None => true,
+        };
+        if has_token {
+            self.take(now);
+        }
+        has_token
+    }
+
+    /// Takes a token unconditionally.
+    pub(crate) fn charge(&mut self, peers: &Peers, now: Microseconds) {
+        self.advance(peers, now);
+        self.take(now);
+    }
+
+    /// Returns a token of a request that no target received.
+    pub(crate) fn refund(&mut self, now: Microseconds) {
+        self.level += 1.0;
+        self.set_count(self.count.wrapping_sub(1), now);
+    }
+
+    fn take(&mut self, now: Microseconds) {
+        self.level -= 1.0;
+        self.set_count(self.count.wrapping_add(1), now);
+    }
+
+    fn set_count(&mut self, count: u32, now: Microseconds) {
+        self.count = count;
+        self.changed_at = now;
+        self.admissions.set(count, now);
+    }
+
+    /// Records the count of a peer, which drains the bucket by what the peer has admitted since its last count.
+    pub(crate) fn record_peer(
+        &mut self,
+        incarnation: Incarnation,
+        count: u32,
+        peers: &Peers,
+        now: Microseconds,
+    ) {
+        self.advance(peers, now);
+        let unreported = self.estimate_for(incarnation, peers, now);
+        let peer = self.peers.entry(incarnation).or_default();
+        let Some(before) = peer.count.replace(count) else {
+            // What the peer admitted before it was first heard is not known, except for a jump seen here too.
+            let drained = unreported.min(f64::from(count));
+            peer.meter = UseMeter::starting_at(count.wrapping_sub(drained as u32));
+            return self.drain(drained);
+        };
+        let added = f64::from(count.wrapping_sub(before) as i32);
+        match &mut peer.reserved {
+            Some(reserved) => {
+                reserved.tokens -= added;
+                peer.meter.skip_to(count);
+            }
+            None => self.drain(added),
+        }
+    }
+
+    fn drain(&mut self, requests: f64) {
+        self.level -= requests;
+        self.limit_debt();
+    }
+
+    /// Limits the debt to the slack: entries together never admit more, so that a larger debt comes from a freeze or
+    /// a partition during which this entry's bucket didn't fill.
+    fn limit_debt(&mut self) {
+        if let Some(limit) = self.limit {
+            self.level = self.level.max(-limit.slack());
+        }
+    }
+
+    /// Share of the limit that the heard entries have, this one included.
+    fn heard_share(&self, peers: &Peers, now: Microseconds) -> f64 {
+        let reserved = self.peers.values().filter_map(|peer| peer.reserved);
+        let reserved: f64 = reserved.map(|reserved| reserved.share).sum();
+        let unheard = peers.unheard(now) as f64 / peers.sharers(now) as f64;
+        (1.0 - reserved).max(0.0) * (1.0 - unheard)
+    }
+
+    /// Share of this entry in the recent use.
+    fn own_share(&self, peers: &Peers) -> f64 {
+        let own = self.own.recent() + DEMAND_WEIGHT * peers.demand_share(peers.own_demand);
+        own / self.total_weight(UseMeter::recent)
+    }
+
+    fn total_weight(&self, value: fn(&UseMeter) -> f64) -> f64 {
+        let used = self.peers.values().map(|peer| value(&peer.meter));
+        value(&self.own) + used.sum::<f64>() + DEMAND_WEIGHT
+    }
+
+    fn own_use(&self, peers: &Peers, now: Microseconds) -> OwnUse<'_> {
+        OwnUse {
+            admissions: &self.admissions,
+            rate_per_s: self.own.rate_per_s(),
+            share: self.own_share(peers),
+            sharers: peers.sharers(now),
+        }
+    }
+
+    /// Estimates the use of all heard peers that they have not reported yet.
+    fn estimate(&self, limit: &Limit, peers: &Peers, now: Microseconds) -> Estimate {
+        let own = self.own_use(peers, now);
+        let total = self.total_weight(UseMeter::recent);
+        let mut estimate = Estimate::default();
+        for (incarnation, peer) in &peers.by_incarnation {
+            let known = self.peers.get(incarnation);
+            if known.is_some_and(|known| known.reserved.is_some()) {
+                continue;
+            }
+            let meter = known.map(|known| known.meter).unwrap_or_default();
+            let share =
+                (meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand)) / total;
+            let facts = (meter.rate_per_s(), share);
+            estimate.add_peer(&own, limit, facts, peer.heard_at, now);
+        }
+        estimate
+    }
+
+    /// Estimates the use that one peer has not reported yet.
+    fn estimate_for(&self, incarnation: Incarnation, peers: &Peers, now: Microseconds) -> f64 {
+        let (Some(limit), Some(peer)) = (self.limit, peers.by_incarnation.get(&incarnation)) else {
+            return 0.0;
+        };
+        let own = self.own_use(peers, now);
+        let known = self.peers.get(&incarnation);
+        let meter = known.map(|known| known.meter).unwrap_or_default();
+        let share = (meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand))
+            / self.total_weight(UseMeter::recent);
+        let mut estimate = Estimate::default();
+        let facts = (meter.rate_per_s(), share);
+        estimate.add_peer(&own, &limit, facts, peer.heard_at, now);
+        estimate.total()
+    }
+
+    /// Advances the state to `now`. Returns the estimate of the use that peers have not reported yet.
+    pub(crate) fn advance(&mut self, peers: &Peers, now: Microseconds) -> Estimate {
+        let elapsed_s = now.saturating_sub(self.advanced_at).as_ms() / 1_000.0;
+        self.advanced_at = self.advanced_at.max(now);
+        self.advance_meters(now);
+        let Some(limit) = self.limit else {
+            return Estimate::default();
+        };
+        let filled = limit.requests_per_s * elapsed_s;
+        self.level += filled * self.heard_share(peers, now);
+        for peer in self.peers.values_mut() {
+            if let Some(reserved) = &mut peer.reserved {
+                reserved.tokens += filled * reserved.share;
+            }
+        }
+        self.update_reservations(&limit, peers, now);
+        let estimate = self.estimate(&limit, peers, now);
+        let capacity = limit.burst * self.heard_share(peers, now);
+        self.level = self.level.min(capacity + estimate.usual);
+        estimate
+    }
+
+    fn advance_meters(&mut self, now: Microseconds) {
+        let elapsed = now.saturating_sub(self.epoch_at);
+        if elapsed < EPOCH {
+            return;
+        }
+        self.epoch_at = now;
+        let elapsed_s = elapsed.as_ms() / 1_000.0;
+        self.own.advance(self.lagged_count, elapsed_s);
+        self.lagged_count = self.count;
+        for peer in self.peers.values_mut() {
+            if let (Some(count), None) = (peer.count, peer.reserved) {
+                peer.meter.advance(count, elapsed_s);
+            }
+        }
+    }
+
+    /// Begins the reservations for peers that have become silent, and ends those for peers that are heard again or removed.
+    fn update_reservations(&mut self, limit: &Limit, peers: &Peers, now: Microseconds) {
+        for (incarnation, peer) in &peers.by_incarnation {
+            let known = self.peers.entry(*incarnation).or_default();
+            match (peer.is_silent, known.reserved) {
+                (true, None) => self.reserve(*incarnation, limit, peers, now),
+                (false, Some(reserved)) => {
+                    known.reserved = None;
+                    self.release(reserved, limit);
+                }
+                _ => {}
+            }
+        }
+        if self.peers.len() > peers.by_incarnation.len() {
+            let removed = self
+                .peers
+                .extract_if(.., |incarnation, _| !peers.by_incarnation.contains_key(incarnation));
+            let removed: Vec<Reserved> = removed.filter_map(|(_, peer)| peer.reserved).collect();
+            for reserved in removed {
+                self.release(reserved, limit);
+            }
+        }
+    }
+
+    fn reserve(
+        &mut self,
+        incarnation: Incarnation,
+        limit: &Limit,
+        peers: &Peers,
+        now: Microseconds,
+    ) {
+        let unreported = self.estimate_for(incarnation, peers, now);
+        let heard = 1.0 - self.reserved_shares();
+        let Some(peer) = peers.by_incarnation.get(&incarnation) else {
+            return;
+        };
+        // The weight of the peer among the entries for which nothing is reserved yet.
+        let demand = |demand| DEMAND_WEIGHT * peers.demand_share(demand);
+        let mut total = self.own.settled() + demand(peers.own_demand);
+        let mut weight = 0.0;
+        for (other, state) in &peers.by_incarnation {
+            let known = self.peers.get(other);
+            if known.is_some_and(|known| known.reserved.is_some()) {
+                continue;
+            }
+            let settled = known.map_or(0.0, |known| known.meter.settled());
+            let of_other = settled + demand(state.demand);
+            total += of_other;
+            if *other == incarnation {
+                weight = settled + demand(peer.demand);
+            }
+        }
+        let share = heard * weight / total;
+        // The tokens of the bucket belong to the entries for which nothing is reserved.
+        let bucket = self.level.min(limit.burst * heard).max(0.0);
+        let tokens = unreported + (bucket - unreported).max(0.0) * weight / total;
+        self.level -= tokens;
+        self.limit_debt();
+        let known = self.peers.entry(incarnation).or_default();
+        known.reserved = Some(Reserved { share, tokens });
+    }
+
+    fn reserved_shares(&self) -> f64 {
+        let reserved = self.peers.values().filter_map(|peer| peer.reserved);
+        reserved.map(|reserved| reserved.share).sum()
+    }
+
+    /// Returns the tokens that a peer did not use to the bucket.
+    fn release(&mut self, reserved: Reserved, limit: &Limit) {
+        self.level += reserved.tokens.min(reserved.share * limit.burst);
+        self.limit_debt();
+    }
+
+    /// Recent rate of the admitted requests at all entries, in requests per second.
+    pub(crate) fn rate_per_s(&self) -> f64 {
+        let peers = self.peers.values().map(|peer| peer.meter.rate_per_s());
+        self.own.rate_per_s() + peers.sum::<f64>()
+    }
+}
+
+/// Time in which a number of tokens comes in.
+fn time_for(tokens: f64, rate_per_s: f64) -> Microseconds {
+    let seconds = tokens.max(0.0) / rate_per_s.max(0.001);
+    Microseconds::new((seconds * 1_000_000.0) as u64)
+}
