Apply the limits of organisations at entries

Cause: organisations have limits in the bundle, and no entry applied them. Change: a request takes a token after its key is checked and before its body is read; without one it gets 429 with reason over_limit and the time of its place. Further attempts are charged, hedges need a spare token, what never reached a target is refunded, and forwarded requests are charged where they are sent. Datagrams between serving entries carry the changed counts (News field 12). Without organisations in the bundle nothing is sent or decided. Not measured with real entries yet.

--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -201,6 +201,16 @@
         self.facts.attempts_max = self.facts.attempts_max.min(made + left);
     }
 
+    /// Whether the next timer event may send a hedge.
+    pub fn is_hedge_due(&self, now: Microseconds) -> bool {
+        self.hedge_at.is_some_and(|at| now >= at)
+    }
+
+    /// Sends no further hedges, because the caller's organisation has no tokens for them. Retries are not affected.
+    pub fn withhold_hedges(&mut self) {
+        self.hedge_at = None;
+    }
+
     /// Handles an event and returns the actions to perform.
     pub fn handle(
         &mut self,
--- a/crates/pinhaven-entry/src/callers/job.rs
+++ b/crates/pinhaven-entry/src/callers/job.rs
@@ -1,5 +1,6 @@
 //! A request that is ready to be dispatched.
 
+use crate::callers::admission::Admission;
 use crate::callers::body::RequestBody;
 use crate::callers::routes::Routed;
 use crate::crashes::fingerprints::RequestFingerprints;
@@ -26,6 +27,8 @@
     pub(crate) headers: HeaderMap,
     /// Organisation of the caller; `None` on public routes and where the version lists no organisations.
     pub(crate) organisation: Option<Arc<Organisation>>,
+    /// What the request has taken of the organisation's limit.
+    pub(crate) admission: Option<Admission>,
     pub(crate) deadline: Microseconds,
     /// Time that the caller already waited during earlier, failed tries of the request.
     pub(crate) prior_wait: Microseconds,
--- a/crates/pinhaven-entry/src/callers/mod.rs
+++ b/crates/pinhaven-entry/src/callers/mod.rs
@@ -4,6 +4,7 @@
 //! [`Job`](job::Job), passed to `request`, or to `once_only` if the request carries a key. Called by `start`.
 
 pub(crate) mod address;
+pub(crate) mod admission;
 pub(crate) mod authentication;
 pub(crate) mod body;
 pub(crate) mod directory;
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request from its head to the decision how the request is dispatched.
 
 use crate::callers::address;
+use crate::callers::admission::Admission;
 use crate::callers::authentication::authenticate;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::receive_body;
@@ -130,6 +131,14 @@
         None => None,
     };
     drop(snapshot);
+    let facts = read_caller(entry, &head.headers);
+    let prior_wait = facts.as_ref().map(|facts| prior_wait(facts, &routed));
+    let prior_wait = prior_wait.unwrap_or_default();
+    let is_later_try = prior_wait > Microseconds::ZERO;
+    let admission = organisation
+        .as_deref()
+        .map(|organisation| Admission::of_caller(entry, organisation, is_later_try))
+        .transpose()?;
     require_path(entry, &head)?;
     let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
     if routed.route.is_none() {
@@ -141,7 +150,7 @@
             .config
             .is_repeatable(head.method.as_str(), head.uri.path()),
     };
-    let facts = read_caller(entry, &head.headers)?;
+    let facts = facts?;
     let deadline = entry
         .now()
         .plus(holding_time(&facts, routed.config(), &service));
@@ -169,8 +178,9 @@
         uri: head.uri,
         headers: head.headers,
         organisation,
+        admission,
         deadline,
-        prior_wait: prior_wait(&facts, &routed),
+        prior_wait,
         is_repeatable,
         is_forwarded: false,
         attempts_max: attempts_max(&facts, routed.config()),
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -36,6 +36,7 @@
 use pinhaven_agree::VersionInForce;
 use pinhaven_agree::VersionLag;
 use pinhaven_decide::ColdAccess;
+use pinhaven_limits::OrganisationLimits;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::ForeignRow;
@@ -128,6 +129,8 @@
     /// Fingerprints of the requests in flight when targets crashed.
     pub(crate) crashes: CrashWatch,
     pub(crate) peer_counts: Mutex<PeerCounts>,
+    /// Rate limits of the organisations.
+    pub(crate) limits: OrganisationLimits,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
@@ -245,6 +248,7 @@
             restarts: Restarts::default(),
             crashes: CrashWatch::default(),
             peer_counts: Mutex::new(PeerCounts::default()),
+            limits: OrganisationLimits::new(),
             incarnation,
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
--- a/crates/pinhaven-entry/src/once_only/relay_server.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_server.rs
@@ -1,5 +1,6 @@
 //! Server side of relaying: runs a once-only request that another entry relayed to this entry, its home.
 
+use crate::callers::admission::Admission;
 use crate::callers::body::RequestBody;
 use crate::callers::job::Job;
 use crate::callers::request_guard::RequestGuard;
@@ -93,8 +94,12 @@
         .map_err(bad_relay)?;
     let bytes = Bytes::from(request.body);
     let deadline = Microseconds::from_ms(request.deadline_ms);
+    let admission = organisation
+        .as_deref()
+        .map(|organisation| Admission::of_message(entry, organisation));
     let job = Job {
         entry: Arc::clone(entry),
+        admission,
         service,
         routed: Routed::default(),
         method,
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -68,6 +68,9 @@
             self.record_identity(identity, &datagram.beats);
         }
         self.record_heartbeats(Some(incarnation), &datagram.beats);
+        if let Some(counts) = &datagram.organisations {
+            self.record_organisation_counts(incarnation, &beat, counts);
+        }
         self.merge_suspects(&datagram.suspects);
         self.record_reaches(incarnation, &datagram.reaches);
         self.record_reported_leaves(&datagram.leaving);
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -25,6 +25,7 @@
 use pinhaven_agree::Recipients;
 use pinhaven_agree::UpdateScope;
 use pinhaven_decide::AdvertisedTargets;
+use pinhaven_limits::AdvertisedCounts;
 use pinhaven_peer::ListNews;
 use pinhaven_peer::News;
 use pinhaven_peer::TargetColumns;
@@ -90,6 +91,8 @@
 struct RecipientGroup {
     kind: RecipientKind,
     advertised: AdvertisedTargets,
+    /// Counts of admitted requests that were sent.
+    counts: AdvertisedCounts,
     sent_at: Microseconds,
 }
 
@@ -98,6 +101,7 @@
         Self {
             kind,
             advertised: AdvertisedTargets::default(),
+            counts: AdvertisedCounts::default(),
             sent_at: Microseconds::ZERO,
         }
     }
@@ -336,11 +340,15 @@
         let is_full = kind != UpdateKind::Incremental;
         let snapshot = self.snapshot.load();
         let targets = collect_updates(&mut group.advertised, &snapshot, now, is_full);
+        let mut organisations = self.counts_to_advertise(&mut group.counts, is_full, now);
         if targets.is_empty() {
-            if !is_full {
+            if !is_full && organisations.is_none() {
                 return 0;
             }
-            let message = self.message(&targets, kind);
+            let message = News {
+                organisations,
+                ..self.message(&targets, kind)
+            };
             return send_all(self, socket, group.kind, peers, &message).await;
         }
         let fits_in_one = targets.len() <= TARGETS_MAX;
@@ -348,6 +356,7 @@
         for part in targets.chunks(TARGETS_MAX) {
             let mut message = self.message(part, kind);
             message.is_whole &= fits_in_one;
+            message.organisations = organisations.take();
             bytes += send_all(self, socket, group.kind, peers, &message).await;
         }
         bytes
--- a/crates/pinhaven-entry/src/peers/mod.rs
+++ b/crates/pinhaven-entry/src/peers/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod datagram_sender;
 pub(crate) mod gossip;
 pub(crate) mod gossip_message;
+pub(crate) mod organisation_counts;
 pub(crate) mod peer_counts;
 pub(crate) mod peer_rows;
 pub(crate) mod reach;
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -204,6 +204,13 @@
     fn handle(&mut self, event: Event) -> Step {
         let now = self.job.entry.now();
         let service = &self.job.service.state;
+        if let (Event::TimerFired, Some(admission)) = (event, &self.job.admission)
+            && !self.in_flight.is_empty()
+            && self.request.is_hedge_due(now)
+            && !admission.may_hedge()
+        {
+            self.request.withhold_hedges();
+        }
         self.request.handle(service, now, &mut self.random, event)
     }
 
@@ -285,6 +292,9 @@
             chosen: chosen(&attempt),
         });
         self.job.entry.counters.add(Count::Attempts);
+        if let Some(admission) = &self.job.admission {
+            admission.charge_attempt();
+        }
         let attempts = self.request.downstream_attempts(attempt.id);
         let outcome = match prepare_request(self.job, &attempt, attempts) {
             Some(prepared) => {
@@ -369,10 +379,12 @@
         self.add_end_trace(&attempt, &end);
         let outcome = match end {
             AttemptEnd::NotSent => {
+                self.refund_attempt();
                 self.release_capacity(attempt, Count::AttemptNotSent);
                 AttemptOutcome::NotSent
             }
             AttemptEnd::TargetClosed => {
+                self.refund_attempt();
                 self.release_capacity(attempt, Count::AttemptClosed);
                 AttemptOutcome::TargetClosed
             }
@@ -453,6 +465,13 @@
         self.job.entry.record_crash(self.job, target);
     }
 
+    /// Takes back the charge of an attempt that did not reach its target.
+    fn refund_attempt(&self) {
+        if let Some(admission) = &self.job.admission {
+            admission.refund_attempt();
+        }
+    }
+
     fn release_capacity(&self, attempt: Attempt, count: Count) {
         drop(attempt);
         self.job.entry.counters.add(count);
--- a/crates/pinhaven-entry/src/request/forwarded.rs
+++ b/crates/pinhaven-entry/src/request/forwarded.rs
@@ -3,6 +3,7 @@
 //! A forwarded request is served like a caller's own and never forwarded again. What this entry certainly can't serve it
 //! declines, so that the other entry can ask a third one.
 
+use crate::callers::admission::Admission;
 use crate::callers::body::BodyLimits;
 use crate::callers::body::RequestBody;
 use crate::callers::body::receive_body;
@@ -153,8 +154,11 @@
                 .config
                 .is_repeatable(self.method.as_str(), self.uri.path()),
         };
+        let organisation = self.organisation.as_deref();
+        let admission = organisation.map(|organisation| Admission::of_message(entry, organisation));
         Job {
             entry: Arc::clone(entry),
+            admission,
             service: self.service,
             routed: self.routed,
             method: self.method,
--- a/crates/pinhaven-entry/src/targets/orders.rs
+++ b/crates/pinhaven-entry/src/targets/orders.rs
@@ -114,6 +114,7 @@
         self.apply_leaves(&next, &leaves.all());
         apply_drains(&next, &drains, self.now());
         self.set_cold_access(&next);
+        self.set_limits(&next);
         self.snapshot.store(Arc::new(next));
     }
 
--- a/crates/pinhaven-entry/src/versions/organisations.rs
+++ b/crates/pinhaven-entry/src/versions/organisations.rs
@@ -33,6 +33,11 @@
         self.by_key.get(&key.digest())
     }
 
+    /// All organisations.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.by_name.values()
+    }
+
     /// The organisation with a name.
     pub(crate) fn named(&self, name: &OrganisationName) -> Option<&Arc<Organisation>> {
         self.by_name.get(name)
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -69,6 +69,12 @@
     KeyBad,
     /// Requests refused because no organisation holds their key.
     KeyUnknown,
+    /// Requests refused because their organisation is at its limit.
+    OverLimit,
+    /// Times that an organisation reached its limit at this entry.
+    LimitReached,
+    /// Hedges not sent because their organisation had no token to spare.
+    HedgeOverLimit,
     /// Requests refused because no bundle version is in force here.
     NotReady,
     /// Requests refused because the memory for bodies is used up.
@@ -151,7 +157,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 70] = [
+const COUNT_NAMES: [&str; 73] = [
     "requests",
     "answered",
     "addresses",
@@ -182,6 +188,9 @@
     "refused.key_required",
     "refused.bad_key",
     "refused.unknown_key",
+    "refused.over_limit",
+    "limit.reached",
+    "limit.hedges_withheld",
     "refused.not_ready",
     "refused.body_memory",
     "refused.key_missing",
--- a/crates/pinhaven-limits/src/advertised.rs
+++ b/crates/pinhaven-limits/src/advertised.rs
@@ -26,7 +26,10 @@
     /// Whether an advertisement is due.
     pub(crate) fn is_due(&self, is_full: bool, now: Microseconds) -> bool {
         let since = |sent_at| now.saturating_sub(sent_at).plus(EARLY);
-        is_full || self.sent_at.is_none_or(|sent_at| since(sent_at) >= INTERVAL)
+        is_full
+            || self
+                .sent_at
+                .is_none_or(|sent_at| since(sent_at) >= INTERVAL)
     }
 
     /// Selects the counts to advertise now, from all counts and the times at which they changed.
--- a/crates/pinhaven-limits/src/estimate.rs
+++ b/crates/pinhaven-limits/src/estimate.rs
@@ -5,6 +5,7 @@
 //! occur at every peer, in proportion to the shares of the use. A small excess may be chance and is not extrapolated:
 //! it is covered by a part of the slack.
 
+use crate::FIXED_SLACK;
 use crate::Limit;
 use pinhaven_types::Microseconds;
 
@@ -12,8 +13,14 @@
 const ASSUMED_DELAY: Microseconds = Microseconds::from_ms(300);
 /// Part of the slack for admissions that are not extrapolated, over all entries.
 const CHANCE_PART: f64 = 0.25;
-/// Part of the slack by which the bucket may be overdrawn.
+/// Part of the slack that is proportional to the limit by which the bucket may be overdrawn.
 const OVERDRAFT_PART: f64 = 0.25;
+/// Part of the fixed slack by which the bucket may be overdrawn. Small organisations depend on it.
+const OVERDRAFT_OF_FIXED: f64 = 0.6;
+/// Part of the slack that is used immediately after the start, of the part that is used later.
+const USABLE_AT_START: f64 = 0.2;
+/// Age from which the slack is used in full.
+const GROWS_FOR: Microseconds = Microseconds::from_ms(5_000);
 
 /// Duration of a slot of [`RecentAdmissions`].
 const SLOT: Microseconds = Microseconds::from_ms(25);
@@ -68,6 +75,8 @@
     pub(crate) share: f64,
     /// Number of entries that share the limit.
     pub(crate) sharers: usize,
+    /// Admissions that are not extrapolated to peers.
+    pub(crate) chance: f64,
 }
 
 /// Use that peers have not reported yet.
@@ -84,7 +93,6 @@
     pub(crate) fn add_peer(
         &mut self,
         own: &OwnUse<'_>,
-        limit: &Limit,
         (rate_per_s, share): (f64, f64),
         heard_at: Microseconds,
         now: Microseconds,
@@ -93,8 +101,7 @@
         let elapsed_s = now.saturating_sub(since).as_ms() / 1_000.0;
         self.usual += rate_per_s * elapsed_s;
         let usual = own.rate_per_s * elapsed_s;
-        let chance = usual.sqrt() + CHANCE_PART * limit.slack() / own.sharers as f64;
-        let excess = own.admissions.since(since) - usual - chance;
+        let excess = own.admissions.since(since) - usual - usual.sqrt() - own.chance;
         if excess > 0.0 {
             // An entry with hardly any use can't tell a jump from callers that move to it.
             let own_share = own.share.max(1.0 / own.sharers as f64);
@@ -107,7 +114,20 @@
     }
 }
 
-/// Number of requests by which the bucket may be overdrawn.
-pub(crate) fn overdraft(limit: &Limit) -> f64 {
-    OVERDRAFT_PART * limit.slack()
+/// Number of requests by which the bucket may be overdrawn, at this age of the entry.
+pub(crate) fn overdraft(limit: &Limit, age: Microseconds) -> f64 {
+    let proportional = OVERDRAFT_PART * (limit.slack() - FIXED_SLACK);
+    (OVERDRAFT_OF_FIXED * FIXED_SLACK + proportional) * usable_part(age)
+}
+
+/// Number of admissions of one entry that are not extrapolated to its peers.
+pub(crate) fn chance(limit: &Limit, sharers: usize, age: Microseconds) -> f64 {
+    CHANCE_PART * limit.slack() / sharers as f64 * usable_part(age)
+}
+
+/// Part of the slack that an entry of this age uses. What was admitted beyond the limit is forgotten at a restart, so the
+/// part is small at first, and two restarts in 5 s don't add up to more than the slack.
+fn usable_part(age: Microseconds) -> f64 {
+    let grown = (age.as_ms() / GROWS_FOR.as_ms()).min(1.0);
+    USABLE_AT_START + (1.0 - USABLE_AT_START) * grown
 }
--- a/crates/pinhaven-limits/src/lib.rs
+++ b/crates/pinhaven-limits/src/lib.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Part of the slack that doesn't depend on the limit, in requests.
+pub(crate) const FIXED_SLACK: f64 = 20.0;
+
 /// Limit of the requests of an organisation at all entries together.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
@@ -48,7 +51,7 @@
 impl Limit {
     /// Requests by which the sum over all entries may exceed the limit in any 5 s.
     pub(crate) fn slack(&self) -> f64 {
-        0.1 * (5.0 * self.requests_per_s + self.burst) + 20.0
+        0.1 * (5.0 * self.requests_per_s + self.burst) + FIXED_SLACK
     }
 }
 
--- a/crates/pinhaven-limits/src/limits.rs
+++ b/crates/pinhaven-limits/src/limits.rs
@@ -99,12 +99,12 @@
         }
     }
 
-    /// Takes a token for a hedge. Returns `false` if there is none, in which case the hedge must not be sent.
-    pub fn admit_hedge(&self, key: OrganisationKey, now: Microseconds) -> bool {
+    /// Whether a hedge may be sent: whether there is a token that no caller's request needs.
+    pub fn has_spare_token(&self, key: OrganisationKey, now: Microseconds) -> bool {
         match self.organisation(key) {
             Some(organisation) => {
                 let peers = self.peers(now);
-                organisation.lock().admit_hedge(&peers, now)
+                organisation.lock().has_spare_token(&peers, now)
             }
             None => true,
         }
@@ -185,12 +185,12 @@
         peers.own_demand = own_demand;
     }
 
-    /// Ends the reservations for peers that stopped or that a later run replaced.
+    /// Ends the reservations for silent peers that stopped or that a later run replaced.
     pub fn end_peers(&self, has_ended: impl Fn(Incarnation) -> bool) {
         let mut peers = self.peers.write();
         peers
             .by_incarnation
-            .retain(|incarnation, _| !has_ended(*incarnation));
+            .retain(|incarnation, peer| !peer.is_silent || !has_ended(*incarnation));
     }
 
     /// Use of all organisations, the largest first.
@@ -209,7 +209,11 @@
             }
         });
         let mut usage: Vec<OrganisationUse> = usage.collect();
-        usage.sort_by(|a, b| b.rate_per_s.total_cmp(&a.rate_per_s).then(a.key.cmp(&b.key)));
+        usage.sort_by(|a, b| {
+            b.rate_per_s
+                .total_cmp(&a.rate_per_s)
+                .then(a.key.cmp(&b.key))
+        });
         usage
     }
 
@@ -244,6 +248,5 @@
 }
 
 fn is_at_limit(organisation: &Organisation, now: Microseconds) -> bool {
-    organisation.refused > 0
-        && now.saturating_sub(organisation.refused_at) < BELOW_LIMIT_AFTER
+    organisation.refused > 0 && now.saturating_sub(organisation.refused_at) < BELOW_LIMIT_AFTER
 }
--- a/crates/pinhaven-limits/src/organisation.rs
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -5,6 +5,7 @@
 use crate::estimate::Estimate;
 use crate::estimate::OwnUse;
 use crate::estimate::RecentAdmissions;
+use crate::estimate::chance;
 use crate::estimate::overdraft;
 use crate::peers::Peers;
 use crate::places::Places;
@@ -17,6 +18,11 @@
 /// Weight of the entries' total demand in the shares of an organisation's use, in requests.
 const DEMAND_WEIGHT: f64 = 3.0;
 
+/// Time in which a peer may have admitted its first requests before its first count arrives.
+const FIRST_COUNT_PERIOD: Microseconds = Microseconds::from_ms(1_000);
+/// Time after a peer is heard again in which it sends a full datagram.
+const SETTLED_AFTER: Microseconds = Microseconds::from_ms(700);
+
 /// What is known of an organisation's use at a peer.
 #[derive(Debug, Default)]
 struct PeerUse {
@@ -34,6 +40,8 @@
     share: f64,
     /// Tokens that the peer may have used since it was last heard.
     tokens: f64,
+    /// Requests that the peer has admitted since, as far as it has reported.
+    used: f64,
 }
 
 /// State of one organisation.
@@ -123,7 +131,7 @@
             return Ok(());
         };
         let share = self.heard_share(peers, now);
-        let available = self.level - estimate.total() + overdraft(&limit) * share;
+        let available = self.level - estimate.total() + overdraft(&limit, peers.age(now)) * share;
         let promised = match is_later_try {
             true => 0,
             false => self.places.due(now),
@@ -145,17 +153,11 @@
         Err(OverLimit { retry_after })
     }
 
-    /// Takes a token for a hedge if there is one that nobody else needs.
-    pub(crate) fn admit_hedge(&mut self, peers: &Peers, now: Microseconds) -> bool {
+    /// Whether there is a token that nobody else needs.
+    pub(crate) fn has_spare_token(&mut self, peers: &Peers, now: Microseconds) -> bool {
         let estimate = self.advance(peers, now);
-        let has_token = match self.limit {
-            Some(_) => self.level - estimate.total() - self.places.due(now) as f64 >= 1.0,
-            None => true,
-        };
-        if has_token {
-            self.take(now);
-        }
-        has_token
+        let promised = self.places.due(now) as f64;
+        self.limit.is_none() || self.level - estimate.total() - promised >= 1.0
     }
 
     /// Takes a token unconditionally.
@@ -190,21 +192,32 @@
         now: Microseconds,
     ) {
         self.advance(peers, now);
-        let unreported = self.estimate_for(incarnation, peers, now);
         let peer = self.peers.entry(incarnation).or_default();
         let Some(before) = peer.count.replace(count) else {
-            // What the peer admitted before it was first heard is not known, except for a jump seen here too.
-            let drained = unreported.min(f64::from(count));
+            // How much the peer admitted before it was first heard is not known. Where callers spread, it is about as
+            // much as here.
+            let recent = self
+                .admissions
+                .since(now.saturating_sub(FIRST_COUNT_PERIOD));
+            let chance = self.limit.map_or(0.0, |limit| {
+                chance(&limit, peers.sharers(now), peers.age(now))
+            });
+            let drained = (recent + chance).min(f64::from(count));
             peer.meter = UseMeter::starting_at(count.wrapping_sub(drained as u32));
             return self.drain(drained);
         };
         let added = f64::from(count.wrapping_sub(before) as i32);
-        match &mut peer.reserved {
-            Some(reserved) => {
-                reserved.tokens -= added;
-                peer.meter.skip_to(count);
-            }
-            None => self.drain(added),
+        let Some(reserved) = &mut peer.reserved else {
+            return self.drain(added);
+        };
+        reserved.tokens -= added;
+        reserved.used += added;
+        let reserved = *reserved;
+        peer.meter.skip_to(count);
+        let is_heard = peers.by_incarnation.get(&incarnation);
+        if let (Some(limit), true) = (self.limit, is_heard.is_some_and(|peer| !peer.is_silent)) {
+            peer.reserved = None;
+            self.release(reserved, &limit);
         }
     }
 
@@ -240,50 +253,42 @@
         value(&self.own) + used.sum::<f64>() + DEMAND_WEIGHT
     }
 
-    fn own_use(&self, peers: &Peers, now: Microseconds) -> OwnUse<'_> {
+    fn own_use(&self, limit: &Limit, peers: &Peers, now: Microseconds) -> OwnUse<'_> {
+        let sharers = peers.sharers(now);
         OwnUse {
             admissions: &self.admissions,
             rate_per_s: self.own.rate_per_s(),
             share: self.own_share(peers),
-            sharers: peers.sharers(now),
+            sharers,
+            chance: chance(limit, sharers, peers.age(now)),
         }
     }
 
-    /// Estimates the use of all heard peers that they have not reported yet.
-    fn estimate(&self, limit: &Limit, peers: &Peers, now: Microseconds) -> Estimate {
-        let own = self.own_use(peers, now);
+    /// Estimates the use of heard peers that they have not reported yet: of all, or only of the peer `only`.
+    fn estimate(
+        &self,
+        limit: &Limit,
+        peers: &Peers,
+        only: Option<Incarnation>,
+        now: Microseconds,
+    ) -> Estimate {
+        let own = self.own_use(limit, peers, now);
         let total = self.total_weight(UseMeter::recent);
         let mut estimate = Estimate::default();
         for (incarnation, peer) in &peers.by_incarnation {
             let known = self.peers.get(incarnation);
-            if known.is_some_and(|known| known.reserved.is_some()) {
+            let is_reserved = known.is_some_and(|known| known.reserved.is_some());
+            if is_reserved || only.is_some_and(|only| only != *incarnation) {
                 continue;
             }
             let meter = known.map(|known| known.meter).unwrap_or_default();
-            let share =
-                (meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand)) / total;
-            let facts = (meter.rate_per_s(), share);
-            estimate.add_peer(&own, limit, facts, peer.heard_at, now);
+            let weight = meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand);
+            let facts = (meter.rate_per_s(), weight / total);
+            estimate.add_peer(&own, facts, peer.heard_at, now);
         }
         estimate
     }
 
-    /// Estimates the use that one peer has not reported yet.
-    fn estimate_for(&self, incarnation: Incarnation, peers: &Peers, now: Microseconds) -> f64 {
-        let (Some(limit), Some(peer)) = (self.limit, peers.by_incarnation.get(&incarnation)) else {
-            return 0.0;
-        };
-        let own = self.own_use(peers, now);
-        let known = self.peers.get(&incarnation);
-        let meter = known.map(|known| known.meter).unwrap_or_default();
-        let share = (meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand))
-            / self.total_weight(UseMeter::recent);
-        let mut estimate = Estimate::default();
-        let facts = (meter.rate_per_s(), share);
-        estimate.add_peer(&own, &limit, facts, peer.heard_at, now);
-        estimate.total()
-    }
-
     /// Advances the state to `now`. Returns the estimate of the use that peers have not reported yet.
     pub(crate) fn advance(&mut self, peers: &Peers, now: Microseconds) -> Estimate {
         let elapsed_s = now.saturating_sub(self.advanced_at).as_ms() / 1_000.0;
@@ -300,7 +305,7 @@
             }
         }
         self.update_reservations(&limit, peers, now);
-        let estimate = self.estimate(&limit, peers, now);
+        let estimate = self.estimate(&limit, peers, None, now);
         let capacity = limit.burst * self.heard_share(peers, now);
         self.level = self.level.min(capacity + estimate.usual);
         estimate
@@ -328,7 +333,8 @@
             let known = self.peers.entry(*incarnation).or_default();
             match (peer.is_silent, known.reserved) {
                 (true, None) => self.reserve(*incarnation, limit, peers, now),
-                (false, Some(reserved)) => {
+                // The peer has probably repeated its count by then, if it changed.
+                (false, Some(reserved)) if peer.is_heard_for(SETTLED_AFTER, now) => {
                     known.reserved = None;
                     self.release(reserved, limit);
                 }
@@ -336,9 +342,9 @@
             }
         }
         if self.peers.len() > peers.by_incarnation.len() {
-            let removed = self
-                .peers
-                .extract_if(.., |incarnation, _| !peers.by_incarnation.contains_key(incarnation));
+            let removed = self.peers.extract_if(.., |incarnation, _| {
+                !peers.by_incarnation.contains_key(incarnation)
+            });
             let removed: Vec<Reserved> = removed.filter_map(|(_, peer)| peer.reserved).collect();
             for reserved in removed {
                 self.release(reserved, limit);
@@ -353,7 +359,7 @@
         peers: &Peers,
         now: Microseconds,
     ) {
-        let unreported = self.estimate_for(incarnation, peers, now);
+        let unreported = self.estimate(limit, peers, Some(incarnation), now).total();
         let heard = 1.0 - self.reserved_shares();
         let Some(peer) = peers.by_incarnation.get(&incarnation) else {
             return;
@@ -381,7 +387,11 @@
         self.level -= tokens;
         self.limit_debt();
         let known = self.peers.entry(incarnation).or_default();
-        known.reserved = Some(Reserved { share, tokens });
+        known.reserved = Some(Reserved {
+            share,
+            tokens,
+            used: 0.0,
+        });
     }
 
     fn reserved_shares(&self) -> f64 {
@@ -389,9 +399,16 @@
         reserved.map(|reserved| reserved.share).sum()
     }
 
-    /// Returns the tokens that a peer did not use to the bucket.
+    /// Ends a reservation. What the peer admitted beyond it drains the bucket. The bucket gets back what the peer's
+    /// part of the bucket held, less what the peer admitted: when it did so is not known.
     fn release(&mut self, reserved: Reserved, limit: &Limit) {
-        self.level += reserved.tokens.min(reserved.share * limit.burst);
+        let Reserved {
+            share,
+            tokens,
+            used,
+        } = reserved;
+        let unused = (share * limit.burst - used).max(0.0);
+        self.level += tokens.min(unused);
         self.limit_debt();
     }
 
--- a/crates/pinhaven-limits/src/peers.rs
+++ b/crates/pinhaven-limits/src/peers.rs
@@ -34,6 +34,15 @@
     pub(crate) demand: f64,
     /// Whether the peer was silent when its state was last updated.
     pub(crate) is_silent: bool,
+    /// When the peer was first heard, or heard again after a silence.
+    heard_since: Microseconds,
+}
+
+impl Peer {
+    /// Whether the peer has been heard for this time.
+    pub(crate) fn is_heard_for(&self, duration: Microseconds, now: Microseconds) -> bool {
+        !self.is_silent && now.saturating_sub(self.heard_since) >= duration
+    }
 }
 
 /// All peers that advertise counts.
@@ -64,6 +73,7 @@
             sequence,
             demand,
             is_silent: false,
+            heard_since: now,
         });
         if sequence < peer.sequence {
             return false;
@@ -72,7 +82,9 @@
         peer.demand = demand;
         if is_trusted {
             peer.heard_at = now;
-            peer.is_silent = false;
+            if std::mem::take(&mut peer.is_silent) {
+                peer.heard_since = now;
+            }
         }
         true
     }
@@ -101,9 +113,13 @@
             true => RESERVED_FOR,
             false => RESERVED_BY_MINORITY_FOR,
         };
-        self.by_incarnation.retain(|_, peer| {
-            !peer.is_silent || now.saturating_sub(peer.heard_at) < reserved_for
-        });
+        self.by_incarnation
+            .retain(|_, peer| !peer.is_silent || now.saturating_sub(peer.heard_at) < reserved_for);
+    }
+
+    /// Time since this entry's start.
+    pub(crate) fn age(&self, now: Microseconds) -> Microseconds {
+        now.saturating_sub(self.started_at.unwrap_or(now))
     }
 
     /// Number of entries that share the limits, this one included.
@@ -114,7 +130,7 @@
     /// Number of entries that probably serve callers and whose counts were never heard.
     pub(crate) fn unheard(&self, now: Microseconds) -> usize {
         let heard = self.by_incarnation.len();
-        let age = now.saturating_sub(self.started_at.unwrap_or(now));
+        let age = self.age(now);
         if heard > 0 && age >= DISCOVERY_PERIOD {
             return 0;
         }
--- a/crates/pinhaven-peer/src/lib.rs
+++ b/crates/pinhaven-peer/src/lib.rs
@@ -44,6 +44,7 @@
 pub use news::DrainNews;
 pub use news::ListNews;
 pub use news::News;
+pub use news::OrganisationColumns;
 pub use news::ServiceReach;
 pub use news::TargetColumns;
 pub use news::TargetNews;
--- a/crates/pinhaven-peer/src/news.rs
+++ b/crates/pinhaven-peer/src/news.rs
@@ -126,6 +126,30 @@
     pub is_lost: bool,
 }
 
+/// Numbers of requests that the sender has admitted since its start, by organisation, one column per field. A row takes
+/// about seven bytes.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct OrganisationColumns {
+    /// Short hashes of the organisations' names.
+    #[prost(fixed32, repeated, tag = "1")]
+    keys: Vec<u32>,
+    #[prost(uint32, repeated, tag = "2")]
+    counts: Vec<u32>,
+}
+
+impl OrganisationColumns {
+    /// Encodes pairs of a key and a count as columns.
+    pub fn new(rows: impl IntoIterator<Item = (u32, u32)>) -> Self {
+        let (keys, counts) = rows.into_iter().unzip();
+        Self { keys, counts }
+    }
+
+    /// Decodes the rows. Columns of different lengths are cut to the shorter one.
+    pub fn rows(&self) -> impl Iterator<Item = (u32, u32)> {
+        self.keys.iter().copied().zip(self.counts.iter().copied())
+    }
+}
+
 /// A datagram of state updates.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct News {
@@ -163,4 +187,8 @@
     /// Drained failure domains, if the sender knows which they are.
     #[prost(message, optional, tag = "11")]
     pub drains: Option<DrainNews>,
+    /// Requests admitted by organisation: those whose number changed. Present and empty if none changed and the sender
+    /// serves; absent if the sender has nothing to say about organisations.
+    #[prost(message, optional, tag = "12")]
+    pub organisations: Option<OrganisationColumns>,
 }
