--- a/crates/pinhaven-limits/src/estimate.rs
+++ b/crates/pinhaven-limits/src/estimate.rs
@@ -7,6 +7,7 @@
 
 use crate::FIXED_SLACK;
 use crate::Limit;
+use crate::peers::SILENT_AFTER;
 use pinhaven_types::Microseconds;
 
 /// Assumed time from the state of a peer to the arrival of its counts. The news of a jump takes 100 to 400 ms.
@@ -16,9 +17,9 @@
 /// Part of the slack that is proportional to the limit by which the bucket may be overdrawn.
 const OVERDRAFT_PART: f64 = 0.25;
 /// Part of the fixed slack by which the bucket may be overdrawn. Small organisations depend on it.
-const OVERDRAFT_OF_FIXED: f64 = 0.6;
-/// Part of the slack that is used immediately after the start, of the part that is used later.
-const USABLE_AT_START: f64 = 0.2;
+const OVERDRAFT_OF_FIXED: f64 = 0.5;
+/// Part of the chance that is allowed immediately after the start.
+const CHANCE_AT_START: f64 = 0.2;
 /// Age from which the slack is used in full.
 const GROWS_FOR: Microseconds = Microseconds::from_ms(5_000);
 
@@ -98,7 +99,11 @@
         now: Microseconds,
     ) {
         let since = heard_at.saturating_sub(ASSUMED_DELAY);
-        let elapsed_s = now.saturating_sub(since).as_ms() / 1_000.0;
+        // A peer that is silent for longer is no longer estimated.
+        let elapsed = now
+            .saturating_sub(since)
+            .min(ASSUMED_DELAY.plus(SILENT_AFTER));
+        let elapsed_s = elapsed.as_ms() / 1_000.0;
         self.usual += rate_per_s * elapsed_s;
         let usual = own.rate_per_s * elapsed_s;
         let excess = own.admissions.since(since) - usual - usual.sqrt() - own.chance;
@@ -117,17 +122,16 @@
 /// Number of requests by which the bucket may be overdrawn, at this age of the entry.
 pub(crate) fn overdraft(limit: &Limit, age: Microseconds) -> f64 {
     let proportional = OVERDRAFT_PART * (limit.slack() - FIXED_SLACK);
-    (OVERDRAFT_OF_FIXED * FIXED_SLACK + proportional) * usable_part(age)
+    (OVERDRAFT_OF_FIXED * FIXED_SLACK + proportional) * grown(age)
 }
 
 /// Number of admissions of one entry that are not extrapolated to its peers.
 pub(crate) fn chance(limit: &Limit, sharers: usize, age: Microseconds) -> f64 {
-    CHANCE_PART * limit.slack() / sharers as f64 * usable_part(age)
+    CHANCE_PART * limit.slack() / sharers as f64 * grown(age).max(CHANCE_AT_START)
 }
 
 /// Part of the slack that an entry of this age uses. What was admitted beyond the limit is forgotten at a restart, so the
 /// part is small at first, and two restarts in 5 s don't add up to more than the slack.
-fn usable_part(age: Microseconds) -> f64 {
-    let grown = (age.as_ms() / GROWS_FOR.as_ms()).min(1.0);
-    USABLE_AT_START + (1.0 - USABLE_AT_START) * grown
+fn grown(age: Microseconds) -> f64 {
+    (age.as_ms() / GROWS_FOR.as_ms()).min(1.0).powi(2)
 }
--- a/crates/pinhaven-limits/src/organisation.rs
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -38,7 +38,9 @@
 struct Reserved {
     /// Share of the rate and of the capacity.
     share: f64,
-    /// Tokens that the peer may have used since it was last heard.
+    /// Requests that the peer was estimated to have admitted before it became silent.
+    unreported: f64,
+    /// Further tokens that the peer may have used.
     tokens: f64,
     /// Requests that the peer has admitted since, as far as it has reported.
     used: f64,
@@ -133,10 +135,10 @@
         let share = self.heard_share(peers, now);
         let available = self.level - estimate.total() + overdraft(&limit, peers.age(now)) * share;
         let promised = match is_later_try {
-            true => 0,
+            true => 0.0,
             false => self.places.due(now),
         };
-        if available - promised as f64 >= 1.0 {
+        if available - promised >= 1.0 {
             if is_later_try {
                 self.places.take(now);
             }
@@ -156,7 +158,7 @@
     /// Whether there is a token that nobody else needs.
     pub(crate) fn has_spare_token(&mut self, peers: &Peers, now: Microseconds) -> bool {
         let estimate = self.advance(peers, now);
-        let promised = self.places.due(now) as f64;
+        let promised = self.places.due(now);
         self.limit.is_none() || self.level - estimate.total() - promised >= 1.0
     }
 
@@ -210,7 +212,6 @@
         let Some(reserved) = &mut peer.reserved else {
             return self.drain(added);
         };
-        reserved.tokens -= added;
         reserved.used += added;
         let reserved = *reserved;
         peer.meter.skip_to(count);
@@ -291,7 +292,7 @@
 
     /// Advances the state to `now`. Returns the estimate of the use that peers have not reported yet.
     pub(crate) fn advance(&mut self, peers: &Peers, now: Microseconds) -> Estimate {
-        let elapsed_s = now.saturating_sub(self.advanced_at).as_ms() / 1_000.0;
+        let elapsed_s = seconds(now.saturating_sub(self.advanced_at));
         self.advanced_at = self.advanced_at.max(now);
         self.advance_meters(now);
         let Some(limit) = self.limit else {
@@ -317,7 +318,7 @@
             return;
         }
         self.epoch_at = now;
-        let elapsed_s = elapsed.as_ms() / 1_000.0;
+        let elapsed_s = seconds(elapsed);
         self.own.advance(self.lagged_count, elapsed_s);
         self.lagged_count = self.count;
         for peer in self.peers.values_mut() {
@@ -383,15 +384,30 @@
         let share = heard * weight / total;
         // The tokens of the bucket belong to the entries for which nothing is reserved.
         let bucket = self.level.min(limit.burst * heard).max(0.0);
-        let tokens = unreported + (bucket - unreported).max(0.0) * weight / total;
-        self.level -= tokens;
+        let part = weight / total;
+        let reserved = match peers.was_frozen(now) {
+            // The others went on while this entry's bucket did not fill beyond its capacity.
+            true => Reserved {
+                share,
+                unreported: 0.0,
+                tokens: bucket * part
+                    + limit.requests_per_s * share * seconds(now.saturating_sub(peer.heard_at)),
+                used: 0.0,
+            },
+            false => Reserved {
+                share,
+                unreported,
+                tokens: (bucket - unreported).max(0.0) * part,
+                used: 0.0,
+            },
+        };
+        self.level = match peers.was_frozen(now) {
+            true => self.level.min(limit.burst * heard) - bucket * part,
+            false => self.level - reserved.unreported - reserved.tokens,
+        };
         self.limit_debt();
         let known = self.peers.entry(incarnation).or_default();
-        known.reserved = Some(Reserved {
-            share,
-            tokens,
-            used: 0.0,
-        });
+        known.reserved = Some(reserved);
     }
 
     fn reserved_shares(&self) -> f64 {
@@ -402,13 +418,10 @@
     /// Ends a reservation. What the peer admitted beyond it drains the bucket. The bucket gets back what the peer's
     /// part of the bucket held, less what the peer admitted: when it did so is not known.
     fn release(&mut self, reserved: Reserved, limit: &Limit) {
-        let Reserved {
-            share,
-            tokens,
-            used,
-        } = reserved;
-        let unused = (share * limit.burst - used).max(0.0);
-        self.level += tokens.min(unused);
+        let estimated = reserved.unreported.min(reserved.used);
+        let used = reserved.used - estimated;
+        let unused = (reserved.share * limit.burst - used).max(0.0);
+        self.level += reserved.unreported - estimated + (reserved.tokens - used).min(unused);
         self.limit_debt();
     }
 
@@ -424,3 +437,7 @@
     let seconds = tokens.max(0.0) / rate_per_s.max(0.001);
     Microseconds::new((seconds * 1_000_000.0) as u64)
 }
+
+fn seconds(time: Microseconds) -> f64 {
+    time.as_ms() / 1_000.0
+}
--- a/crates/pinhaven-limits/src/peers.rs
+++ b/crates/pinhaven-limits/src/peers.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 /// Silence after which a peer's share is reserved. Peers send full datagrams every 500 ms.
-const SILENT_AFTER: Microseconds = Microseconds::from_ms(600);
+pub(crate) const SILENT_AFTER: Microseconds = Microseconds::from_ms(600);
 /// Silence after which the share of a peer is no longer reserved.
 const RESERVED_FOR: Microseconds = Microseconds::from_ms(15_000);
 /// Silence after which the share of a peer is no longer reserved where most peers are silent.
@@ -67,7 +67,7 @@
         demand: f64,
         now: Microseconds,
     ) -> bool {
-        let is_trusted = now >= self.distrusted_until;
+        let is_trusted = !self.was_frozen(now);
         let peer = self.by_incarnation.entry(incarnation).or_insert(Peer {
             heard_at: now,
             sequence,
@@ -117,6 +117,11 @@
             .retain(|_, peer| !peer.is_silent || now.saturating_sub(peer.heard_at) < reserved_for);
     }
 
+    /// Whether this entry was frozen until just now.
+    pub(crate) fn was_frozen(&self, now: Microseconds) -> bool {
+        now < self.distrusted_until
+    }
+
     /// Time since this entry's start.
     pub(crate) fn age(&self, now: Microseconds) -> Microseconds {
         now.saturating_sub(self.started_at.unwrap_or(now))
