--- a/crates/pinhaven-limits/src/organisation.rs
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -134,9 +134,11 @@
         };
         let share = self.heard_share(peers, now);
         let available = self.level - estimate.total() + overdraft(&limit, peers.age(now)) * share;
+        let own_share = self.own_share(peers).max(1.0 / peers.sharers(now) as f64);
         let promised = match is_later_try {
             true => 0.0,
-            false => self.places.due(now),
+            // Callers come back at any entry, and the other entries have places that are due too.
+            false => self.places.due(now) / own_share,
         };
         if available - promised >= 1.0 {
             if is_later_try {
@@ -148,7 +150,6 @@
         self.refused += 1;
         self.refused_at = now;
         let rate = limit.requests_per_s * share;
-        let own_share = self.own_share(peers).max(1.0 / peers.sharers(now) as f64);
         let first = now.plus(time_for(1.0 - available, rate));
         let spacing = time_for(1.0, rate * own_share);
         let retry_after = self.places.give(first, spacing, now);
