--- a/crates/pinhaven-entry/src/lib.rs
+++ b/crates/pinhaven-entry/src/lib.rs
@@ -34,6 +34,7 @@
 pub use start::run_entry;
 pub use watch::status::InstanceStatus;
 pub use watch::status::MemberStatus;
+pub use watch::status::OrganisationStatus;
 pub use watch::status::PromiseStatus;
 pub use watch::status::ServiceStatus;
 pub use watch::status::TargetStatus;
--- a/crates/pinhaven-entry/src/peers/organisation_counts.rs
+++ b/crates/pinhaven-entry/src/peers/organisation_counts.rs
@@ -1,8 +1,10 @@
 //! Exchange of the numbers of admitted requests by organisation, and what limits need to know of the members.
 
 use crate::entry::Entry;
+use crate::versions::organisations::OrganisationIndex;
 use crate::versions::snapshot::Snapshot;
 use crate::watch::counters::Count;
+use crate::watch::status::OrganisationStatus;
 use pinhaven_agree::MemberState;
 use pinhaven_limits::AdvertisedCounts;
 use pinhaven_limits::Limit;
@@ -10,9 +12,11 @@
 use pinhaven_limits::OrganisationKey;
 use pinhaven_peer::Beat;
 use pinhaven_peer::OrganisationColumns;
+use pinhaven_record::Line;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use pinhaven_types::OrganisationName;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -83,6 +87,26 @@
             .record_peer(peer, beat.heartbeat, &counts, demand, self.now());
     }
 
+    /// Organisations and their use, for the status.
+    pub(crate) fn organisation_statuses(&self, now: Microseconds) -> Vec<OrganisationStatus> {
+        let snapshot = self.snapshot.load();
+        let Some(organisations) = &snapshot.organisations else {
+            return Vec::new();
+        };
+        let names = names_by_key(organisations);
+        let usage = self.limits.usage(now).into_iter();
+        let statuses = usage.filter_map(|usage| {
+            Some(OrganisationStatus {
+                name: names.get(&usage.key)?.to_string(),
+                limit_per_s: usage.limit.map(|limit| limit.requests_per_s),
+                used_per_s: usage.rate_per_s,
+                refused: usage.refused,
+                is_at_limit: usage.is_at_limit,
+            })
+        });
+        statuses.collect()
+    }
+
     /// Passes the members to the limits, and logs which organisations reach their limit. Runs until the process exits.
     pub(crate) async fn follow_limits(self: Arc<Self>) {
         loop {
@@ -131,10 +155,7 @@
         let Some(organisations) = &snapshot.organisations else {
             return;
         };
-        let names: BTreeMap<OrganisationKey, _> = organisations
-            .all()
-            .map(|organisation| (OrganisationKey::new(&organisation.name), &organisation.name))
-            .collect();
+        let names = names_by_key(organisations);
         for (key, is_at_limit) in changes {
             let Some(name) = names.get(&key) else {
                 continue;
@@ -146,9 +167,14 @@
                 log::info!(target: "limits", "Organisation {name} is below its limit again.");
             }
             let event = if is_at_limit { "reached" } else { "below" };
-            self.record_line(|| {
-                pinhaven_record::Line::new("limit", event, 0).with("organisation", name.as_str())
-            });
+            self.record_line(|| Line::new("limit", event, 0).with("organisation", name.as_str()));
         }
     }
 }
+
+fn names_by_key(organisations: &OrganisationIndex) -> BTreeMap<OrganisationKey, &OrganisationName> {
+    organisations
+        .all()
+        .map(|organisation| (OrganisationKey::new(&organisation.name), &organisation.name))
+        .collect()
+}
--- a/crates/pinhaven-entry/src/watch/status.rs
+++ b/crates/pinhaven-entry/src/watch/status.rs
@@ -42,6 +42,9 @@
     /// Failure domains that operators have drained.
     #[serde(default)]
     pub drained_domains: BTreeSet<FailureDomain>,
+    /// Organisations and their use, the largest first.
+    #[serde(default)]
+    pub organisations: Vec<OrganisationStatus>,
     /// Other entries as this entry sees them.
     pub members: Vec<MemberStatus>,
     /// Services and their targets as this entry sees them.
@@ -72,6 +75,21 @@
     pub broken: u64,
 }
 
+/// Use that an organisation makes of the entries.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OrganisationStatus {
+    /// Name of the organisation.
+    pub name: String,
+    /// Limit over all entries, in requests per second; `None` for no limit.
+    pub limit_per_s: Option<f64>,
+    /// Recent rate of the admitted requests at all entries, in requests per second, as far as this entry knows.
+    pub used_per_s: f64,
+    /// Requests that this entry refused because of the limit.
+    pub refused: u64,
+    /// Whether the organisation was at its limit at this entry in the last seconds.
+    pub is_at_limit: bool,
+}
+
 /// Status of another entry.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct MemberStatus {
@@ -179,6 +197,7 @@
         counters: entry.counters.all(),
         promises: promises(),
         drained_domains: entry.drained_domains(),
+        organisations: entry.organisation_statuses(now),
         members: peers,
         services: services_of(entry),
     }
