Reserve nothing for entries that stand by

Cause: an entry that stands by gets a request now and then, advertises counts, and is silent again; as a peer, it kept a share of every limit. Change: only entries that serve, by the member list or by their demand, share the limits. Silent peers and freezes are detected by a tick of 200 ms, because entries with few peers got no call for longer.

--- a/crates/pinhaven-entry/src/peers/organisation_counts.rs
+++ b/crates/pinhaven-entry/src/peers/organisation_counts.rs
@@ -22,8 +22,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-/// Interval at which the limits learn of the members. Every change of an organisation is logged at most once in it.
-const MEMBERS_INTERVAL_MS: u64 = 1_000;
+/// Interval at which the limits detect silent peers.
+const TICK_MS: u64 = 200;
+/// Number of ticks between two updates of the members. Changes of an organisation are logged at most once in this time.
+const MEMBERS_TICKS: u32 = 5;
 /// Time after an entry last served for which it still shares the limits.
 const SHARES_FOR: Microseconds = Microseconds::from_ms(10_000);
 
@@ -109,9 +111,13 @@
 
     /// Passes the members to the limits, and logs which organisations reach their limit. Runs until the process exits.
     pub(crate) async fn follow_limits(self: Arc<Self>) {
-        loop {
-            sleep_ms(MEMBERS_INTERVAL_MS).await;
-            if !self.limits.is_empty() {
+        for tick in (0..MEMBERS_TICKS).cycle() {
+            sleep_ms(TICK_MS).await;
+            if self.limits.is_empty() {
+                continue;
+            }
+            self.limits.tick(self.now());
+            if tick == 0 {
                 self.update_limit_members();
                 self.log_limit_changes();
             }
@@ -123,10 +129,9 @@
         let members = self.members.lock();
         let own = members.own();
         let serving = members.serving(now);
-        let others = serving
-            .iter()
-            .filter(|row| row.incarnation != own.incarnation);
-        let (others, own_demand) = (others.count(), own.demand.per_second());
+        let serving = serving.iter().map(|row| row.incarnation);
+        let others = serving.filter(|incarnation| *incarnation != own.incarnation);
+        let (others, own_demand) = (others.collect(), own.demand.per_second());
         let instances: BTreeSet<_> = members
             .live_peers(now)
             .into_iter()
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -4,6 +4,7 @@
 //! actions that the state returns: send or cancel an attempt, deliver an answer, or refuse the request. The request's
 //! trace is recorded when the driver is dropped, so that it is recorded even if the caller disconnects.
 
+mod charges;
 mod forwarding;
 
 use crate::callers::job::Job;
@@ -204,13 +205,7 @@
     fn handle(&mut self, event: Event) -> Step {
         let now = self.job.entry.now();
         let service = &self.job.service.state;
-        if let (Event::TimerFired, Some(admission)) = (event, &self.job.admission)
-            && !self.in_flight.is_empty()
-            && self.request.is_hedge_due(now)
-            && !admission.may_hedge()
-        {
-            self.request.withhold_hedges();
-        }
+        self.withhold_hedges_over_limit(event, now);
         self.request.handle(service, now, &mut self.random, event)
     }
 
@@ -292,9 +287,7 @@
             chosen: chosen(&attempt),
         });
         self.job.entry.counters.add(Count::Attempts);
-        if let Some(admission) = &self.job.admission {
-            admission.charge_attempt();
-        }
+        self.charge_attempt();
         let attempts = self.request.downstream_attempts(attempt.id);
         let outcome = match prepare_request(self.job, &attempt, attempts) {
             Some(prepared) => {
@@ -465,13 +458,6 @@
         self.job.entry.record_crash(self.job, target);
     }
 
-    /// Takes back the charge of an attempt that did not reach its target.
-    fn refund_attempt(&self) {
-        if let Some(admission) = &self.job.admission {
-            admission.refund_attempt();
-        }
-    }
-
     fn release_capacity(&self, attempt: Attempt, count: Count) {
         drop(attempt);
         self.job.entry.counters.add(count);
--- a/crates/pinhaven-lab/examples/limits.rs
+++ b/crates/pinhaven-lab/examples/limits.rs
@@ -17,6 +17,7 @@
 use pinhaven_limits::OrganisationKey;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 /// Entries in all, and how many of them serve.
@@ -105,6 +106,7 @@
         peer: Incarnation,
         _sequence: u64,
         counts: &[OrganisationCount],
+        _demand: f64,
         _now: Microseconds,
     ) {
         for OrganisationCount { key, count } in counts {
@@ -116,6 +118,8 @@
     }
 
     fn end_peer(&mut self, _peer: Incarnation) {}
+
+    fn record_members(&mut self, _serving: BTreeSet<Incarnation>, _now: Microseconds) {}
 }
 
 /// What a case changes, the name of the case and the period of which the share served is shown.
--- a/crates/pinhaven-limits/src/limits.rs
+++ b/crates/pinhaven-limits/src/limits.rs
@@ -12,6 +12,7 @@
 use parking_lot::RwLockReadGuard;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -134,6 +135,7 @@
         is_full: bool,
         now: Microseconds,
     ) -> Option<Vec<OrganisationCount>> {
+        self.tick(now);
         if !advertised.is_due(is_full, now) || self.is_empty() {
             return None;
         }
@@ -177,12 +179,22 @@
         }
     }
 
-    /// Records how many other entries serve callers, and the demand on this entry.
-    pub fn record_members(&self, serving: usize, own_demand: f64, now: Microseconds) {
+    /// Records which other entries serve callers, and the demand on this entry.
+    pub fn record_members(
+        &self,
+        serving: BTreeSet<Incarnation>,
+        own_demand: f64,
+        now: Microseconds,
+    ) {
         let mut peers = self.peers.write();
         peers.update(now);
-        peers.serving = Some(serving);
-        peers.own_demand = own_demand;
+        peers.record_members(serving, own_demand);
+    }
+
+    /// Detects silent peers and freezes of this entry. Must be called every few hundred milliseconds: a longer pause
+    /// between two calls of any function counts as a freeze.
+    pub fn tick(&self, now: Microseconds) {
+        drop(self.peers(now));
     }
 
     /// Ends the reservations for silent peers that stopped or that a later run replaced.
--- a/crates/pinhaven-limits/src/organisation.rs
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -199,13 +199,10 @@
         let Some(before) = peer.count.replace(count) else {
             // How much the peer admitted before it was first heard is not known. Where callers spread, it is about as
             // much as here.
-            let recent = self
-                .admissions
-                .since(now.saturating_sub(FIRST_COUNT_PERIOD));
-            let chance = self.limit.map_or(0.0, |limit| {
-                chance(&limit, peers.sharers(now), peers.age(now))
-            });
-            let drained = (recent + chance).min(f64::from(count));
+            let drained = self
+                .first_drain(incarnation, peers, now)
+                .min(f64::from(count));
+            let peer = self.peers.entry(incarnation).or_default();
             peer.meter = UseMeter::starting_at(count.wrapping_sub(drained as u32));
             return self.drain(drained);
         };
@@ -223,6 +220,16 @@
         }
     }
 
+    /// What a peer has probably admitted before its first count.
+    fn first_drain(&self, incarnation: Incarnation, peers: &Peers, now: Microseconds) -> f64 {
+        let peer = peers.by_incarnation.get(&incarnation);
+        let (Some(limit), true) = (self.limit, peer.is_some_and(|peer| peer.serves)) else {
+            return 1.0;
+        };
+        let recent = now.saturating_sub(FIRST_COUNT_PERIOD);
+        self.admissions.since(recent) + chance(&limit, peers.sharers(now), peers.age(now))
+    }
+
     fn drain(&mut self, requests: f64) {
         self.level -= requests;
         self.limit_debt();
@@ -246,7 +253,7 @@
 
     /// Share of this entry in the recent use.
     fn own_share(&self, peers: &Peers) -> f64 {
-        let own = self.own.recent() + DEMAND_WEIGHT * peers.demand_share(peers.own_demand);
+        let own = self.own.recent() + DEMAND_WEIGHT * peers.own_demand_share();
         own / self.total_weight(UseMeter::recent)
     }
 
@@ -280,11 +287,13 @@
         for (incarnation, peer) in &peers.by_incarnation {
             let known = self.peers.get(incarnation);
             let is_reserved = known.is_some_and(|known| known.reserved.is_some());
-            if is_reserved || only.is_some_and(|only| only != *incarnation) {
+            // A silent peer has a reservation or doesn't serve.
+            let is_past = peer.is_silent && !peer.serves;
+            if is_reserved || is_past || only.is_some_and(|only| only != *incarnation) {
                 continue;
             }
             let meter = known.map(|known| known.meter).unwrap_or_default();
-            let weight = meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer.demand);
+            let weight = meter.recent() + DEMAND_WEIGHT * peers.demand_share(peer);
             let facts = (meter.rate_per_s(), weight / total);
             estimate.add_peer(&own, facts, peer.heard_at, now);
         }
@@ -334,7 +343,7 @@
         for (incarnation, peer) in &peers.by_incarnation {
             let known = self.peers.entry(*incarnation).or_default();
             match (peer.is_silent, known.reserved) {
-                (true, None) => self.reserve(*incarnation, limit, peers, now),
+                (true, None) if peer.serves => self.reserve(*incarnation, limit, peers, now),
                 // The peer has probably repeated its count by then, if it changed.
                 (false, Some(reserved)) if peer.is_heard_for(SETTLED_AFTER, now) => {
                     known.reserved = None;
@@ -367,8 +376,8 @@
             return;
         };
         // The weight of the peer among the entries for which nothing is reserved yet.
-        let demand = |demand| DEMAND_WEIGHT * peers.demand_share(demand);
-        let mut total = self.own.settled() + demand(peers.own_demand);
+        let demand = |peer| DEMAND_WEIGHT * peers.demand_share(peer);
+        let mut total = self.own.settled() + DEMAND_WEIGHT * peers.own_demand_share();
         let mut weight = 0.0;
         for (other, state) in &peers.by_incarnation {
             let known = self.peers.get(other);
@@ -376,10 +385,10 @@
                 continue;
             }
             let settled = known.map_or(0.0, |known| known.meter.settled());
-            let of_other = settled + demand(state.demand);
+            let of_other = settled + demand(state);
             total += of_other;
             if *other == incarnation {
-                weight = settled + demand(peer.demand);
+                weight = settled + demand(peer);
             }
         }
         let share = heard * weight / total;
--- a/crates/pinhaven-limits/src/peers.rs
+++ b/crates/pinhaven-limits/src/peers.rs
@@ -3,10 +3,14 @@
 //! A silent peer may have ended, or may serve callers on the other side of a partition. Its share of each limit is
 //! reserved for a time. The majority of the entries takes the share back after 15 s. A minority keeps the reservation
 //! longer, because otherwise both halves of a partition would spend the whole limit.
+//!
+//! Of some hundred entries, about ten serve callers, and the others get a request now and then. Such an entry is heard only
+//! around its requests. Nothing is reserved for it: with a share for each of them, little would be left of the limits.
 
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 /// Silence after which a peer's share is reserved. Peers send full datagrams every 500 ms.
 pub(crate) const SILENT_AFTER: Microseconds = Microseconds::from_ms(600);
@@ -20,6 +24,10 @@
 const DISTRUST_FOR: Microseconds = Microseconds::from_ms(300);
 /// Age up to which an entry may not know its peers.
 const DISCOVERY_PERIOD: Microseconds = Microseconds::from_ms(3_000);
+/// Demand from which an entry that the members don't name as serving counts as such, as a part of the largest one.
+const SERVING_DEMAND_PART: f64 = 0.2;
+/// Least demand of an entry that serves, as a part of the mean.
+const LEAST_DEMAND_PART: f64 = 0.3;
 /// Number of peers assumed by an entry that knows of none.
 const ASSUMED_PEERS: usize = 8;
 
@@ -34,6 +42,8 @@
     pub(crate) demand: f64,
     /// Whether the peer was silent when its state was last updated.
     pub(crate) is_silent: bool,
+    /// Whether the peer served callers when it was last heard.
+    pub(crate) serves: bool,
     /// When the peer was first heard, or heard again after a silence.
     heard_since: Microseconds,
 }
@@ -51,8 +61,8 @@
     pub(crate) by_incarnation: BTreeMap<Incarnation, Peer>,
     /// Rate of the requests that this entry sends to targets.
     pub(crate) own_demand: f64,
-    /// Number of other entries that serve callers, as far as known.
-    pub(crate) serving: Option<usize>,
+    /// Other entries that serve callers, as far as known.
+    serving: Option<BTreeSet<Incarnation>>,
     started_at: Option<Microseconds>,
     updated_at: Option<Microseconds>,
     distrusted_until: Microseconds,
@@ -73,6 +83,7 @@
             sequence,
             demand,
             is_silent: false,
+            serves: true,
             heard_since: now,
         });
         if sequence < peer.sequence {
@@ -86,9 +97,37 @@
                 peer.heard_since = now;
             }
         }
+        self.update_serving();
         true
     }
 
+    /// Records which other entries serve callers, and the demand on this entry.
+    pub(crate) fn record_members(&mut self, serving: BTreeSet<Incarnation>, own_demand: f64) {
+        self.serving = Some(serving);
+        self.own_demand = own_demand;
+        self.update_serving();
+    }
+
+    /// Updates which of the heard peers serve callers. A silent peer may have been removed from the members, so it keeps
+    /// its state.
+    fn update_serving(&mut self) {
+        let Some(serving) = &self.serving else {
+            return;
+        };
+        let demands = self.by_incarnation.values().map(|peer| peer.demand);
+        let largest = demands.fold(self.own_demand, f64::max);
+        for (incarnation, peer) in &mut self.by_incarnation {
+            if !peer.is_silent {
+                let is_used = peer.demand > 0.0 && peer.demand >= SERVING_DEMAND_PART * largest;
+                peer.serves = serving.contains(incarnation) || is_used;
+            }
+        }
+    }
+
+    fn serving_peers(&self) -> impl Iterator<Item = &Peer> {
+        self.by_incarnation.values().filter(|peer| peer.serves)
+    }
+
     /// Whether [`Self::update`] must be called before a decision.
     pub(crate) fn needs_update(&self, now: Microseconds) -> bool {
         let updated_at = self.updated_at.unwrap_or_default();
@@ -106,15 +145,19 @@
         for peer in self.by_incarnation.values_mut() {
             peer.is_silent |= is_frozen || now.saturating_sub(peer.heard_at) >= SILENT_AFTER;
         }
-        let silent = self.by_incarnation.values().filter(|peer| peer.is_silent);
-        let silent = silent.count();
-        let heard = self.by_incarnation.len() - silent + 1;
+        let silent = self.serving_peers().filter(|peer| peer.is_silent).count();
+        let heard = self.serving_peers().count() - silent + 1;
         let reserved_for = match heard > silent {
             true => RESERVED_FOR,
             false => RESERVED_BY_MINORITY_FOR,
         };
-        self.by_incarnation
-            .retain(|_, peer| !peer.is_silent || now.saturating_sub(peer.heard_at) < reserved_for);
+        self.by_incarnation.retain(|_, peer| {
+            let kept_for = match peer.serves {
+                true => reserved_for,
+                false => RESERVED_FOR,
+            };
+            !peer.is_silent || now.saturating_sub(peer.heard_at) < kept_for
+        });
     }
 
     /// Whether this entry was frozen until just now.
@@ -129,34 +172,50 @@
 
     /// Number of entries that share the limits, this one included.
     pub(crate) fn sharers(&self, now: Microseconds) -> usize {
-        1 + self.by_incarnation.len() + self.unheard(now)
+        1 + self.serving_peers().count() + self.unheard(now)
     }
 
     /// Number of entries that probably serve callers and whose counts were never heard.
     pub(crate) fn unheard(&self, now: Microseconds) -> usize {
-        let heard = self.by_incarnation.len();
+        let heard = self.serving_peers().count();
         let age = self.age(now);
         if heard > 0 && age >= DISCOVERY_PERIOD {
             return 0;
         }
-        let expected = match self.serving {
-            Some(serving) => serving,
+        let expected = match &self.serving {
+            Some(serving) => serving.len(),
             None if age < DISCOVERY_PERIOD => ASSUMED_PEERS,
             None => 0,
         };
         expected.saturating_sub(heard)
     }
 
-    /// Share of each entry in the total demand: of this entry, and of an entry with this demand.
-    pub(crate) fn demand_share(&self, demand: f64) -> f64 {
-        let peers = self.by_incarnation.values();
-        let total = self.own_demand + peers.map(|peer| peer.demand).sum::<f64>();
-        let count = (1 + self.by_incarnation.len()) as f64;
-        // Half of a share is equal, so that an entry whose demand isn't known yet has one.
-        let equal = 1.0 / count;
-        match total > 0.0 {
-            true => 0.5 * demand / total + 0.5 * equal,
-            false => equal,
+    /// Share of this entry in the total demand.
+    pub(crate) fn own_demand_share(&self) -> f64 {
+        let (total, least) = self.total_demand();
+        self.own_demand.max(least) / total
+    }
+
+    /// Share of a peer in the total demand.
+    pub(crate) fn demand_share(&self, peer: &Peer) -> f64 {
+        let (total, least) = self.total_demand();
+        match peer.serves {
+            true => peer.demand.max(least) / total,
+            false => 0.0,
         }
     }
+
+    /// Total demand of the entries that serve, and the least that counts for each of them: the demand of an entry that
+    /// has just begun to serve isn't known yet.
+    fn total_demand(&self) -> (f64, f64) {
+        let demands = || self.serving_peers().map(|peer| peer.demand);
+        let count = (1 + demands().count()) as f64;
+        let mean = (self.own_demand + demands().sum::<f64>()) / count;
+        let least = match mean > 0.0 {
+            true => LEAST_DEMAND_PART * mean,
+            false => 1.0,
+        };
+        let peers = demands().map(|demand| demand.max(least));
+        (self.own_demand.max(least) + peers.sum::<f64>(), least)
+    }
 }
--- a/crates/pinhaven-limits/tests/common/mod.rs
+++ b/crates/pinhaven-limits/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::Range;
 
 /// Duration of a step of the emulation.
@@ -17,6 +18,10 @@
 const ROUND_MS: u64 = 50;
 /// Interval between full datagrams.
 const FULL_MS: u64 = 500;
+/// Time for which an entry that stands by sends rounds after a request.
+const STANDBY_SENDS_MS: u64 = 200;
+/// Demand that an entry which serves publishes.
+const DEMAND: f64 = 100.0;
 /// Time for which a frozen entry's socket keeps datagrams and requests; later ones are lost.
 const BACKLOG_MS: u64 = 1_000;
 
@@ -36,9 +41,11 @@
         peer: Incarnation,
         sequence: u64,
         counts: &[OrganisationCount],
+        demand: f64,
         now: Microseconds,
     );
     fn end_peer(&mut self, peer: Incarnation);
+    fn record_members(&mut self, serving: BTreeSet<Incarnation>, now: Microseconds);
 }
 
 /// The decision of `pinhaven-limits`.
@@ -79,9 +86,14 @@
         peer: Incarnation,
         sequence: u64,
         counts: &[OrganisationCount],
+        demand: f64,
         now: Microseconds,
     ) {
-        self.limits.record_peer(peer, sequence, counts, 100.0, now);
+        self.limits.record_peer(peer, sequence, counts, demand, now);
+    }
+
+    fn record_members(&mut self, serving: BTreeSet<Incarnation>, now: Microseconds) {
+        self.limits.record_members(serving, DEMAND, now);
     }
 
     fn end_peer(&mut self, peer: Incarnation) {
@@ -123,6 +135,8 @@
     pub limit: Limit,
     /// Load of each organisation as a multiple of its rate, from these times on.
     pub load: Vec<(u64, f64)>,
+    /// Number of further entries that stand by, and the requests that they get in all, per second.
+    pub standby: (usize, f64),
     /// Number of entries over which callers spread.
     pub used_entries: usize,
     pub duration_ms: u64,
@@ -145,6 +159,7 @@
             },
             load: vec![(0, load)],
             used_entries: 10,
+            standby: (0, 0.0),
             duration_ms: 30_000,
             delay_ms: 20..400,
             loss: 0.02,
@@ -186,6 +201,8 @@
     latest: BTreeMap<usize, Incarnation>,
     /// Earlier runs of peers.
     ended: Vec<Incarnation>,
+    /// When the entry last admitted a request.
+    admitted_ms: u64,
 }
 
 struct Message {
@@ -231,7 +248,7 @@
             admitted: BTreeMap::new(),
             outcome: Outcome::default(),
         };
-        for _ in 0..scenario.entries {
+        for _ in 0..scenario.entries + scenario.standby.0 {
             let node = emulation.start_node(0);
             emulation.nodes.push(Some(node));
         }
@@ -248,6 +265,7 @@
             sequence: 0,
             latest: BTreeMap::new(),
             ended: Vec::new(),
+            admitted_ms: 0,
         }
     }
 
@@ -299,6 +317,10 @@
         }
     }
 
+    fn is_standby(&self, entry: usize) -> bool {
+        entry >= self.scenario.entries
+    }
+
     /// End of the freeze of an entry, if it is frozen.
     fn frozen_until(&self, entry: usize, ms: u64) -> Option<Range<u64>> {
         self.scenario.faults.iter().find_map(|fault| match fault {
@@ -326,9 +348,21 @@
             if shifted % ROUND_MS != 0 || self.frozen_until(from, ms).is_some() {
                 continue;
             }
+            // An entry that stands by sends rounds only around its requests, and hears no rounds.
+            let is_standby = self.is_standby(from);
+            let serving = self.nodes.iter().take(self.scenario.entries).flatten();
+            let serving: BTreeSet<Incarnation> = serving.map(|node| node.incarnation).collect();
             let Some(node) = &mut self.nodes[from] else {
                 continue;
             };
+            if self.scenario.standby.0 > 0 && shifted % FULL_MS == 0 {
+                let mut others = serving;
+                others.remove(&node.incarnation);
+                node.decision.record_members(others, time(ms));
+            }
+            if is_standby && ms >= node.admitted_ms + STANDBY_SENDS_MS {
+                continue;
+            }
             node.sequence += 1;
             for ended in &node.ended {
                 node.decision.end_peer(*ended);
@@ -337,7 +371,7 @@
                 continue;
             };
             let (incarnation, sequence) = (node.incarnation, node.sequence);
-            for to in (0..self.nodes.len()).filter(|to| *to != from) {
+            for to in (0..self.scenario.entries).filter(|to| *to != from) {
                 self.outcome.count_bytes += counts.len() as u64 * 7;
                 if self.is_cut(from, to, ms) || self.random.f64() < self.scenario.loss {
                     continue;
@@ -368,6 +402,10 @@
         if self.is_cut(message.from, to, ms) {
             return;
         }
+        let demand = match self.is_standby(message.from) {
+            true => 1.0,
+            false => DEMAND,
+        };
         if let Some(node) = &mut self.nodes[to] {
             let Message {
                 incarnation,
@@ -385,7 +423,7 @@
                 node.ended.push(earlier);
             }
             node.decision
-                .record_peer(incarnation, sequence, &counts, time(ms));
+                .record_peer(incarnation, sequence, &counts, demand, time(ms));
         }
     }
 
@@ -398,6 +436,14 @@
             .find(|(from, _)| *from <= ms);
         let load = load.map_or(0.0, |(_, load)| *load);
         let rate = load * self.scenario.limit.requests_per_s * STEP_MS as f64 / 1_000.0;
+        let (standby, standby_per_s) = self.scenario.standby;
+        if self.random.f64() < standby_per_s * STEP_MS as f64 / 1_000.0 {
+            let entry = self.scenario.entries + self.random.usize(0..standby);
+            let key = OrganisationKey(self.random.u32(0..self.scenario.organisations));
+            self.message_number += 1;
+            self.requests
+                .insert((ms, self.message_number), (entry, key, false));
+        }
         for key in 0..self.scenario.organisations {
             // Arrivals at random times: a Poisson process.
             let mut left = -(1.0 - self.random.f64()).ln();
@@ -434,6 +480,7 @@
         }
         match decision {
             Ok(()) => {
+                node.admitted_ms = ms;
                 self.outcome.later.1 += u32::from(is_later_try);
                 self.admitted.entry(key).or_default().push(ms);
             }
--- a/crates/pinhaven-limits/tests/limits.rs
+++ b/crates/pinhaven-limits/tests/limits.rs
@@ -204,6 +204,24 @@
     assert!(share >= 0.97, "{share:.3}");
 }
 
+/// Guards against shares of the limit that are kept for entries which stand by and get a request now and then.
+#[test]
+fn entries_that_stand_by_take_no_share_of_the_limits() {
+    for requests_per_s in [3.0, 20.0] {
+        let scenario = Scenario {
+            organisations: 40,
+            entries: 8,
+            used_entries: 8,
+            standby: (134, 30.0),
+            ..Scenario::new(1, requests_per_s, 0.6)
+        };
+        let outcome = run::<Shared>(&scenario);
+        assert!(outcome.worst.0 <= 1.0, "{:?}", outcome.worst);
+        let share = outcome.share(WARM);
+        assert!(share >= 0.98, "{share:.3} at {requests_per_s}");
+    }
+}
+
 /// Guards against retry times at which there is no capacity.
 #[test]
 fn a_caller_that_comes_back_at_its_time_is_mostly_served() {
