--- a/crates/pinhaven-limits/src/estimate.rs
+++ b/crates/pinhaven-limits/src/estimate.rs
@@ -18,8 +18,12 @@
 const OVERDRAFT_PART: f64 = 0.25;
 /// Part of the fixed slack by which the bucket may be overdrawn. Small organisations depend on it.
 const OVERDRAFT_OF_FIXED: f64 = 0.5;
+/// Part of the proportional overdraft that is allowed immediately after the start.
+const PROPORTIONAL_AT_START: f64 = 0.8;
 /// Part of the chance that is allowed immediately after the start.
 const CHANCE_AT_START: f64 = 0.2;
+/// Part of the fixed overdraft that is allowed immediately after the start.
+const FIXED_AT_START: f64 = 0.1;
 /// Age from which the slack is used in full.
 const GROWS_FOR: Microseconds = Microseconds::from_ms(5_000);
 
@@ -122,7 +126,8 @@
 /// Number of requests by which the bucket may be overdrawn, at this age of the entry.
 pub(crate) fn overdraft(limit: &Limit, age: Microseconds) -> f64 {
     let proportional = OVERDRAFT_PART * (limit.slack() - FIXED_SLACK);
-    (OVERDRAFT_OF_FIXED * FIXED_SLACK + proportional) * grown(age)
+    let fixed = OVERDRAFT_OF_FIXED * FIXED_SLACK;
+    fixed * grown(age).max(FIXED_AT_START) + proportional * grown(age).max(PROPORTIONAL_AT_START)
 }
 
 /// Number of admissions of one entry that are not extrapolated to its peers.
