--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -1,6 +1,7 @@
 //! Handles a caller's request from its head to the decision how the request is dispatched.
 
 use crate::callers::address;
+use crate::callers::admission::Admission;
 use crate::callers::authentication::authenticate;
 use crate::callers::authentication::take_credentials;
 use crate::callers::body::BodyLimits;
@@ -202,6 +203,15 @@
             organisation,
         } = self;
         let caller = head.extensions.get::<CallerAddress>().copied();
+        let facts = read_caller(entry, &head.headers)?;
+        let prior_wait = prior_wait(&facts, &routed);
+        let admission = organisation
+            .as_deref()
+            .map(|organisation| {
+                let is_later_try = prior_wait > Microseconds::ZERO;
+                Admission::of_caller(entry, organisation, is_later_try)
+            })
+            .transpose()?;
         require_path(entry, &head)?;
         let has_key = head.headers.contains_key(header::IDEMPOTENCY_KEY);
         if routed.route.is_none() {
@@ -213,7 +223,6 @@
                 .config
                 .is_repeatable(head.method.as_str(), head.uri.path()),
         };
-        let facts = read_caller(entry, &head.headers)?;
         let deadline = entry
             .now()
             .plus(holding_time(&facts, routed.config(), &service));
@@ -241,8 +250,9 @@
             uri: head.uri,
             headers: head.headers,
             organisation,
+            admission,
             deadline,
-            prior_wait: prior_wait(&facts, &routed),
+            prior_wait,
             is_repeatable,
             is_forwarded: false,
             attempts_max: attempts_max(&facts, routed.config()),
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -37,6 +37,7 @@
 use pinhaven_agree::VersionInForce;
 use pinhaven_agree::VersionLag;
 use pinhaven_decide::ColdAccess;
+use pinhaven_limits::OrganisationLimits;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
 use pinhaven_platform::ForeignRow;
@@ -129,6 +130,8 @@
     /// Fingerprints of the requests in flight when targets crashed.
     pub(crate) crashes: CrashWatch,
     pub(crate) peer_counts: Mutex<PeerCounts>,
+    /// Rate limits of the organisations.
+    pub(crate) limits: OrganisationLimits,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) snapshot: ArcSwap<Snapshot>,
@@ -228,8 +231,8 @@
         let is_seed = settings.peer_seeds.is_empty() || settings.peer_seeds.contains(&peer_address);
         let store_access = StoreAccess::new(row.capacity, is_seed, fastrand::f64());
         let silent_after = Microseconds::from_ms(settings.gossip_ms * SILENT_AFTER_EXCHANGES);
-        let members = Membership::new(row, silent_after)
-            .with_near_entries_first(settings.near_entries_first);
+        let members =
+            Membership::new(row, silent_after).with_near_entries_first(settings.near_entries_first);
         // Only with a store do most entries hear of each other seldom.
         let members = match settings.discovery {
             Some(_) => members.with_removal_after(REMOVE_MEMBER_AFTER),
@@ -248,6 +251,7 @@
             restarts: Restarts::default(),
             crashes: CrashWatch::default(),
             peer_counts: Mutex::new(PeerCounts::default()),
+            limits: OrganisationLimits::new(),
             incarnation,
             clock: Clock::new(),
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -4,6 +4,7 @@
 //! actions that the state returns: send or cancel an attempt, deliver an answer, or refuse the request. The request's
 //! trace is recorded when the driver is dropped, so that it is recorded even if the caller disconnects.
 
+mod charges;
 mod forwarding;
 
 use crate::callers::job::Job;
@@ -205,6 +206,7 @@
     fn handle(&mut self, event: Event) -> Step {
         let now = self.job.entry.now();
         let service = &self.job.service.state;
+        self.withhold_hedges_over_limit(event, now);
         self.request.handle(service, now, &mut self.random, event)
     }
 
@@ -287,6 +289,7 @@
             chosen: chosen(&attempt),
         });
         self.job.entry.counters.add(Count::Attempts);
+        self.charge_attempt();
         let attempts = self.request.downstream_attempts(attempt.id);
         let outcome = match prepare_request(self.job, &attempt, attempts) {
             Some(prepared) => {
@@ -371,10 +374,12 @@
         self.add_end_trace(&attempt, &end);
         let outcome = match end {
             AttemptEnd::NotSent => {
+                self.refund_attempt();
                 self.release_capacity(attempt, Count::AttemptNotSent);
                 AttemptOutcome::NotSent
             }
             AttemptEnd::TargetClosed => {
+                self.refund_attempt();
                 self.release_capacity(attempt, Count::AttemptClosed);
                 AttemptOutcome::TargetClosed
             }
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -71,6 +71,12 @@
     KeyUnknown,
     /// Relayed requests refused because the version here lacks the organisation that the sender's version has.
     OrganisationUnknown,
+    /// Requests refused because their organisation is at its limit.
+    OverLimit,
+    /// Times that an organisation reached its limit at this entry.
+    LimitReached,
+    /// Hedges not sent because their organisation had no token to spare.
+    HedgeOverLimit,
     /// Requests refused because no bundle version is in force here.
     NotReady,
     /// Requests refused because the memory for bodies is used up.
@@ -153,7 +159,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 71] = [
+const COUNT_NAMES: [&str; 74] = [
     "requests",
     "answered",
     "addresses",
@@ -185,6 +191,9 @@
     "refused.bad_key",
     "refused.unknown_key",
     "refused.organisation_unknown",
+    "refused.over_limit",
+    "limit.reached",
+    "limit.hedges_withheld",
     "refused.not_ready",
     "refused.body_memory",
     "refused.key_missing",
--- a/crates/pinhaven-entry/src/watch/organisations.rs
+++ b/crates/pinhaven-entry/src/watch/organisations.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use pinhaven_bundle::Organisation;
 use pinhaven_bundle::RateLimit;
+use pinhaven_limits::OrganisationKey;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::whole_body;
 use pinhaven_types::Microseconds;
@@ -20,6 +21,7 @@
 use serde::Serialize;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 /// Path that serves the status of all organisations.
 pub(crate) const PATH: &str = "/organisations";
@@ -169,13 +171,20 @@
     /// Status of all organisations of the version in force.
     pub(crate) fn organisations(&self) -> Vec<OrganisationStatus> {
         let snapshot = self.snapshot.load();
+        let usage: HashMap<OrganisationKey, f64> = self
+            .limits
+            .usage(self.now())
+            .into_iter()
+            .map(|usage| (usage.key, usage.rate_per_s))
+            .collect();
         let by_name = self.organisation_counters.by_name.lock();
         let listed = snapshot.bundle().organisations.iter().flatten();
         let status = |organisation: &Organisation| OrganisationStatus {
             name: organisation.name.to_string(),
             limit: organisation.limit,
-            // To be taken from the limits, which know the use over all entries.
-            use_per_s: None,
+            use_per_s: usage
+                .get(&OrganisationKey::new(&organisation.name))
+                .copied(),
             counts: by_name.get(&organisation.name).cloned().unwrap_or_default(),
         };
         listed.map(status).collect()
