Update other failure domains less often where crossing has a cost

Change: with a crossing cost, the interval of updates for other domains is up to 3.2 times as long while targets have capacity and 1.5 times when they are full. These factors themselves: not measured yet.

--- a/crates/pinhaven-agree/src/round_pace.rs
+++ b/crates/pinhaven-agree/src/round_pace.rs
@@ -4,8 +4,10 @@
 //! that intervals get shorter. And the more entries serve in other failure domains, the longer is the interval for them:
 //! with a fixed one the traffic between failure domains grows with the square of their number, and at some hundred
 //! entries costs more than the requests that it places. Each of many entries has few of the requests in flight, and uses
-//! targets of other domains only when those of its own are full.
+//! targets of other domains only when those of its own are full. Where operators set a crossing cost, the interval for other
+//! domains is longer still.
 
+use pinhaven_types::CrossingCost;
 use pinhaven_types::Microseconds;
 
 /// Interval between rounds while targets have capacity, in milliseconds. The speed of a target stays valid for some
@@ -19,6 +21,9 @@
 /// targets of their own domain are full. Together with the data omitted from datagrams, the factor halves the traffic
 /// between failure domains at low load.
 const FAR_FACTOR: f32 = 2.5;
+/// Additional factors at a crossing cost of 1, while targets have capacity and when they are full. With a crossing cost,
+/// requests stay in their failure domain, and entries need the counts of others mainly while targets are full.
+const FAR_FACTORS_OF_COST: (f32, f32) = (5.5, 0.5);
 /// Number of recipients in other failure domains above which the interval for them grows in proportion.
 const FAR_RECIPIENTS: f32 = 8.0;
 /// Utilization of a service's slots above which intervals get shorter, and at which they are shortest.
@@ -40,9 +45,14 @@
         microseconds(self.round_ms())
     }
 
-    /// Minimum interval between two rounds that go to this number of recipients in other failure domains.
-    pub fn far_interval(self, recipients: usize) -> Microseconds {
-        let by_load = 1.0 + (FAR_FACTOR - 1.0) * (1.0 - self.0);
+    /// Minimum interval between two rounds that go to this number of recipients in other failure domains, where sending
+    /// a request there has this cost.
+    pub fn far_interval(self, recipients: usize, cost: Option<CrossingCost>) -> Microseconds {
+        let cost = cost.map_or(0.0, |cost| cost.factor() as f32);
+        let (by_cost_idle, by_cost_full) = FAR_FACTORS_OF_COST;
+        let idle = FAR_FACTOR + by_cost_idle * cost;
+        let full = 1.0 + by_cost_full * cost;
+        let by_load = full + (idle - full) * (1.0 - self.0);
         let by_size = (recipients as f32 / FAR_RECIPIENTS).max(1.0);
         // Half a round is subtracted, so that a round that is up to half a round early is not skipped.
         microseconds(self.round_ms() * (by_load * by_size - 0.5))
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -226,7 +226,9 @@
                 .send_to_group(near, &mut sender.near, incremental, socket)
                 .await;
             let far = &recipients.serving_far;
-            if now.saturating_sub(sender.far.sent_at) >= self.fill_level().far_interval(far.len()) {
+            let cost = self.settings.crossing_cost;
+            let interval = self.fill_level().far_interval(far.len(), cost);
+            if now.saturating_sub(sender.far.sent_at) >= interval {
                 bytes += self
                     .send_to_group(far, &mut sender.far, incremental, socket)
                     .await;
