--- a/crates/pinhaven-limits/tests/limits.rs
+++ b/crates/pinhaven-limits/tests/limits.rs
@@ -97,6 +97,8 @@
 fn a_jump_does_not_overshoot() {
     outcomes(with_load(&JUMP));
     outcomes(with_load(&[(0, 0.0), (10_000, 4.0)]));
+    // The bucket is full at the begin of the window and the overshoot is at its end.
+    outcomes(with_load(&[(0, 0.9), (10_000, 12.0)]));
     outcomes(|scenario| {
         scenario.load = JUMP.to_vec();
         scenario.used_entries = 1;
