Emulate targets with scarce slots, organisations, cold targets and restarts of entries

Cause: no emulated deployment had two slots a target, many organisations, callers that retry once or cold targets, so overloads of such deployments could not be compared.

--- a/crates/pinhaven-lab/src/emulate/entry.rs
+++ b/crates/pinhaven-lab/src/emulate/entry.rs
@@ -1,6 +1,7 @@
 //! An emulated entry, built on the service state and route state of real entries.
 
 use super::plan::EmulationPlan;
+use pinhaven_decide::ColdAccess;
 use pinhaven_decide::RouteState;
 use pinhaven_decide::ServiceState;
 use pinhaven_types::Microseconds;
@@ -25,7 +26,7 @@
 }
 
 /// Creates an entry of a plan. Targets are assigned to owners in turn, by their numbers.
-pub(super) fn new_entry(plan: &EmulationPlan, number: usize) -> EmulatedEntry {
+pub(super) fn new_entry(plan: &EmulationPlan, number: usize, now: Microseconds) -> EmulatedEntry {
     let targets: Vec<serde_json::Value> = (0..plan.targets)
         .map(|target| {
             let address = format!("127.0.0.1:{}", FIRST_PORT + target);
@@ -35,15 +36,15 @@
     let service = json!({
         "name": "emulated", "hosts": ["emulated"], "slots": plan.target.slots,
         "policy": plan.policy, "targets": targets, "entries_named": plan.entries,
+        "cold_limit": plan.cold.map(|cold| json!({
+            "requests_per_s": cold.requests_per_s, "duration_ms": cold.duration_ms,
+        })),
         "hedge_budget_percent": 10.0, "retry_budget_percent": 10.0,
     });
     let service = serde_json::from_value(service)
         .unwrap_or_else(|error| unreachable!("the service above must be valid: {error}"));
-    let state = ServiceState::new(
-        &service,
-        None,
-        Microseconds::new((START_MS * 1_000.0) as u64),
-    );
+    let state = ServiceState::new(&service, None, now);
+    state.set_cold_access(ColdAccess::Owner);
     for (target, target_state) in state.targets().iter().enumerate() {
         target_state.set_owned(target % plan.entries == number);
     }
--- a/crates/pinhaven-lab/src/emulate/mod.rs
+++ b/crates/pinhaven-lab/src/emulate/mod.rs
@@ -9,18 +9,27 @@
 mod entry;
 mod orders;
 mod outcome;
+mod overload;
 mod plan;
 mod queue;
+mod shared;
+mod slot_use;
 mod target;
 mod world;
 
 pub use orders::OrderTally;
 pub use outcome::Tally;
+pub use overload::OVERLOAD_HEADS;
+pub use overload::overload_row;
 pub use plan::Change;
 pub use plan::Day;
 pub use plan::Deployment;
 pub use plan::EmulationPlan;
 pub use plan::RequestKind;
+pub use shared::ColdPlan;
+pub use shared::OrganisationPlan;
+pub use slot_use::SlotTime;
+pub use slot_use::SlotUse;
 pub use target::TargetPlan;
 
 /// Runs a plan and returns its statistics.
--- a/crates/pinhaven-lab/src/emulate/outcome.rs
+++ b/crates/pinhaven-lab/src/emulate/outcome.rs
@@ -3,6 +3,7 @@
 use super::orders::OrderTally;
 use super::plan::EmulationPlan;
 use super::plan::RequestKind;
+use super::slot_use::SlotTime;
 use hdrhistogram::Histogram;
 use pinhaven_decide::ServiceCounts;
 
@@ -41,6 +42,14 @@
     pub refused: u64,
     /// Attempts added by hedges and retries.
     pub added: u64,
+    /// Refusals, those after which the caller came back included.
+    pub refusals: u64,
+    /// Retries by callers.
+    pub caller_retries: u64,
+    /// What the slots of targets were used for.
+    pub slot_time: SlotTime,
+    /// Requests of each organisation, and those of them answered within their aims.
+    pub by_organisation: Vec<(u64, u64)>,
     /// How entries followed the orders of targets.
     pub orders: OrderTally,
     total: Credit,
@@ -58,6 +67,10 @@
             late: 0,
             refused: 0,
             added: 0,
+            refusals: 0,
+            caller_retries: 0,
+            slot_time: SlotTime::default(),
+            by_organisation: vec![(0, 0); plan.organisations.len()],
             orders: OrderTally::default(),
             total: Credit::default(),
             windows: vec![Credit::default(); windows.max(1)],
@@ -68,7 +81,7 @@
 
     pub(super) fn count(
         &mut self,
-        kind: usize,
+        (kind, organisation): (usize, Option<usize>),
         started_ms: f64,
         latency_ms: f64,
         outcome: Outcome,
@@ -76,6 +89,11 @@
         let request_kind = self.kinds[kind];
         let is_in_time = latency_ms <= request_kind.aim_ms as f64;
         self.requests += 1;
+        if let Some(organisation) = organisation {
+            let (requests, in_time) = &mut self.by_organisation[organisation];
+            *requests += 1;
+            *in_time += u64::from(is_in_time && outcome == Outcome::Answered);
+        }
         let share = match outcome {
             Outcome::Refused => {
                 self.refused += 1;
@@ -122,6 +140,17 @@
         worst.iter().sum::<f64>() / worst.len().max(1) as f64
     }
 
+    /// Share of requests answered within their aims of the worst tenth of the organisations.
+    pub fn worst_organisations(&self) -> f64 {
+        let counted = self.by_organisation.iter().filter(|counts| counts.0 > 0);
+        let mut shares: Vec<f64> = counted
+            .map(|(requests, in_time)| *in_time as f64 / *requests as f64)
+            .collect();
+        shares.sort_by(f64::total_cmp);
+        let worst = &shares[..shares.len().div_ceil(10)];
+        worst.iter().sum::<f64>() / worst.len().max(1) as f64
+    }
+
     /// Credit share of the window of two seconds with this number.
     pub fn window_credit(&self, window: usize) -> f64 {
         let credit = self.windows.get(window).copied().unwrap_or_default();
--- a/crates/pinhaven-lab/src/emulate/plan.rs
+++ b/crates/pinhaven-lab/src/emulate/plan.rs
@@ -1,5 +1,8 @@
 //! Plan of an emulation run: targets, load, entries, and how often entries exchange and collect state.
 
+use super::shared::ColdPlan;
+use super::shared::OrganisationPlan;
+use super::shared::organisations_of_falling_size;
 use super::target::TargetPlan;
 use pinhaven_bundle::Policy;
 
@@ -32,6 +35,20 @@
         /// Start and end, in milliseconds.
         between_ms: (f64, f64),
     },
+    /// The load of one organisation is multiplied by a factor for a time.
+    OrganisationBurst {
+        /// Number of the organisation.
+        organisation: usize,
+        /// Factor by which its load is multiplied.
+        factor: f64,
+        /// Start and end, in milliseconds.
+        between_ms: (f64, f64),
+    },
+    /// All entries restart and lose their state; their callers' connections break.
+    EntriesRestart {
+        /// Time of the change, in milliseconds.
+        at_ms: f64,
+    },
     /// A share of the targets takes no new work from a time on.
     TargetsLeave {
         /// Share of the targets.
@@ -66,6 +83,12 @@
     pub targets: usize,
     /// Kinds of request.
     pub kinds: Vec<RequestKind>,
+    /// Organisations of the callers; empty for callers without organisations.
+    pub organisations: Vec<OrganisationPlan>,
+    /// Targets that turn cold during the run.
+    pub cold: Option<ColdPlan>,
+    /// Maximum number of retries by a caller after refusals.
+    pub caller_retries_max: u32,
     /// Load, as a share of the capacity of all slots at normal speed when the slow targets contribute nothing.
     pub load: f64,
     /// Changes during the run.
@@ -96,6 +119,11 @@
     /// Many slots; requests keep the speed at which they started, speeds change often, and targets slow down
     /// when nearly full.
     Kept,
+    /// Targets of two slots with a short queue, shared by many organisations; speeds change often, targets slow
+    /// down when both slots are in use, and callers retry once.
+    Scarce,
+    /// As [`Deployment::Scarce`], with few targets and short requests.
+    ScarceBrief,
 }
 
 /// Load and changes of a run.
@@ -117,6 +145,18 @@
     ThirdRests,
     /// All targets reject all requests for five seconds and order rests.
     AllRest,
+    /// As many requests as can be answered within the aim, in the deployments with scarce slots.
+    Answerable,
+    /// Twice as many.
+    Twice,
+    /// Twice as many, with a fifth of the targets cold.
+    TwiceCold,
+    /// The largest organisation sends 5.6 times its usual load.
+    OneOrganisation,
+    /// A burst of 1.9 times the requests that can be answered.
+    ScarceBurst,
+    /// All entries restart during that burst.
+    ScarceRestart,
 }
 
 /// Share of used slots above which a target is nearly full, and the slowdown factor then; as the users specify.
@@ -129,6 +169,17 @@
 const KEPT_SPEED_CHANGE_MS: f64 = 150.0;
 /// Slowdown factor of a slow target in [`Deployment::Kept`]; as the users specify.
 const KEPT_SLOW_FACTOR: f64 = 5.0;
+/// Cold targets in the deployments with scarce slots; as the users specify.
+const COLD: ColdPlan = ColdPlan {
+    share: 0.2,
+    duration_ms: 3_000,
+    requests_per_s: 2.8,
+    factor: 2.0,
+};
+/// Load at which the deployments with scarce slots answer about as many requests within the aim as at any load.
+const ANSWERABLE_LOAD: f64 = 0.5;
+/// Number of organisations in the deployments with scarce slots; as the users specify.
+const ORGANISATIONS: usize = 87;
 
 impl EmulationPlan {
     /// Plan for a day of a deployment under a policy.
@@ -157,16 +208,28 @@
             }
             Day::ThirdRests => (0.5, vec![targets_rest(0.34)]),
             Day::AllRest => (0.5, vec![targets_rest(1.0)]),
+            Day::Answerable => (ANSWERABLE_LOAD, Vec::new()),
+            Day::Twice | Day::TwiceCold => (2.0 * ANSWERABLE_LOAD, Vec::new()),
+            Day::OneOrganisation => (ANSWERABLE_LOAD, vec![organisation_burst()]),
+            Day::ScarceBurst => (0.5 * ANSWERABLE_LOAD, vec![scarce_burst()]),
+            Day::ScarceRestart => {
+                let restart = Change::EntriesRestart { at_ms: 5_000.0 };
+                (0.5 * ANSWERABLE_LOAD, vec![scarce_burst(), restart])
+            }
         };
         let plan = match deployment {
             Deployment::Long => long(),
             Deployment::Short => short(),
             Deployment::LongOnFew => long_on_few(),
             Deployment::Kept => kept(),
+            Deployment::Scarce => scarce(),
+            Deployment::ScarceBrief => scarce_brief(),
         };
+        let cold = (day == Day::TwiceCold).then_some(COLD);
         Self {
             load,
             changes,
+            cold,
             policy,
             seed,
             ..plan
@@ -244,6 +307,57 @@
     }
 }
 
+fn organisation_burst() -> Change {
+    Change::OrganisationBurst {
+        organisation: 0,
+        factor: 5.6,
+        between_ms: (2_000.0, 10_000.0),
+    }
+}
+
+fn scarce_burst() -> Change {
+    Change::Burst {
+        factor: 2.0 * 1.9,
+        between_ms: (3_000.0, 7_000.0),
+    }
+}
+
+fn scarce() -> EmulationPlan {
+    EmulationPlan {
+        target: TargetPlan {
+            slots: 2,
+            queue_max: 4,
+            slow_share: 0.3,
+            slow_factor: KEPT_SLOW_FACTOR,
+            speed_change_ms: KEPT_SPEED_CHANGE_MS,
+            knee: SHORT_KNEE,
+            has_fixed_speed: false,
+            is_silent_when_full: false,
+        },
+        targets: 100,
+        kinds: vec![RequestKind {
+            deadline_ms: 2_000,
+            ..kind(1.0, 220.0, 600, true, 1)
+        }],
+        organisations: organisations_of_falling_size(ORGANISATIONS),
+        caller_retries_max: 1,
+        entries: 8,
+        length_ms: 10_000.0,
+        ..short()
+    }
+}
+
+fn scarce_brief() -> EmulationPlan {
+    EmulationPlan {
+        targets: 26,
+        kinds: vec![RequestKind {
+            deadline_ms: 1_000,
+            ..kind(1.0, 88.0, 250, true, 1)
+        }],
+        ..scarce()
+    }
+}
+
 fn short() -> EmulationPlan {
     EmulationPlan {
         target: TargetPlan {
@@ -262,6 +376,9 @@
             kind(0.36, 78.0, 250, false, 2),
         ],
         load: 0.5,
+        organisations: Vec::new(),
+        cold: None,
+        caller_retries_max: 2,
         changes: Vec::new(),
         entries: 6,
         update_interval_ms: 15.0,
--- a/crates/pinhaven-lab/src/emulate/queue.rs
+++ b/crates/pinhaven-lab/src/emulate/queue.rs
@@ -29,6 +29,8 @@
     SendUpdates,
     ProbeTargets,
     TargetsLeave(f64),
+    ColdTargetsChange(u64),
+    EntriesRestart,
 }
 
 /// Scheduled events.
--- a/crates/pinhaven-lab/src/emulate/target.rs
+++ b/crates/pinhaven-lab/src/emulate/target.rs
@@ -2,6 +2,8 @@
 //! ignores requests that it can't queue. Running work either follows the target's speed or keeps the speed at
 //! which the work started.
 
+use super::shared::ColdPace;
+use super::shared::ColdPlan;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::LoadReport;
 use std::collections::VecDeque;
@@ -36,6 +38,8 @@
     pub(super) remaining_ms: f64,
     /// Factor by which the work takes longer than at normal speed.
     pub(super) slowdown: f64,
+    /// Time for which the work has held a slot, in milliseconds.
+    pub(super) held_ms: f64,
 }
 
 /// Result of offering a request to a target.
@@ -51,6 +55,9 @@
 pub(super) struct EmulatedTarget {
     plan: TargetPlan,
     is_slow: bool,
+    /// Whether the target is cold, and how.
+    pub(super) cold: Option<ColdPlan>,
+    cold_pace: ColdPace,
     running: Vec<Work>,
     queue: VecDeque<Work>,
     advanced_to_ms: f64,
@@ -64,6 +71,8 @@
         Self {
             plan,
             is_slow,
+            cold: None,
+            cold_pace: ColdPace::default(),
             running: Vec::new(),
             queue: VecDeque::new(),
             advanced_to_ms: 0.0,
@@ -75,11 +84,12 @@
     fn slowdown(&self, running: usize) -> f64 {
         let (knee_share, knee_slowdown) = self.plan.knee;
         let is_nearly_full = running as f64 > self.plan.slots as f64 * knee_share;
-        let slow = if self.is_slow {
-            self.plan.slow_factor
-        } else {
-            1.0
-        };
+        let cold = self.cold.map_or(1.0, |cold| cold.factor);
+        let slow = cold
+            * match self.is_slow {
+                true => self.plan.slow_factor,
+                false => 1.0,
+            };
         if is_nearly_full {
             slow * knee_slowdown
         } else {
@@ -93,6 +103,7 @@
         self.advanced_to_ms = now_ms;
         for work in &mut self.running {
             work.remaining_ms -= time_ms / work.slowdown;
+            work.held_ms += time_ms;
         }
         // Event times are rounded to microseconds, so up to 0.001 ms of finished work can seem to remain.
         let is_finished = |work: &Work| work.remaining_ms <= 0.001;
@@ -113,6 +124,11 @@
     }
 
     pub(super) fn admit(&mut self, work: Work) -> Admission {
+        if let Some(cold) = &self.cold
+            && !self.cold_pace.accepts(cold, self.advanced_to_ms)
+        {
+            return Admission::Rejected;
+        }
         let is_full = self.running.len() >= self.plan.slots;
         if is_full && self.queue.len() >= self.plan.queue_max {
             return match self.plan.is_silent_when_full {
@@ -125,12 +141,21 @@
         Admission::Accepted
     }
 
-    /// Removes an attempt that the entry has cancelled.
-    pub(super) fn cancel(&mut self, request: usize, attempt: AttemptId) {
+    /// Removes an attempt that the entry has cancelled, and returns for how long it has held a slot.
+    pub(super) fn cancel(&mut self, request: usize, attempt: AttemptId) -> f64 {
         let is_other = |work: &Work| work.request != request || work.attempt != attempt;
+        let removed = self.running.iter().filter(|work| !is_other(work));
+        let held_ms = removed.map(|work| work.held_ms).sum();
         self.running.retain(is_other);
         self.queue.retain(is_other);
         self.start_queued();
+        held_ms
+    }
+
+    /// Makes the target cold or warm.
+    pub(super) fn set_cold(&mut self, cold: Option<ColdPlan>) {
+        self.cold = cold;
+        self.update_slowdowns();
     }
 
     /// Chooses at random whether the target is slow from now on.
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -13,6 +13,8 @@
 use super::plan::EmulationPlan;
 use super::queue::EmulatedEvent;
 use super::queue::Queue;
+use super::shared::load_factor;
+use super::slot_use::SlotUse;
 use super::target::Admission;
 use super::target::EmulatedTarget;
 use super::target::Work;
@@ -35,14 +37,15 @@
 const TARGET_DELAY_MS: f64 = 0.7;
 /// Standard deviation of the logarithm of a request's work.
 const WORK_SIGMA: f64 = 0.3;
-/// Maximum number of retries by a caller after refusals.
-const CALLER_RETRIES_MAX: u32 = 2;
+/// Minimum time after which a caller retries whose connection broke, in milliseconds.
+const RESTART_RETRY_MS: f64 = 100.0;
 /// Interval between checks for targets to probe, in milliseconds.
 const PROBE_CHECK_INTERVAL_MS: f64 = 15.0;
 
 /// A caller's request, with its retries after refusals.
 struct Call {
     kind: usize,
+    organisation: Option<usize>,
     entry: usize,
     started_ms: f64,
     tries: u32,
@@ -73,7 +76,10 @@
         Self {
             targets: targets.collect(),
             entries: (0..plan.entries)
-                .map(|entry| new_entry(plan, entry))
+                .map(|entry| {
+                    let start = Microseconds::new((START_MS * 1_000.0) as u64);
+                    new_entry(plan, entry, start)
+                })
                 .collect(),
             plan,
             random,
@@ -108,10 +114,19 @@
             self.schedule_in(in_ms, EmulatedEvent::SpeedChanges(target));
         }
         for change in &self.plan.changes {
-            if let Change::TargetsLeave { share, at_ms } = *change {
-                self.schedule_in(at_ms, EmulatedEvent::TargetsLeave(share));
+            match *change {
+                Change::TargetsLeave { share, at_ms } => {
+                    self.schedule_in(at_ms, EmulatedEvent::TargetsLeave(share));
+                }
+                Change::EntriesRestart { at_ms } => {
+                    self.schedule_in(at_ms, EmulatedEvent::EntriesRestart);
+                }
+                _ => {}
             }
         }
+        if self.plan.cold.is_some() {
+            self.schedule_in(0.0, EmulatedEvent::ColdTargetsChange(0));
+        }
     }
 
     fn schedule_in(&mut self, in_ms: f64, event: EmulatedEvent) {
@@ -150,7 +165,13 @@
                 rate *= factor;
             }
         }
-        rate
+        let organisations = plan.organisations.iter().enumerate();
+        let factor: f64 = organisations
+            .map(|(number, organisation)| {
+                organisation.share * load_factor(&plan.changes, number, self.now_ms)
+            })
+            .sum();
+        if factor > 0.0 { rate * factor } else { rate }
     }
 
     fn schedule_arrival(&mut self) {
@@ -186,6 +207,8 @@
             EmulatedEvent::SendUpdates => self.send_updates(),
             EmulatedEvent::ProbeTargets => self.probe_targets(),
             EmulatedEvent::TargetsLeave(share) => self.mark_leaving(share),
+            EmulatedEvent::ColdTargetsChange(period) => self.change_cold_targets(period),
+            EmulatedEvent::EntriesRestart => self.restart_entries(),
         }
     }
 
@@ -198,10 +221,12 @@
             return;
         }
         let kind = self.sample_kind();
+        let organisation = self.sample_organisation();
         let entry = self.random.usize(..self.entries.len());
-        let state = self.new_state(kind, entry, self.now_ms);
+        let state = self.new_state((kind, organisation), entry, self.now_ms);
         self.calls.push(Call {
             kind,
+            organisation,
             entry,
             started_ms: self.now_ms,
             tries: 0,
@@ -224,7 +249,30 @@
         found.unwrap_or(kinds.len() - 1)
     }
 
-    fn new_state(&self, kind: usize, entry: usize, started_ms: f64) -> RequestState {
+    fn sample_organisation(&mut self) -> Option<usize> {
+        let plan = self.plan;
+        let last = plan.organisations.len().checked_sub(1)?;
+        let now_ms = self.now_ms;
+        let loads = plan.organisations.iter().enumerate();
+        let loads: Vec<f64> = loads
+            .map(|(number, organisation)| {
+                organisation.share * load_factor(&plan.changes, number, now_ms)
+            })
+            .collect();
+        let mut remaining = self.random.f64() * loads.iter().sum::<f64>();
+        let found = loads.iter().position(|load| {
+            remaining -= load;
+            remaining < 0.0
+        });
+        Some(found.unwrap_or(last))
+    }
+
+    fn new_state(
+        &self,
+        (kind, _organisation): (usize, Option<usize>),
+        entry: usize,
+        started_ms: f64,
+    ) -> RequestState {
         let request_kind = &self.plan.kinds[kind];
         let waited_ms = self.now_ms - started_ms;
         let remaining_ms = request_kind.deadline_ms as f64 - waited_ms;
@@ -239,7 +287,8 @@
 
     fn begin_try(&mut self, request: usize) {
         let entry = self.random.usize(..self.entries.len());
-        let (kind, started_ms) = (self.calls[request].kind, self.calls[request].started_ms);
+        let call = &self.calls[request];
+        let (kind, started_ms) = ((call.kind, call.organisation), call.started_ms);
         let state = self.new_state(kind, entry, started_ms);
         let call = &mut self.calls[request];
         call.entry = entry;
@@ -299,19 +348,22 @@
         };
         drop(attempt);
         self.advance(target);
-        self.targets[target].cancel(request, id);
+        let held_ms = self.targets[target].cancel(request, id);
+        self.tally.slot_time.add(SlotUse::Cancelled, held_ms);
         self.schedule_finish(target);
         self.capacity_freed(self.calls[request].entry);
     }
 
     fn refuse(&mut self, request: usize, refusal: &Refusal) {
+        self.tally.refusals += 1;
         let call = &self.calls[request];
         let request_kind = &self.plan.kinds[call.kind];
         let retry_after_ms = refusal.retry_after_ms as f64;
         let has_time =
             self.now_ms + retry_after_ms < call.started_ms + request_kind.deadline_ms as f64;
         let may_retry = refusal.run_state == RunState::NotRun || request_kind.is_repeatable;
-        if may_retry && has_time && call.tries <= CALLER_RETRIES_MAX {
+        if may_retry && has_time && call.tries <= self.plan.caller_retries_max {
+            self.tally.caller_retries += 1;
             self.schedule_in(retry_after_ms, EmulatedEvent::CallerRetry(request));
         } else {
             self.end(request, Outcome::Refused);
@@ -323,7 +375,8 @@
         call.is_over = true;
         call.attempts.clear();
         let latency_ms = self.now_ms - call.started_ms + CALLER_ROUND_TRIP_MS;
-        let (kind, entry, started_ms) = (call.kind, call.entry, call.started_ms);
+        let (kind, entry, started_ms) =
+            ((call.kind, call.organisation), call.entry, call.started_ms);
         self.tally.count(kind, started_ms, latency_ms, outcome);
         self.capacity_freed(entry);
     }
@@ -378,6 +431,7 @@
             attempt,
             remaining_ms,
             slowdown: 1.0,
+            held_ms: 0.0,
         });
         self.schedule_finish(target);
         if admission == Admission::Rejected {
@@ -426,6 +480,8 @@
         let finished = self.targets[target].advance(self.now_ms);
         let report = Some(self.targets[target].report());
         for work in finished {
+            let slot_use = self.slot_use(work.request, work.attempt, target);
+            self.tally.slot_time.add(slot_use, work.held_ms);
             let outcome = AttemptOutcome::Answered {
                 is_server_error: false,
                 report,
@@ -440,6 +496,21 @@
         }
     }
 
+    /// What the slot of an attempt was used for that finishes now.
+    fn slot_use(&self, request: usize, attempt: AttemptId, target: usize) -> SlotUse {
+        let call = &self.calls[request];
+        let latency_ms = self.now_ms - call.started_ms + CALLER_ROUND_TRIP_MS;
+        if self.targets[target].cold.is_some() {
+            SlotUse::Cold
+        } else if latency_ms > self.plan.kinds[call.kind].aim_ms as f64 {
+            SlotUse::Late
+        } else if attempt.0 > 0 {
+            SlotUse::Added
+        } else {
+            SlotUse::InTime
+        }
+    }
+
     fn schedule_finish(&mut self, target: usize) {
         let generation = self.targets[target].generation;
         if let Some(at_ms) = self.targets[target].next_finish_ms() {
@@ -538,6 +609,50 @@
         self.schedule_in(PROBE_CHECK_INTERVAL_MS, EmulatedEvent::ProbeTargets);
     }
 
+    /// Makes other targets cold at the start of a period. Entries know at once, as they do from reports.
+    fn change_cold_targets(&mut self, period: u64) {
+        let Some(cold) = self.plan.cold.filter(|_| self.is_running()) else {
+            return;
+        };
+        let until = self.now().plus(Microseconds::from_ms(cold.duration_ms));
+        for target in 0..self.plan.targets {
+            self.advance(target);
+            let is_cold = cold.is_cold(target, self.plan.targets, period);
+            self.targets[target].set_cold(is_cold.then_some(cold));
+            self.schedule_finish(target);
+            for entry in self.entries.iter().filter(|_| is_cold) {
+                entry.service.targets()[target].extend_cold(until);
+            }
+        }
+        let next = EmulatedEvent::ColdTargetsChange(period + 1);
+        self.schedule_in(cold.duration_ms as f64, next);
+    }
+
+    /// Replaces all entries by new ones. Callers whose connections break retry as after a refusal.
+    fn restart_entries(&mut self) {
+        for request in 0..self.calls.len() {
+            let call = &mut self.calls[request];
+            let is_at_entry = call.awaits_capacity || !call.attempts.is_empty();
+            if call.is_over || !is_at_entry {
+                continue;
+            }
+            call.awaits_capacity = false;
+            call.state = RequestState::new(RequestFacts::new(true, Microseconds::ZERO));
+            let mut attempts: Vec<u32> = call.attempts.keys().copied().collect();
+            attempts.sort_unstable();
+            for attempt in attempts {
+                self.cancel(request, AttemptId(attempt));
+            }
+            let retry_ms = RESTART_RETRY_MS * (1.0 + self.random.f64());
+            self.schedule_in(retry_ms, EmulatedEvent::CallerRetry(request));
+        }
+        let now = self.now();
+        let numbers = 0..self.entries.len();
+        self.entries = numbers
+            .map(|entry| new_entry(self.plan, entry, now))
+            .collect();
+    }
+
     fn mark_leaving(&mut self, share: f64) {
         let count = (self.plan.targets as f64 * share) as usize;
         for entry in &self.entries {
--- a/crates/pinhaven-lab/src/main.rs
+++ b/crates/pinhaven-lab/src/main.rs
@@ -4,6 +4,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use clap::ValueEnum;
+use pinhaven_bundle::Policy;
 use pinhaven_lab::demo;
 use pinhaven_lab::emulate;
 use pinhaven_lab::emulate::Day;
@@ -76,6 +77,24 @@
         #[arg(long)]
         entries: Option<usize>,
     },
+    /// Run overloads against emulated targets with scarce slots, in emulated time, and print what the slots were used for.
+    Overload {
+        /// Run only these days.
+        #[arg(long, value_enum, value_delimiter = ',')]
+        days: Vec<Day>,
+        /// Run this deployment.
+        #[arg(long, value_enum, default_value = "scarce")]
+        deployment: Deployment,
+        /// Number of seeds, over which the results are summed.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Factors of the days' loads.
+        #[arg(long, value_delimiter = ',', default_value = "1.0")]
+        loads: Vec<f64>,
+        /// Whether running work keeps the speed at which it started.
+        #[arg(long)]
+        fixed_speed: bool,
+    },
     /// Distribute versions to all entries, in emulated time, and print when the versions are in force.
     Versions(VersionsArguments),
     /// Lose entries, in emulated time, and print for how long the others still name them to callers.
@@ -285,6 +304,29 @@
     true
 }
 
+/// Runs overloads and prints a table of the results.
+fn print_overloads(
+    days: &[Day],
+    deployment: Deployment,
+    (seeds, fixed): (u64, bool),
+    loads: &[f64],
+) {
+    let mut rows = Vec::new();
+    for day in days {
+        for load in loads {
+            let tallies = (1..=seeds).map(|seed| {
+                let mut plan = EmulationPlan::new(deployment, *day, Policy::Forecast, seed);
+                plan.load *= load;
+                plan.target.has_fixed_speed |= fixed;
+                emulate::emulate(&plan)
+            });
+            let name = format!("{} x {load}", name_of(day));
+            rows.push(emulate::overload_row(name, &tallies.collect::<Vec<_>>()));
+        }
+    }
+    pinhaven_lab::print_table(&emulate::OVERLOAD_HEADS, &rows);
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let outcome = run_with_threads(THREADS, async {
@@ -312,6 +354,16 @@
                 };
                 Ok(print_emulations(&days, deployment, &policies, seed, change))
             }
+            Command::Overload {
+                days,
+                deployment,
+                seeds,
+                loads,
+                fixed_speed,
+            } => {
+                print_overloads(&days, deployment, (seeds, fixed_speed), &loads);
+                Ok(true)
+            }
             Command::Versions(arguments) => {
                 print_versions(&arguments);
                 Ok(true)
