Send only to owned targets while a service is short of capacity

Cause: at twice the answerable load, several entries choose each slot that becomes free, and the requests queue at the target or slow each other down.

--- a/crates/pinhaven-decide/src/forecast.rs
+++ b/crates/pinhaven-decide/src/forecast.rs
@@ -240,29 +240,43 @@
     }
 }
 
+/// Number of slots of a target that this entry may use.
+fn usable_slots(service: &ServiceState, target: &TargetState, now: Microseconds) -> f32 {
+    let usable = slots_worth_using(service, target, now);
+    let are_all_slots_usable = usable == target.slots();
+    let is_owner = target.is_owned() || !service.has_owned();
+    if !is_owner && service.is_short() {
+        // The owner has requests for the slot, and several entries would often choose it at the same time.
+        return 0.0;
+    }
+    if is_owner || are_all_slots_usable {
+        usable
+    } else {
+        (usable - OWNER_RESERVED_SLOTS).max(1.0)
+    }
+}
+
 /// Number of slots of a target that are worth using. If a nearly full target slows down so much that its total
 /// throughput falls, its last slots stay empty. This applies to slow targets too: when they become fast again,
 /// they still execute the requests that they have accepted.
-fn usable_slots(service: &ServiceState, target: &TargetState, now: Microseconds) -> f32 {
+pub(crate) fn slots_worth_using(
+    service: &ServiceState,
+    target: &TargetState,
+    now: Microseconds,
+) -> f32 {
     let slots = target.slots();
     let uncrowded_slots = (slots * CROWDED_UTILIZATION).ceil() - 1.0;
     let is_filling_worthwhile =
         slots / service.admission_crowding(now) > uncrowded_slots * CROWDING_GAIN;
-    let usable = if is_filling_worthwhile || uncrowded_slots < 1.0 {
+    if is_filling_worthwhile || uncrowded_slots < 1.0 {
         slots
     } else {
         uncrowded_slots
-    };
-    let are_all_slots_usable = usable == slots;
-    if target.is_owned() || !service.has_owned() || are_all_slots_usable {
-        usable
-    } else {
-        (usable - OWNER_RESERVED_SLOTS).max(1.0)
     }
 }
 
 /// Requests in flight at a target from all entries, plus a penalty for recent failures.
-fn load_of(target: &TargetState, now: Microseconds) -> f32 {
+pub(crate) fn load_of(target: &TargetState, now: Microseconds) -> f32 {
     let in_flight = target.in_flight() + target.peers_in_flight();
     in_flight as f32 + target.penalty_at(now)
 }
--- a/crates/pinhaven-decide/src/lib.rs
+++ b/crates/pinhaven-decide/src/lib.rs
@@ -78,6 +78,7 @@
 mod route;
 mod service;
 mod service_targets;
+mod shortage;
 mod speed;
 mod split;
 mod target;
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -62,6 +62,7 @@
         if let Some(reason) = self.unavailable_until(self.wait_until()) {
             return self.refuse(reason);
         }
+        self.service.count_used_slots(self.now);
         let has_waited = self.now >= self.wait_until();
         if let Some(earliest) = self.earliest(TargetFilter::Any)
             && self.is_acceptable(&earliest)
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -16,6 +16,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::service_targets::PreviousTargets;
 use crate::service_targets::build_targets;
+use crate::shortage::Shortage;
 use crate::speed::ServiceSpeed;
 use crate::target::TargetState;
 use crate::waiting::Waiting;
@@ -92,6 +93,7 @@
     connectivity: Arc<Connectivity>,
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
+    pub(crate) shortage: Shortage,
     pub(crate) speed: ServiceSpeed,
     pub(crate) crowding: LearnedMedian,
     first_seen_at: Microseconds,
@@ -184,6 +186,7 @@
                 .unwrap_or_default(),
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
+            shortage: Shortage::new(),
             speed: ServiceSpeed::new(),
             crowding: LearnedMedian::new(CROWDING_INITIAL, CROWDING_INITIAL_SAMPLES),
             first_seen_at: previous.map_or(now, |previous| previous.first_seen_at),
@@ -224,6 +227,7 @@
         self.mean_peer_load.set(previous.mean_peer_load.get());
         self.limit.take_over(&previous.limit);
         self.hedge_delay.take_over(&previous.hedge_delay);
+        self.shortage.take_over(&previous.shortage);
         self.speed.take_over(&previous.speed);
         self.crowding.take_over(&previous.crowding);
         self.hedge_budget.take_over(&previous.hedge_budget);
