Refuse requests that can't meet their aims while a service is short of capacity

Cause: late answers held a third of the slot time in an overload. Change: while the service is short, a request that can't meet its aim any more, or has waited its time, is refused at once. Requests whose work exceeds the aim are treated as before.

--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -78,6 +78,10 @@
         if may_meet_aim && !has_waited {
             return self.wait_for_retry(TargetFilter::Any);
         }
+        if self.service.is_short() && !self.is_aim_too_short() && (has_waited || !may_meet_aim) {
+            // Each slot is needed for a request that can meet its aim.
+            return self.refuse(RefusalReason::Overloaded);
+        }
         let filter = match may_meet_aim || self.is_aim_too_short() {
             true => TargetFilter::Any,
             false => TargetFilter::Spare,
