--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -145,10 +145,6 @@
     /// Whether a request of the same route has waited longer and would be sent by this forecast too. A target that the
     /// other request may not examine is taken at once, because its slot could stay empty.
     fn would_overtake(&self, forecast: &Forecast) -> bool {
-        if self.service.is_short() {
-            // The newest request has the best chance to meet its aim.
-            return false;
-        }
         let Some(first_try_at) = self.request.longest_waiting() else {
             return false;
         };
