Divide scarce slots among organisations by their weights

Cause: while a service was short, slots went to organisations in proportion to what they sent, and only the priority of routes counted. Change: fair_share.rs: an organisation beyond its share of about the last second leaves a free slot to a waiting request of one below its share. The limit is the weight. Urgency is the organisation's priority (2 without one), then the route's; it orders waiting requests and the notifications of freed capacity. The retry budget and the limit of the entry's utilization go by the organisation's priority, or else the route's.

--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -19,6 +19,7 @@
 use crate::event::ChoiceFacts;
 use crate::event::Event;
 use crate::event::Step;
+use crate::fair_share::OrganisationShare;
 use crate::forecast::TargetFilter;
 use crate::forwarding::ForwardState;
 use crate::progress::Progress;
@@ -28,6 +29,7 @@
 use crate::service::ServiceState;
 use crate::target::TargetState;
 use crate::waiting::PRIORITY_MAX;
+use crate::waiting::urgency;
 use pinhaven_bundle::Policy;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
@@ -66,6 +68,8 @@
     pub priority: Option<u8>,
     /// Time that the caller has already spent on earlier tries that failed.
     pub prior_wait: Microseconds,
+    /// Organisation of the caller, if the caller has one.
+    pub organisation: Option<OrganisationShare>,
     /// Whether another entry forwarded the request, so that it must not be forwarded again.
     pub is_forwarded: bool,
 }
@@ -81,6 +85,7 @@
             entry_utilization: 0.0,
             priority: None,
             prior_wait: Microseconds::ZERO,
+            organisation: None,
             is_forwarded: false,
         }
     }
@@ -181,8 +186,20 @@
         aim_at.saturating_sub(effective_now).as_ms() as f32
     }
 
+    /// Priority of the organisation, or of the route where the organisation has none.
     pub(crate) fn priority(&self, service: &ServiceState) -> u8 {
-        self.facts.priority.unwrap_or(service.priority())
+        let of_route = self.facts.priority.unwrap_or(service.priority());
+        self.organisation_priority().unwrap_or(of_route)
+    }
+
+    fn organisation_priority(&self) -> Option<u8> {
+        self.facts.organisation?.priority
+    }
+
+    /// Urgency of the request among those that wait: the priority of the organisation, then that of the route.
+    pub fn urgency(&self, service: &ServiceState) -> u8 {
+        let of_route = self.facts.priority.unwrap_or(service.priority());
+        urgency(self.organisation_priority(), of_route)
     }
 
     /// Maximum number of attempts that downstream services may make for `attempt`, `attempt` included. Only the first
@@ -367,8 +384,11 @@
 
     /// Makes the request wait until a time or until capacity is freed at targets that `filter` admits.
     pub(crate) fn begin_wait(&mut self, until: Microseconds, filter: TargetFilter) {
-        let priority = self.request.priority(self.service);
-        self.service.begin_wait(priority, filter);
+        let urgency = self.request.urgency(self.service);
+        self.service.begin_wait(urgency, filter);
+        if let Some(share) = self.request.facts.organisation {
+            self.service.fair_share.begin_wait(share, urgency, self.now);
+        }
         if let Some(route) = &self.request.route {
             route.waiting_since.begin(self.request.first_try_at());
         }
@@ -391,8 +411,11 @@
         let Phase::Waiting { filter, .. } = self.request.phase else {
             return;
         };
-        let priority = self.request.priority(self.service);
-        self.service.end_wait(priority, filter);
+        let urgency = self.request.urgency(self.service);
+        self.service.end_wait(urgency, filter);
+        if let Some(share) = self.request.facts.organisation {
+            self.service.fair_share.end_wait(share, urgency);
+        }
         if let Some(route) = &self.request.route {
             route.waiting_since.end(self.request.first_try_at());
         }
@@ -435,6 +458,9 @@
         }
         let id = AttemptId(self.request.sent.len() as u32);
         self.service.begin(&target, self.now);
+        if let Some(share) = self.request.facts.organisation {
+            self.service.fair_share.record_use(share, self.now);
+        }
         self.request.tried.push(target.address());
         self.request.sent.push(SentAttempt {
             id,
--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -68,7 +68,7 @@
             && self.is_acceptable(&earliest)
             && self.has_precedence()
         {
-            if has_waited || !self.would_overtake(&earliest) {
+            if self.has_fair_turn() && (has_waited || !self.would_overtake(&earliest)) {
                 return self.send_by_forecast(earliest);
             }
             self.actions.push(Action::OfferCapacity);
@@ -137,9 +137,18 @@
     }
 
     fn has_precedence(&self) -> bool {
-        let priority = self.request.priority(self.service);
+        let urgency = self.request.urgency(self.service);
         let most_urgent = self.service.most_urgent_waiting();
-        most_urgent.is_none_or(|most_urgent| most_urgent <= priority)
+        most_urgent.is_none_or(|most_urgent| most_urgent <= urgency)
+    }
+
+    /// Whether no request of an organisation with a smaller share waits. Always, while the service isn't short.
+    fn has_fair_turn(&self) -> bool {
+        let Some(share) = self.request.facts.organisation else {
+            return true;
+        };
+        let urgency = self.request.urgency(self.service);
+        !self.service.is_short() || self.service.fair_share.has_turn(share, urgency, self.now)
     }
 
     /// Whether a request of the same route has waited longer and would be sent by this forecast too. A target that the
--- a/crates/pinhaven-decide/src/service.rs
+++ b/crates/pinhaven-decide/src/service.rs
@@ -7,6 +7,7 @@
 use crate::budget::TokenBudget;
 use crate::cold::ColdLimit;
 use crate::connectivity::Connectivity;
+use crate::fair_share::FairShare;
 use crate::forecast::TargetFilter;
 use crate::health;
 use crate::hedge::HedgeDelay;
@@ -94,6 +95,7 @@
     in_flight: AtomicU32,
     pub(crate) waiting: Waiting,
     pub(crate) shortage: Shortage,
+    pub(crate) fair_share: FairShare,
     pub(crate) speed: ServiceSpeed,
     pub(crate) crowding: LearnedMedian,
     first_seen_at: Microseconds,
@@ -187,6 +189,7 @@
             in_flight: AtomicU32::new(0),
             waiting: Waiting::new(),
             shortage: Shortage::new(),
+            fair_share: FairShare::default(),
             speed: ServiceSpeed::new(),
             crowding: LearnedMedian::new(CROWDING_INITIAL, CROWDING_INITIAL_SAMPLES),
             first_seen_at: previous.map_or(now, |previous| previous.first_seen_at),
@@ -228,6 +231,7 @@
         self.limit.take_over(&previous.limit);
         self.hedge_delay.take_over(&previous.hedge_delay);
         self.shortage.take_over(&previous.shortage);
+        self.fair_share.take_over(&previous.fair_share);
         self.speed.take_over(&previous.speed);
         self.crowding.take_over(&previous.crowding);
         self.hedge_budget.take_over(&previous.hedge_budget);
@@ -309,7 +313,7 @@
         self.waiting.count()
     }
 
-    /// The most urgent priority of the requests that wait at this entry and may take any slot.
+    /// The highest urgency of the requests that wait at this entry and may take any slot.
     pub fn most_urgent_waiting(&self) -> Option<u8> {
         self.waiting.most_urgent()
     }
@@ -477,12 +481,12 @@
         target.end(started);
     }
 
-    pub(crate) fn begin_wait(&self, priority: u8, filter: TargetFilter) {
-        self.waiting.begin(priority, filter);
+    pub(crate) fn begin_wait(&self, urgency: u8, filter: TargetFilter) {
+        self.waiting.begin(urgency, filter);
     }
 
-    pub(crate) fn end_wait(&self, priority: u8, filter: TargetFilter) {
-        self.waiting.end(priority, filter);
+    pub(crate) fn end_wait(&self, urgency: u8, filter: TargetFilter) {
+        self.waiting.end(urgency, filter);
     }
 
     pub(crate) fn record_admission(&self, is_refused: bool) {
--- a/crates/pinhaven-decide/src/waiting.rs
+++ b/crates/pinhaven-decide/src/waiting.rs
@@ -1,4 +1,4 @@
-//! Requests that wait at this entry: their number by priority, and their order within a route.
+//! Requests that wait at this entry: their number by urgency, and their order within a route.
 //!
 //! After a burst, most of the requests that wait are late: their callers were refused and have come back. They wait for
 //! slots that requests within their aims don't need, so they don't take precedence over requests that need a slot.
@@ -13,16 +13,27 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-/// Number of priorities, from 0 (refused first) to 3 (refused last).
-pub const PRIORITY_COUNT: usize = 4;
-/// Highest priority.
-pub(crate) const PRIORITY_MAX: u8 = PRIORITY_COUNT as u8 - 1;
+/// Highest priority of an organisation or a route; the lowest is 0.
+pub(crate) const PRIORITY_MAX: u8 = 3;
+/// Number of priorities.
+const PRIORITY_COUNT: usize = PRIORITY_MAX as usize + 1;
+/// Number of levels of urgency: the priority of the organisation and, within it, that of the route.
+pub const URGENCY_COUNT: usize = PRIORITY_COUNT * PRIORITY_COUNT;
+/// Priority of requests whose organisation has none, and of requests without an organisation.
+const ORGANISATION_PRIORITY_DEFAULT: u8 = 2;
+
+/// Urgency of a request, from the priorities of its organisation and its route.
+pub(crate) fn urgency(organisation_priority: Option<u8>, route_priority: u8) -> u8 {
+    let organisation_priority = organisation_priority.unwrap_or(ORGANISATION_PRIORITY_DEFAULT);
+    organisation_priority.min(PRIORITY_MAX) * PRIORITY_COUNT as u8
+        + route_priority.min(PRIORITY_MAX)
+}
 
 /// Number of waiting requests of a service.
 #[derive(Debug)]
 pub(crate) struct Waiting {
-    /// Requests that wait for any slot, by priority.
-    for_any_slot: [AtomicU32; PRIORITY_COUNT],
+    /// Requests that wait for any slot, by urgency.
+    for_any_slot: [AtomicU32; URGENCY_COUNT],
     /// Requests that wait for a spare slot.
     for_spare_slot: AtomicU32,
 }
@@ -30,18 +41,18 @@
 impl Waiting {
     pub(crate) fn new() -> Self {
         Self {
-            for_any_slot: [const { AtomicU32::new(0) }; PRIORITY_COUNT],
+            for_any_slot: [const { AtomicU32::new(0) }; URGENCY_COUNT],
             for_spare_slot: AtomicU32::new(0),
         }
     }
 
-    pub(crate) fn begin(&self, priority: u8, filter: TargetFilter) {
-        self.counter(priority, filter)
+    pub(crate) fn begin(&self, urgency: u8, filter: TargetFilter) {
+        self.counter(urgency, filter)
             .fetch_add(1, Ordering::Relaxed);
     }
 
-    pub(crate) fn end(&self, priority: u8, filter: TargetFilter) {
-        self.counter(priority, filter)
+    pub(crate) fn end(&self, urgency: u8, filter: TargetFilter) {
+        self.counter(urgency, filter)
             .fetch_sub(1, Ordering::Relaxed);
     }
 
@@ -51,19 +62,18 @@
         counters.map(|count| count.load(Ordering::Relaxed)).sum()
     }
 
-    /// Highest priority of the requests that wait for any slot.
+    /// Highest urgency of the requests that wait for any slot.
     pub(crate) fn most_urgent(&self) -> Option<u8> {
-        let has_waiting =
-            |priority: &usize| self.for_any_slot[*priority].load(Ordering::Relaxed) > 0;
-        (0..PRIORITY_COUNT)
+        let has_waiting = |urgency: &usize| self.for_any_slot[*urgency].load(Ordering::Relaxed) > 0;
+        (0..URGENCY_COUNT)
             .rev()
             .find(has_waiting)
-            .map(|priority| priority as u8)
+            .map(|urgency| urgency as u8)
     }
 
-    fn counter(&self, priority: u8, filter: TargetFilter) -> &AtomicU32 {
+    fn counter(&self, urgency: u8, filter: TargetFilter) -> &AtomicU32 {
         match filter {
-            TargetFilter::Any => &self.for_any_slot[usize::from(priority.min(PRIORITY_MAX))],
+            TargetFilter::Any => &self.for_any_slot[usize::from(urgency).min(URGENCY_COUNT - 1)],
             TargetFilter::Spare => &self.for_spare_slot,
         }
     }
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -25,11 +25,13 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
+use pinhaven_bundle::Organisation;
 use pinhaven_decide::Action;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 use pinhaven_decide::Event;
+use pinhaven_decide::OrganisationShare;
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
@@ -40,6 +42,7 @@
 use pinhaven_record::Trace;
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
+use pinhaven_types::Digest;
 use pinhaven_types::Incarnation;
 use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
@@ -62,6 +65,7 @@
         entry_utilization: job.entry.utilization(),
         priority: job.routed.config().map(|route| route.priority),
         prior_wait: job.prior_wait,
+        organisation: job.organisation.as_deref().map(organisation_share),
         is_forwarded: job.is_forwarded,
     };
     let mut request = RequestState::new(facts);
@@ -161,14 +165,14 @@
                 .any(|action| matches!(action, Action::OfferCapacity))
             {
                 // Before this request listens again, so that the offer does not return to it.
-                self.job.service.capacity_freed.pass_on(self.priority());
+                self.job.service.capacity_freed.pass_on(self.urgency());
             }
             // Listens before the other actions are carried out, so that no notification of freed capacity is missed.
             // While the request goes on waiting, it keeps its listener and thereby its place among the waiting requests.
             capacity = match (step.awaits_capacity, capacity) {
                 (false, _) => None,
                 (true, Some(listener)) => Some(listener),
-                (true, None) => Some(self.job.service.capacity_freed.listen(self.priority())),
+                (true, None) => Some(self.job.service.capacity_freed.listen(self.urgency())),
             };
             for action in actions {
                 match action {
@@ -196,9 +200,8 @@
         })
     }
 
-    fn priority(&self) -> u8 {
-        let route = self.job.routed.config();
-        route.map_or(self.job.service.config.priority, |route| route.priority)
+    fn urgency(&self) -> u8 {
+        self.request.urgency(&self.job.service.state)
     }
 
     fn handle(&mut self, event: Event) -> Step {
@@ -515,6 +518,18 @@
     }
 }
 
+/// Share of scarce slots of an organisation. Its limit is the weight.
+fn organisation_share(organisation: &Organisation) -> OrganisationShare {
+    let limit = organisation
+        .limit
+        .filter(|limit| limit.requests_per_s > 0.0);
+    OrganisationShare {
+        key: Digest::of_parts(&[organisation.name.as_str().as_bytes()]).short() as u32,
+        weight: limit.map_or(1.0, |limit| limit.requests_per_s as f32),
+        priority: organisation.priority,
+    }
+}
+
 /// Facts that decided the choice of an attempt's target, for the record.
 fn chosen(attempt: &Attempt) -> Chosen {
     let facts = attempt.chosen;
--- a/crates/pinhaven-entry/src/versions/service_entry.rs
+++ b/crates/pinhaven-entry/src/versions/service_entry.rs
@@ -3,8 +3,8 @@
 use crate::targets::pool::TargetPool;
 use pinhaven_bundle::Service;
 use pinhaven_bundle::Target;
-use pinhaven_decide::PRIORITY_COUNT;
 use pinhaven_decide::ServiceState;
+use pinhaven_decide::URGENCY_COUNT;
 use pinhaven_runtime::PriorityEvent;
 use pinhaven_types::FailureDomain;
 use pinhaven_types::Microseconds;
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 
 /// Notifies requests that wait for capacity at the targets of a service. Each notification is for one free slot.
-pub(crate) type CapacityFreed = PriorityEvent<PRIORITY_COUNT>;
+pub(crate) type CapacityFreed = PriorityEvent<URGENCY_COUNT>;
 
 /// A service in one version.
 pub(crate) struct ServiceEntry {
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -24,6 +24,7 @@
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 use pinhaven_decide::Event;
+use pinhaven_decide::OrganisationShare;
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
@@ -64,6 +65,8 @@
     targets: Vec<EmulatedTarget>,
     entries: Vec<EmulatedEntry>,
     calls: Vec<Call>,
+    /// Requests that have passed on the notification of freed capacity that is being handled.
+    passed_on: Vec<usize>,
     tally: Tally,
 }
 
@@ -86,6 +89,7 @@
             now_ms: 0.0,
             queue: Queue::default(),
             calls: Vec::new(),
+            passed_on: Vec::new(),
             tally: Tally::new(plan),
         }
     }
@@ -269,7 +273,7 @@
 
     fn new_state(
         &self,
-        (kind, _organisation): (usize, Option<usize>),
+        (kind, organisation): (usize, Option<usize>),
         entry: usize,
         started_ms: f64,
     ) -> RequestState {
@@ -281,6 +285,11 @@
             .plus(Microseconds::new((remaining_ms.max(0.0) * 1_000.0) as u64));
         let mut facts = RequestFacts::new(request_kind.is_repeatable, deadline);
         facts.priority = Some(request_kind.priority);
+        facts.organisation = organisation.map(|number| OrganisationShare {
+            key: number as u32,
+            weight: self.plan.organisations[number].weight as f32,
+            priority: self.plan.organisations[number].priority,
+        });
         facts.prior_wait = Microseconds::new((waited_ms * 1_000.0) as u64);
         RequestState::new(facts).with_route(Arc::clone(&self.entries[entry].routes[kind]))
     }
@@ -384,15 +393,20 @@
     /// Tells the waiting request with the highest priority at an entry, of several the one whose caller has waited
     /// longest, that capacity may be free.
     fn capacity_freed(&mut self, entry: usize) {
-        self.notify_waiting(entry, None);
+        self.passed_on.clear();
+        self.notify_waiting(entry);
     }
 
     /// Tells another waiting request at the request's entry that the request leaves free capacity to it.
     fn offer_capacity(&mut self, request: usize) {
-        self.notify_waiting(self.calls[request].entry, Some(request));
+        if self.calls[request].organisation.is_none() {
+            self.passed_on.clear();
+        }
+        self.passed_on.push(request);
+        self.notify_waiting(self.calls[request].entry);
     }
 
-    fn notify_waiting(&mut self, entry: usize, except: Option<usize>) {
+    fn notify_waiting(&mut self, entry: usize) {
         let calls = &self.calls;
         let is_waiting =
             |request: &usize| calls[*request].awaits_capacity && !calls[*request].is_over;
@@ -400,13 +414,14 @@
         let urgency = |request: &usize| {
             let call = &calls[*request];
             let started_us = (call.started_ms * 1_000.0) as u64;
-            (Reverse(self.plan.kinds[call.kind].priority), started_us)
+            let urgency = call.state.urgency(&self.entries[entry].service);
+            (Reverse(urgency), started_us)
         };
         let first = self.entries[entry]
             .waiting
             .iter()
             .copied()
-            .filter(|request| Some(*request) != except)
+            .filter(|request| !self.passed_on.contains(request))
             .min_by_key(urgency);
         if let Some(first) = first {
             self.handle_request_event(first, Event::CapacityFreed);
