Send callers away for as long as a shortage has lasted

Change: a caller refused as overloaded while the service is short returns after one to two times the age of the shortage (100 ms to 3 s, doubled at most).

--- a/crates/pinhaven-decide/src/retry_after.rs
+++ b/crates/pinhaven-decide/src/retry_after.rs
@@ -24,7 +24,14 @@
         if reason == RefusalReason::Shed && self.has_free_slot() {
             return self.random.u64(FREE_SLOT_DELAY_MS);
         }
-        let by_load_ms = self.service.retry_after_ms(self.random);
+        let after_shortage_ms = match reason {
+            RefusalReason::Overloaded => {
+                self.service.retry_after_shortage_ms(self.now, self.random)
+            }
+            _ => None,
+        };
+        let by_load_ms =
+            after_shortage_ms.unwrap_or_else(|| self.service.retry_after_ms(self.random));
         match self.service.availability(self.now) {
             Availability::At(rest_ends) => {
                 by_load_ms.max(self.service.staggered_retry_after_ms(self.now, rest_ends))
--- a/crates/pinhaven-decide/src/shortage.rs
+++ b/crates/pinhaven-decide/src/shortage.rs
@@ -26,12 +26,17 @@
 const USED_SHARE_PERIOD_MS: f32 = 150.0;
 /// Maximum weight of one count, so that a service isn't short on the evidence of a moment.
 const COUNT_WEIGHT_MAX: f32 = 0.4;
+/// Minimum and maximum of the time after which the first refused callers return, in milliseconds.
+const RETRY_DELAY_MS: (f32, f32) = (100.0, 3_000.0);
+
 /// Share of a service's slots in use, and whether the service is short of capacity.
 #[derive(Debug)]
 pub(crate) struct Shortage {
     counted_at_us: AtomicU64,
     used_share: AtomicF32,
     is_short: AtomicBool,
+    /// Time at which the present shortage began.
+    began_at_us: AtomicU64,
 }
 
 impl Shortage {
@@ -40,6 +45,7 @@
             counted_at_us: AtomicU64::new(0),
             used_share: AtomicF32::new(0.0),
             is_short: AtomicBool::new(false),
+            began_at_us: AtomicU64::new(0),
         }
     }
 
@@ -47,6 +53,14 @@
         self.used_share.set(previous.used_share.get());
         let is_short = previous.is_short.load(Ordering::Relaxed);
         self.is_short.store(is_short, Ordering::Relaxed);
+        let began_at_us = previous.began_at_us.load(Ordering::Relaxed);
+        self.began_at_us.store(began_at_us, Ordering::Relaxed);
+    }
+
+    /// Time for which the service has been short at `now`; `None` if it isn't short.
+    fn age(&self, now: Microseconds) -> Option<Microseconds> {
+        let began_at = Microseconds::new(self.began_at_us.load(Ordering::Relaxed));
+        self.is_short().then(|| now.saturating_sub(began_at))
     }
 
     /// Whether the service is short of capacity, as of the last count.
@@ -65,6 +79,9 @@
             false => USED_SHARE_BEGIN,
         };
         let is_short = self.used_share.get() >= threshold;
+        if is_short && !self.is_short() {
+            self.began_at_us.store(now.count(), Ordering::Relaxed);
+        }
         self.is_short.store(is_short, Ordering::Relaxed);
     }
 }
@@ -78,6 +95,18 @@
         }
     }
 
+    /// Retry delay of a caller that is refused while the service is short, in milliseconds; `None` if it isn't short. A
+    /// shortage is expected to last as long again as it has lasted, and callers return over an equal time after that.
+    pub(crate) fn retry_after_shortage_ms(
+        &self,
+        now: Microseconds,
+        random: &mut fastrand::Rng,
+    ) -> Option<u64> {
+        let age_ms = self.shortage.age(now)?.as_ms() as f32;
+        let delay_ms = age_ms.clamp(RETRY_DELAY_MS.0, RETRY_DELAY_MS.1);
+        Some((delay_ms * (1.0 + random.f32())) as u64)
+    }
+
     /// Whether the service is short of capacity.
     pub fn is_short(&self) -> bool {
         self.shortage.is_short()
--- a/crates/pinhaven-decide/tests/shortage.rs
+++ b/crates/pinhaven-decide/tests/shortage.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use common::at_ms;
 use common::driven::AIM_MS;
 use common::driven::Driven;
 use common::driven::service;
@@ -11,6 +12,7 @@
 use pinhaven_decide::OrganisationShare;
 use pinhaven_decide::RefusalReason;
 use pinhaven_decide::RequestFacts;
+use pinhaven_decide::RequestState;
 use pinhaven_decide::RouteState;
 use pinhaven_decide::ServiceState;
 use std::sync::Arc;
@@ -104,6 +106,35 @@
     assert!(in_time.step.awaits_capacity);
 }
 
+/// Guards against callers that return while the service is still short, or all at the same time.
+#[test]
+fn refused_callers_return_over_a_time_as_long_as_the_shortage_has_lasted() {
+    let late = |facts: &mut RequestFacts| facts.prior_wait = Microseconds::from_ms(AIM_MS);
+    let (service, _running) = full_service(None);
+    count_slots(&service, 1_020..2_600);
+    let delays_ms = (0..20).map(|seed| {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut facts = RequestFacts::new(true, at_ms(4_000));
+        late(&mut facts);
+        let mut state = RequestState::new(facts).with_route(Arc::new(RouteState::new(AIM_MS)));
+        let step = state.handle(&service, at_ms(2_600), &mut random, Event::Arrived);
+        match step.actions[..] {
+            [Action::Refuse(refusal)] => refusal.retry_after_ms,
+            _ => panic!("not refused"),
+        }
+    });
+    let delays_ms: Vec<u64> = delays_ms.collect();
+    let (min_ms, max_ms) = (delays_ms.iter().min(), delays_ms.iter().max());
+    assert!(
+        min_ms > Some(&1_300) && max_ms < Some(&3_000),
+        "{delays_ms:?}"
+    );
+    assert!(
+        max_ms > min_ms.map(|min_ms| min_ms + 500).as_ref(),
+        "{delays_ms:?}"
+    );
+}
+
 /// Serves one slot that becomes free to a request of an organisation that has used all slots, while a request of another
 /// organisation waits. Returns whether the first organisation got the slot.
 fn gets_slot_beside_other(weight: f32, is_short: bool) -> bool {
