--- a/crates/pinhaven-decide/src/request_forecast.rs
+++ b/crates/pinhaven-decide/src/request_forecast.rs
@@ -63,6 +63,7 @@
         if let Some(reason) = self.unavailable_until(self.wait_until()) {
             return self.refuse(reason);
         }
+        self.service.count_used_slots(self.now);
         let has_waited = self.now >= self.wait_until();
         if let Some(earliest) = self.earliest(TargetFilter::Any)
             && self.is_acceptable(&earliest)
@@ -71,7 +72,7 @@
             if self.prefers_wait_for_near(&earliest) {
                 return self.wait_for_near();
             }
-            if has_waited || !self.would_overtake(&earliest) {
+            if self.has_fair_turn() && (has_waited || !self.would_overtake(&earliest)) {
                 return self.send_by_forecast(earliest);
             }
             self.actions.push(Action::OfferCapacity);
@@ -81,6 +82,10 @@
         if may_meet_aim && !has_waited {
             return self.wait_for_retry(TargetFilter::Any);
         }
+        if self.service.is_short() && !self.is_aim_too_short() && (has_waited || !may_meet_aim) {
+            // Each slot is needed for a request that can meet its aim.
+            return self.refuse(RefusalReason::Overloaded);
+        }
         let filter = match may_meet_aim || self.is_aim_too_short() {
             true => TargetFilter::Any,
             false => TargetFilter::Spare,
@@ -147,9 +152,18 @@
     }
 
     fn has_precedence(&self) -> bool {
-        let priority = self.request.priority(self.service);
+        let urgency = self.request.urgency(self.service);
         let most_urgent = self.service.most_urgent_waiting();
-        most_urgent.is_none_or(|most_urgent| most_urgent <= priority)
+        most_urgent.is_none_or(|most_urgent| most_urgent <= urgency)
+    }
+
+    /// Whether no request of an organisation with a smaller share waits. Always, while the service isn't short.
+    fn has_fair_turn(&self) -> bool {
+        let Some(share) = self.request.facts.organisation else {
+            return true;
+        };
+        let urgency = self.request.urgency(self.service);
+        !self.service.is_short() || self.service.fair_share.has_turn(share, urgency, self.now)
     }
 
     /// Whether a request of the same route has waited longer and would be sent by this forecast too. A target that the
--- a/crates/pinhaven-lab/src/emulate/queue.rs
+++ b/crates/pinhaven-lab/src/emulate/queue.rs
@@ -34,6 +34,8 @@
         change: usize,
         begins: bool,
     },
+    ColdTargetsChange(u64),
+    EntriesRestart,
 }
 
 /// Scheduled events.
--- a/crates/pinhaven-lab/src/emulate/world.rs
+++ b/crates/pinhaven-lab/src/emulate/world.rs
@@ -1,6 +1,7 @@
 //! Entries, targets and callers in emulated time. Emulated entries decide with the code of real entries;
 //! everything around the decision code is emulated.
 
+mod changes;
 mod domain_changes;
 
 use self::domain_changes::Direction;
@@ -16,6 +17,8 @@
 use super::plan::EmulationPlan;
 use super::queue::EmulatedEvent;
 use super::queue::Queue;
+use super::shared::load_factor;
+use super::slot_use::SlotUse;
 use super::target::Admission;
 use super::target::EmulatedTarget;
 use super::target::Work;
@@ -25,6 +28,7 @@
 use pinhaven_decide::AttemptId;
 use pinhaven_decide::AttemptOutcome;
 use pinhaven_decide::Event;
+use pinhaven_decide::OrganisationShare;
 use pinhaven_decide::Refusal;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
@@ -38,8 +42,6 @@
 const TARGET_DELAY_MS: f64 = 0.7;
 /// Standard deviation of the logarithm of a request's work.
 const WORK_SIGMA: f64 = 0.3;
-/// Maximum number of retries by a caller after refusals.
-const CALLER_RETRIES_MAX: u32 = 2;
 /// Interval between checks for targets to probe, in milliseconds.
 const PROBE_CHECK_INTERVAL_MS: f64 = 15.0;
 
@@ -48,6 +50,7 @@
     kind: usize,
     /// Failure domain of the caller.
     domain: usize,
+    organisation: Option<usize>,
     entry: usize,
     started_ms: f64,
     tries: u32,
@@ -66,6 +69,8 @@
     targets: Vec<EmulatedTarget>,
     entries: Vec<EmulatedEntry>,
     calls: Vec<Call>,
+    /// Requests that have passed on the notification of freed capacity that is being handled.
+    passed_on: Vec<usize>,
     tally: Tally,
 }
 
@@ -78,13 +83,17 @@
         Self {
             targets: targets.collect(),
             entries: (0..plan.entries)
-                .map(|entry| new_entry(plan, entry))
+                .map(|entry| {
+                    let start = Microseconds::new((START_MS * 1_000.0) as u64);
+                    new_entry(plan, entry, start)
+                })
                 .collect(),
             plan,
             random,
             now_ms: 0.0,
             queue: Queue::default(),
             calls: Vec::new(),
+            passed_on: Vec::new(),
             tally: Tally::new(plan),
         }
     }
@@ -113,11 +122,20 @@
             self.schedule_in(in_ms, EmulatedEvent::SpeedChanges(target));
         }
         for change in &self.plan.changes {
-            if let Change::TargetsLeave { share, at_ms } = *change {
-                self.schedule_in(at_ms, EmulatedEvent::TargetsLeave(share));
+            match *change {
+                Change::TargetsLeave { share, at_ms } => {
+                    self.schedule_in(at_ms, EmulatedEvent::TargetsLeave(share));
+                }
+                Change::EntriesRestart { at_ms } => {
+                    self.schedule_in(at_ms, EmulatedEvent::EntriesRestart);
+                }
+                _ => {}
             }
         }
         self.schedule_domain_changes();
+        if self.plan.cold.is_some() {
+            self.schedule_in(0.0, EmulatedEvent::ColdTargetsChange(0));
+        }
     }
 
     fn schedule_in(&mut self, in_ms: f64, event: EmulatedEvent) {
@@ -156,7 +174,13 @@
                 rate *= factor;
             }
         }
-        rate
+        let organisations = plan.organisations.iter().enumerate();
+        let factor: f64 = organisations
+            .map(|(number, organisation)| {
+                organisation.share * load_factor(&plan.changes, number, self.now_ms)
+            })
+            .sum();
+        if factor > 0.0 { rate * factor } else { rate }
     }
 
     fn schedule_arrival(&mut self) {
@@ -193,6 +217,8 @@
             EmulatedEvent::ProbeTargets => self.probe_targets(),
             EmulatedEvent::TargetsLeave(share) => self.mark_leaving(share),
             EmulatedEvent::DomainChanges { change, begins } => self.change_domain(change, begins),
+            EmulatedEvent::ColdTargetsChange(period) => self.change_cold_targets(period),
+            EmulatedEvent::EntriesRestart => self.restart_entries(),
         }
     }
 
@@ -206,11 +232,13 @@
         }
         let kind = self.sample_kind();
         let domain = self.sample_domain();
+        let organisation = self.sample_organisation();
         let entry = self.sample_entry(domain);
-        let state = self.new_state(kind, entry, self.now_ms);
+        let state = self.new_state((kind, organisation), entry, self.now_ms);
         self.calls.push(Call {
             kind,
             domain,
+            organisation,
             entry,
             started_ms: self.now_ms,
             tries: 0,
@@ -233,7 +261,12 @@
         found.unwrap_or(kinds.len() - 1)
     }
 
-    fn new_state(&self, kind: usize, entry: usize, started_ms: f64) -> RequestState {
+    fn new_state(
+        &self,
+        (kind, organisation): (usize, Option<usize>),
+        entry: usize,
+        started_ms: f64,
+    ) -> RequestState {
         let request_kind = &self.plan.kinds[kind];
         let waited_ms = self.now_ms - started_ms;
         let remaining_ms = request_kind.deadline_ms as f64 - waited_ms;
@@ -245,13 +278,19 @@
         if let Some(domains) = &self.plan.domains {
             facts.body_bytes = domains.bodies[kind].request_bytes;
         }
+        facts.organisation = organisation.map(|number| OrganisationShare {
+            key: number as u32,
+            weight: self.plan.organisations[number].weight as f32,
+            priority: self.plan.organisations[number].priority,
+        });
         facts.prior_wait = Microseconds::new((waited_ms * 1_000.0) as u64);
         RequestState::new(facts).with_route(Arc::clone(&self.entries[entry].routes[kind]))
     }
 
     fn begin_try(&mut self, request: usize) {
         let entry = self.sample_entry(self.calls[request].domain);
-        let (kind, started_ms) = (self.calls[request].kind, self.calls[request].started_ms);
+        let call = &self.calls[request];
+        let (kind, started_ms) = ((call.kind, call.organisation), call.started_ms);
         let state = self.new_state(kind, entry, started_ms);
         let call = &mut self.calls[request];
         call.entry = entry;
@@ -312,19 +351,22 @@
         };
         drop(attempt);
         self.advance(target);
-        self.targets[target].cancel(request, id);
+        let held_ms = self.targets[target].cancel(request, id);
+        self.tally.slot_time.add(SlotUse::Cancelled, held_ms);
         self.schedule_finish(target);
         self.capacity_freed(self.calls[request].entry);
     }
 
     fn refuse(&mut self, request: usize, refusal: &Refusal) {
+        self.tally.refusals += 1;
         let call = &self.calls[request];
         let request_kind = &self.plan.kinds[call.kind];
         let retry_after_ms = refusal.retry_after_ms as f64;
         let has_time =
             self.now_ms + retry_after_ms < call.started_ms + request_kind.deadline_ms as f64;
         let may_retry = refusal.run_state == RunState::NotRun || request_kind.is_repeatable;
-        if may_retry && has_time && call.tries <= CALLER_RETRIES_MAX {
+        if may_retry && has_time && call.tries <= self.plan.caller_retries_max {
+            self.tally.caller_retries += 1;
             self.schedule_in(retry_after_ms, EmulatedEvent::CallerRetry(request));
         } else {
             self.end(request, Outcome::Refused);
@@ -336,8 +378,9 @@
         call.is_over = true;
         call.attempts.clear();
         let latency_ms = self.now_ms - call.started_ms + CALLER_ROUND_TRIP_MS;
-        let (kind, domain, entry) = (call.kind, call.domain, call.entry);
-        let started_ms = call.started_ms;
+        let (kind, entry, started_ms) =
+            ((call.kind, call.organisation), call.entry, call.started_ms);
+        let domain = call.domain;
         self.tally
             .count(kind, domain, started_ms, latency_ms, outcome);
         self.capacity_freed(entry);
@@ -346,15 +389,20 @@
     /// Tells the waiting request with the highest priority at an entry, of several the one whose caller has waited
     /// longest, that capacity may be free.
     fn capacity_freed(&mut self, entry: usize) {
-        self.notify_waiting(entry, None);
+        self.passed_on.clear();
+        self.notify_waiting(entry);
     }
 
     /// Tells another waiting request at the request's entry that the request leaves free capacity to it.
     fn offer_capacity(&mut self, request: usize) {
-        self.notify_waiting(self.calls[request].entry, Some(request));
+        if self.calls[request].organisation.is_none() {
+            self.passed_on.clear();
+        }
+        self.passed_on.push(request);
+        self.notify_waiting(self.calls[request].entry);
     }
 
-    fn notify_waiting(&mut self, entry: usize, except: Option<usize>) {
+    fn notify_waiting(&mut self, entry: usize) {
         let calls = &self.calls;
         let is_waiting =
             |request: &usize| calls[*request].awaits_capacity && !calls[*request].is_over;
@@ -362,13 +410,14 @@
         let urgency = |request: &usize| {
             let call = &calls[*request];
             let started_us = (call.started_ms * 1_000.0) as u64;
-            (Reverse(self.plan.kinds[call.kind].priority), started_us)
+            let urgency = call.state.urgency(&self.entries[entry].service);
+            (Reverse(urgency), started_us)
         };
         let first = self.entries[entry]
             .waiting
             .iter()
             .copied()
-            .filter(|request| Some(*request) != except)
+            .filter(|request| !self.passed_on.contains(request))
             .min_by_key(urgency);
         if let Some(first) = first {
             self.handle_request_event(first, Event::CapacityFreed);
@@ -393,6 +442,7 @@
             attempt,
             remaining_ms,
             slowdown: 1.0,
+            held_ms: 0.0,
         });
         self.schedule_finish(target);
         if admission == Admission::Rejected {
@@ -441,6 +491,8 @@
         let finished = self.targets[target].advance(self.now_ms);
         let report = Some(self.targets[target].report());
         for work in finished {
+            let slot_use = self.slot_use(work.request, work.attempt, target);
+            self.tally.slot_time.add(slot_use, work.held_ms);
             let outcome = AttemptOutcome::Answered {
                 is_server_error: false,
                 report,
@@ -455,6 +507,21 @@
         }
     }
 
+    /// What the slot of an attempt was used for that finishes now.
+    fn slot_use(&self, request: usize, attempt: AttemptId, target: usize) -> SlotUse {
+        let call = &self.calls[request];
+        let latency_ms = self.now_ms - call.started_ms + CALLER_ROUND_TRIP_MS;
+        if self.targets[target].cold.is_some() {
+            SlotUse::Cold
+        } else if latency_ms > self.plan.kinds[call.kind].aim_ms as f64 {
+            SlotUse::Late
+        } else if attempt.0 > 0 {
+            SlotUse::Added
+        } else {
+            SlotUse::InTime
+        }
+    }
+
     fn schedule_finish(&mut self, target: usize) {
         let generation = self.targets[target].generation;
         if let Some(at_ms) = self.targets[target].next_finish_ms() {
@@ -555,13 +622,4 @@
         }
         self.schedule_in(PROBE_CHECK_INTERVAL_MS, EmulatedEvent::ProbeTargets);
     }
-
-    fn mark_leaving(&mut self, share: f64) {
-        let count = (self.plan.targets as f64 * share) as usize;
-        for entry in &self.entries {
-            entry.service.targets()[..count]
-                .iter()
-                .for_each(|target| target.mark_leaving());
-        }
-    }
 }
