Test relayed requests of entries with another version

Cause: the refusal of an unknown organisation at a home, and the removal of fields there, had no test.

--- a/crates/pinhaven-lab/tests/keys.rs
+++ b/crates/pinhaven-lab/tests/keys.rs
@@ -16,12 +16,18 @@
 use http_body_util::Full;
 use pinhaven_lab::Lab;
 use pinhaven_lab::LabPlan;
+use pinhaven_peer::Header;
+use pinhaven_peer::PeerClients;
+use pinhaven_peer::RelayOnceRequest;
 use pinhaven_runtime::HttpClient;
 use pinhaven_runtime::HyperExecutor;
 use pinhaven_runtime::connect_stream;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
+use pinhaven_stand_in::caller::Caller;
+use pinhaven_stand_in::caller::CallerSettings;
 use pinhaven_types::ApiKey;
+use pinhaven_types::Digest;
 use serde_json::Value;
 use serde_json::json;
 use smol_hyper::rt::FuturesIo;
@@ -32,12 +38,16 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 /// A key that `acme` holds.
 const KEY: &str = "k-7f3a.secret_of-acme";
 /// Time after which a rolled version is in force at all entries, in milliseconds; they poll the head every 200 ms.
 const ROLL_MS: u64 = 1_500;
 
+/// Maximum time of a relayed request.
+const RELAY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Heads of the requests that a target received.
 type Heads = Arc<Mutex<Vec<String>>>;
 
@@ -233,3 +243,78 @@
         assert_eq!(response.unwrap().status(), 401);
     });
 }
+
+/// Guards against what an entry of another version relays: an organisation that the home lacks, or the caller's fields
+/// as they came.
+#[test]
+fn a_relayed_request_runs_only_for_an_organisation_that_its_home_knows_and_without_its_key() {
+    run_serially(async {
+        let mut lab = start_lab(LabPlan::new(1, vec![quote_service()])).await;
+        let (target, heads) = start_target();
+        roll_with_keys(&mut lab, target).await;
+        let seeds = lab.caller_addresses().await;
+        let caller = Caller::new(CallerSettings::new(seeds.clone(), "quote", 1.0, 1));
+        let home = caller
+            .fetch_entries(seeds[0])
+            .await
+            .unwrap()
+            .entries
+            .remove(0)
+            .home;
+        let peer = lab.row(0).await.unwrap().peer_address;
+        let field = |name: &str, value: &str| Header {
+            name: name.to_owned(),
+            value: value.as_bytes().to_vec(),
+        };
+        let peers = PeerClients::new();
+        let cases = [
+            ("acme", false, 200),
+            ("", true, 200),
+            ("", false, 503),
+            ("initech", false, 503),
+        ];
+        for (number, (organisation, is_public, status)) in cases.into_iter().enumerate() {
+            let request = RelayOnceRequest {
+                home: home.clone(),
+                service: "quote".to_owned(),
+                key_digest: Digest::of(&[number as u8]).to_string(),
+                method: "POST".to_owned(),
+                path_and_query: "/orders".to_owned(),
+                headers: vec![
+                    field("host", "quote"),
+                    field("pinhaven-sending", "1"),
+                    field("authorization", &format!("Bearer {KEY}")),
+                    field("pinhaven-organisation", "umbrella"),
+                ],
+                body: b"one".to_vec(),
+                deadline_ms: 5_000,
+                organisation: organisation.to_owned(),
+                is_public,
+            };
+            let answer = peers
+                .relay_once(peer, RELAY_TIMEOUT, request)
+                .await
+                .unwrap();
+            assert_eq!(answer.status, status, "{organisation:?} {is_public}");
+            let run = answer
+                .headers
+                .iter()
+                .find(|field| field.name == "pinhaven-run");
+            let refused = run.map(|run| String::from_utf8_lossy(&run.value).into_owned());
+            assert_eq!(refused.is_some_and(|run| run == "not-run"), status == 503);
+        }
+        let heads = heads.lock().unwrap().clone();
+        assert_eq!(heads.len(), 2, "{heads:?}");
+        assert!(
+            heads[0].contains("pinhaven-organisation: acme"),
+            "{}",
+            heads[0]
+        );
+        for head in &heads {
+            assert!(
+                !head.contains("authorization") && !head.contains("umbrella"),
+                "{head}"
+            );
+        }
+    });
+}
