--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -226,8 +226,8 @@
         let is_seed = settings.peer_seeds.is_empty() || settings.peer_seeds.contains(&peer_address);
         let store_access = StoreAccess::new(row.capacity, is_seed, fastrand::f64());
         let silent_after = Microseconds::from_ms(settings.gossip_ms * SILENT_AFTER_EXCHANGES);
-        let members = Membership::new(row, silent_after)
-            .with_near_entries_first(settings.near_entries_first);
+        let members =
+            Membership::new(row, silent_after).with_near_entries_first(settings.near_entries_first);
         // Only with a store do most entries hear of each other seldom.
         let members = match settings.discovery {
             Some(_) => members.with_removal_after(REMOVE_MEMBER_AFTER),
