Give entries a part of each bucket at their start, and test the stated target of fairness

The test of fair shares had a bound taken from a measurement. Change: a bucket begins with three tenths of the burst, which the slack covers twice.

--- a/crates/pinhaven-lab/src/emulate/outcome.rs
+++ b/crates/pinhaven-lab/src/emulate/outcome.rs
@@ -149,13 +149,23 @@
 
     /// Share of requests answered within their aims of the worst tenth of the organisations.
     pub fn worst_organisations(&self) -> f64 {
+        let mut shares = self.shares_of_organisations();
+        shares.sort_by(f64::total_cmp);
+        shares.truncate(shares.len().div_ceil(10));
+        mean(&shares)
+    }
+
+    /// Share of requests answered within their aims, on average over the organisations.
+    pub fn mean_of_organisations(&self) -> f64 {
+        mean(&self.shares_of_organisations())
+    }
+
+    /// Share of requests answered within their aims of each organisation that sent any.
+    fn shares_of_organisations(&self) -> Vec<f64> {
         let counted = self.by_organisation.iter().filter(|counts| counts.0 > 0);
-        let mut shares: Vec<f64> = counted
+        counted
             .map(|(requests, in_time)| *in_time as f64 / *requests as f64)
-            .collect();
-        shares.sort_by(f64::total_cmp);
-        let worst = &shares[..shares.len().div_ceil(10)];
-        worst.iter().sum::<f64>() / worst.len().max(1) as f64
+            .collect()
     }
 
     /// Credit share of the window of two seconds with this number.
@@ -169,3 +179,7 @@
         self.latencies_us.value_at_quantile(quantile) as f64 / 1_000.0
     }
 }
+
+fn mean(shares: &[f64]) -> f64 {
+    shares.iter().sum::<f64>() / shares.len().max(1) as f64
+}
--- a/crates/pinhaven-lab/tests/emulation.rs
+++ b/crates/pinhaven-lab/tests/emulation.rs
@@ -251,10 +251,11 @@
 }
 
 /// Guards against an organisation that sends 5.6 times its usual requests and takes slots in proportion: the worst tenth
-/// of the organisations had 0.44 of their requests answered within the aim.
+/// of the organisations must not be served worse than the mean by more than 0.05.
 #[test]
 fn an_excess_of_one_organisation_leaves_slots_to_the_others() {
-    let worst = |tally: &Tally| [tally.worst_organisations()];
-    let [worst] = sum_of_scarce(Deployment::Scarce, Day::OneOrganisation, worst);
-    assert!(worst / 2.0 > 0.47, "{:.3}", worst / 2.0);
+    let figures = |tally: &Tally| [tally.worst_organisations(), tally.mean_of_organisations()];
+    let [worst, mean] = sum_of_scarce(Deployment::Scarce, Day::OneOrganisation, figures);
+    let (worst, mean) = (worst / 2.0, mean / 2.0);
+    assert!(worst >= mean - 0.05, "worst {worst:.3}, mean {mean:.3}");
 }
--- a/crates/pinhaven-limits/src/organisation.rs
+++ b/crates/pinhaven-limits/src/organisation.rs
@@ -18,6 +18,9 @@
 /// Weight of the entries' total demand in the shares of an organisation's use, in requests.
 const DEMAND_WEIGHT: f64 = 3.0;
 
+/// Part of the bucket that an entry has at its start. Callers may have used the whole burst just before all entries
+/// restarted; the slack covers this part once more, also if they restart twice in five seconds.
+const LEVEL_AT_START: f64 = 0.3;
 /// Time in which a peer may have admitted its first requests before its first count arrives.
 const FIRST_COUNT_PERIOD: Microseconds = Microseconds::from_ms(1_000);
 /// Time after a peer is heard again in which it sends a full datagram.
@@ -68,11 +71,11 @@
 }
 
 impl Organisation {
-    /// Creates the state of an organisation, with an empty bucket.
+    /// Creates the state of an organisation, with the bucket of an entry that has just started.
     pub(crate) fn new(limit: Option<Limit>, now: Microseconds) -> Self {
         Self {
             limit,
-            level: 0.0,
+            level: limit.map_or(0.0, |limit| limit.burst * LEVEL_AT_START),
             advanced_at: now,
             count: 0,
             changed_at: Microseconds::ZERO,
