Give no precedence to requests over their limit that come back too late for their aim

Cause: while an organisation exceeds its limit, half of the tokens went to callers that had come back and were answered late, and requests that could be answered in time were refused for them. Change: only a request that can still meet its aim takes its place before first tries. Not measured yet.

--- a/crates/pinhaven-entry/src/callers/admission.rs
+++ b/crates/pinhaven-entry/src/callers/admission.rs
@@ -24,7 +24,7 @@
 }
 
 impl Admission {
-    /// Admits a request of a caller.
+    /// Admits a request of a caller. One with precedence was refused before and takes its place in the queue of tokens.
     ///
     /// # Errors
     ///
@@ -32,10 +32,10 @@
     pub(crate) fn of_caller(
         entry: &Arc<Entry>,
         organisation: &Organisation,
-        is_later_try: bool,
+        has_precedence: bool,
     ) -> Result<Self, Problem> {
         let key = OrganisationKey::new(&organisation.name);
-        let admitted = entry.limits.admit(key, is_later_try, entry.now());
+        let admitted = entry.limits.admit(key, has_precedence, entry.now());
         admitted.map_err(|over_limit| refuse(entry, organisation, over_limit))?;
         Ok(Self {
             entry: Arc::clone(entry),
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -208,8 +208,10 @@
         let admission = organisation
             .as_deref()
             .map(|organisation| {
+                // A token that goes to a late request is lost to one that can be answered in time.
                 let is_later_try = prior_wait > Microseconds::ZERO;
-                Admission::of_caller(entry, organisation, is_later_try)
+                let has_precedence = is_later_try && may_meet_aim(&routed, prior_wait);
+                Admission::of_caller(entry, organisation, has_precedence)
             })
             .transpose()?;
         require_path(entry, &head)?;
@@ -294,6 +296,15 @@
     }
 }
 
+/// Whether an answer within the aim of the route is still possible after this wait.
+fn may_meet_aim(routed: &Routed, prior_wait: Microseconds) -> bool {
+    let Some(route) = &routed.route else {
+        return true;
+    };
+    let left = route.state.aim().saturating_sub(prior_wait);
+    left.as_ms() > f64::from(route.state.work_ms())
+}
+
 fn attempts_max(facts: &CallerFacts, route: Option<&PathRoute>) -> Option<u32> {
     let route_max = route.map(|route| route.attempts_most);
     match (facts.attempts_max, route_max) {
