--- a/crates/pinhaven-limits/src/limits.rs
+++ b/crates/pinhaven-limits/src/limits.rs
@@ -56,7 +56,7 @@
     pub fn set_limits(&self, limits: &[(OrganisationKey, Option<Limit>)], now: Microseconds) {
         self.peers.write().update(now);
         let mut organisations = self.organisations.write();
-        // Callers may have used the bursts just before all entries restarted, so the first buckets are empty.
+        // Callers may have used the bursts just before all entries restarted, so the first buckets are not full.
         let is_start = organisations.is_empty();
         let mut next = HashMap::with_capacity(limits.len());
         for (key, limit) in limits {
@@ -79,7 +79,8 @@
         *organisations = next;
     }
 
-    /// Decides on a request of a caller. `is_later_try` says that the caller's earlier try was refused. Organisations that
+    /// Decides on a request of a caller. `is_later_try` says that an earlier try was refused, and
+    /// that an answer to this one can still be in time. Organisations that
     /// are not known have no limit.
     ///
     /// # Errors
