--- a/crates/pinhaven-limits/src/limits.rs
+++ b/crates/pinhaven-limits/src/limits.rs
@@ -79,9 +79,8 @@
         *organisations = next;
     }
 
-    /// Decides on a request of a caller. `is_later_try` says that an earlier try was refused, and
-    /// that an answer to this one can still be in time. Organisations that
-    /// are not known have no limit.
+    /// Decides on a request of a caller. `is_later_try` says that an earlier try was refused, and that an answer to this
+    /// one can still be in time. Organisations that are not known have no limit.
     ///
     /// # Errors
     ///
