Show that a backend gets work long after it has left

After an outage of the store an entry keeps the mark of its failed read until the list of targets next changes, and then keeps a target that has left for 2.3 s.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec bash "$(dirname "$0")/../run-case.sh" gone "$(dirname "$0")"
