Let the extra answer carry the id of the order before

The late answer with status 421 is now a second answer to the earlier order on the connection, as backends that hand out wrong bytes send it.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -700,7 +700,7 @@
                 at: Instant::now(),
             });
             if let Some(other) = owes_extra.take() {
-                // The extra answer arrives where the answer to this request should come. Its id is that of another request.
+                // The second answer to the earlier request arrives where the answer to this one should come. Its id tells.
                 let fields = format!(
                     "X-Pinhaven-Request-Id: {other}\r\n{}X-Pinhaven-Not-Executed: 1\r\n",
                     self.load()
@@ -738,7 +738,7 @@
             if is_spoiling {
                 let number = self.behaviour.answered.fetch_add(1, Ordering::SeqCst) + 1;
                 if number % ANSWERS_PER_EXTRA == 0 {
-                    owes_extra = Some(format!("{number:016x}"));
+                    owes_extra = Some(id);
                 }
             }
         }
