Refuse requests that may outlast the planned stop of their entry

Cause: a stopping entry took each request until its listener closed, after 0.45 of the grace period, and compared neither the deadline nor the usual work of the request with the time that was left.

Change: the times of the stop are a plan in the decisions. A request is sent if its deadline comes before the end of the stop, or, while callers can't know of the stop, if its usual work ends before. Any other gets 503 at once, not run, counted as stop_too_near. This is checked before each attempt, so that it holds for waiting, forwarded and relayed requests and for retries. Requests that a stop ends are logged with their times.

Why it works: after the time in which callers can't know of the stop, whatever is taken has its final answer by its own deadline before the end.

--- a/crates/pinhaven-decide/src/refusal.rs
+++ b/crates/pinhaven-decide/src/refusal.rs
@@ -29,6 +29,8 @@
     DeadlineCame,
     /// The entry is stopping and can't wait any longer for an answer.
     EntryStopping,
+    /// The entry is stopping, and an answer might come only after its end.
+    StopTooNear,
     /// The request crashes the targets that run it.
     HeldBack,
     /// This entry reaches no target, and the entry to which it forwarded the request refused it.
@@ -37,7 +39,7 @@
 
 impl RefusalReason {
     /// All reasons, for metrics that count refusals by reason.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::DeadlinePast,
         Self::NoTimeLeft,
         Self::Overloaded,
@@ -50,6 +52,7 @@
         Self::Broken,
         Self::DeadlineCame,
         Self::EntryStopping,
+        Self::StopTooNear,
         Self::HeldBack,
         Self::ForwardRefused,
     ];
@@ -69,6 +72,7 @@
             Self::Broken => "broken",
             Self::DeadlineCame => "deadline_came",
             Self::EntryStopping => "entry_stopping",
+            Self::StopTooNear => "stop_too_near",
             Self::HeldBack => "held_back",
             Self::ForwardRefused => "forward_refused",
         }
--- a/crates/pinhaven-decide/src/request.rs
+++ b/crates/pinhaven-decide/src/request.rs
@@ -27,6 +27,7 @@
 use crate::refusal::RunState;
 use crate::route::RouteState;
 use crate::service::ServiceState;
+use crate::stopping::StopPlan;
 use crate::target::TargetState;
 use crate::waiting::PRIORITY_MAX;
 use crate::waiting::urgency;
@@ -133,6 +134,8 @@
     pub(crate) hedge_at: Option<Microseconds>,
     pub(crate) has_outlasted_hedge_delay: bool,
     pub(crate) forward: ForwardState,
+    /// Planned stop of the entry, once it has begun.
+    pub(crate) stop: Option<StopPlan>,
 }
 
 impl RequestState {
@@ -151,6 +154,7 @@
             hedge_at: None,
             has_outlasted_hedge_delay: false,
             forward: ForwardState::default(),
+            stop: None,
         }
     }
 
@@ -234,6 +238,11 @@
         self.hedge_at = None;
     }
 
+    /// Sets the planned stop of the entry, which has begun.
+    pub fn set_stop(&mut self, stop: StopPlan) {
+        self.stop = Some(stop);
+    }
+
     /// Handles an event and returns the actions to perform.
     pub fn handle(
         &mut self,
@@ -349,6 +358,9 @@
 
     /// Sends the request, makes it wait or refuses it.
     pub(crate) fn admit(&mut self) {
+        if self.may_outlast_stop() {
+            return self.refuse(RefusalReason::StopTooNear);
+        }
         if self.service.connectivity().is_lost() {
             return self.refuse(RefusalReason::Unreachable);
         }
--- a/crates/pinhaven-decide/src/request_end.rs
+++ b/crates/pinhaven-decide/src/request_end.rs
@@ -21,7 +21,8 @@
     /// Sends the request to another target after an attempt that was not sent. No retry budget is used, because no
     /// target received the earlier attempt.
     fn send_elsewhere(&mut self) -> bool {
-        if !self.request.facts.is_replayable || self.now >= self.request.facts.deadline {
+        let is_late = self.now >= self.request.facts.deadline || self.may_outlast_stop();
+        if !self.request.facts.is_replayable || is_late {
             return false;
         }
         let Some(forecast) = self.earliest(TargetFilter::Any) else {
@@ -111,7 +112,8 @@
     fn may_retry(&self) -> bool {
         let facts = &self.request.facts;
         let is_safe = facts.is_repeatable || !self.request.may_have_run;
-        is_safe && facts.is_replayable && self.has_attempts_left() && self.now < facts.deadline
+        let has_time = self.now < facts.deadline && !self.may_outlast_stop();
+        is_safe && facts.is_replayable && self.has_attempts_left() && has_time
     }
 
     /// Takes a retry from the budgets of the service. Returns whether they allow it.
--- a/crates/pinhaven-decide/src/retry_after.rs
+++ b/crates/pinhaven-decide/src/retry_after.rs
@@ -3,7 +3,8 @@
 //! Two load patterns need different answers. Where targets are full, a caller should come back when the backlog has
 //! drained, which takes longer the more requests are refused. Where targets turn away requests although they have free
 //! slots, there is no backlog: the next try is as likely to be served now as later, and each millisecond of the delay is
-//! lost from the aim of the request. While operators keep the failure domains of all targets drained, the time of the
+//! lost from the aim of the request. An entry that stops keeps nothing of what other entries can serve, so that its
+//! callers may come back to another one as soon. While operators keep the failure domains of all targets drained, the time of the
 //! next answer depends on people, and an early try only loads the entries.
 
 use crate::availability::Availability;
@@ -11,7 +12,7 @@
 use crate::refusal::RefusalReason;
 use crate::request::EventHandler;
 
-/// Bounds of the delay where a target with a free slot is known, in milliseconds. The delay is random, so that requests
+/// Bounds of the delay where a target with a free slot or another entry is known, in milliseconds. The delay is random, so that requests
 /// that were turned away together don't return together.
 const FREE_SLOT_DELAY_MS: std::ops::Range<u64> = 10..40;
 /// Bounds of the delay while the failure domains of all targets are drained, in milliseconds.
@@ -21,7 +22,12 @@
     /// Time after which the caller should retry, in milliseconds, and not before the first time at which a target
     /// accepts requests.
     pub(crate) fn retry_after_ms(&mut self, reason: RefusalReason) -> u64 {
-        if reason == RefusalReason::Shed && self.has_free_slot() {
+        let may_return_at_once = match reason {
+            RefusalReason::Shed => self.has_free_slot(),
+            RefusalReason::StopTooNear => true,
+            _ => false,
+        };
+        if may_return_at_once {
             return self.random.u64(FREE_SLOT_DELAY_MS);
         }
         let after_shortage_ms = match reason {
--- a/crates/pinhaven-decide/src/work_estimate.rs
+++ b/crates/pinhaven-decide/src/work_estimate.rs
@@ -26,6 +26,12 @@
         1.0 / (1.0 + (LOGISTIC_SLOPE * log_ratio).exp())
     }
 
+    /// Time that the work exceeds with probability `chance` at a target of usual speed, in milliseconds.
+    pub(crate) fn exceeded_with(&self, chance: f32) -> f32 {
+        let log_ratio = (1.0 / chance - 1.0).ln() / LOGISTIC_SLOPE;
+        self.median_ms * (log_ratio * self.spread).exp()
+    }
+
     /// Probability that an attempt is not answered within another `left_ms` milliseconds, given that it has been in
     /// flight for `time_ms` milliseconds and started at a target with the expected `slowdown`.
     pub(crate) fn miss_chance(
--- a/crates/pinhaven-entry/src/callers/address.rs
+++ b/crates/pinhaven-entry/src/callers/address.rs
@@ -125,7 +125,7 @@
 /// A caller whose cached answer has expired asks again before its next request, which costs two round
 /// trips. A caller that uses an outdated answer tries lost entries, at a cost of one second each. Short
 /// lifetimes are therefore better where the round trips are a small part of every latency objective.
-fn answer_lifetime_ms(bundle: &Bundle) -> u64 {
+pub(crate) fn answer_lifetime_ms(bundle: &Bundle) -> u64 {
     let routes = bundle.hosts.iter().flat_map(|host| &host.paths);
     let shortest_aim_ms = routes.map(|route| route.aim_ms).min();
     match shortest_aim_ms {
--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -37,6 +37,7 @@
 use pinhaven_agree::VersionInForce;
 use pinhaven_agree::VersionLag;
 use pinhaven_decide::ColdAccess;
+use pinhaven_decide::StopPlan;
 use pinhaven_limits::OrganisationLimits;
 use pinhaven_peer::PeerClients;
 use pinhaven_platform::Discovery;
@@ -55,6 +56,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
@@ -183,6 +185,8 @@
     pub(crate) became_ready: event_listener::Event,
     /// Signals that requests in flight must get their final answer.
     pub(crate) stop_signal: StopSignal,
+    /// Times of the planned stop, once it has begun.
+    pub(crate) stop_plan: OnceLock<StopPlan>,
     pub(crate) table: HttpTableService,
     pub(crate) objects: HttpObjectStore,
     pub(crate) peers: PeerClients,
@@ -281,6 +285,7 @@
             served_at_us: AtomicU64::new(0),
             became_ready: event_listener::Event::new(),
             stop_signal: StopSignal::default(),
+            stop_plan: OnceLock::new(),
             table: HttpTableService::new(settings.table_address, timeout_ms),
             objects: HttpObjectStore::new(settings.object_address, timeout_ms),
             peers: PeerClients::new(),
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -34,8 +34,10 @@
 use pinhaven_decide::Event;
 use pinhaven_decide::OrganisationShare;
 use pinhaven_decide::Refusal;
+use pinhaven_decide::RefusalReason;
 use pinhaven_decide::RequestFacts;
 use pinhaven_decide::RequestState;
+use pinhaven_decide::RunState;
 use pinhaven_decide::Step;
 use pinhaven_decide::TargetState;
 use pinhaven_record::Chosen;
@@ -210,12 +212,18 @@
         let now = self.job.entry.now();
         let service = &self.job.service.state;
         self.withhold_hedges_over_limit(event, now);
+        if let Some(stop) = self.job.entry.stop_plan.get() {
+            self.request.set_stop(*stop);
+        }
         self.request.handle(service, now, &mut self.random, event)
     }
 
     fn refuse(&mut self, refusal: Refusal) -> Response<AnyBody> {
         self.outcome = Outcome::Refused(refusal.reason);
         self.job.entry.counters.add_refusal(refusal.reason);
+        if refusal.reason == RefusalReason::EntryStopping {
+            self.log_ended_by_stop(refusal.run_state);
+        }
         let problem = Problem::from(refusal);
         self.add_trace(TraceEvent::Refused {
             reason: refusal.reason.name(),
@@ -229,6 +237,22 @@
         problem.into_response()
     }
 
+    /// Logs a request that the stop of the entry ended, with its times relative to the signal.
+    fn log_ended_by_stop(&self, run_state: RunState) {
+        let Some(stop) = self.job.entry.stop_plan.get() else {
+            return;
+        };
+        let began = stop.began();
+        let left_ms = self.job.deadline.saturating_sub(self.job.entry.now());
+        log::warn!(
+            target: "stop",
+            "Ended a request ({run_state}) that arrived {} ms before and {} ms after the signal, {} ms before its deadline.",
+            began.saturating_sub(self.started_at).as_ms() as u64,
+            self.started_at.saturating_sub(began).as_ms() as u64,
+            left_ms.as_ms() as u64,
+        );
+    }
+
     fn target_counts(&self) -> TargetCounts {
         let now = self.job.entry.now();
         let state = &self.job.service.state;
--- a/crates/pinhaven-entry/src/stop.rs
+++ b/crates/pinhaven-entry/src/stop.rs
@@ -3,18 +3,22 @@
 //! The stop has four steps:
 //!
 //! 1. The entry advertises to its peers that it is stopping, so that new address answers do not name it.
-//! 2. It continues to accept requests for as long as callers cache older address answers.
+//! 2. It continues to accept connections for as long as callers cache older address answers. Requests that might
+//!    outlast the stop are refused as not run.
 //! 3. It closes its listener and lets each open connection finish its request.
 //! 4. It exits when no request is in flight.
 //!
 //! Requests still in flight at the deadline get a final answer, so that no caller sees a closed
 //! connection instead of an answer.
 
+use crate::callers::address;
 use crate::entry::Entry;
 use pinhaven_agree::MemberState;
+use pinhaven_decide::StopPlan;
 use pinhaven_runtime::HttpServer;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::spawn;
+use pinhaven_types::Microseconds;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
 use std::sync::Arc;
@@ -25,14 +29,6 @@
 const EXCHANGES_TO_SPREAD: u64 = 4;
 /// Maximum wait for peers to close their connections.
 const PEER_WAIT_MAX: Duration = Duration::from_millis(500);
-/// Share of the grace period in which the entry still accepts requests. Callers learn of the stop when
-/// their cached address answer expires; the remaining time is for the longest requests.
-const DRAIN_SHARE: f64 = 0.45;
-/// Margin between the end of the stop and the end of the grace period, in milliseconds.
-const KILL_MARGIN_MS: u64 = 300;
-/// Time for sending the final answers to requests that exceed the deadline, in milliseconds. Callers may
-/// be some 10 ms away.
-const FINAL_ANSWERS_MS: u64 = 150;
 /// Interval of the checks for requests in flight and open connections, in milliseconds.
 const IDLE_POLL_MS: u64 = 10;
 
@@ -44,55 +40,46 @@
     pub(crate) peers: Arc<HttpServer>,
 }
 
-/// Maximum durations of the steps of a stop.
-struct StopPlan {
-    /// How long the entry still accepts requests while callers cache older address answers, in
-    /// milliseconds.
-    drain_ms: u64,
-    /// Maximum wait for the requests in flight after that, in milliseconds.
-    finish_ms: u64,
-}
-
-impl StopPlan {
-    fn new(entry: &Entry) -> Self {
-        let Some(discovery) = &entry.settings.discovery else {
-            let keep_ms = entry.snapshot.load().bundle().address_keep_ms;
-            return Self {
-                drain_ms: keep_ms + entry.settings.gossip_ms * EXCHANGES_TO_SPREAD,
-                finish_ms: entry.settings.stop_most_ms,
-            };
-        };
-        // The process is killed at the end of the grace period, so both steps must fit into it.
-        let grace_ms = discovery.stop_grace_ms;
-        let drain_ms = (grace_ms as f64 * DRAIN_SHARE) as u64;
-        Self {
-            drain_ms,
-            finish_ms: grace_ms.saturating_sub(drain_ms + KILL_MARGIN_MS),
+/// Plans the stop of an entry that begins now.
+fn plan_stop(entry: &Entry) -> StopPlan {
+    let began = entry.now();
+    let bundle = entry.snapshot.load();
+    let bundle = bundle.bundle();
+    let spread_ms = entry.settings.gossip_ms * EXCHANGES_TO_SPREAD;
+    match &entry.settings.discovery {
+        Some(discovery) => {
+            let grace = Microseconds::from_ms(discovery.stop_grace_ms);
+            let notice_ms = address::answer_lifetime_ms(bundle) + spread_ms;
+            StopPlan::within_grace(began, grace, Microseconds::from_ms(notice_ms))
+        }
+        None => {
+            let notice_ms = bundle.address_keep_ms + spread_ms;
+            let wait_max = Microseconds::from_ms(entry.settings.stop_most_ms);
+            StopPlan::without_kill(began, Microseconds::from_ms(notice_ms), wait_max)
         }
     }
 }
 
 /// Stops an entry without aborting a request. Returns whether all requests finished before the deadline.
 pub(crate) async fn stop(entry: &Arc<Entry>, servers: &Servers) -> bool {
+    let plan = *entry.stop_plan.get_or_init(|| plan_stop(entry));
     entry.record_event("entry", "stopping");
     log::info!(target: "stop", "Stopping; address answers now name other entries.");
     entry.members.lock().advance_state(MemberState::Stopping);
     entry.urgent_update.notify(usize::MAX);
-    let plan = StopPlan::new(entry);
     let writer = Arc::clone(entry);
     let row_written = entry
         .discovery
         .is_none()
         .then(|| spawn(async move { writer.write_own_row().await }));
-    sleep_ms(plan.drain_ms).await;
+    sleep_until(entry, plan.closes_at()).await;
     log::info!(target: "stop", "Closing the listener; waiting for {} requests in flight.", entry.in_flight());
     servers.callers.close_gracefully();
-    let wait_ms = plan.finish_ms.saturating_sub(FINAL_ANSWERS_MS);
-    let is_finished = wait_until_idle(entry, &servers.callers, wait_ms).await;
+    let is_finished = wait_until_idle(entry, &servers.callers, plan.ends_requests_at()).await;
     if !is_finished {
         log::warn!(target: "stop", "Deadline reached; ending {} requests in flight.", entry.in_flight());
         entry.stop_signal.trigger();
-        wait_until_idle(entry, &servers.callers, FINAL_ANSWERS_MS).await;
+        wait_until_idle(entry, &servers.callers, plan.ends_at()).await;
     }
     // Answers to requests relayed by other entries may still be in transfer.
     servers.peers.close_gracefully();
@@ -115,10 +102,12 @@
     }
 }
 
-async fn wait_until_idle(entry: &Entry, server: &HttpServer, wait_max_ms: u64) -> bool {
-    let wait_max = Duration::from_millis(wait_max_ms);
-    let began = Instant::now();
-    while began.elapsed() < wait_max {
+async fn sleep_until(entry: &Entry, at: Microseconds) {
+    async_io::Timer::at(entry.clock.instant_of(at)).await;
+}
+
+async fn wait_until_idle(entry: &Entry, server: &HttpServer, until: Microseconds) -> bool {
+    while entry.now() < until {
         // The server may have accepted a connection before it noticed the request to close.
         let may_receive_more = server.is_accepting() || server.open_connections() > 0;
         if entry.in_flight() == 0 && !may_receive_more {
--- a/crates/pinhaven-entry/src/wire/problem.rs
+++ b/crates/pinhaven-entry/src/wire/problem.rs
@@ -155,6 +155,10 @@
             StatusCode::BAD_GATEWAY,
             "this entry stops and can't wait for the target any longer",
         ),
+        RefusalReason::StopTooNear => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this entry stops before the request would certainly end; another entry can take it",
+        ),
         RefusalReason::HeldBack => (
             StatusCode::BAD_GATEWAY,
             "targets crashed while they ran this request",
