Log which targets an entry keeps although the list lacks them, and count them

Cause: no log or metric told whether requests at a target whose entry is gone come from a late list or from a target that is kept as possibly lapsed. Change: a line with the ages of the last failed read and of the last confirmation of the list, and the gauge pinhaven_targets_retained.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -144,6 +144,16 @@
         self.retained.is_empty() && self.newer_runs.is_empty() && listed.all(is_unchanged)
     }
 
+    /// Number of targets that the list lacks and that are in use because they may only have lapsed.
+    pub fn retained_count(&self) -> usize {
+        self.retained.len()
+    }
+
+    /// Time since this entry's last failed read; `None` if no read has failed.
+    pub fn failure_age(&self, now: Microseconds) -> Option<Microseconds> {
+        self.last_failure_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Whether a later run of the target is known. Statements about a superseded run are ignored, and
     /// the requests that it had in flight are lost.
     pub fn is_superseded(&self, id: &TargetId, incarnation: Option<TargetIncarnation>) -> bool {
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -125,9 +125,13 @@
     fn change_targets(&self, change: impl FnOnce(&mut KnownTargets) -> bool) {
         let (before, after, has_changed) = {
             let mut known = self.targets.lock();
-            let before = known.targets();
+            let (before, retained_before) = (known.targets(), known.retained_count());
             self.confirm_resting_runs(&known);
+            let confirmed_age = known.age(self.now());
             let has_changed = change(&mut known);
+            if known.retained_count() > retained_before {
+                self.log_retained(&known, confirmed_age);
+            }
             (before, known.targets(), has_changed)
         };
         if !has_changed {
@@ -143,6 +147,18 @@
         self.urgent_update.notify(usize::MAX);
     }
 
+    /// Logs that targets which the list lacks stay in use. `confirmed_age` is the time since the store confirmed the
+    /// list in which they were.
+    fn log_retained(&self, known: &KnownTargets, confirmed_age: Option<Microseconds>) {
+        let age_ms = |age: Option<Microseconds>| age.map_or(0, |age| age.as_ms() as u64);
+        log::info!(
+            target: "targets",
+            "Retaining {} targets that may have lapsed; the last own read failed {} ms ago, and the store confirmed \
+             the previous list {} ms ago.",
+            known.retained_count(), age_ms(known.failure_age(self.now())), age_ms(confirmed_age)
+        );
+    }
+
     /// Records the run of a target that answered.
     pub(crate) fn learn_run(&self, target: &TargetState, answering: TargetIncarnation) {
         let Some(id) = target.id() else {
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -68,9 +68,10 @@
 fn gauges(entry: &Entry) -> Vec<String> {
     let now = entry.now();
     let version = entry.snapshot.load().version.number();
-    let (list_age_ms, list_revision) = {
+    let (list_age_ms, list_revision, retained) = {
         let targets = entry.targets.lock();
-        (targets.age(now), targets.list().revision)
+        let retained = targets.retained_count();
+        (targets.age(now), targets.list().revision, retained)
     };
     let (known_version, behind_ms, failed_tries) = {
         let lag = entry.version_lag.lock();
@@ -87,6 +88,7 @@
         format!("pinhaven_version_behind_ms {behind_ms:.0}"),
         format!("pinhaven_version_failed_tries {failed_tries}"),
         format!("pinhaven_list_revision {list_revision}"),
+        format!("pinhaven_targets_retained {retained}"),
         format!("pinhaven_live_peers {}", members.live_peers(now).len()),
         format!("pinhaven_members_examined {}", members.examined()),
         format!("pinhaven_state {}", members.own().state as u8),
