End an outage of the list of targets with its first confirmation by any entry

Cause: an entry that failed to read the list kept a mark until it took over a changed list. One that learns from its peers that the list is the same never reads again, so the mark stood until the next change, however late, and the target missing there was kept for 2.3 s as one that had only lapsed.

Evidence: the logs of six entries: four keep the target, 8.57 s after their last failed read and 0.61 s after the store confirmed the previous list; two, without the mark, drop it at once.

Change: the mark is a state with a time. An outage ends with the first confirmation after the last failed read, whichever entry the store gave it to, heard by entries that stand by as well; from then on targets have 2.3 s to register again. An entry that alone was cut off keeps nothing, also from a list that was read before its last failure.

Why it works: the time in which targets may be missing is bound to the return of the store, which each entry learns within a datagram, and no longer to the next change.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -7,7 +7,9 @@
 //!
 //! A target that is missing from a list is removed, with one exception: store entries of targets lapse (expire, because
 //! the targets can't renew them) while the store is unavailable, and targets register again soon after the store
-//! recovers. Until then, targets that were listed before the outage are retained. A target whose store entry was
+//! recovers. Until then, targets that were listed before the outage are retained. The outage ends with the first
+//! confirmation of a list after this entry's last failed read, whichever entry the store gave it to: only the entry
+//! that reads first after an outage need ever read again. A target whose store entry was
 //! replaced by another writer has not lapsed: the target is removed until its own store entry is back.
 //!
 //! A target may restart under the same id. Once a later run is known, all statements about an earlier
@@ -46,6 +48,17 @@
 /// successful; each peer that reads does so within this time.
 const STEADY_MARGIN: Microseconds = Microseconds::from_ms(1_500);
 
+/// Whether targets that are missing from a list may only have lapsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Lapses {
+    /// No target has lapsed: the store has answered for longer than targets take to register again.
+    Impossible,
+    /// The store has confirmed no list to any entry since this entry's read failed at this time.
+    Outage { failed_at: Microseconds },
+    /// The store has recovered, and targets may register again until this time.
+    Recovered { until: Microseconds },
+}
+
 /// Result of comparing a peer's list with the known list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerList {
@@ -65,9 +78,9 @@
     digest: u64,
     /// Latest changes of the list, for peers.
     recent: RecentSteps,
-    /// Targets that are missing from the list and may only have lapsed, retained until `retain_until`.
+    /// Targets that are missing from the list and may only have lapsed, as `lapses` says.
     retained: BTreeMap<TargetId, ListedTarget>,
-    retain_until: Option<Microseconds>,
+    lapses: Lapses,
     latest: LatestRuns,
     /// Later runs of targets of which the list names an earlier run.
     newer_runs: BTreeMap<TargetId, ListedTarget>,
@@ -78,8 +91,6 @@
     /// Local time at which this entry received the list, or at which the store last confirmed the list to any entry as
     /// far as serving peers know.
     heard_at: Option<Microseconds>,
-    /// Whether this entry's last read failed.
-    has_failed: bool,
     /// Time of this entry's last failed read.
     last_failure_at: Option<Microseconds>,
     /// Time since which the store has answered all reads of this entry.
@@ -103,13 +114,12 @@
             list: Arc::new(list),
             recent: RecentSteps::default(),
             retained: BTreeMap::new(),
-            retain_until: None,
+            lapses: Lapses::Impossible,
             latest: LatestRuns::default(),
             newer_runs: BTreeMap::new(),
             confirmed_at: None,
             own_confirmed_at: None,
             heard_at: None,
-            has_failed: false,
             last_failure_at: None,
             steady_since: None,
             peer_steady_since: None,
@@ -260,8 +270,7 @@
 
     /// Records that a read from the store failed.
     pub fn record_failure(&mut self, now: Microseconds) {
-        self.has_failed = true;
-        self.retain_until = None;
+        self.lapses = Lapses::Outage { failed_at: now };
         self.last_failure_at = Some(now);
         self.steady_since = None;
         self.peer_steady_since = None;
@@ -279,13 +288,29 @@
         self.peer_steady_since = self
             .peer_steady_since
             .map_or(Some(since), |known| Some(known.min(since)));
-        // A further local failure clears `retain_until` but says nothing about the store. Zero makes the retained
-        // targets expire at once.
+        // A further local failure says nothing about the store, so the retained targets expire at once.
         if self.was_cut_off() && !self.retained.is_empty() {
-            self.retain_until = Some(Microseconds::ZERO);
+            self.lapses = Lapses::Recovered {
+                until: Microseconds::ZERO,
+            };
         }
     }
 
+    /// Records that the store confirmed a list to some entry at `at`, which ends an outage that began earlier.
+    fn record_store_answer(&mut self, at: Microseconds) {
+        let Lapses::Outage { failed_at } = self.lapses else {
+            return;
+        };
+        if at < failed_at {
+            return;
+        }
+        let until = match self.was_cut_off() {
+            true => Microseconds::ZERO,
+            false => at.plus(REREGISTER_WITHIN),
+        };
+        self.lapses = Lapses::Recovered { until };
+    }
+
     /// Whether the last outage affected only this entry.
     fn was_cut_off(&self) -> bool {
         let (Some(failed_at), Some(since)) = (self.last_failure_at, self.peer_steady_since) else {
@@ -294,6 +319,15 @@
         since.plus(STEADY_MARGIN) < failed_at
     }
 
+    /// Whether a target that a list of this time lacks may only have lapsed.
+    fn may_have_lapsed(&self, now: Microseconds) -> bool {
+        match self.lapses {
+            Lapses::Impossible => false,
+            Lapses::Outage { .. } => !self.was_cut_off(),
+            Lapses::Recovered { until } => now < until,
+        }
+    }
+
     /// Records the list returned by a read of the store that began at `began`. Returns whether the
     /// targets to use may have changed.
     pub fn record_read(&mut self, read: TargetList, began: Microseconds) -> bool {
@@ -310,13 +344,13 @@
         if !self.has_expired(now) {
             return false;
         }
-        self.retain_until = None;
+        self.lapses = Lapses::Impossible;
         !std::mem::take(&mut self.retained).is_empty()
     }
 
     /// Whether the time for retained targets to register again has passed.
     pub fn has_expired(&self, now: Microseconds) -> bool {
-        self.retain_until.is_some_and(|until| now >= until)
+        matches!(self.lapses, Lapses::Recovered { until } if now >= until)
     }
 
     /// Compares the known list with a peer's list, and records the peer's confirmation if the lists are
@@ -341,6 +375,7 @@
         if self.confirmed_at.is_none_or(|at| confirmed_at > at) {
             self.confirmed_at = Some(confirmed_at);
         }
+        self.record_store_answer(confirmed_at);
         if revision > self.list.revision {
             Arc::make_mut(&mut self.list).revision = revision;
         }
@@ -353,6 +388,7 @@
     pub fn record_heard(&mut self, digest: u64, heard_at: Microseconds) {
         if digest == self.digest {
             self.heard_at = self.heard_at.max(Some(heard_at));
+            self.record_store_answer(heard_at);
         }
     }
 
@@ -389,6 +425,11 @@
                 target.warm_up_ms = known.warm_up_ms;
             }
         }
+        // The time of the confirmation is unknown if the peer received the list from other entries.
+        self.record_store_answer(match confirmed_at {
+            Microseconds::ZERO => now,
+            at => at,
+        });
         let retained_before = self.retained.len();
         self.latest.record(list.targets.values(), now);
         let newer_runs = self.newer_runs_than(&list);
@@ -429,13 +470,9 @@
         known.filter(|target| !self.is_superseded(id, target.incarnation))
     }
 
-    /// Retains targets that are missing from the first lists after a failed read, for the time in which
-    /// they may register again. Retained targets are local to this entry: a peer may have read the
+    /// Retains targets that are missing from a list of an outage, or of the time in which they may register again. Retained targets are local to this entry: a peer may have read the
     /// store throughout and must not receive removed targets again.
     fn retain_lapsed(&mut self, list: &TargetList, now: Microseconds) {
-        if std::mem::take(&mut self.has_failed) && !self.was_cut_off() {
-            self.retain_until = Some(now.plus(REREGISTER_WITHIN));
-        }
         let addresses: BTreeSet<TargetAddress> =
             list.targets.values().map(|target| target.address).collect();
         let may_return = |target: &ListedTarget| {
@@ -445,7 +482,7 @@
             !is_listed && !is_foreign && !target.is_leaving && !addresses.contains(&target.address)
         };
         self.retained.retain(|_, target| may_return(target));
-        if self.retain_until.is_none_or(|until| now >= until) {
+        if !self.may_have_lapsed(now) {
             return;
         }
         let listed = self.list.targets.values();
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -260,6 +260,129 @@
     assert_eq!(ids(&known), ["i-1"]);
 }
 
+/// Guards against an entry that takes a target which leaves for one that has lapsed in an outage long past, because
+/// another entry was the first to read the list again.
+#[test]
+fn a_target_that_leaves_long_after_an_outage_is_gone_at_once_wherever_the_list_was_read_first() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1, 2]), at_ms(0));
+    known.record_failure(at_ms(5_000));
+    let digest = known.digest();
+    known.record_peer_revision(1, digest, at_ms(8_100));
+    assert!(known.record_peer_list(list(2, [1]), at_ms(16_000), at_ms(16_010)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+/// The same for an entry that stands by and hears only that the list was confirmed to another entry.
+#[test]
+fn a_target_that_leaves_long_after_an_outage_is_gone_at_once_at_an_entry_that_stands_by() {
+    let mut known = KnownTargets::new();
+    known.record_peer_list(list(1, [1, 2]), Microseconds::ZERO, at_ms(0));
+    known.record_failure(at_ms(5_000));
+    let digest = known.digest();
+    known.record_heard(digest, at_ms(8_100));
+    assert!(known.record_peer_list(list(2, [1]), Microseconds::ZERO, at_ms(16_010)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+/// Guards against a target that an entry keeps while it alone is cut off from the store, because the list without the
+/// target was read before its last failure.
+#[test]
+fn a_list_read_before_the_last_failure_of_an_entry_that_is_cut_off_removes_targets_at_once() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1, 2]), at_ms(0));
+    known.record_failure(at_ms(9_000));
+    known.record_peer_steady(at_ms(100));
+    assert!(known.record_peer_list(list(2, [1]), at_ms(8_900), at_ms(9_050)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+#[test]
+fn the_time_to_register_again_begins_when_a_peer_is_the_first_to_read() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1, 2, 3]), at_ms(0));
+    known.record_failure(at_ms(5_000));
+    let digest = known.digest();
+    known.record_peer_revision(1, digest, at_ms(4_900));
+    known.record_peer_revision(1, digest, at_ms(8_100));
+    assert!(known.record_peer_list(list(2, [1, 3]), at_ms(8_700), at_ms(8_710)));
+    assert!(known.record_peer_list(list(3, [1]), at_ms(10_300), at_ms(10_310)));
+    assert_eq!(
+        ids(&known),
+        ["i-1", "i-2", "i-3"],
+        "they may still register"
+    );
+    assert!(known.expire_retained(at_ms(10_400)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+#[test]
+fn a_list_that_a_peer_read_before_the_last_failure_does_not_end_the_outage() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1, 2, 3]), at_ms(0));
+    known.record_failure(at_ms(5_000));
+    known.record_peer_list(list(2, [1, 3]), at_ms(4_900), at_ms(5_100));
+    assert!(!known.expire_retained(at_ms(20_000)));
+    known.record_read(list(3, [1]), at_ms(20_000));
+    assert_eq!(ids(&known), ["i-1", "i-2", "i-3"]);
+    assert!(known.expire_retained(at_ms(22_300)));
+    assert_eq!(ids(&known), ["i-1"]);
+}
+
+/// Whatever the order of failures and confirmations: once the store has answered some entry after the last failure and
+/// targets had the time to register again, exactly the listed targets are in use.
+#[test]
+fn nothing_is_kept_that_is_missing_long_after_the_store_answered_again() {
+    /// Time for which a target may be kept after an answer of the store, in milliseconds.
+    const KEPT_MAX_MS: u64 = 2_300;
+    fn holds(events: Vec<(u8, u8, u16)>) -> bool {
+        let mut known = KnownTargets::new();
+        known.record_read(list(1, 1..=8), at_ms(0));
+        let (mut now_ms, mut revision) = (0, 1);
+        let (mut failed_ms, mut answered_ms) = (0, None);
+        events.iter().all(|(kind, numbers, pause)| {
+            now_ms += u64::from(*pause) % 3_000 + 1;
+            known.expire_retained(at_ms(now_ms));
+            let (now, age_ms) = (at_ms(now_ms), u64::from(kind / 8));
+            let confirmed_ms = now_ms.saturating_sub(age_ms);
+            let members = (1..=8).filter(|number| numbers >> (number - 1) & 1 == 1);
+            revision += 1;
+            let is_answer = match kind % 5 {
+                0 => {
+                    known.record_failure(now);
+                    (failed_ms, answered_ms) = (now_ms, None);
+                    false
+                }
+                1 => {
+                    known.record_read(list(revision, members), now);
+                    true
+                }
+                2 => known.record_peer_list(list(revision, members), at_ms(confirmed_ms), now),
+                3 => {
+                    let digest = known.digest();
+                    known.record_peer_revision(revision, digest, at_ms(confirmed_ms));
+                    true
+                }
+                _ => {
+                    known.record_heard(known.digest(), at_ms(confirmed_ms));
+                    true
+                }
+            };
+            let at_ms = if kind % 5 == 1 { now_ms } else { confirmed_ms };
+            if is_answer && at_ms >= failed_ms {
+                answered_ms = answered_ms.or(Some(at_ms));
+            }
+            let is_settled = answered_ms.is_some_and(|at| now_ms >= at + KEPT_MAX_MS);
+            let listed = known.list().targets.keys();
+            !is_settled || listed.map(ToString::to_string).eq(ids(&known))
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 58))
+        .tests(5_000)
+        .quickcheck(holds as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
 #[test]
 fn lapsed_targets_are_kept_though_others_regained_the_store_a_little_sooner() {
     let mut known = KnownTargets::new();
