Let a reader vouch for the store only for the time in which it read

Callers: targets that lapsed in an outage could be dropped by all entries, and requests refused for want of targets, if an entry that had paused its reads over the outage read the list soon after it. Cause: the time since which the store has answered all reads of an entry was cleared by a failed read alone, and an entry that pauses has none. Evidence: a test in which an entry that did not read for 56 s says that the store was available for 60 s; it failed before. Change: a gap of more than 2 s between two reads begins that time anew. Targets lapse only after longer outages.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -48,6 +48,10 @@
 /// successful; each peer that reads does so within this time.
 const STEADY_MARGIN: Microseconds = Microseconds::from_ms(1_500);
 
+/// Maximum time between two reads of an entry over which it may say that the store was available. A reader of any rank
+/// reads more often while no other entry does, and targets lapse only after longer outages.
+const STEADY_GAP_MAX: Microseconds = Microseconds::from_ms(2_000);
+
 /// Whether targets that are missing from a list may only have lapsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Lapses {
@@ -93,7 +97,7 @@
     heard_at: Option<Microseconds>,
     /// Time of this entry's last failed read.
     last_failure_at: Option<Microseconds>,
-    /// Time since which the store has answered all reads of this entry.
+    /// Time since which this entry has read without long gaps and the store has answered all its reads.
     steady_since: Option<Microseconds>,
     /// Earliest time since which the store has answered all reads of some other reader.
     peer_steady_since: Option<Microseconds>,
@@ -276,8 +280,8 @@
         self.peer_steady_since = None;
     }
 
-    /// How long this entry has been steady, that is, the store has answered all its reads; `None` when the last read
-    /// failed or this entry has not read.
+    /// How long this entry has been steady, that is, has read without long gaps and the store has answered all its reads;
+    /// `None` when the last read failed or this entry has not read.
     pub fn steady_for(&self, now: Microseconds) -> Option<Microseconds> {
         self.steady_since.map(|since| now.saturating_sub(since))
     }
@@ -334,8 +338,9 @@
         if self.is_known() && read.revision < self.list.revision {
             return false;
         }
-        self.own_confirmed_at = Some(began);
-        self.steady_since = self.steady_since.or(Some(began));
+        let last_at = self.own_confirmed_at.replace(began);
+        let is_continuous = last_at.is_some_and(|at| began <= at.plus(STEADY_GAP_MAX));
+        self.steady_since = self.steady_since.filter(|_| is_continuous).or(Some(began));
         self.replace_list(read, began, began)
     }
 
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -285,6 +285,21 @@
     assert_eq!(ids(&known), ["i-1"]);
 }
 
+/// Guards against an entry that vouches for the store over an outage in which it did not read: its peers would take the
+/// outage for one of their own and drop the targets that lapsed.
+#[test]
+fn a_reader_that_paused_does_not_vouch_for_the_time_in_which_it_did_not_read() {
+    let mut known = KnownTargets::new();
+    for read_ms in [0, 600, 2_000, 4_000] {
+        known.record_read(list(1, [1, 2]), at_ms(read_ms));
+    }
+    let steady = known.steady_for(at_ms(4_100));
+    assert_eq!(steady, Some(Microseconds::from_ms(4_100)));
+    known.record_read(list(1, [1, 2]), at_ms(60_000));
+    let steady = known.steady_for(at_ms(60_100));
+    assert_eq!(steady, Some(Microseconds::from_ms(100)));
+}
+
 /// Guards against a target that an entry keeps while it alone is cut off from the store, because the list without the
 /// target was read before its last failure.
 #[test]
