Attribute each answer to its request before anything else is read from it

The sound target counted as replaced and got no more work.

Cause: a 421 was taken as proof that the request in flight did not run before the id of the answer was compared; all other statuses were compared first.

Change: attribution is a step of its own. The facts that decide on another attempt have a type that only attribution creates, and a table says what an answer to another request may still tell: load and orders of its target.

Why it works: no status can be judged before the id, and an answer that was not attributed has nothing that could be passed on to the retry decision.

--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -4,6 +4,8 @@
 use crate::entry::Entry;
 use crate::request::answer_body::ReceivedBody;
 use crate::request::answer_body::is_bounded;
+use crate::request::attribution::Attribution;
+use crate::request::attribution::OwnFacts;
 use crate::targets::orders::OrderSource;
 use crate::targets::pool;
 use crate::targets::pool::IDLE_MAX;
@@ -13,7 +15,6 @@
 use crate::targets::pool::TargetPool;
 use crate::versions::service_entry::ServiceEntry;
 use crate::watch::counters::Count;
-use crate::wire::dialect::AnswerFacts;
 use crate::wire::dialect::AttemptFacts;
 use crate::wire::header;
 use http::HeaderValue;
@@ -39,7 +40,7 @@
     pub(crate) head: Parts,
     pub(crate) body: ReceivedBody,
     pub(crate) sender: Sender,
-    pub(crate) facts: AnswerFacts,
+    pub(crate) facts: OwnFacts,
 }
 
 /// Outcome of an attempt, with the target's answer if there is one.
@@ -54,7 +55,7 @@
         for_ms: u64,
     },
     /// Another target has the target's address now and did not run the request.
-    OtherTarget,
+    OtherTarget(OwnFacts),
     /// Sending the request or receiving its answer failed, or the answer was rejected. The target may have run the
     /// request.
     Broken,
@@ -223,32 +224,34 @@
 }
 
 /// Reads the head of an answer, and accepts the answer only if it belongs to the request, is genuine, and has a body
-/// whose truncation can be detected. The target's orders are applied even if the answer is rejected, unless the answer
-/// came from another target.
+/// whose truncation can be detected. The target's orders are applied even if the answer is rejected.
 fn check_answer(
     entry: &Entry,
     service: &ServiceEntry,
     target: &TargetState,
     response: &Response<Incoming>,
     id: Option<&HeaderValue>,
-) -> Result<AnswerFacts, AttemptEnd> {
+) -> Result<OwnFacts, AttemptEnd> {
     let (status, headers) = (response.status(), response.headers());
-    let facts = entry.dialect.read_answer(status, headers, &service.config);
-    if facts.is_other_target {
-        // The load report and the orders belong to the other target, so neither is recorded.
-        return Err(AttemptEnd::OtherTarget);
-    }
-    // The target's orders apply even if the answer belongs to another request or is rejected below.
-    let orders = entry.dialect.read_orders(status, headers);
-    entry.apply_orders(service, target, &orders, OrderSource::Answer);
-    if !entry.dialect.is_answer_to(headers, id, &service.config) {
-        entry.counters.add(Count::AttemptCrossed);
-        // The load report describes the target, whichever request the answer belongs to.
-        if let Some(report) = &facts.report {
-            service.state.record_report(target, entry.now(), report);
+    let attribution = Attribution::new(&*entry.dialect, &service.config, id, status, headers);
+    let facts = match attribution {
+        Attribution::Own(facts, told) => {
+            entry.apply_orders(service, target, &told.orders, OrderSource::Answer);
+            facts
         }
-        log::warn!(target: "proxy", "Dropped an answer that belongs to another request.");
-        return Err(AttemptEnd::Broken);
+        Attribution::Foreign(told) => {
+            entry.apply_orders(service, target, &told.orders, OrderSource::Answer);
+            if let Some(report) = &told.report {
+                service.state.record_report(target, entry.now(), report);
+            }
+            entry.counters.add(Count::AttemptCrossed);
+            let address = target.address();
+            log::warn!(target: "proxy", "Dropped a {status} answer of {address} that belongs to another request.");
+            return Err(AttemptEnd::Broken);
+        }
+    };
+    if facts.is_other_target {
+        return Err(AttemptEnd::OtherTarget(facts));
     }
     if facts.lacks_not_run_proof {
         entry.counters.add(Count::AttemptBroken);
@@ -272,7 +275,7 @@
     entry: &Entry,
     response: Response<Incoming>,
     sender: Sender,
-    facts: AnswerFacts,
+    facts: OwnFacts,
 ) -> AttemptEnd {
     let (head, body) = response.into_parts();
     let Some(body) = ReceivedBody::receive(body).await else {
--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -434,7 +434,10 @@
                 let retry_after_ms = for_ms;
                 AttemptOutcome::HeldBack { retry_after_ms }
             }
-            AttemptEnd::OtherTarget => {
+            AttemptEnd::OtherTarget(facts) => {
+                require_promise(Promise::NotRun, facts.is_not_run, || {
+                    format!("{} may have run the request", attempt.target.address())
+                });
                 // The attempt's target no longer runs at its address.
                 attempt.target.mark_leaving();
                 self.release_capacity(attempt, Count::AttemptMisdirected);
@@ -457,7 +460,7 @@
             AttemptEnd::NotSent => ("not_sent", None),
             AttemptEnd::TargetClosed => ("closed", None),
             AttemptEnd::HeldBack { .. } => ("held_back", None),
-            AttemptEnd::OtherTarget => ("misdirected", None),
+            AttemptEnd::OtherTarget(_) => ("misdirected", None),
             AttemptEnd::Broken => ("broken", None),
             AttemptEnd::Crashed { .. } => ("crashed", None),
             AttemptEnd::Restarted => ("restarted", None),
--- a/crates/pinhaven-entry/src/request/mod.rs
+++ b/crates/pinhaven-entry/src/request/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod answer_body;
 pub(crate) mod attempt;
+pub(crate) mod attribution;
 pub(crate) mod dispatch;
 pub(crate) mod forward;
 pub(crate) mod forwarded;
