Limit each wait within a streamed answer, and for a caller that does not read

Cause: the limits of a request belong to its state machine, which ends when the head is delivered. The body was streamed for as long as the connection was open.

Change: a wait for a part of a streamed body ends at the deadline, or after 2 s without a byte if that is later, for targets and for entries that serve forwarded requests; a caller that accepts nothing of its answer for the time for which it may be idle is disconnected.

Why it works: each wait has a timer of its own. It is on waits and not before the deadline, so that slow answers that move are not cut.

--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -1,8 +1,9 @@
 //! Bodies of answers on their way from a target to a caller.
 //!
 //! A small body is buffered in full before the head of its answer is forwarded, so that a request whose answer is
-//! truncated can still be retried at another target. A larger body is streamed; if the target truncates it, the
-//! caller's connection is aborted, so that the caller sees the truncation too.
+//! truncated can still be retried at another target. A larger body is streamed; if the target truncates it, or falls
+//! silent past the deadline of the request, the caller's connection is aborted, so that the caller sees the truncation
+//! too.
 
 use crate::callers::request_guard::RequestGuard;
 use crate::entry::Entry;
@@ -22,6 +23,7 @@
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
+use pinhaven_runtime::SilenceLimited;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
 use std::future::Future;
@@ -29,11 +31,17 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
+use std::time::Instant;
 
 /// Largest answer body that is buffered in full, in bytes. Typical answers have up to 30 KB, and the memory of a small
 /// instance holds a thousand buffers of this size at a time.
 pub(crate) const BUFFERED_BYTES_MAX: u64 = 64 * 1024;
 
+/// Maximum time past the deadline of a request for which the sender of an answer's body may be silent. Covers several
+/// retransmissions on a link that loses packets.
+pub(crate) const BODY_SILENCE_MAX: Duration = Duration::from_secs(2);
+
 /// Collects an answer's body; `None` if the body is truncated or larger than `bytes_max`.
 pub(crate) async fn collect_answer(mut body: AnyBody, bytes_max: usize) -> Option<Bytes> {
     let mut collected = BytesMut::new();
@@ -54,16 +62,18 @@
     /// A body received in full; `None` once forwarded.
     Whole(Option<Bytes>),
     /// A body that is forwarded frame by frame as it arrives.
-    Streaming(Incoming),
+    Streaming(SilenceLimited<Incoming>),
 }
 
 impl ReceivedBody {
     /// Receives a body, in full if its declared length is at most [`BUFFERED_BYTES_MAX`]. Returns `None` if such a body
     /// is truncated: nothing of the body has reached the caller then, and the request may be retried at another target.
-    pub(crate) async fn receive(body: Incoming) -> Option<Self> {
+    /// A larger body fails if the target falls silent past `deadline`.
+    pub(crate) async fn receive(body: Incoming, deadline: Instant) -> Option<Self> {
         let declared_bytes = body.size_hint().exact();
         let is_small = declared_bytes.is_some_and(|bytes| bytes <= BUFFERED_BYTES_MAX);
         if body.is_end_stream() || !is_small {
+            let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX);
             return Some(Self::Streaming(body));
         }
         let body = body.map_err(Into::into).boxed_unsync();
@@ -83,7 +93,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Streaming(body) => Pin::new(body).poll_frame(context).map_err(Into::into),
+            Self::Streaming(body) => Pin::new(body).poll_frame(context),
         }
     }
 
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -28,6 +28,7 @@
 use pinhaven_runtime::AnyBody;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Maximum number of stale connections, closed by the target while idle, that one attempt may encounter.
 const STALE_CONNECTIONS_MAX: usize = 8;
@@ -78,6 +79,7 @@
     id: Option<HeaderValue>,
     /// Maximum idle time of a connection reused for this request.
     idle_max: Duration,
+    deadline: Instant,
 }
 
 /// Builds the request of an attempt; `None` if the body can't be sent again or a part of the URI is missing or invalid.
@@ -122,6 +124,7 @@
         request,
         id,
         idle_max,
+        deadline: job.entry.clock.instant_of(job.deadline),
     })
 }
 
@@ -175,6 +178,7 @@
         mut request,
         id,
         idle_max,
+        deadline,
     } = prepared;
     for _ in 0..STALE_CONNECTIONS_MAX {
         let connect_started_at = entry.now();
@@ -205,7 +209,7 @@
                 let id = id.as_ref();
                 return match check_answer(&entry, &service, target, &response, id) {
                     Ok(facts) => {
-                        let receiving = receive_answer(&entry, response, sender, facts);
+                        let receiving = receive_answer(&entry, response, sender, facts, deadline);
                         let received = entry.unless_restarted(target, receiving).await;
                         received.unwrap_or(AttemptEnd::Restarted)
                     }
@@ -276,9 +280,10 @@
     response: Response<Incoming>,
     sender: Sender,
     facts: OwnFacts,
+    deadline: Instant,
 ) -> AttemptEnd {
     let (head, body) = response.into_parts();
-    let Some(body) = ReceivedBody::receive(body).await else {
+    let Some(body) = ReceivedBody::receive(body, deadline).await else {
         entry.counters.add(Count::AnswerCut);
         return AttemptEnd::Cut;
     };
--- a/crates/pinhaven-entry/src/request/forward.rs
+++ b/crates/pinhaven-entry/src/request/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::callers::job::Job;
 use crate::entry::Entry;
+use crate::request::answer_body::BODY_SILENCE_MAX;
 use crate::request::answer_body::BUFFERED_BYTES_MAX;
 use crate::request::answer_body::collect_answer;
 use crate::wire::fields::from_fields;
@@ -10,15 +11,18 @@
 use http::Response;
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
+use http_body_util::BodyExt as _;
 use pinhaven_agree::Forwarder;
 use pinhaven_decide::ForwardOutcome;
 use pinhaven_decide::RunState;
 use pinhaven_peer::ForwardAnswer;
 use pinhaven_peer::ForwardHead;
 use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::SilenceLimited;
 use pinhaven_runtime::whole_body;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 /// Timeout for another entry to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -42,6 +46,7 @@
 pub(crate) struct PreparedForward {
     head: ForwardHead,
     body: AnyBody,
+    deadline: Instant,
 }
 
 /// Builds the message of a forwarding; `None` if the body can't be sent again.
@@ -62,7 +67,12 @@
         organisation: job.organisation_name(),
     };
     let body = job.body.to_send()?;
-    Some(PreparedForward { head, body })
+    let deadline = job.entry.clock.instant_of(job.deadline);
+    Some(PreparedForward {
+        head,
+        body,
+        deadline,
+    })
 }
 
 /// Forwards a request and waits for its answer: all of a small answer, the head of a large answer.
@@ -71,11 +81,15 @@
     forwarder: Forwarder,
     prepared: PreparedForward,
 ) -> ForwardEnd {
-    let PreparedForward { head, body } = prepared;
+    let PreparedForward {
+        head,
+        body,
+        deadline,
+    } = prepared;
     let address = forwarder.peer_address;
     let forwarded = entry.peers.forward(address, CONNECT_TIMEOUT, head, body);
     match forwarded.await {
-        Ok((answer, body)) => receive_answer(answer, body).await,
+        Ok((answer, body)) => receive_answer(answer, body, deadline).await,
         Err(error) => {
             log::debug!(target: "forward", "{error}.");
             ForwardEnd::without_answer(match error.is_not_sent() {
@@ -86,7 +100,7 @@
     }
 }
 
-async fn receive_answer(answer: ForwardAnswer, body: AnyBody) -> ForwardEnd {
+async fn receive_answer(answer: ForwardAnswer, body: AnyBody, deadline: Instant) -> ForwardEnd {
     if !answer.declined.is_empty() {
         log::debug!(target: "forward", "Another entry declined a request: {}.", answer.declined);
         return ForwardEnd::without_answer(ForwardOutcome::NotTaken);
@@ -106,6 +120,7 @@
     let Some(body) = buffer_if_small(&headers, body).await else {
         return ForwardEnd::without_answer(ForwardOutcome::Broken);
     };
+    let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX).boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -9,6 +9,7 @@
 mod executor;
 mod priority_event;
 mod server;
+mod silence;
 
 pub use async_executor::Task;
 pub use busy_time::busy_time;
@@ -29,6 +30,8 @@
 pub use server::CallerAddress;
 pub use server::HttpServer;
 pub use server::HttpServerSettings;
+pub use silence::BodySilent;
+pub use silence::SilenceLimited;
 
 /// Boxed error of any type.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -1,11 +1,12 @@
 //! HTTP/1.1 and HTTP/2 server.
 //!
-//! A server accepts up to a maximum number of connections and closes those that are idle or slow to send a request
-//! head. When it stops, it still accepts the connections in the listener's backlog, because closing the listener
+//! A server accepts up to a maximum number of connections and closes those that are idle, slow to send a request head, or
+//! accept nothing of an answer for the time that they may be idle. When it stops, it still accepts the connections in the listener's backlog, because closing the listener
 //! would reset them, and answers the requests that have begun.
 
 use crate::AnyBody;
 use crate::HyperExecutor;
+use crate::silence::WriteLimited;
 use crate::sleep_ms;
 use crate::spawn;
 use async_io::Async;
@@ -47,7 +48,8 @@
 /// Limits and protocols of a server's connections.
 #[derive(Debug, Clone, Copy)]
 pub struct HttpServerSettings {
-    /// Maximum time that a connection may be idle or take to send a request head, in milliseconds.
+    /// Maximum time that a connection may be idle, take to send a request head, or accept nothing of an answer, in
+    /// milliseconds.
     pub idle_ms: u64,
     /// Maximum number of open connections; further ones are closed at once.
     pub connections_max: usize,
@@ -209,6 +211,7 @@
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
+    let stream = WriteLimited::new(stream, Duration::from_millis(settings.idle_ms));
     let has_request = Arc::new(AtomicBool::new(false));
     let received = Arc::clone(&has_request);
     let service = service_fn(move |mut request: Request<Incoming>| {
@@ -288,7 +291,7 @@
     }
 }
 
-type Stream = FuturesIo<Async<TcpStream>>;
+type Stream = FuturesIo<WriteLimited<Async<TcpStream>>>;
 
 async fn drive(
     connection: impl Connection,
