Use a listed run again when a later one shows no sign for seconds

Cause: the latest start of each id is remembered for 10 minutes, so that a late write of an earlier run brings that run not back. Any row counted, and nothing took a start back.

Change: when the store has listed an earlier run for 5 s without a row or an answer of the later one, the earlier one is used again. While the store is silent nothing is contradicted.

Why it works: a target that lives writes every second or two and its row goes after 4.5 s without a write, so that a later run without a sign for 5 s is not there.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -88,6 +88,8 @@
     latest: LatestRuns,
     /// Later runs of targets of which the list names an earlier run.
     newer_runs: BTreeMap<TargetId, ListedTarget>,
+    /// Targets of which the list names an earlier run than the latest known one.
+    superseded: Vec<TargetId>,
     /// Local time at which the store last confirmed the list, to any entry.
     confirmed_at: Option<Microseconds>,
     /// Local time at which the store last confirmed the list to this entry.
@@ -121,6 +123,7 @@
             lapses: Lapses::Impossible,
             latest: LatestRuns::default(),
             newer_runs: BTreeMap::new(),
+            superseded: Vec::new(),
             confirmed_at: None,
             own_confirmed_at: None,
             heard_at: None,
@@ -199,6 +202,7 @@
             Some(retained) => *retained = run,
             None => _ = self.newer_runs.insert(id.clone(), run),
         }
+        self.superseded = self.superseded_ids(&self.list);
         true
     }
 
@@ -353,6 +357,39 @@
         !std::mem::take(&mut self.retained).is_empty()
     }
 
+    /// Listed runs that take the place of a later run, of which there has been no sign while the store confirmed the list.
+    pub fn contradicted_runs(&self) -> Vec<TargetId> {
+        let Some(confirmed_at) = self.confirmed_at else {
+            return Vec::new();
+        };
+        let listed = self
+            .superseded
+            .iter()
+            .filter_map(|id| self.list.targets.get(id));
+        let contradicted =
+            listed.filter(|target| self.latest.is_contradicted_by(target, confirmed_at));
+        contradicted.map(|target| target.id.clone()).collect()
+    }
+
+    /// Uses the listed runs of these targets again, whatever later runs are known.
+    pub fn reinstate_listed_runs(&mut self, ids: &[TargetId]) {
+        let list = Arc::clone(&self.list);
+        let now = self.confirmed_at.unwrap_or_default();
+        for listed in ids.iter().filter_map(|id| list.targets.get(id)) {
+            self.latest.replace(listed, now);
+            self.retained.remove(&listed.id);
+        }
+        self.newer_runs = self.newer_runs_than(&list);
+        self.superseded = self.superseded_ids(&list);
+    }
+
+    /// Targets of which `list` names an earlier run than the latest known one.
+    fn superseded_ids(&self, list: &TargetList) -> Vec<TargetId> {
+        let named = list.targets.values();
+        let superseded = named.filter(|target| self.is_superseded(&target.id, target.incarnation));
+        superseded.map(|target| target.id.clone()).collect()
+    }
+
     /// Whether the time for retained targets to register again has passed.
     pub fn has_expired(&self, now: Microseconds) -> bool {
         matches!(self.lapses, Lapses::Recovered { until } if now >= until)
@@ -440,6 +477,7 @@
         let newer_runs = self.newer_runs_than(&list);
         self.retain_lapsed(&list, now);
         self.newer_runs = newer_runs;
+        self.superseded = self.superseded_ids(&list);
         let digest = list.digest();
         let has_changed = digest != self.digest || self.retained.len() != retained_before;
         let held = DigestedList {
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -118,13 +118,27 @@
         }
     }
 
-    /// Removes retained targets that did not register again in time.
+    /// Removes retained targets that did not register again in time, and later runs that the store has contradicted.
     pub(crate) fn expire_targets(&self) {
         let now = self.now();
         let has_expired = self.targets.lock().has_expired(now);
         if has_expired {
             self.change_targets(|known| known.expire_retained(now));
         }
+        let contradicted = self.targets.lock().contradicted_runs();
+        if !contradicted.is_empty() {
+            for id in &contradicted {
+                self.counters.add(Count::RunContradicted);
+                log::warn!(
+                    target: "targets",
+                    "A later run of target {id} was listed and never seen again; the listed run is used."
+                );
+            }
+            self.change_targets(|known| {
+                known.reinstate_listed_runs(&contradicted);
+                true
+            });
+        }
     }
 
     /// Changes the known targets. If `change` returns `true`, applies the new targets and notifies the tasks that
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -43,6 +43,8 @@
     Connections,
     /// Targets that announced that they leave.
     TargetLeft,
+    /// Later runs of targets that were listed once and that the store contradicted since.
+    RunContradicted,
     /// Demands of targets for a rest or for a longer rest.
     TargetRests,
     /// Demands for a rest that were malformed or longer than allowed.
@@ -159,7 +161,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 74] = [
+const COUNT_NAMES: [&str; 75] = [
     "requests",
     "answered",
     "addresses",
@@ -177,6 +179,7 @@
     "answer.cut",
     "connections",
     "target.left",
+    "target.run_contradicted",
     "target.rests",
     "target.rest_bad",
     "domain.drained",
