Test that further signals during a stop cut no request

The order of events of a stop on a related path: SIGTERM and SIGHUP three times within half a second while requests of 1.5 s are in flight.

--- a/crates/pinhaven-lab/tests/stopping.rs
+++ b/crates/pinhaven-lab/tests/stopping.rs
@@ -92,6 +92,38 @@
     });
 }
 
+/// Guards against a stop that a further signal shortens or begins anew.
+#[test]
+fn further_signals_during_a_stop_cut_no_request() {
+    run_serially(async {
+        let mut slow = common::quote_service();
+        slow.mean_ms = 1_500.0;
+        slow.sigma = 0.0;
+        let mut lab = start_lab(LabPlan::new(2, vec![slow])).await;
+        let calls = start_caller(&lab, 200, |settings| {
+            settings.rate_per_s = 20.0;
+            settings.deadline_ms = 20_000;
+        });
+        let calls = calls.await;
+        sleep_ms(300).await;
+        for _ in 0..3 {
+            for index in 0..2 {
+                lab.entry(index).terminate();
+                lab.entry(index).signal_reload();
+            }
+            sleep_ms(150).await;
+        }
+        let report = calls.await;
+        assert!(report.repeatable.sent + report.once.sent > 0);
+        assert_eq!(report.repeatable.answered, report.repeatable.sent);
+        assert_eq!(report.once.answered, report.once.sent);
+        for index in 0..2 {
+            let ended = lab.entry(index).wait(Duration::from_secs(20)).await;
+            assert_eq!(ended, Some(true));
+        }
+    });
+}
+
 #[test]
 fn a_stop_that_may_wait_no_longer_gives_every_request_its_final_answer() {
     run_serially(async {
