--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -8,9 +8,9 @@
 //! A target that is missing from a list is removed, with one exception: store entries of targets lapse (expire, because
 //! the targets can't renew them) while the store is unavailable, and targets register again soon after the store
 //! recovers. Until then, targets that were listed before the outage are retained. The outage ends with the first
-//! confirmation of a list after this entry's last failed read, whichever entry the store gave it to: only the entry
-//! that reads first after an outage need ever read again. A target whose store entry was
-//! replaced by another writer has not lapsed: the target is removed until its own store entry is back.
+//! confirmation of a list after this entry's last failed read, whichever entry the store gave it to: after an outage one
+//! entry reads the list first, and the others need not read it any more. A target whose store entry was replaced by
+//! another writer has not lapsed: the target is removed until its own store entry is back.
 //!
 //! A target may restart under the same id. Once a later run is known, all statements about an earlier
 //! run are ignored, whatever their source.
@@ -513,8 +513,9 @@
         known.filter(|target| !self.is_superseded(id, target.incarnation))
     }
 
-    /// Retains targets that are missing from a list of an outage, or of the time in which they may register again. Retained targets are local to this entry: a peer may have read the
-    /// store throughout and must not receive removed targets again.
+    /// Retains targets that are missing from a list of an outage, or of the time in which they may register again.
+    /// Retained targets are local to this entry: a peer may have read the store throughout and must not receive removed
+    /// targets again.
     fn retain_lapsed(&mut self, list: &TargetList, now: Microseconds) {
         let addresses: BTreeSet<TargetAddress> =
             list.targets.values().map(|target| target.address).collect();
--- a/crates/pinhaven-decide/src/retry_after.rs
+++ b/crates/pinhaven-decide/src/retry_after.rs
@@ -3,17 +3,17 @@
 //! Two load patterns need different answers. Where targets are full, a caller should come back when the backlog has
 //! drained, which takes longer the more requests are refused. Where targets turn away requests although they have free
 //! slots, there is no backlog: the next try is as likely to be served now as later, and each millisecond of the delay is
-//! lost from the aim of the request. An entry that stops keeps nothing of what other entries can serve, so that its
-//! callers may come back to another one as soon. While operators keep the failure domains of all targets drained, the time of the
-//! next answer depends on people, and an early try only loads the entries.
+//! lost from the aim of the request. The same holds for requests that an entry refuses because it stops, as other
+//! entries take them. While operators keep the failure domains of all targets drained, the time of the next answer
+//! depends on people, and an early try only loads the entries.
 
 use crate::availability::Availability;
 use crate::forecast::TargetFilter;
 use crate::refusal::RefusalReason;
 use crate::request::EventHandler;
 
-/// Bounds of the delay where a target with a free slot or another entry is known, in milliseconds. The delay is random, so that requests
-/// that were turned away together don't return together.
+/// Bounds of the delay where a target with a free slot or another entry can take the request, in milliseconds. The delay
+/// is random, so that requests that were turned away together don't return together.
 const FREE_SLOT_DELAY_MS: std::ops::Range<u64> = 10..40;
 /// Bounds of the delay while the failure domains of all targets are drained, in milliseconds.
 const DRAINED_DELAY_MS: std::ops::Range<u64> = 1_000..2_000;
--- a/crates/pinhaven-decide/src/stopping.rs
+++ b/crates/pinhaven-decide/src/stopping.rs
@@ -9,8 +9,8 @@
 use crate::request::EventHandler;
 use pinhaven_types::Microseconds;
 
-/// Maximum time after the signal in which callers count as not knowing of the stop. Callers may be told of stops that
-/// break off requests of the first 3 s; the rest is for requests in transit and for a signal that is handled late.
+/// Maximum time after the signal in which callers count as not knowing of the stop. Callers bear that a stop breaks off
+/// requests that they sent in its first 3 s; the difference is for requests in transit and for a signal handled late.
 const UNNOTICED_MAX: Microseconds = Microseconds::from_ms(2_700);
 /// Share of the grace period in which the entry accepts connections. The rest is for the longest requests.
 const ACCEPT_SHARE: f64 = 0.45;
