--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -1,8 +1,8 @@
 //! HTTP/1.1 and HTTP/2 server.
 //!
 //! A server accepts up to a maximum number of connections and closes those that are idle, slow to send a request head, or
-//! accept nothing of an answer for the time that they may be idle. When it stops, it still accepts the connections in the listener's backlog, because closing the listener
-//! would reset them, and answers the requests that have begun.
+//! accept nothing of an answer for the time that they may be idle. When it stops, it still accepts the connections in
+//! the listener's backlog, because closing the listener would reset them, and answers the requests that have begun.
 
 use crate::AnyBody;
 use crate::HyperExecutor;
