--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -632,10 +632,10 @@
 
 /// Share of the targets that lose answers, and of their answers that are lost.
 const LOSING_SHARE: f64 = 0.6;
-const LOST_SHARE: f64 = 0.05;
+const LOST_SHARE: f64 = 0.4;
 /// Time for which answers are lost, from the first order on.
 const LOSING_FOR: Duration = ms(4_000);
-const ORDERS_PER_CLIENT: u64 = 200;
+const ORDERS_PER_CLIENT: u64 = 150;
 const SENDINGS_MAX: u32 = 3;
 
 /// The table service and the object store of the product's own interface.
@@ -729,7 +729,7 @@
     runs: &Arc<Mutex<Vec<(String, String)>>>,
     losing_until: &Arc<Mutex<Duration>>,
 ) -> Outcome<String> {
-    const TARGETS: usize = 10;
+    const TARGETS: usize = 20;
     let mut listed = Vec::new();
     for number in 0..TARGETS {
         let (listener, address) = listen()?;
@@ -803,7 +803,7 @@
     if has_trouble {
         *lock(&losing_until) = record.now() + LOSING_FOR;
     }
-    let clients: Vec<_> = (0..6u64)
+    let clients: Vec<_> = (0..16u64)
         .map(|client| {
             let (record, home) = (record.clone(), home.clone());
             thread::spawn(move || {
