--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -22,6 +22,7 @@
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -446,8 +447,14 @@
     }
 
     fn answer(&mut self, body: &[u8]) -> bool {
+        self.answer_and_close(body, false)
+    }
+
+    /// Answers. A backend that leaves says that it closes the connection.
+    fn answer_and_close(&mut self, body: &[u8], closes: bool) -> bool {
         let fields = self.fields();
-        let head = format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {}\r\n\r\n", body.len());
+        let close = if closes { "Connection: close\r\n" } else { "" };
+        let head = format!("HTTP/1.1 200 OK\r\n{fields}{close}Content-Length: {}\r\n\r\n", body.len());
         self.connection.send(&[head.as_bytes(), body].concat()).is_ok()
     }
 }
@@ -459,27 +466,69 @@
     service: &str,
     count: usize,
     run: impl Fn(Arrival<'_>) -> bool + Clone + Send + Sync + 'static,
+) -> Outcome<()> {
+    start_backends_that_leave(store, service, count, "", &Arc::default(), run)
+}
+
+static BACKENDS: Mutex<BTreeMap<String, (SocketAddr, String, u64)>> = Mutex::new(BTreeMap::new());
+
+/// Writes the entry of a backend in the store.
+fn put_backend(store: &Store, id: &str, state: &str) {
+    // Held until the entry is written, so that a later entry is not overtaken.
+    let mut backends = lock(&BACKENDS);
+    let Some((address, zone, sequence)) = backends.get_mut(id) else {
+        return;
+    };
+    *sequence += 1;
+    let service = id.split('-').nth(1).unwrap_or_default();
+    let entry = format!(
+        "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"{zone}\",\
+         \"capacity\":6}},\"status\":{{\"state\":\"{state}\",\"sequence\":{sequence},\"warmup_left_ms\":0}}}}"
+    );
+    store.put("servers", id, &entry);
+}
+
+/// Starts backends of which one, `leaver`, may leave.
+fn start_backends_that_leave(
+    store: &Store,
+    service: &str,
+    count: usize,
+    leaver: &'static str,
+    leaving: &Arc<Mutex<Leaving>>,
+    run: impl Fn(Arrival<'_>) -> bool + Clone + Send + Sync + 'static,
 ) -> Outcome<()> {
     for number in 0..count {
         let (listener, address) = listen()?;
         let id = format!("i-{service}-{number}");
-        let (store, service, run) = (store.clone(), service.to_owned(), run.clone());
-        let entry_id = id.clone();
+        lock(&BACKENDS).insert(id.clone(), (address, zone(number), 0));
+        let (store, run, leaving) = (store.clone(), run.clone(), Arc::clone(leaving));
+        let (own_id, own_leaving) = (id.clone(), Arc::clone(&leaving));
         thread::spawn(move || {
-            for sequence in 0.. {
-                let entry = format!(
-                    "{{\"address\":\"{address}\",\"info\":{{\"service\":\"{service}\",\"version\":\"v1\",\"zone\":\"z-a\",\
-                     \"capacity\":6}},\"status\":{{\"state\":\"ready\",\"sequence\":{sequence},\"warmup_left_ms\":0}}}}"
-                );
-                store.put("servers", &entry_id, &entry);
+            loop {
+                let (is_leaving, has_ended) = {
+                    let leaving = lock(&own_leaving);
+                    (leaving.is_leaving && own_id == leaver, leaving.has_ended && own_id == leaver)
+                };
+                if has_ended {
+                    return;
+                }
+                put_backend(&store, &own_id, if is_leaving { "draining" } else { "ready" });
                 sleep(ms(1_500));
             }
         });
         serve(listener, move |mut connection| {
             while let Ok(head) = connection.head() {
+                let (is_leaving, has_ended) = {
+                    let leaving = lock(&leaving);
+                    (leaving.is_leaving && id == leaver, leaving.has_ended && id == leaver)
+                };
+                if has_ended {
+                    return;
+                }
                 if head.path() == "/healthz" {
+                    let status = if is_leaving { 503 } else { 200 };
                     let answer = format!(
-                        "HTTP/1.1 200 OK\r\nX-Pinhaven-Instance-Id: {id}\r\nX-Pinhaven-Backend-Load: 1,0,6,100\r\n\
+                        "HTTP/1.1 {status} -\r\nX-Pinhaven-Instance-Id: {id}\r\nX-Pinhaven-Backend-Load: 1,0,6,100\r\n\
                          Content-Length: 0\r\n\r\n"
                     );
                     if connection.send(answer.as_bytes()).is_err() {
@@ -519,46 +568,101 @@
 
 // ---- Entries ----
 
+/// Addresses of an entry.
+#[derive(Clone, Copy)]
+struct EntryPorts {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    ready: SocketAddr,
+    directory: SocketAddr,
+}
+
+/// The next port to try. Below the ports that the system gives to outgoing connections, so that none takes a drawn one.
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+impl EntryPorts {
+    fn draw() -> Outcome<Self> {
+        const PORTS: std::ops::Range<u64> = 12_000..30_000;
+        let mut drawn = Vec::new();
+        for _ in PORTS {
+            let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) + u64::from(std::process::id()) * 97;
+            let port = PORTS.start + number % (PORTS.end - PORTS.start);
+            let address: SocketAddr = format!("127.0.0.1:{port}").parse().map_err(text)?;
+            // Entries use the ports for datagrams too.
+            if TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+                drawn.push(address);
+            }
+            if let [callers, peers, ready, directory] = drawn[..] {
+                return Ok(Self {
+                    callers,
+                    peers,
+                    ready,
+                    directory,
+                });
+            }
+        }
+        Err("no ports are free".to_owned())
+    }
+}
+
 /// An entry process, with the settings that the template of the deploy file gives it. Ended when dropped.
 struct Entry {
-    process: Child,
+    process: Mutex<Child>,
+    name: String,
     callers: SocketAddr,
     ready: SocketAddr,
+    directory: SocketAddr,
     folder: PathBuf,
 }
 
 impl Drop for Entry {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        let mut process = lock(&self.process);
+        let _ = process.kill();
+        let _ = process.wait();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
 impl Entry {
     fn start(store: &Store) -> Outcome<Self> {
-        // All ports are held until all are drawn, so that they differ.
-        let drawn = [listen()?, listen()?, listen()?, listen()?];
-        let [callers, peers, ready, directory] = drawn.each_ref().map(|(_, address)| *address);
-        drop(drawn);
-        let folder = std::env::temp_dir().join(format!("pinhaven-review-{}-{}", std::process::id(), callers.port()));
-        fs::create_dir_all(&folder).map_err(text)?;
+        let ports = EntryPorts::draw()?;
+        let entry = Self::begin("edge-1", "z-a", ports, &[ports.peers], store.address)?;
+        entry.wait_until_ready()?;
+        // Until it has learned which backends answer.
+        sleep(ms(1_000));
+        Ok(entry)
+    }
+
+    /// Starts an entry that uses the store at an address.
+    fn begin(name: &str, zone: &str, ports: EntryPorts, seeds: &[SocketAddr], store: SocketAddr) -> Outcome<Self> {
+        let EntryPorts {
+            callers,
+            peers,
+            ready,
+            directory,
+        } = ports;
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.join(",");
         let content = format!(
-            "{{\"instance_id\":\"edge-1\",\"failure_domain\":\"z-a\",\"region\":\"r\",\
+            "{{\"instance_id\":\"{name}\",\"failure_domain\":\"{zone}\",\"region\":\"r\",\
              \"resources\":{{\"processor_cores\":0.2,\"processor_speed\":1,\"link_mbps\":1000.0}},\
-             \"caller_address\":\"{callers}\",\"peer_address\":\"{peers}\",\"peer_seeds\":[\"{peers}\"],\
+             \"caller_address\":\"{callers}\",\"peer_address\":\"{peers}\",\"peer_seeds\":[{seeds}],\
              \"worker_threads\":1,\"requests_most\":2000,\"caller_idle_ms\":15000,\"caller_http2\":false,\
-             \"gossip_ms\":150,\"log\":{{\"format\":\"json\"}},\"discovery\":{{\"store_address\":\"{}\",\
+             \"gossip_ms\":150,\"log\":{{\"format\":\"json\"}},\"discovery\":{{\"store_address\":\"{store}\",\
              \"ready_address\":\"{ready}\",\"directory_address\":\"{directory}\",\"address_keep_most_ms\":5000,\
              \"probes_per_second_most\":60,\"added_attempts_share\":0.2,\"added_attempts_extra\":62,\
-             \"stop_grace_ms\":6000}}}}",
-            store.address
+             \"stop_grace_ms\":6000}}}}"
         );
-        Self::start_with(&content, callers, ready, folder)
+        Self::spawn(name, &content, ports)
     }
 
-    /// Starts an entry with these settings, which is ready when it answers at `ready`.
-    fn start_with(content: &str, callers: SocketAddr, ready: SocketAddr, folder: PathBuf) -> Outcome<Self> {
+    /// Starts an entry with these settings.
+    fn spawn(name: &str, content: &str, ports: EntryPorts) -> Outcome<Self> {
+        static FOLDERS: AtomicU64 = AtomicU64::new(0);
+        let number = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("pinhaven-review-{}-{number}", std::process::id()));
+        fs::create_dir_all(&folder).map_err(text)?;
         let settings = folder.join("local.json");
         fs::write(&settings, content).map_err(text)?;
         let process = Command::new("target/release/pinhaven")
@@ -570,22 +674,25 @@
             .stderr(Stdio::null())
             .spawn()
             .map_err(|error| format!("starting target/release/pinhaven: {error}"))?;
-        let entry = Self {
-            process,
-            callers,
-            ready,
+        Ok(Self {
+            process: Mutex::new(process),
+            name: name.to_owned(),
+            callers: ports.callers,
+            ready: ports.ready,
+            directory: ports.directory,
             folder,
-        };
-        let end = Instant::now() + ms(10_000);
+        })
+    }
+
+    fn wait_until_ready(&self) -> Outcome<()> {
+        let end = Instant::now() + ms(15_000);
         while Instant::now() < end {
-            if entry.is_ready() {
-                // Until it has learned which backends answer.
-                sleep(ms(1_000));
-                return Ok(entry);
+            if self.is_ready() {
+                return Ok(());
             }
             sleep(ms(50));
         }
-        Err("the entry did not become ready".to_owned())
+        Err("an entry did not become ready".to_owned())
     }
 
     fn is_ready(&self) -> bool {
@@ -789,15 +896,19 @@
     let (bundle, signed, key) = (file("bundle.json"), file("signed.json"), file("ada.key"));
     pinhaven(&["bundle", "sign", &bundle, "--signer", "ada", "--key", &key, "--out", &signed])?;
     pinhaven(&["bundle", "roll", &signed, "--table", &platform.to_string()])?;
-    let drawn = [listen()?, listen()?];
-    let [callers, peers] = drawn.each_ref().map(|(_, address)| *address);
-    drop(drawn);
+    let mut ports = EntryPorts::draw()?;
+    // Callers' address answers stand for readiness.
+    ports.ready = ports.callers;
+    let EntryPorts { callers, peers, .. } = ports;
     let settings = format!(
         "{{\"instance_id\":\"edge-1\",\"failure_domain\":\"z-a\",\"caller_address\":\"{callers}\",\
          \"peer_address\":\"{peers}\",\"table_address\":\"{platform}\",\"object_address\":\"{platform}\",\
          \"trusted_signers\":[{{\"name\":\"ada\",\"public_key\":\"{public_key}\"}}]}}"
     );
-    let entry = Entry::start_with(&settings, callers, callers, folder)?;
+    let entry = Entry::spawn("edge-1", &settings, ports)?;
+    entry.wait_until_ready()?;
+    sleep(ms(500));
+    let _ = fs::remove_dir_all(&folder);
     let home = entry.home("agenda")?;
     record.add(format!("the entries' answer names the home {home}"));
     if has_trouble {
@@ -858,6 +969,229 @@
     }
 }
 
+// ---- Readers of the list that the store turns away ----
+
+const ENTRIES: usize = 18;
+const ZONES: usize = 3;
+/// Machines that the store turns away: 0.33 of 18. They are those that serve callers, and so read the list.
+const TURNED_AWAY: usize = 6;
+const TURNED_AWAY_FOR: Duration = ms(9_000);
+/// `drain_ms`, and how much longer the backend serves on.
+const DRAIN: Duration = ms(2_000);
+const SERVES_ON: Duration = ms(1_000);
+/// How long before the disruption the route is added.
+const ADDED_BEFORE: Duration = ms(1_500);
+const LOOK_WORK_MS: u64 = 300;
+/// Requests that are sent directly to each entry.
+const LOOKS: usize = 4;
+
+/// A proxy between one entry and the store, through which nothing passes while the store is silent to the entry.
+struct StoreProxy {
+    address: SocketAddr,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl StoreProxy {
+    fn start(store: SocketAddr) -> Outcome<Self> {
+        let (listener, address) = listen()?;
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let proxy = Self {
+            address,
+            is_silent: Arc::clone(&is_silent),
+        };
+        serve(listener, move |connection| {
+            let entry = connection.stream;
+            let Ok(upstream) = TcpStream::connect(store) else {
+                return;
+            };
+            let _ = upstream.set_nodelay(true);
+            let (Ok(from_store), Ok(to_entry)) = (upstream.try_clone(), entry.try_clone()) else {
+                return;
+            };
+            let is_silent_back = Arc::clone(&is_silent);
+            thread::spawn(move || copy(from_store, to_entry, &is_silent_back));
+            copy(entry, upstream, &is_silent);
+        });
+        Ok(proxy)
+    }
+
+    fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+}
+
+fn copy(mut from: TcpStream, mut to: TcpStream, is_silent: &AtomicBool) {
+    let mut chunk = [0; 16_384];
+    while let Ok(length) = from.read(&mut chunk) {
+        while is_silent.load(Ordering::Relaxed) {
+            sleep(ms(20));
+        }
+        if length == 0 || to.write_all(&chunk[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Both);
+    let _ = from.shutdown(std::net::Shutdown::Both);
+}
+
+/// What the backend that leaves knows of itself.
+#[derive(Default)]
+struct Leaving {
+    is_leaving: bool,
+    has_ended: bool,
+}
+
+/// A request at a backend.
+struct OrderRun {
+    id: String,
+    backend: String,
+    began: Duration,
+}
+
+fn zone(number: usize) -> String {
+    format!("z-{}", (b'a' + (number % ZONES) as u8) as char)
+}
+
+/// The addresses that the directory of an entry names to a client of a zone.
+fn resolve(entry: &Entry, zone: &str) -> Outcome<Vec<SocketAddr>> {
+    let path = format!("/-/resolve?name=a.example&region=r&zone={zone}");
+    let (_, body) = ask(entry.directory, &path).map_err(text)?;
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let parts = body.split('"').filter_map(|part| part.parse().ok());
+    Ok(parts.collect())
+}
+
+/// The addresses named in several answers to clients of all zones.
+fn named(entry: &Entry) -> Outcome<std::collections::BTreeSet<SocketAddr>> {
+    let mut all = std::collections::BTreeSet::new();
+    for number in 0..12 {
+        all.extend(resolve(entry, &zone(number))?);
+    }
+    Ok(all)
+}
+
+/// A backend leaves while the store turns the entries away that read the list for all.
+fn turned_away_readers(record: &Record, has_trouble: bool) -> Outcome<bool> {
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<OrderRun>>> = Arc::default();
+    let leaving: Arc<Mutex<Leaving>> = Arc::default();
+    let leaver_id = "i-sa-0";
+    let (record_of_backends, begun, state) = (record.clone(), Arc::clone(&runs), Arc::clone(&leaving));
+    start_backends_that_leave(&store, "sa", 9, leaver_id, &leaving, move |mut arrival| {
+        let record = &record_of_backends;
+        let (backend, id) = (arrival.backend.to_owned(), arrival.id.clone());
+        let began = record.add(format!("backend {backend} begins to work on request {id}"));
+        lock(&begun).push(OrderRun {
+            id: id.clone(),
+            backend: backend.clone(),
+            began,
+        });
+        if arrival.connection.closes_within(ms(LOOK_WORK_MS)) {
+            return false;
+        }
+        let leaves = backend == leaver_id && lock(&state).is_leaving;
+        if backend == leaver_id && lock(&state).has_ended {
+            record.add(format!("backend {backend} has ended, and request {id} with it"));
+            return false;
+        }
+        arrival.answer_and_close(b"done", leaves) && !leaves
+    })?;
+    store.put("op", "config", &configuration(1, &["sa"], &[route("p", "non_idempotent", "sa", 2_000, 800)]));
+    let mut proxies = Vec::new();
+    let mut entries = Vec::new();
+    let ports: Vec<EntryPorts> = (0..ENTRIES).map(|_| EntryPorts::draw()).collect::<Outcome<_>>()?;
+    let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|ports| ports.peers).collect();
+    for (number, ports) in ports.iter().enumerate() {
+        let proxy = StoreProxy::start(store.address)?;
+        entries.push(Entry::begin(&format!("edge-{number:02}"), &zone(number), *ports, &seeds, proxy.address)?);
+        proxies.push(proxy);
+    }
+    for entry in &entries {
+        entry.wait_until_ready()?;
+    }
+    sleep(ms(5_000));
+    let usual = named(&entries[0])?;
+    record.add(format!("callers are named {} of {ENTRIES} entries: {usual:?}", usual.len()));
+    if usual.len() != TURNED_AWAY {
+        return Err(format!("{} entries serve, not {TURNED_AWAY}", usual.len()));
+    }
+    // Planned work: a change of the configuration adds a route.
+    let routes = [
+        route("p", "non_idempotent", "sa", 2_000, 800),
+        route("n", "non_idempotent", "sa", 2_000, 800),
+    ];
+    store.put("op", "config", &configuration(2, &["sa"], &routes));
+    record.add("the store has acknowledged a configuration that adds a route");
+    sleep(ADDED_BEFORE);
+    // The disruption: the store is silent to the entries that serve.
+    let turned_away: Vec<usize> = (0..ENTRIES).filter(|number| usual.contains(&entries[*number].callers)).collect();
+    if has_trouble {
+        for number in &turned_away {
+            proxies[*number].set_silent(true);
+        }
+        record.add(format!("the store turns {TURNED_AWAY} of {ENTRIES} machines away, and serves the others"));
+    }
+    let denied_at = record.now();
+    sleep(ms(300));
+    lock(&leaving).is_leaving = true;
+    put_backend(&store, leaver_id, "draining");
+    let acknowledged = record.add(format!("the store has acknowledged that backend {leaver_id} is draining"));
+    let failed: Arc<Mutex<usize>> = Arc::default();
+    // A few requests on the added route are sent directly to each entry that is ready.
+    let orders: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+    let in_touch = (0..ENTRIES).filter(|number| !turned_away.contains(number));
+    let clients: Vec<_> = in_touch
+        .map(|number| {
+            let (record, orders, failed) = (record.clone(), Arc::clone(&orders), Arc::clone(&failed));
+            let (name, address) = (entries[number].name.clone(), entries[number].callers);
+            thread::spawn(move || {
+                sleep(DRAIN + ms(20));
+                for _ in 0..LOOKS {
+                    let id = new_id();
+                    record.add(format!("a client sends request {id} to {name}"));
+                    lock(&orders).insert(id.clone(), name.clone());
+                    let answer = Connection::open(address).and_then(|mut connection| {
+                        connection.send(post("/n/look", &id, 2_000, "look").as_bytes())?;
+                        let head = connection.head()?;
+                        connection.body(&head)?;
+                        Ok(head)
+                    });
+                    let is_failed = answer.as_ref().map_or(true, |head| matches!(head.status(), 502 | 504));
+                    *lock(&failed) += usize::from(is_failed);
+                    record.add(match answer {
+                        Ok(head) => format!("the client of request {id} gets {}", head.status()),
+                        Err(error) => format!("the client of request {id} gets no answer: {error}"),
+                    });
+                }
+            })
+        })
+        .collect();
+    sleep(DRAIN + SERVES_ON);
+    lock(&leaving).has_ended = true;
+    record.add(format!("backend {leaver_id} ends"));
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    let until = (denied_at + TURNED_AWAY_FOR).saturating_sub(record.now());
+    sleep(until);
+    for number in &turned_away {
+        proxies[*number].set_silent(false);
+    }
+    let orders = lock(&orders);
+    let runs = lock(&runs);
+    let late = runs.iter().filter(|run| run.backend == leaver_id && run.began > acknowledged + DRAIN);
+    let late: Vec<&OrderRun> = late.filter(|run| orders.contains_key(&run.id)).collect();
+    for run in &late {
+        let after = (run.began - acknowledged).as_secs_f64();
+        let from = &orders[&run.id];
+        record.add(format!("DRAIN: request {} reached {leaver_id} {after:.3} s after the acknowledgement, from {from}", run.id));
+    }
+    let lost = *lock(&failed);
+    record.add(format!("of all requests {lost} got 502, 504 or no answer"));
+    record.add(format!("DRAIN: {} of {} requests reached the backend later than 2 s after the acknowledgement", late.len(), orders.len()));
+    Ok(late.is_empty())
+}
+
 // ---- Clients that leave ----
 
 /// Share of the clients that leave, and the time within which they do: half of the objective.
@@ -1082,6 +1416,7 @@
     let record = Record::new();
     let outcome = match scenario {
         "keyed-orders" => keyed_orders(&record, has_trouble),
+        "turned-away-readers" => turned_away_readers(&record, has_trouble),
         "leaving-clients" => leaving_clients(&record, has_trouble),
         "two-framings" => two_framings(&record, has_trouble),
         _ => Err(format!("there is no scenario {scenario}")),
