--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -1070,6 +1070,133 @@
     Ok(all)
 }
 
+/// A small deployment: entries in three zones, each with a proxy between it and the store.
+struct Deployment {
+    entries: Vec<Entry>,
+    proxies: Vec<StoreProxy>,
+    /// The entries that callers are named.
+    serving: Vec<usize>,
+}
+
+impl Deployment {
+    fn start(record: &Record, store: &Store) -> Outcome<Self> {
+        let ports: Vec<EntryPorts> = (0..ENTRIES).map(|_| EntryPorts::draw()).collect::<Outcome<_>>()?;
+        let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|ports| ports.peers).collect();
+        let (mut entries, mut proxies) = (Vec::new(), Vec::new());
+        for (number, ports) in ports.iter().enumerate() {
+            let proxy = StoreProxy::start(store.address)?;
+            entries.push(Entry::begin(&format!("edge-{number:02}"), &zone(number), *ports, &seeds, proxy.address)?);
+            proxies.push(proxy);
+        }
+        for entry in &entries {
+            entry.wait_until_ready()?;
+        }
+        sleep(ms(5_000));
+        let named = named(&entries[0])?;
+        let serving: Vec<usize> = (0..ENTRIES).filter(|number| named.contains(&entries[*number].callers)).collect();
+        let names: Vec<&str> = serving.iter().map(|number| entries[*number].name.as_str()).collect();
+        record.add(format!("callers are named {} of {ENTRIES} entries: {}", named.len(), names.join(", ")));
+        if serving.len() != TURNED_AWAY || named.len() != TURNED_AWAY {
+            return Err(format!("{} entries serve, not {TURNED_AWAY}", named.len()));
+        }
+        Ok(Self {
+            entries,
+            proxies,
+            serving,
+        })
+    }
+
+    /// The disruption: the store is silent to the entries that serve.
+    fn turn_away(&self, record: &Record, has_trouble: bool) -> Duration {
+        if !has_trouble {
+            return record.now();
+        }
+        for number in &self.serving {
+            self.proxies[*number].set_silent(true);
+        }
+        record.add(format!("the store turns {TURNED_AWAY} of {ENTRIES} machines away, and serves the others"))
+    }
+
+    /// Ends the disruption when it has lasted its time.
+    fn serve_again(&self, record: &Record, since: Duration) {
+        sleep((since + TURNED_AWAY_FOR).saturating_sub(record.now()));
+        for number in &self.serving {
+            self.proxies[*number].set_silent(false);
+        }
+        record.add("the store serves all machines");
+    }
+}
+
+/// The bound of configuration: `config_apply_ms`, and as much as an unstable store could add to it, `max_skew_ms`.
+const APPLY: Duration = ms(2_000 + 5_000);
+
+/// A route is moved to another service while the store turns the entries away that read the configuration for all.
+fn turned_away_delegates(record: &Record, has_trouble: bool) -> Outcome<bool> {
+    let store = Store::start()?;
+    let runs: Arc<Mutex<Vec<OrderRun>>> = Arc::default();
+    for service in ["sa", "sb"] {
+        let (record, begun) = (record.clone(), Arc::clone(&runs));
+        start_backends(&store, service, 6, move |mut arrival| {
+            let (backend, id) = (arrival.backend.to_owned(), arrival.id.clone());
+            let began = record.add(format!("backend {backend} runs order {id}"));
+            lock(&begun).push(OrderRun { id, backend, began });
+            sleep(ms(20));
+            arrival.answer(b"done")
+        })?;
+    }
+    let moved = |version, service| configuration(version, &["sa", "sb"], &[route("p", "non_idempotent", service, 2_000, 800)]);
+    store.put("op", "config", &moved(1, "sa"));
+    let deployment = Deployment::start(record, &store)?;
+    let denied_at = deployment.turn_away(record, has_trouble);
+    sleep(ms(300));
+    store.put("op", "config", &moved(2, "sb"));
+    let acknowledged = record.add("the store has acknowledged a configuration that moves the route from sa to sb");
+    let sent: Arc<Mutex<HashMap<String, (Duration, String)>>> = Arc::default();
+    let in_touch = (0..ENTRIES).filter(|number| !deployment.serving.contains(number));
+    let clients: Vec<_> = in_touch
+        .map(|number| {
+            let (record, sent) = (record.clone(), Arc::clone(&sent));
+            let entry = &deployment.entries[number];
+            let (name, address) = (entry.name.clone(), entry.callers);
+            thread::spawn(move || {
+                sleep((acknowledged + APPLY + ms(50)).saturating_sub(record.now()));
+                for _ in 0..LOOKS {
+                    let id = new_id();
+                    let at = record.add(format!("a client sends order {id} to {name}"));
+                    lock(&sent).insert(id.clone(), (at, name.clone()));
+                    let answer = Connection::open(address).and_then(|mut connection| {
+                        connection.send(post("/p/order", &id, 2_000, "order").as_bytes())?;
+                        let head = connection.head()?;
+                        connection.body(&head)?;
+                        Ok(head)
+                    });
+                    record.add(match answer {
+                        Ok(head) => format!("the client of order {id} gets {}", head.status()),
+                        Err(error) => format!("the client of order {id} gets no answer: {error}"),
+                    });
+                    sleep(ms(100));
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    deployment.serve_again(record, denied_at);
+    let (sent, runs) = (lock(&sent), lock(&runs));
+    let mut by_old = 0;
+    for run in runs.iter().filter(|run| run.backend.starts_with("i-sa-")) {
+        let Some((at, name)) = sent.get(&run.id) else {
+            continue;
+        };
+        by_old += 1;
+        let after = (*at - acknowledged).as_secs_f64();
+        record.add(format!("CONFIG: order {}, sent to {name} {after:.3} s after the acknowledgement, was run by the old service", run.id));
+    }
+    record.add(format!("CONFIG: {by_old} of {} orders were run by the old service", sent.len()));
+    Ok(by_old == 0)
+}
+
 /// A backend leaves while the store turns the entries away that read the list for all.
 fn turned_away_readers(record: &Record, has_trouble: bool) -> Outcome<bool> {
     let store = Store::start()?;
@@ -1097,24 +1224,8 @@
         arrival.answer_and_close(b"done", leaves) && !leaves
     })?;
     store.put("op", "config", &configuration(1, &["sa"], &[route("p", "non_idempotent", "sa", 2_000, 800)]));
-    let mut proxies = Vec::new();
-    let mut entries = Vec::new();
-    let ports: Vec<EntryPorts> = (0..ENTRIES).map(|_| EntryPorts::draw()).collect::<Outcome<_>>()?;
-    let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|ports| ports.peers).collect();
-    for (number, ports) in ports.iter().enumerate() {
-        let proxy = StoreProxy::start(store.address)?;
-        entries.push(Entry::begin(&format!("edge-{number:02}"), &zone(number), *ports, &seeds, proxy.address)?);
-        proxies.push(proxy);
-    }
-    for entry in &entries {
-        entry.wait_until_ready()?;
-    }
-    sleep(ms(5_000));
-    let usual = named(&entries[0])?;
-    record.add(format!("callers are named {} of {ENTRIES} entries: {usual:?}", usual.len()));
-    if usual.len() != TURNED_AWAY {
-        return Err(format!("{} entries serve, not {TURNED_AWAY}", usual.len()));
-    }
+    let deployment = Deployment::start(record, &store)?;
+    let (entries, turned_away) = (&deployment.entries, &deployment.serving);
     // Planned work: a change of the configuration adds a route.
     let routes = [
         route("p", "non_idempotent", "sa", 2_000, 800),
@@ -1123,15 +1234,7 @@
     store.put("op", "config", &configuration(2, &["sa"], &routes));
     record.add("the store has acknowledged a configuration that adds a route");
     sleep(ADDED_BEFORE);
-    // The disruption: the store is silent to the entries that serve.
-    let turned_away: Vec<usize> = (0..ENTRIES).filter(|number| usual.contains(&entries[*number].callers)).collect();
-    if has_trouble {
-        for number in &turned_away {
-            proxies[*number].set_silent(true);
-        }
-        record.add(format!("the store turns {TURNED_AWAY} of {ENTRIES} machines away, and serves the others"));
-    }
-    let denied_at = record.now();
+    let denied_at = deployment.turn_away(record, has_trouble);
     sleep(ms(300));
     lock(&leaving).is_leaving = true;
     put_backend(&store, leaver_id, "draining");
@@ -1172,11 +1275,7 @@
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
     }
-    let until = (denied_at + TURNED_AWAY_FOR).saturating_sub(record.now());
-    sleep(until);
-    for number in &turned_away {
-        proxies[*number].set_silent(false);
-    }
+    deployment.serve_again(record, denied_at);
     let orders = lock(&orders);
     let runs = lock(&runs);
     let late = runs.iter().filter(|run| run.backend == leaver_id && run.began > acknowledged + DRAIN);
@@ -1416,6 +1515,7 @@
     let record = Record::new();
     let outcome = match scenario {
         "keyed-orders" => keyed_orders(&record, has_trouble),
+        "turned-away-delegates" => turned_away_delegates(&record, has_trouble),
         "turned-away-readers" => turned_away_readers(&record, has_trouble),
         "leaving-clients" => leaving_clients(&record, has_trouble),
         "two-framings" => two_framings(&record, has_trouble),
