Add metrics of an entry's calls to the store

Where the store turns some entries away, the metrics did not show whether an entry calls the store itself, for how long its call that waits for changes of the configuration has been pending, and when the store last answered its read of the list of targets.

--- a/crates/pinhaven-entry/src/entry.rs
+++ b/crates/pinhaven-entry/src/entry.rs
@@ -160,6 +160,8 @@
     /// Notified when the pending call for a new configuration may never be answered, so that the call
     /// is replaced by a new one.
     pub(crate) restart_following: event_listener::Event,
+    /// Time at which the pending call for a new configuration began, in microseconds; 0 if there is none.
+    pub(crate) configuration_call_us: AtomicU64,
     /// Newest version received from the store, compared with the versions that peers have.
     pub(crate) store_lag: Mutex<StoreLag>,
     /// Outcomes of the calls that this entry makes as a store delegate.
@@ -274,6 +276,7 @@
             is_fetching_list: AtomicBool::new(false),
             store_answers: AtomicBool::new(true),
             restart_following: event_listener::Event::new(),
+            configuration_call_us: AtomicU64::new(0),
             store_lag: Mutex::default(),
             store_failures: Mutex::default(),
             store_access,
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -80,12 +80,15 @@
                 continue;
             }
             let restart = self.restart_following.listen();
+            self.set_configuration_call(Some(self.now()));
             let next = async { Some(store.next_configuration(position).await) };
             let restarted = async {
                 restart.await;
                 None
             };
-            let Some(update) = futures_lite::future::or(next, restarted).await else {
+            let update = futures_lite::future::or(next, restarted).await;
+            self.set_configuration_call(None);
+            let Some(update) = update else {
                 position = None;
                 continue;
             };
@@ -119,6 +122,18 @@
         }
     }
 
+    fn set_configuration_call(&self, began: Option<Microseconds>) {
+        let began_us = began.map_or(0, |began| began.count());
+        self.configuration_call_us
+            .store(began_us, Ordering::Relaxed);
+    }
+
+    /// Time since the pending call for the configuration began; `None` if there is none.
+    pub(crate) fn configuration_call_age(&self) -> Option<Microseconds> {
+        let began_us = self.configuration_call_us.load(Ordering::Relaxed);
+        (began_us > 0).then(|| self.now().saturating_sub(Microseconds::new(began_us)))
+    }
+
     /// Tells the peers if the store has begun or ceased to answer this entry, so that other entries take over from it or
     /// hand back.
     fn advertise_store_access(&self) {
--- a/crates/pinhaven-entry/src/watch/metrics_text.rs
+++ b/crates/pinhaven-entry/src/watch/metrics_text.rs
@@ -68,11 +68,14 @@
 fn gauges(entry: &Entry) -> Vec<String> {
     let now = entry.now();
     let version = entry.snapshot.load().version.number();
-    let (list_age_ms, list_revision, retained) = {
+    let (list_age_ms, own_list_age, list_revision, retained) = {
         let targets = entry.targets.lock();
         let retained = targets.retained_count();
-        (targets.age(now), targets.list().revision, retained)
+        let own_age = targets.own_age(now);
+        (targets.age(now), own_age, targets.list().revision, retained)
     };
+    let uses_store = u8::from(entry.uses_store(true));
+    let configuration_call_age = entry.configuration_call_age();
     let (known_version, behind_ms, failed_tries) = {
         let lag = entry.version_lag.lock();
         let behind = lag.behind_for(now).unwrap_or_default();
@@ -92,7 +95,17 @@
         format!("pinhaven_live_peers {}", members.live_peers(now).len()),
         format!("pinhaven_members_examined {}", members.examined()),
         format!("pinhaven_state {}", members.own().state as u8),
+        format!("pinhaven_uses_store {uses_store}"),
     ];
+    if let Some(age) = configuration_call_age {
+        lines.push(format!(
+            "pinhaven_configuration_call_age_ms {:.0}",
+            age.as_ms()
+        ));
+    }
+    if let Some(age) = own_list_age {
+        lines.push(format!("pinhaven_list_own_age_ms {:.0}", age.as_ms()));
+    }
     if let Some(newest) = entry.drains.lock().newest() {
         lines.push(format!("pinhaven_drains_revision {}", newest.revision));
     }
