Let entries that stand by read the list of targets in time when the store is silent to all that serve

Cause: serving entries read the list at an age of 0.6 to 1.4 s, entries that stand by from 5 to 20 s on. Shown by the metrics of a deployment of eight entries, six of them turned away: the list was 9.3 s old everywhere before the first entry that stands by read it, at once with success.

Change: the first eight entries that stand by read the list 1.50 to 1.78 s after its last confirmation, 40 ms apart, as a silent call holds a reader up for 1.5 s. In calm times the list never gets that old, and in an outage eight entries call in addition.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -93,6 +93,7 @@
 pub use seat::SeatKeeper;
 pub use seat::SeatRow;
 pub use seat::seat_of;
+pub use store_access::STANDBY_READERS;
 pub use store_access::StoreAccess;
 pub use store_access::StoreAccessFacts;
 pub use store_failures::StoreFailures;
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -178,6 +178,21 @@
         serving.len() + standby.count()
     }
 
+    /// This entry's rank among the ready entries that stand by, if it is one of the first `count`. Entries that the store
+    /// does not answer are passed over.
+    pub fn standby_rank(&self, count: usize, now: Microseconds) -> Option<usize> {
+        let own = self.own().incarnation;
+        let serving: BTreeSet<Incarnation> = self
+            .serving(now)
+            .into_iter()
+            .map(|row| row.incarnation)
+            .collect();
+        self.ranked(now, MemberState::Ready)
+            .filter(|row| !row.lacks_store && !serving.contains(&row.incarnation))
+            .take(count)
+            .position(|row| row.incarnation == own)
+    }
+
     /// Live entries from state `from` up to but not including `Stopping`, highest capacity first.
     fn ranked(&self, now: Microseconds, from: MemberState) -> impl Iterator<Item = &MemberRow> {
         self.live_ranked(now)
--- a/crates/pinhaven-agree/src/store_access.rs
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -6,7 +6,8 @@
 //! themselves, each at a time of its own, if no peer provides the state.
 //!
 //! The same holds for the list of targets while the store is slow or unavailable: the list of all entries ages at the
-//! same time, and an entry that stands by would not read it more successfully than the serving ones.
+//! same time. The store may also turn away just the serving entries, so the first few entries that stand by read the list
+//! soon after the last serving one was due. The others wait longer.
 
 use pinhaven_types::Microseconds;
 use pinhaven_types::RequestRate;
@@ -33,8 +34,15 @@
 const PEERS_ONLY_AGES_SMALL: (Microseconds, Microseconds) =
     (Microseconds::from_ms(2_000), Microseconds::from_ms(8_000));
 
-/// Bounds of the age of the list of targets from which an entry that stands by reads the list itself; each entry draws
-/// its age. The list of such an entry may be older, as it only serves callers with old addresses.
+/// Number of entries that stand by and read the list of targets soon after the serving entries were due.
+pub const STANDBY_READERS: usize = 8;
+/// Age of the list from which the first of them reads it. All ranks of the serving entries are due before.
+const STANDBY_READ_AFTER: Microseconds = Microseconds::from_ms(1_500);
+/// Additional age for each rank below the first. A silent store holds each reader up for longer than this, and the last
+/// of them must leave time to tell the other entries of a target that leaves.
+const STANDBY_READ_AFTER_PER_RANK: Microseconds = Microseconds::from_ms(40);
+/// Bounds of the age of the list from which any other entry that stands by reads the list itself; each entry draws its
+/// age. The list of such an entry may be older, as it only serves callers with old addresses.
 const STANDBY_LIST_AGES: (Microseconds, Microseconds) =
     (Microseconds::from_ms(5_000), Microseconds::from_ms(20_000));
 
@@ -92,9 +100,14 @@
         !self.is_small || age >= SMALL_SETTLED_AGE
     }
 
-    /// Age of the list of targets from which the entry reads the list while it stands by.
-    pub fn standby_list_age(&self) -> Microseconds {
-        self.standby_list_age
+    /// Age of the list of targets from which the entry reads the list while it stands by. `rank` is its rank among the
+    /// entries that stand by, if it is one of the first [`STANDBY_READERS`].
+    pub fn standby_list_age(&self, rank: Option<usize>) -> Microseconds {
+        let Some(rank) = rank else {
+            return self.standby_list_age;
+        };
+        let ranks = STANDBY_READ_AFTER_PER_RANK.count() * rank as u64;
+        STANDBY_READ_AFTER.plus(Microseconds::new(ranks))
     }
 }
 
--- a/crates/pinhaven-agree/tests/store_access.rs
+++ b/crates/pinhaven-agree/tests/store_access.rs
@@ -81,7 +81,7 @@
 fn entries_that_stand_by_read_an_old_list_one_after_another() {
     let list_ages: Vec<u64> = (0..457)
         .map(|number| StoreAccess::new(SMALL, false, (f64::from(number) + 0.5) / 457.0))
-        .map(|access| access.standby_list_age().count() / 1_000_000)
+        .map(|access| access.standby_list_age(None).count() / 1_000_000)
         .collect();
     assert!(list_ages.iter().all(|age_s| *age_s >= 5));
     for second in 5..20 {
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -1,7 +1,8 @@
 //! The list of targets: read from the store by the first entries in rank, fetched from a peer by the others.
 //!
 //! Each serving entry reads the store only after the list has reached an age that grows with the entry's rank, so that
-//! usually a single entry reads it. An entry that stands by reads it only if the list is much older. The other entries
+//! usually a single entry reads it. If none of them gets an answer, the first entries that stand by read it after them,
+//! and the others only when the list is much older. The other entries
 //! learn the revision from peers' updates and fetch a newer list over HTTP: the steps from their own list to the newer
 //! one, or the whole list if the steps are not available.
 
@@ -16,6 +17,7 @@
 use pinhaven_agree::MemberState;
 use pinhaven_agree::PeerList;
 use pinhaven_agree::RetryBackoff;
+use pinhaven_agree::STANDBY_READERS;
 use pinhaven_agree::TargetList;
 use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
@@ -54,12 +56,9 @@
             self.expire_targets();
             let is_known = self.targets.lock().is_known();
             let rank = self.reader_rank(is_known);
-            let due_in = {
-                let (targets, now) = (self.targets.lock(), self.now());
-                match rank {
-                    Some(rank) => targets.due_in(rank, now),
-                    None => targets.standby_due_in(self.store_access.standby_list_age(), now),
-                }
+            let due_in = match rank {
+                Some(rank) => self.targets.lock().due_in(rank, self.now()),
+                None => self.standby_due_in(),
             };
             if due_in > Microseconds::ZERO {
                 sleep_ms((due_in.count() / 1_000).clamp(LIST_POLL_MS.0, LIST_POLL_MS.1)).await;
@@ -98,6 +97,26 @@
         }
     }
 
+    /// Time until this entry should read the list while it stands by.
+    fn standby_due_in(&self) -> Microseconds {
+        let due_in = |rank| {
+            let read_at = self.store_access.standby_list_age(rank);
+            self.targets.lock().standby_due_in(read_at, self.now())
+        };
+        if !self.store_access.is_settled(self.clock.age()) {
+            return due_in(None);
+        }
+        let first_due_in = due_in(Some(0));
+        if first_due_in > Microseconds::ZERO {
+            return first_due_in;
+        }
+        let rank = self
+            .members
+            .lock()
+            .standby_rank(STANDBY_READERS, self.now());
+        due_in(rank)
+    }
+
     /// Reads the list from the store. Returns whether the read succeeded.
     async fn read_targets(&self) -> bool {
         let Some(store) = self.store() else {
