Let the entries that read the list of targets follow the configuration

Cause: a delegate's call that waits for changes lasts up to 22 s. A silent store neither answers it nor lets it fail, and others take over only after two failed calls for the configuration.

Change: an entry whose read of the list was answered within the last 2.5 s follows the configuration as well. In calm times this is the first serving entry, a delegate anyway, so no call is added; when the store falls silent to the readers, the next reader follows within 2 s. It tells versions to all, as delegates do.

--- a/crates/pinhaven-agree/src/store_access.rs
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -8,6 +8,9 @@
 //! The same holds for the list of targets while the store is slow or unavailable: the list of all entries ages at the
 //! same time. The store may also turn away just the serving entries, so the first few entries that stand by read the list
 //! soon after the last serving one was due. The others wait longer.
+//!
+//! A call that waits for changes of the configuration does not tell for many seconds whether the store still answers its
+//! entry. A read of the list does, so the entries that read the list also follow the configuration, whatever their rank.
 
 use pinhaven_types::Microseconds;
 use pinhaven_types::RequestRate;
@@ -46,6 +49,10 @@
 const STANDBY_LIST_AGES: (Microseconds, Microseconds) =
     (Microseconds::from_ms(5_000), Microseconds::from_ms(20_000));
 
+/// Time after an answered read of the list of targets for which an entry reads the configuration too. Whichever ranks the
+/// store turns away, the list is read more often.
+const LIST_READER_FOR: Microseconds = Microseconds::from_ms(2_500);
+
 /// Facts on which the access to the store depends.
 #[derive(Debug, Clone, Copy)]
 pub struct StoreAccessFacts {
@@ -57,6 +64,15 @@
     pub is_delegate: bool,
     /// Whether the entry holds some version of the state.
     pub has_state: bool,
+    /// Time since the store last answered a read of the list of targets by this entry, if it ever did.
+    pub own_list_age: Option<Microseconds>,
+}
+
+impl StoreAccessFacts {
+    /// Whether this entry reads the list of targets for the others, so that the store is known to answer it.
+    fn reads_list(&self) -> bool {
+        self.own_list_age.is_some_and(|age| age < LIST_READER_FOR)
+    }
 }
 
 /// Access of one entry to the store.
@@ -92,7 +108,7 @@
         }
         let is_delegate = facts.is_delegate && self.is_settled(facts.age);
         let is_left_without_state = !facts.has_state && facts.age >= self.peers_only_age;
-        facts.is_alone || is_delegate || is_left_without_state
+        facts.is_alone || is_delegate || is_left_without_state || facts.reads_list()
     }
 
     /// Whether an entry of this age may rely on its rank among the members that it knows.
--- a/crates/pinhaven-agree/tests/store_access.rs
+++ b/crates/pinhaven-agree/tests/store_access.rs
@@ -15,6 +15,7 @@
         is_alone: false,
         is_delegate: true,
         has_state: false,
+        own_list_age: None,
     }
 }
 
@@ -97,3 +98,20 @@
     assert!(small.is_settled(Microseconds::from_ms(3_000)));
     assert!(StoreAccess::new(LARGE, false, 0.5).is_settled(Microseconds::ZERO));
 }
+
+/// Guards against a configuration that nobody learns because the store is silent to the delegates, whose calls are pending.
+#[test]
+fn an_entry_whose_reads_of_the_list_are_answered_follows_the_configuration() {
+    let access = StoreAccess::new(SMALL, false, 0.5);
+    let standing_by = |own_list_age| StoreAccessFacts {
+        is_delegate: false,
+        has_state: true,
+        own_list_age,
+        ..starting(60_000)
+    };
+    assert!(!access.may_call(&standing_by(None)));
+    let age_ms = |age_ms| Some(Microseconds::from_ms(age_ms));
+    // The last of the readers that stand by reads at this age.
+    assert!(access.may_call(&standing_by(age_ms(1_780))));
+    assert!(!access.may_call(&standing_by(age_ms(2_500))));
+}
--- a/crates/pinhaven-entry/src/peers/datagram_sender.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_sender.rs
@@ -178,7 +178,7 @@
         let now = self.now();
         let list_read_at = self.list_read_at(now);
         let has_read_list = list_read_at > sender.list_advertised_at;
-        let may_be_first_to_know = self.is_discovering() || self.is_delegate(now);
+        let may_be_first_to_know = self.is_discovering() || self.uses_store(true);
         let is_direct = has_read_list || (is_urgent && may_be_first_to_know);
         let is_due = now.saturating_sub(sender.full_sent_at) >= self.full_interval();
         let is_full = is_urgent || has_read_list || is_due;
@@ -324,11 +324,6 @@
         self.record_peers(&mut sender.live_peers);
     }
 
-    fn is_delegate(&self, now: Microseconds) -> bool {
-        let members = self.members.lock();
-        members.is_delegate(now)
-    }
-
     /// Sends target updates and the heartbeat to one recipient group. Returns the number of bytes sent.
     async fn send_to_group(
         &self,
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -2,8 +2,9 @@
 //! failure domains.
 //!
 //! Only a few entries, the delegates, use the store directly; the others fetch new versions from peers.
-//! A delegate whose calls to the store fail tells its peers, and others take over. An entry without live peers uses the
-//! store directly.
+//! A delegate whose calls to the store fail tells its peers, and others take over. An entry that reads the list of targets
+//! follows the configuration as well: a call that waits for changes does not show that the store is silent. An entry without
+//! live peers uses the store directly.
 
 use crate::entry::Entry;
 use crate::versions::store_pace::FIRST_RANK;
@@ -191,13 +192,15 @@
             .await;
     }
 
-    /// Whether this entry uses the store directly: as a delegate, or because it has no live peers, or
-    /// because peers have not provided the state in time. `has_state` says whether this entry holds some
+    /// Whether this entry uses the store directly: as a delegate, or because it reads the list of targets, or because it
+    /// has no live peers, or because peers have not provided the state in time. `has_state` says whether this entry holds some
     /// version of the state, in which case it may wait for newer versions from peers.
     pub(crate) fn uses_store(&self, has_state: bool) -> bool {
         let now = self.now();
+        let own_list_age = self.targets.lock().own_age(now);
         let members = self.members.lock();
         let facts = StoreAccessFacts {
+            own_list_age,
             age: self.clock.age(),
             is_alone: !members.has_live_peer(now),
             is_delegate: members.is_delegate(now),
