Notice that a caller has left which sent requests ahead

Cause: hyper looks for the end of a connection during a request only while it holds no unread bytes, and nothing else watched the connection. Shown without dispatch: a handler is dropped when its caller leaves after one request, and was not after two (runtime leaving_callers fails at "2 requests" without the change).

Change: while hyper does not read, the connection is read ahead into at most 16 KiB, and its end drops the connection with its requests. hyper gets those bytes first. While hyper waits for bytes itself nothing is read, so that callers with one request at a time cost no further system call. The same after the server began to stop.

--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod executor;
 mod priority_event;
+mod read_ahead;
 mod server;
 mod silence;
 
--- a/crates/pinhaven-runtime/src/server.rs
+++ b/crates/pinhaven-runtime/src/server.rs
@@ -6,6 +6,7 @@
 
 use crate::AnyBody;
 use crate::HyperExecutor;
+use crate::read_ahead::CallerStream;
 use crate::silence::WriteLimited;
 use crate::sleep_ms;
 use crate::spawn;
@@ -211,6 +212,8 @@
     if stream.get_ref().set_nodelay(true).is_err() {
         return;
     }
+    let stream = CallerStream::new(stream);
+    let closed = stream.closed();
     let stream = WriteLimited::new(stream, Duration::from_millis(settings.idle_ms));
     let has_request = Arc::new(AtomicBool::new(false));
     let received = Arc::clone(&has_request);
@@ -226,11 +229,11 @@
     if settings.allows_http2 {
         let builder = http1_or_http2(settings);
         let connection = builder.serve_connection(FuturesIo::new(stream), service);
-        Box::pin(drive(connection, settings, stop, &has_request)).await;
+        Box::pin(drive(connection, closed, settings, stop, &has_request)).await;
     } else {
         let builder = http1_only(settings);
         let connection = builder.serve_connection(FuturesIo::new(stream), service);
-        Box::pin(drive(connection, settings, stop, &has_request)).await;
+        Box::pin(drive(connection, closed, settings, stop, &has_request)).await;
     }
 }
 
@@ -291,20 +294,28 @@
     }
 }
 
-type Stream = FuturesIo<WriteLimited<Async<TcpStream>>>;
+type Stream = FuturesIo<WriteLimited<CallerStream>>;
 
+/// Serves a connection until it ends. `closed` completes when the caller has closed it and hyper has not noticed; requests
+/// in progress are then dropped with the connection.
 async fn drive(
     connection: impl Connection,
+    closed: impl Future<Output = ()>,
     settings: HttpServerSettings,
     stop: async_channel::Receiver<()>,
     has_request: &AtomicBool,
 ) {
     let mut connection = std::pin::pin!(connection);
+    let mut closed = std::pin::pin!(closed);
     let served = async {
         // An error means that the caller's connection broke, so it can't be reported to the caller.
         let _ = connection.as_mut().await;
         EndReason::Closed
     };
+    let left = async {
+        closed.as_mut().await;
+        EndReason::Closed
+    };
     let stopped = async {
         let _ = stop.recv().await;
         EndReason::Stopped
@@ -317,7 +328,7 @@
         }
         EndReason::NoRequest
     };
-    let reason = or(served, or(stopped, no_request)).await;
+    let reason = or(or(served, left), or(stopped, no_request)).await;
     if reason != EndReason::Stopped {
         return;
     }
@@ -330,7 +341,10 @@
     }
     if has_request.load(Ordering::Relaxed) {
         connection.as_mut().shut_down();
-        let _ = connection.await;
+        let served = async {
+            let _ = connection.await;
+        };
+        or(served, closed).await;
     }
 }
 
