End an exchange with a target that sends bytes without end

With more threads a request gets 504 at its deadline (1 s) beside a target that could answer it. Zeros of a chunk's size hold an attempt 1 s past its deadline after a head with status 200.

Cause: HTTP has no limit on these bytes, and hyper reads them in a loop that gives the thread to no other task while bytes arrive. Noise, fields, chunk extensions and trailers ended at once before.

Change: a connection fails once 1 MiB has come since the last part of an answer, its head or a part of its body. Repeatable requests go to another target, others are told as unknown; counted as attempt_endless, with the target in the log. Chunks in order are parts, so that a moving answer is not cut. The same for control calls.

--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -18,11 +18,11 @@
 use http_body::Frame;
 use http_body::SizeHint;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use pinhaven_decide::Attempt;
 use pinhaven_record::TraceEvent;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
+use pinhaven_runtime::IncomingAnswer;
 use pinhaven_runtime::SilenceLimited;
 use pinhaven_types::Promise;
 use pinhaven_types::require_promise;
@@ -62,14 +62,14 @@
     /// A body received in full; `None` once forwarded.
     Whole(Option<Bytes>),
     /// A body that is forwarded frame by frame as it arrives.
-    Streaming(SilenceLimited<Incoming>),
+    Streaming(SilenceLimited<IncomingAnswer>),
 }
 
 impl ReceivedBody {
     /// Receives a body, in full if its declared length is at most [`BUFFERED_BYTES_MAX`]. Returns `None` if such a body
     /// is truncated: nothing of the body has reached the caller then, and the request may be retried at another target.
     /// A larger body fails if the target falls silent past `deadline`.
-    pub(crate) async fn receive(body: Incoming, deadline: Instant) -> Option<Self> {
+    pub(crate) async fn receive(body: IncomingAnswer, deadline: Instant) -> Option<Self> {
         let declared_bytes = body.size_hint().exact();
         let is_small = declared_bytes.is_some_and(|bytes| bytes <= BUFFERED_BYTES_MAX);
         if body.is_end_stream() || !is_small {
@@ -151,7 +151,7 @@
 
 /// Whether a truncation of the body can be detected: the body has ended, declares its length, or has a
 /// transfer encoding.
-pub(crate) fn is_bounded(headers: &HeaderMap, body: &Incoming) -> bool {
+pub(crate) fn is_bounded(headers: &HeaderMap, body: &IncomingAnswer) -> bool {
     body.is_end_stream()
         || body.size_hint().exact().is_some()
         || headers.contains_key(http::header::TRANSFER_ENCODING)
@@ -247,6 +247,9 @@
         let passed_bytes = self.passed_bytes;
         if let Some(guard) = self.guard.take() {
             guard.record_cut(passed_bytes);
+            if let Some(attempt) = &guard.attempt {
+                guard.entry.count_endless(attempt.target.address(), &*error);
+            }
         }
         self.restart = None;
         Poll::Ready(Some(Err(error)))
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -22,10 +22,13 @@
 use http::Response;
 use http::Uri;
 use http::response::Parts;
-use hyper::body::Incoming;
 use pinhaven_decide::Attempt;
 use pinhaven_decide::TargetState;
 use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::EndlessBytes;
+use pinhaven_runtime::IncomingAnswer;
+use pinhaven_types::TargetAddress;
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -218,6 +221,7 @@
             }
             SendResult::Unsent(unsent) => request = *unsent,
             SendResult::Broken(error) => {
+                entry.count_endless(address, &error);
                 service.state.connectivity().record_failed(address);
                 log::debug!(target: "proxy", "Sending a request to {address} failed: {error}.");
                 return AttemptEnd::Broken;
@@ -227,13 +231,23 @@
     AttemptEnd::NotSent
 }
 
+impl Entry {
+    /// Counts and logs an exchange that failed because the target sent bytes without end.
+    pub(crate) fn count_endless(&self, target: TargetAddress, error: &(dyn Error + 'static)) {
+        if EndlessBytes::caused(error) {
+            self.counters.add(Count::AttemptEndless);
+            log::warn!(target: "proxy", "Target {target} sent bytes without end that are no answer.");
+        }
+    }
+}
+
 /// Reads the head of an answer, and accepts the answer only if it belongs to the request, is genuine, and has a body
 /// whose truncation can be detected. The target's orders are applied even if the answer is rejected.
 fn check_answer(
     entry: &Entry,
     service: &ServiceEntry,
     target: &TargetState,
-    response: &Response<Incoming>,
+    response: &Response<IncomingAnswer>,
     id: Option<&HeaderValue>,
 ) -> Result<OwnFacts, AttemptEnd> {
     let (status, headers) = (response.status(), response.headers());
@@ -277,7 +291,7 @@
 /// Receives the body of an answer: a small body in full, a large body as a stream.
 async fn receive_answer(
     entry: &Entry,
-    response: Response<Incoming>,
+    response: Response<IncomingAnswer>,
     sender: Sender,
     facts: OwnFacts,
     deadline: Instant,
--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -7,11 +7,12 @@
 use http::HeaderValue;
 use http::Request;
 use http_body_util::BodyExt as _;
-use hyper::client::conn::http1;
 use parking_lot::Mutex;
 use pinhaven_decide::SendPermit;
+use pinhaven_runtime::AnswerSender;
 use pinhaven_runtime::AnyBody;
 use pinhaven_runtime::BoxError;
+use pinhaven_runtime::IncomingAnswer;
 use pinhaven_runtime::http1_sender;
 use pinhaven_runtime::sleep_ms;
 use pinhaven_runtime::whole_body;
@@ -23,7 +24,7 @@
 use std::time::Instant;
 
 /// A connection to a target.
-pub(crate) type Sender = http1::SendRequest<AnyBody>;
+pub(crate) type Sender = AnswerSender<AnyBody>;
 
 /// Timeout for a target to accept a connection. The round trip between failure domains is a few milliseconds. A
 /// host that is down does not answer, and the operating system would retry for minutes.
@@ -188,7 +189,7 @@
 
 /// Result of sending a request over a connection.
 pub(crate) enum SendResult {
-    Answer(http::Response<hyper::body::Incoming>, Sender),
+    Answer(http::Response<IncomingAnswer>, Sender),
     /// The connection was closed before any part of the request was written; holds the request.
     Unsent(Box<Request<AnyBody>>),
     Broken(hyper::Error),
@@ -248,7 +249,7 @@
 
     /// Sends the probe. Returns whether a whole answer came, whatever it says.
     async fn send(self, sender: &mut Sender) -> bool {
-        let Ok(answer) = sender.send_request(self.request).await else {
+        let Ok(answer) = sender.try_send_request(self.request).await else {
             return false;
         };
         answer.into_body().collect().await.is_ok()
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -37,6 +37,8 @@
     AttemptMisdirected,
     /// Answers whose end can't be distinguished from a truncation.
     AttemptUnbounded,
+    /// Answers in which a target sent bytes without end that are no answer.
+    AttemptEndless,
     /// Answers truncated while they were passed on.
     AnswerCut,
     /// Connections opened to targets.
@@ -161,7 +163,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 75] = [
+const COUNT_NAMES: [&str; 76] = [
     "requests",
     "answered",
     "addresses",
@@ -176,6 +178,7 @@
     "attempt.forged",
     "attempt.misdirected",
     "attempt.unbounded",
+    "attempt.endless",
     "answer.cut",
     "connections",
     "target.left",
--- a/crates/pinhaven-runtime/src/client.rs
+++ b/crates/pinhaven-runtime/src/client.rs
@@ -5,6 +5,9 @@
 //! pool outside this crate.
 
 use crate::AnyBody;
+use crate::framing::AnswerSender;
+use crate::framing::FramingLimited;
+use crate::framing::IncomingAnswer;
 use crate::spawn;
 use crate::whole_body;
 use crate::within;
@@ -16,7 +19,6 @@
 use http::Response;
 use http_body_util::BodyExt as _;
 use http_body_util::Limited;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use smol_hyper::rt::FuturesIo;
 use socket2::SockRef;
@@ -104,7 +106,7 @@
 /// # Errors
 ///
 /// The operating system's or hyper's error when the peer can't be reached.
-pub async fn http1_sender<B>(peer: SocketAddr) -> Result<http1::SendRequest<B>, crate::BoxError>
+pub async fn http1_sender<B>(peer: SocketAddr) -> Result<AnswerSender<B>, crate::BoxError>
 where
     B: hyper::body::Body + Send + 'static,
     B::Data: Send,
@@ -113,21 +115,21 @@
     http1_handshake(connect_stream(peer).await?).await
 }
 
-async fn http1_handshake<B>(
-    stream: Async<TcpStream>,
-) -> Result<http1::SendRequest<B>, crate::BoxError>
+async fn http1_handshake<B>(stream: Async<TcpStream>) -> Result<AnswerSender<B>, crate::BoxError>
 where
     B: hyper::body::Body + Send + 'static,
     B::Data: Send,
     B::Error: Into<crate::BoxError>,
 {
+    let stream = FramingLimited::new(stream);
+    let with_limit = stream.wrapper();
     let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
     spawn(async move {
         // Errors of the connection also reach the requests on it through the sender.
         let _ = connection.await;
     })
     .detach();
-    Ok(sender)
+    Ok(with_limit(sender))
 }
 
 /// Time that the parts of a call took. [`HttpClient`] adds it to the extensions of each answer.
@@ -150,7 +152,7 @@
     total_timeout: Duration,
     idle_max: usize,
     is_kept_alive: bool,
-    idle: Mutex<Vec<http1::SendRequest<AnyBody>>>,
+    idle: Mutex<Vec<AnswerSender<AnyBody>>>,
     /// Number of answers whose bodies are being received.
     receiving: AtomicUsize,
 }
@@ -260,7 +262,7 @@
     }
 
     /// Receives a whole body, with a timeout for each chunk.
-    async fn receive(&self, body: Incoming) -> Result<Bytes, CallError> {
+    async fn receive(&self, body: IncomingAnswer) -> Result<Bytes, CallError> {
         let _receiving = ReceivingGuard::new(&self.receiving);
         let mut body = Limited::new(body, CONTROL_ANSWER_BYTES_MAX);
         let mut whole = BytesMut::new();
@@ -286,7 +288,7 @@
     async fn send(
         &self,
         mut request: Request<AnyBody>,
-    ) -> Result<(http1::SendRequest<AnyBody>, Response<Incoming>), CallError> {
+    ) -> Result<(AnswerSender<AnyBody>, Response<IncomingAnswer>), CallError> {
         loop {
             let mut sender = self.sender().await?;
             match sender.try_send_request(request).await {
@@ -299,7 +301,7 @@
         }
     }
 
-    async fn sender(&self) -> Result<http1::SendRequest<AnyBody>, CallError> {
+    async fn sender(&self) -> Result<AnswerSender<AnyBody>, CallError> {
         while let Some(mut sender) = self.take_idle() {
             if sender.ready().await.is_ok() {
                 return Ok(sender);
@@ -315,11 +317,11 @@
         sender.map_err(|error| self.error(CallStep::Connect, error))
     }
 
-    fn take_idle(&self) -> Option<http1::SendRequest<AnyBody>> {
+    fn take_idle(&self) -> Option<AnswerSender<AnyBody>> {
         self.idle.lock().ok()?.pop()
     }
 
-    fn return_idle(&self, sender: http1::SendRequest<AnyBody>) {
+    fn return_idle(&self, sender: AnswerSender<AnyBody>) {
         if let Ok(mut idle) = self.idle.lock()
             && idle.len() < self.idle_max
         {
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -7,6 +7,7 @@
 mod busy_time;
 mod client;
 mod executor;
+mod framing;
 mod priority_event;
 mod read_ahead;
 mod server;
@@ -27,6 +28,9 @@
 pub use executor::sleep_ms;
 pub use executor::spawn;
 pub use executor::within;
+pub use framing::AnswerSender;
+pub use framing::EndlessBytes;
+pub use framing::IncomingAnswer;
 pub use priority_event::PriorityEvent;
 pub use server::CallerAddress;
 pub use server::HttpServer;
