Pause the reads of a caller's connection after many bytes in a row

Seen: while one caller sends zeros of a chunk's size without end, a server of one thread answers no other request (test: none in 10 s), and no deadline fires. Found when the cause of endless answers was looked for on the other leg.

Cause: hyper reads the size of a chunk in a loop as long as bytes arrive, and gives the thread to no other task.

Change: after 64 KiB in a row without a wait, reads of a caller's connection pause for 1 ms. A yield without a pause was tried first: the executor runs 200 tasks between two looks at the reactor, so that new connections still waited.

--- a/crates/pinhaven-runtime/src/read_ahead.rs
+++ b/crates/pinhaven-runtime/src/read_ahead.rs
@@ -4,8 +4,12 @@
 //! sends its next request before it has the answer to the first leaves such bytes, and its close would be noticed only
 //! when the first answer is written. So while hyper does not read, the connection is read ahead into a bounded buffer,
 //! until the end of the stream or the bound is reached; hyper gets the buffered bytes first.
+//!
+//! The other way round, hyper reads some parts of a request as long as bytes arrive, so that a caller that sends them
+//! without end would hold the thread. After a number of bytes in a row, reads pause, so that other tasks and the reactor run.
 
 use async_io::Async;
+use async_io::Timer;
 use bytes::Buf as _;
 use bytes::BytesMut;
 use futures_lite::AsyncRead;
@@ -19,6 +23,8 @@
 use std::sync::MutexGuard;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
 
 /// Maximum number of bytes read ahead on a connection. Holds the largest request head that deployments allow; the close
 /// of a caller that has sent more ahead is not noticed early.
@@ -26,6 +32,11 @@
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 4 * 1024;
 
+/// Number of bytes read in a row after which reads pause. Most requests are smaller.
+const BURST_BYTES: usize = 64 * 1024;
+/// Duration of the pause. A connection can still receive some 60 MB a second.
+const BURST_PAUSE: Duration = Duration::from_millis(1);
+
 /// A connection whose reads can be done ahead.
 #[derive(Debug)]
 struct Shared {
@@ -39,6 +50,25 @@
     bytes: BytesMut,
     /// Whether the reader waits for bytes, so that it notices the end of the stream itself.
     is_awaited: bool,
+    /// Number of bytes that the reader got since it last waited.
+    burst_bytes: usize,
+    /// Fires at the end of a pause.
+    pause: Option<Timer>,
+}
+
+impl Ahead {
+    /// Waits for the end of the pause, if there is one, and begins one if too many bytes were read in a row.
+    fn poll_pause(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if self.burst_bytes >= BURST_BYTES {
+            self.burst_bytes = 0;
+            self.pause = Some(Timer::after(BURST_PAUSE));
+        }
+        if let Some(pause) = &mut self.pause {
+            ready!(Pin::new(pause).poll(context));
+            self.pause = None;
+        }
+        Poll::Ready(())
+    }
 }
 
 impl Shared {
@@ -100,8 +130,16 @@
             ahead.is_awaited = false;
             return Poll::Ready(Ok(read));
         }
+        if ahead.poll_pause(context).is_pending() {
+            ahead.is_awaited = true;
+            return Poll::Pending;
+        }
         let progress = Pin::new(&mut &self.0.stream).poll_read(context, buffer);
         ahead.is_awaited = progress.is_pending();
+        ahead.burst_bytes = match progress {
+            Poll::Ready(Ok(read)) => ahead.burst_bytes + read,
+            _ => 0,
+        };
         progress
     }
 }
