End answers without a length that go on after the deadline

Cause: streamed bodies have a limit on each wait and none on the whole, so that only silence ends them.

Change: a body without a declared length ends 5 s after the deadline, if the caller or the route sets it: targets are told the deadline and stop working at it. The caller's connection is broken off. A body with a length has an end of its own and is never cut while it moves. The same at an entry that has forwarded the request.

--- a/crates/pinhaven-entry/src/callers/job.rs
+++ b/crates/pinhaven-entry/src/callers/job.rs
@@ -15,6 +15,7 @@
 use pinhaven_types::Microseconds;
 use std::sync::Arc;
 use std::sync::OnceLock;
+use std::time::Instant;
 
 /// A request whose service and deadline are known.
 pub(crate) struct Job {
@@ -30,6 +31,9 @@
     /// What the request has taken of the organisation's limit.
     pub(crate) admission: Option<Admission>,
     pub(crate) deadline: Microseconds,
+    /// Whether the caller or the route sets the deadline. If it is only the default of the service, an answer may go on
+    /// after it.
+    pub(crate) is_deadline_firm: bool,
     /// Time that the caller already waited during earlier, failed tries of the request.
     pub(crate) prior_wait: Microseconds,
     pub(crate) is_repeatable: bool,
@@ -43,7 +47,18 @@
     pub(crate) fingerprints: OnceLock<RequestFingerprints>,
 }
 
+/// Maximum time past a firm deadline for which an answer without a declared length may go on. Targets are told the
+/// deadline and stop working at it; what comes later has waited for the caller or on the link.
+const ANSWER_OVERRUN_MAX: Microseconds = Microseconds::from_ms(5_000);
+
 impl Job {
+    /// Time after which no further part of an answer without a declared length is passed on; `None` if there is no limit.
+    pub(crate) fn answer_ends_at(&self) -> Option<Instant> {
+        let ends_at = self.deadline.plus(ANSWER_OVERRUN_MAX);
+        self.is_deadline_firm
+            .then(|| self.entry.clock.instant_of(ends_at))
+    }
+
     /// Name of the caller's organisation for a message to another entry; empty without an organisation.
     pub(crate) fn organisation_name(&self) -> String {
         let name = self
--- a/crates/pinhaven-entry/src/callers/proxy.rs
+++ b/crates/pinhaven-entry/src/callers/proxy.rs
@@ -254,6 +254,7 @@
             organisation,
             admission,
             deadline,
+            is_deadline_firm: facts.deadline_ms.is_some() || routed.route.is_some(),
             prior_wait,
             is_repeatable,
             is_forwarded: false,
--- a/crates/pinhaven-entry/src/once_only/relay_server.rs
+++ b/crates/pinhaven-entry/src/once_only/relay_server.rs
@@ -121,6 +121,7 @@
         headers,
         organisation,
         deadline: entry.now().plus(deadline),
+        is_deadline_firm: true,
         prior_wait: Microseconds::ZERO,
         is_repeatable: false,
         is_forwarded: false,
--- a/crates/pinhaven-entry/src/request/answer_body.rs
+++ b/crates/pinhaven-entry/src/request/answer_body.rs
@@ -68,12 +68,17 @@
 impl ReceivedBody {
     /// Receives a body, in full if its declared length is at most [`BUFFERED_BYTES_MAX`]. Returns `None` if such a body
     /// is truncated: nothing of the body has reached the caller then, and the request may be retried at another target.
-    /// A larger body fails if the target falls silent past `deadline`.
-    pub(crate) async fn receive(body: IncomingAnswer, deadline: Instant) -> Option<Self> {
+    /// A larger body fails if the target falls silent past `deadline`, and one without a declared length after `ends_at`.
+    pub(crate) async fn receive(
+        body: IncomingAnswer,
+        deadline: Instant,
+        ends_at: Option<Instant>,
+    ) -> Option<Self> {
         let declared_bytes = body.size_hint().exact();
         let is_small = declared_bytes.is_some_and(|bytes| bytes <= BUFFERED_BYTES_MAX);
         if body.is_end_stream() || !is_small {
-            let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX);
+            let ends_at = ends_at.filter(|_| declared_bytes.is_none());
+            let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX).with_end(ends_at);
             return Some(Self::Streaming(body));
         }
         let body = body.map_err(Into::into).boxed_unsync();
--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -83,6 +83,8 @@
     /// Maximum idle time of a connection reused for this request.
     idle_max: Duration,
     deadline: Instant,
+    /// Time after which no further part of an answer without a declared length is received.
+    answer_ends_at: Option<Instant>,
 }
 
 /// Builds the request of an attempt; `None` if the body can't be sent again or a part of the URI is missing or invalid.
@@ -128,6 +130,7 @@
         id,
         idle_max,
         deadline: job.entry.clock.instant_of(job.deadline),
+        answer_ends_at: job.answer_ends_at(),
     })
 }
 
@@ -182,6 +185,7 @@
         id,
         idle_max,
         deadline,
+        answer_ends_at,
     } = prepared;
     for _ in 0..STALE_CONNECTIONS_MAX {
         let connect_started_at = entry.now();
@@ -212,7 +216,9 @@
                 let id = id.as_ref();
                 return match check_answer(&entry, &service, target, &response, id) {
                     Ok(facts) => {
-                        let receiving = receive_answer(&entry, response, sender, facts, deadline);
+                        let body_limits = (deadline, answer_ends_at);
+                        let receiving =
+                            receive_answer(&entry, response, sender, facts, body_limits);
                         let received = entry.unless_restarted(target, receiving).await;
                         received.unwrap_or(AttemptEnd::Restarted)
                     }
@@ -294,10 +300,10 @@
     response: Response<IncomingAnswer>,
     sender: Sender,
     facts: OwnFacts,
-    deadline: Instant,
+    (deadline, ends_at): (Instant, Option<Instant>),
 ) -> AttemptEnd {
     let (head, body) = response.into_parts();
-    let Some(body) = ReceivedBody::receive(body, deadline).await else {
+    let Some(body) = ReceivedBody::receive(body, deadline, ends_at).await else {
         entry.counters.add(Count::AnswerCut);
         return AttemptEnd::Cut;
     };
--- a/crates/pinhaven-entry/src/request/forward.rs
+++ b/crates/pinhaven-entry/src/request/forward.rs
@@ -47,6 +47,7 @@
     head: ForwardHead,
     body: AnyBody,
     deadline: Instant,
+    answer_ends_at: Option<Instant>,
 }
 
 /// Builds the message of a forwarding; `None` if the body can't be sent again.
@@ -72,6 +73,7 @@
         head,
         body,
         deadline,
+        answer_ends_at: job.answer_ends_at(),
     })
 }
 
@@ -85,11 +87,12 @@
         head,
         body,
         deadline,
+        answer_ends_at,
     } = prepared;
     let address = forwarder.peer_address;
     let forwarded = entry.peers.forward(address, CONNECT_TIMEOUT, head, body);
     match forwarded.await {
-        Ok((answer, body)) => receive_answer(answer, body, deadline).await,
+        Ok((answer, body)) => receive_answer(answer, body, deadline, answer_ends_at).await,
         Err(error) => {
             log::debug!(target: "forward", "{error}.");
             ForwardEnd::without_answer(match error.is_not_sent() {
@@ -100,7 +103,12 @@
     }
 }
 
-async fn receive_answer(answer: ForwardAnswer, body: AnyBody, deadline: Instant) -> ForwardEnd {
+async fn receive_answer(
+    answer: ForwardAnswer,
+    body: AnyBody,
+    deadline: Instant,
+    ends_at: Option<Instant>,
+) -> ForwardEnd {
     if !answer.declined.is_empty() {
         log::debug!(target: "forward", "Another entry declined a request: {}.", answer.declined);
         return ForwardEnd::without_answer(ForwardOutcome::NotTaken);
@@ -120,7 +128,10 @@
     let Some(body) = buffer_if_small(&headers, body).await else {
         return ForwardEnd::without_answer(ForwardOutcome::Broken);
     };
-    let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX).boxed_unsync();
+    let ends_at = ends_at.filter(|_| !headers.contains_key(CONTENT_LENGTH));
+    let body = SilenceLimited::new(body, deadline, BODY_SILENCE_MAX)
+        .with_end(ends_at)
+        .boxed_unsync();
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/pinhaven-entry/src/request/forwarded.rs
+++ b/crates/pinhaven-entry/src/request/forwarded.rs
@@ -160,6 +160,8 @@
                 .config
                 .is_repeatable(self.method.as_str(), self.uri.path()),
         };
+        // Without a route, the entry that forwarded the request ends its answer.
+        let is_deadline_firm = self.routed.route.is_some();
         let organisation = self.organisation.as_deref();
         let admission = organisation.map(|organisation| Admission::of_message(entry, organisation));
         Job {
@@ -172,6 +174,7 @@
             headers: self.headers,
             organisation: self.organisation,
             deadline: self.deadline,
+            is_deadline_firm,
             prior_wait: self.prior_wait,
             is_repeatable,
             is_forwarded: true,
--- a/crates/pinhaven-runtime/src/framing.rs
+++ b/crates/pinhaven-runtime/src/framing.rs
@@ -5,6 +5,7 @@
 //! bytes of a connection are counted from the last part of an answer, its head or a part of its body, and the connection
 //! fails when they are too many.
 
+use crate::BodyOverdue;
 use bytes::Bytes;
 use displaydoc::Display as DisplayDoc;
 use futures_lite::AsyncRead;
@@ -36,8 +37,8 @@
 impl Error for EndlessBytes {}
 
 impl EndlessBytes {
-    /// Whether an exchange failed with `error` because the peer sent bytes without end, be it in a head that is too large
-    /// or anywhere between the parts of an answer.
+    /// Whether an exchange failed with `error` because the peer sent bytes without end: in a head that is too large, in a
+    /// body that is overdue, or anywhere between the parts of an answer.
     pub fn caused(error: &(dyn Error + 'static)) -> bool {
         let mut next = Some(error);
         while let Some(error) = next {
@@ -45,6 +46,7 @@
             let io = error.downcast_ref::<std::io::Error>();
             let inner = io.and_then(|error| error.get_ref());
             if error.is::<Self>()
+                || error.is::<BodyOverdue>()
                 || inner.is_some_and(|inner| inner.is::<Self>())
                 || hyper.is_some_and(hyper::Error::is_parse_too_large)
             {
--- a/crates/pinhaven-runtime/src/lib.rs
+++ b/crates/pinhaven-runtime/src/lib.rs
@@ -35,6 +35,7 @@
 pub use server::CallerAddress;
 pub use server::HttpServer;
 pub use server::HttpServerSettings;
+pub use silence::BodyOverdue;
 pub use silence::BodySilent;
 pub use silence::SilenceLimited;
 
--- a/crates/pinhaven-runtime/src/silence.rs
+++ b/crates/pinhaven-runtime/src/silence.rs
@@ -1,7 +1,8 @@
 //! Time limits for the other side of a transfer that stops moving.
 //!
 //! A connection can fall silent without a reset, and only a time limit of one's own ends what waits for it. Limits are
-//! on each wait, not on the whole transfer, so that a slow transfer that moves is never cut.
+//! on each wait, not on the whole transfer, so that a slow transfer that moves is never cut. A body without a declared
+//! length may also move without end; for such a body a last time can be set.
 
 use crate::BoxError;
 use async_io::Timer;
@@ -25,6 +26,12 @@
 
 impl std::error::Error for BodySilent {}
 
+/// the body goes on past the last time for it
+#[derive(Debug, Clone, Copy, PartialEq, Eq, DisplayDoc)]
+pub struct BodyOverdue;
+
+impl std::error::Error for BodyOverdue {}
+
 /// A body that fails when its sender falls silent. A wait for a part of the body lasts at most `silence_max`, and longer
 /// only until `not_before`.
 #[derive(Debug)]
@@ -32,6 +39,8 @@
     body: B,
     not_before: Instant,
     silence_max: Duration,
+    /// Time after which no further part is accepted.
+    ends_at: Option<Instant>,
     /// Fires when the current wait has lasted too long; `None` while no part is awaited.
     timer: Option<Timer>,
 }
@@ -43,9 +52,16 @@
             body,
             not_before,
             silence_max,
+            ends_at: None,
             timer: None,
         }
     }
+
+    /// Accepts no further part after `ends_at`.
+    pub fn with_end(mut self, ends_at: Option<Instant>) -> Self {
+        self.ends_at = ends_at;
+        self
+    }
 }
 
 impl<B: Body + Unpin> Body for SilenceLimited<B>
@@ -61,7 +77,13 @@
     ) -> Poll<Option<Result<Frame<B::Data>, BoxError>>> {
         if let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(context) {
             self.timer = None;
-            return Poll::Ready(frame.map(|frame| frame.map_err(Into::into)));
+            let is_overdue = self
+                .ends_at
+                .is_some_and(|ends_at| Instant::now() >= ends_at);
+            return Poll::Ready(match frame {
+                Some(Ok(_)) if is_overdue => Some(Err(BodyOverdue.into())),
+                frame => frame.map(|frame| frame.map_err(Into::into)),
+            });
         }
         let (not_before, silence_max) = (self.not_before, self.silence_max);
         let timer = self
--- a/crates/pinhaven-runtime/tests/silence.rs
+++ b/crates/pinhaven-runtime/tests/silence.rs
@@ -9,6 +9,7 @@
 use http_body_util::StreamBody;
 use hyper::body::Incoming;
 use pinhaven_runtime::AnyBody;
+use pinhaven_runtime::BodyOverdue;
 use pinhaven_runtime::BodySilent;
 use pinhaven_runtime::BoxError;
 use pinhaven_runtime::HttpServer;
@@ -86,6 +87,20 @@
     });
 }
 
+/// Guards against a body in order that has no end.
+#[test]
+fn a_body_that_goes_on_past_its_last_time_fails() {
+    block_on(async {
+        let ends_at = Instant::now() + Duration::from_millis(60);
+        let limited = SilenceLimited::new(body_of(usize::MAX, 1), Instant::now(), WAIT_MAX);
+        let limited = limited.with_end(Some(ends_at));
+        let received = within(WAIT_MAX, receive(limited)).await;
+        let (_, error) = received.expect("the body has ended");
+        assert!(error.is::<BodyOverdue>(), "{error}");
+        assert!(Instant::now() >= ends_at);
+    });
+}
+
 /// Guards against a connection without an end whose caller accepts nothing of its answer.
 #[test]
 fn a_connection_whose_caller_does_not_read_its_answer_ends() {
