Limit the size of answers to probes

Seen: four targets that answer probes with a body without end raise an entry's memory from 15.8 to 162.5 MB; an entry that passes its limit is killed.

Cause: answers to probes had the limit of all control calls, 64 MiB within 400 ms or 1 s for each target, and the check of a connection had none.

Change: 64 KiB; a probe with a larger answer has failed.

--- a/crates/pinhaven-entry/src/targets/pool.rs
+++ b/crates/pinhaven-entry/src/targets/pool.rs
@@ -7,6 +7,7 @@
 use http::HeaderValue;
 use http::Request;
 use http_body_util::BodyExt as _;
+use http_body_util::Limited;
 use parking_lot::Mutex;
 use pinhaven_decide::SendPermit;
 use pinhaven_runtime::AnswerSender;
@@ -41,6 +42,9 @@
 
 /// Timeout for a target's answer to the probe of a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of the body of an answer to a probe, in bytes. Reports have a few hundred bytes, and many targets may be
+/// probed at a time.
+pub(crate) const PROBE_ANSWER_BYTES_MAX: usize = 64 * 1024;
 /// How long a new connection must stay open to show that the target is reached, in milliseconds.
 const STAY_OPEN_MS: u64 = 30;
 
@@ -252,7 +256,8 @@
         let Ok(answer) = sender.try_send_request(self.request).await else {
             return false;
         };
-        answer.into_body().collect().await.is_ok()
+        let body = Limited::new(answer.into_body(), PROBE_ANSWER_BYTES_MAX);
+        body.collect().await.is_ok()
     }
 }
 
--- a/crates/pinhaven-entry/src/targets/probes.rs
+++ b/crates/pinhaven-entry/src/targets/probes.rs
@@ -5,6 +5,7 @@
 
 use crate::entry::Entry;
 use crate::targets::orders::OrderSource;
+use crate::targets::pool::PROBE_ANSWER_BYTES_MAX;
 use crate::targets::pool::probe_request;
 use crate::versions::service_entry::ServiceEntry;
 use crate::watch::counters::Count;
@@ -107,7 +108,8 @@
                     Some(previous) if previous.budget.is_same_plan(&budget) => previous,
                     _ => ProbedTarget {
                         budget,
-                        client: HttpClient::new(target.address.socket_address(), PROBE_TIMEOUT_MS),
+                        client: HttpClient::new(target.address.socket_address(), PROBE_TIMEOUT_MS)
+                            .with_answer_bytes_max(PROBE_ANSWER_BYTES_MAX),
                     },
                 };
                 targets.insert(key, probed);
--- a/crates/pinhaven-entry/src/targets/speed_probes.rs
+++ b/crates/pinhaven-entry/src/targets/speed_probes.rs
@@ -6,6 +6,7 @@
 use crate::entry::Entry;
 use crate::targets::orders::OrderSource;
 use crate::targets::owned_targets::OwnedTargets;
+use crate::targets::pool::PROBE_ANSWER_BYTES_MAX;
 use crate::targets::pool::probe_request;
 use crate::versions::snapshot::KeyedTarget;
 use crate::watch::counters::Count;
@@ -86,6 +87,7 @@
             pace: ProbePace::new(per_second_max),
             client: Arc::new(
                 HttpClient::new(target.address().socket_address(), TIMEOUT_MS)
+                    .with_answer_bytes_max(PROBE_ANSWER_BYTES_MAX)
                     .with_idle_connections(1),
             ),
             is_under_way: Arc::new(AtomicBool::new(false)),
--- a/crates/pinhaven-runtime/src/client.rs
+++ b/crates/pinhaven-runtime/src/client.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Maximum size of the answer to a control call, in bytes.
+/// Default maximum size of the answer to a control call, in bytes.
 const CONTROL_ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
 /// Idle time of a connection with TCP keep-alive before the operating system sends a probe, and the interval
 /// between probes. Each probe costs a packet in each direction.
@@ -150,6 +150,8 @@
     chunk_timeout: Duration,
     /// Maximum time of a whole call.
     total_timeout: Duration,
+    /// Maximum size of a body.
+    answer_bytes_max: usize,
     idle_max: usize,
     is_kept_alive: bool,
     idle: Mutex<Vec<AnswerSender<AnyBody>>>,
@@ -182,6 +184,7 @@
             timeout,
             chunk_timeout: timeout,
             total_timeout: timeout,
+            answer_bytes_max: CONTROL_ANSWER_BYTES_MAX,
             idle_max: IDLE_CONNECTIONS_DEFAULT,
             is_kept_alive: false,
             idle: Mutex::new(Vec::new()),
@@ -201,6 +204,12 @@
         self
     }
 
+    /// Sets the maximum size of the body of an answer, in bytes. A call whose answer is larger fails.
+    pub fn with_answer_bytes_max(mut self, answer_bytes_max: usize) -> Self {
+        self.answer_bytes_max = answer_bytes_max;
+        self
+    }
+
     /// Sets the maximum number of idle connections.
     pub fn with_idle_connections(mut self, idle_max: usize) -> Self {
         self.idle_max = idle_max;
@@ -264,7 +273,7 @@
     /// Receives a whole body, with a timeout for each chunk.
     async fn receive(&self, body: IncomingAnswer) -> Result<Bytes, CallError> {
         let _receiving = ReceivingGuard::new(&self.receiving);
-        let mut body = Limited::new(body, CONTROL_ANSWER_BYTES_MAX);
+        let mut body = Limited::new(body, self.answer_bytes_max);
         let mut whole = BytesMut::new();
         loop {
             let frame = within(self.chunk_timeout, body.frame()).await;
