--- a/crates/pinhaven-entry/src/request/attempt.rs
+++ b/crates/pinhaven-entry/src/request/attempt.rs
@@ -242,7 +242,7 @@
     pub(crate) fn count_endless(&self, target: TargetAddress, error: &(dyn Error + 'static)) {
         if EndlessBytes::caused(error) {
             self.counters.add(Count::AttemptEndless);
-            log::warn!(target: "proxy", "Target {target} sent bytes without end that are no answer.");
+            log::warn!(target: "proxy", "Target {target} sends bytes without end.");
         }
     }
 }
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -37,7 +37,7 @@
     AttemptMisdirected,
     /// Answers whose end can't be distinguished from a truncation.
     AttemptUnbounded,
-    /// Answers in which a target sent bytes without end that are no answer.
+    /// Exchanges in which a target sent bytes without end.
     AttemptEndless,
     /// Answers truncated while they were passed on.
     AnswerCut,
