Follow the configuration after an entry's second read of the list, not its first

Cause: an entry that starts reads the list once for itself, and with it followed the configuration for 2.5 s, wrote its row and read the rows of the others, about four calls for each of the entries that stand by.

Change: only a read that keeps a known list up to date counts, which is made in place of another reader.

--- a/crates/pinhaven-agree/src/store_access.rs
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -64,14 +64,15 @@
     pub is_delegate: bool,
     /// Whether the entry holds some version of the state.
     pub has_state: bool,
-    /// Time since the store last answered a read of the list of targets by this entry, if it ever did.
-    pub own_list_age: Option<Microseconds>,
+    /// Time since the store last answered a read by which this entry kept the list of targets up to date, if it ever did.
+    pub list_reread_age: Option<Microseconds>,
 }
 
 impl StoreAccessFacts {
     /// Whether this entry reads the list of targets for the others, so that the store is known to answer it.
     fn reads_list(&self) -> bool {
-        self.own_list_age.is_some_and(|age| age < LIST_READER_FOR)
+        self.list_reread_age
+            .is_some_and(|age| age < LIST_READER_FOR)
     }
 }
 
--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -94,6 +94,8 @@
     confirmed_at: Option<Microseconds>,
     /// Local time at which the store last confirmed the list to this entry.
     own_confirmed_at: Option<Microseconds>,
+    /// Local time of this entry's last answered read that replaced a known list.
+    reread_at: Option<Microseconds>,
     /// Local time at which this entry received the list, or at which the store last confirmed the list to any entry as
     /// far as serving peers know.
     heard_at: Option<Microseconds>,
@@ -126,6 +128,7 @@
             superseded: Vec::new(),
             confirmed_at: None,
             own_confirmed_at: None,
+            reread_at: None,
             heard_at: None,
             last_failure_at: None,
             steady_since: None,
@@ -253,6 +256,12 @@
         self.own_confirmed_at.map(|at| now.saturating_sub(at))
     }
 
+    /// Time since the store last answered a read by which this entry kept a known list up to date; `None` if it never did.
+    /// The first read of an entry that starts does not count: it is made for the entry itself.
+    pub fn reread_age(&self, now: Microseconds) -> Option<Microseconds> {
+        self.reread_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Whether an entry with this rank among the readers, 0 for the first, should read now.
     pub fn is_due(&self, rank: u32, now: Microseconds) -> bool {
         self.due_in(rank, now) == Microseconds::ZERO
@@ -342,6 +351,9 @@
         if self.is_known() && read.revision < self.list.revision {
             return false;
         }
+        if self.is_known() {
+            self.reread_at = Some(began);
+        }
         let last_at = self.own_confirmed_at.replace(began);
         let is_continuous = last_at.is_some_and(|at| began <= at.plus(STEADY_GAP_MAX));
         self.steady_since = self.steady_since.filter(|_| is_continuous).or(Some(began));
--- a/crates/pinhaven-agree/tests/store_access.rs
+++ b/crates/pinhaven-agree/tests/store_access.rs
@@ -15,7 +15,7 @@
         is_alone: false,
         is_delegate: true,
         has_state: false,
-        own_list_age: None,
+        list_reread_age: None,
     }
 }
 
@@ -103,10 +103,10 @@
 #[test]
 fn an_entry_whose_reads_of_the_list_are_answered_follows_the_configuration() {
     let access = StoreAccess::new(SMALL, false, 0.5);
-    let standing_by = |own_list_age| StoreAccessFacts {
+    let standing_by = |list_reread_age| StoreAccessFacts {
         is_delegate: false,
         has_state: true,
-        own_list_age,
+        list_reread_age,
         ..starting(60_000)
     };
     assert!(!access.may_call(&standing_by(None)));
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -50,6 +50,19 @@
     assert_eq!(known.list().targets.len(), 1);
 }
 
+/// Guards against calls for the configuration by each entry that starts: its first read of the list is for itself.
+#[test]
+fn an_entry_keeps_the_list_up_to_date_from_its_second_read_on() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1]), at_ms(0));
+    assert_eq!(known.reread_age(at_ms(100)), None);
+    known.record_read(list(2, [1, 2]), at_ms(600));
+    let age_ms = known
+        .reread_age(at_ms(1_000))
+        .map(|age| age.count() / 1_000);
+    assert_eq!(age_ms, Some(400));
+}
+
 #[test]
 fn the_first_reader_reads_often_and_the_others_only_when_it_fails() {
     let mut known = KnownTargets::new();
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -197,10 +197,10 @@
     /// version of the state, in which case it may wait for newer versions from peers.
     pub(crate) fn uses_store(&self, has_state: bool) -> bool {
         let now = self.now();
-        let own_list_age = self.targets.lock().own_age(now);
+        let list_reread_age = self.targets.lock().reread_age(now);
         let members = self.members.lock();
         let facts = StoreAccessFacts {
-            own_list_age,
+            list_reread_age,
             age: self.clock.age(),
             is_alone: !members.has_live_peer(now),
             is_delegate: members.is_delegate(now),
