Free the buffer of a connection that was read ahead

Cause: an upload that waits for its target is read ahead, and its connection kept the buffer of 16 KiB for as long as it stayed open.

Change: the buffer is freed when hyper has read all of it.

--- a/crates/pinhaven-runtime/src/read_ahead.rs
+++ b/crates/pinhaven-runtime/src/read_ahead.rs
@@ -127,6 +127,10 @@
         if !ahead.bytes.is_empty() {
             let read = buffer.len().min(ahead.bytes.len());
             ahead.bytes.copy_to_slice(&mut buffer[..read]);
+            if ahead.bytes.is_empty() {
+                // Connections stay open for long after an upload that was read ahead.
+                ahead.bytes = BytesMut::new();
+            }
             ahead.is_awaited = false;
             return Poll::Ready(Ok(read));
         }
