Let entries that stand by read the list early only when serving peers report it old

Where entries lack processor time, those that stand by hear late of confirmations, so that their lists seem old and they read them, each at a cost of its own.

Change: such an entry reads early only while serving peers say, in a report at most 0.7 s old, that the store has confirmed no list for so long.

--- a/crates/pinhaven-agree/src/target_list.rs
+++ b/crates/pinhaven-agree/src/target_list.rs
@@ -52,6 +52,18 @@
 /// reads more often while no other entry does, and targets lapse only after longer outages.
 const STEADY_GAP_MAX: Microseconds = Microseconds::from_ms(2_000);
 
+/// Time for which a report of a serving peer holds. A serving peer sends one every 500 ms.
+const REPORT_HOLDS_FOR: Microseconds = Microseconds::from_ms(700);
+
+/// What serving peers say of the store's confirmations of the list.
+#[derive(Debug, Clone, Copy)]
+struct ConfirmationReport {
+    /// Local time of the last report.
+    received_at: Microseconds,
+    /// Local time of the latest confirmation to any entry.
+    confirmed_at: Microseconds,
+}
+
 /// Whether targets that are missing from a list may only have lapsed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Lapses {
@@ -99,6 +111,8 @@
     /// Local time at which this entry received the list, or at which the store last confirmed the list to any entry as
     /// far as serving peers know.
     heard_at: Option<Microseconds>,
+    /// What serving peers last said of the store's confirmations, whichever list they have.
+    report: Option<ConfirmationReport>,
     /// Time of this entry's last failed read.
     last_failure_at: Option<Microseconds>,
     /// Time since which this entry has read without long gaps and the store has answered all its reads.
@@ -130,6 +144,7 @@
             own_confirmed_at: None,
             reread_at: None,
             heard_at: None,
+            report: None,
             last_failure_at: None,
             steady_since: None,
             peer_steady_since: None,
@@ -285,6 +300,14 @@
         age.map_or(Microseconds::ZERO, |age| read_at.saturating_sub(age))
     }
 
+    /// Whether serving peers say that the store has confirmed no list for `age`. An entry that stands by hears of
+    /// confirmations late or not at all when datagrams are, and its list may then seem old though others read it.
+    pub fn is_reported_old(&self, age: Microseconds, now: Microseconds) -> bool {
+        self.report.is_some_and(|report| {
+            now < report.received_at.plus(REPORT_HOLDS_FOR) && report.confirmed_at.plus(age) <= now
+        })
+    }
+
     /// Records that a read from the store failed.
     pub fn record_failure(&mut self, now: Microseconds) {
         self.lapses = Lapses::Outage { failed_at: now };
@@ -439,7 +462,14 @@
     /// Records that a serving peer with the list `digest` knows that the store confirmed it to some entry at `heard_at`.
     /// This spares an entry that stands by a read; it says nothing to others, so that the list does not stay fresh
     /// among entries of which none reads.
-    pub fn record_heard(&mut self, digest: u64, heard_at: Microseconds) {
+    pub fn record_heard(&mut self, digest: u64, heard_at: Microseconds, now: Microseconds) {
+        let latest_at = self
+            .report
+            .map_or(heard_at, |report| report.confirmed_at.max(heard_at));
+        self.report = Some(ConfirmationReport {
+            received_at: now,
+            confirmed_at: latest_at,
+        });
         if digest == self.digest {
             self.heard_at = self.heard_at.max(Some(heard_at));
             self.record_store_answer(heard_at);
--- a/crates/pinhaven-agree/tests/silent_store.rs
+++ b/crates/pinhaven-agree/tests/silent_store.rs
@@ -25,6 +25,8 @@
 const CALL_TIMEOUT_MS: u64 = 1_500;
 /// Time until the other entries know of a read.
 const SPREAD_MS: u64 = 60;
+/// Interval at which serving entries say when the store last confirmed the list.
+const REPORT_INTERVAL_MS: u64 = 500;
 /// A target that leaves must get no new request 2 s after the store recorded it. The rest of that time is for telling
 /// the entries that did not read the list.
 const LIST_AGE_MAX_MS: u64 = 1_850;
@@ -104,7 +106,10 @@
         let due_in = match self.serving_rank {
             Some(rank) => self.known.due_in(rank as u32, now),
             None => {
-                let read_at = self.access.standby_list_age(self.standby_rank);
+                let first_read_age = self.access.standby_list_age(Some(0));
+                let is_old = self.known.is_reported_old(first_read_age, now);
+                let rank = self.standby_rank.filter(|_| is_old);
+                let read_at = self.access.standby_list_age(rank);
                 self.known.standby_due_in(read_at, now)
             }
         };
@@ -154,6 +159,18 @@
                 }
             }
             age_max_ms = age_max_ms.max(now_ms - answered_at_ms);
+            if now_ms.is_multiple_of(REPORT_INTERVAL_MS) {
+                for reader in self
+                    .0
+                    .iter_mut()
+                    .filter(|reader| reader.serving_rank.is_none())
+                {
+                    let digest = reader.known.digest();
+                    reader
+                        .known
+                        .record_heard(digest, at_ms(answered_at_ms), at_ms(now_ms));
+                }
+            }
             if now_ms == answered_at_ms + SPREAD_MS {
                 for reader in &mut self.0 {
                     let digest = reader.known.digest();
--- a/crates/pinhaven-agree/tests/target_list.rs
+++ b/crates/pinhaven-agree/tests/target_list.rs
@@ -50,6 +50,24 @@
     assert_eq!(known.list().targets.len(), 1);
 }
 
+/// Guards against reads by entries that hear late of confirmations: their list only seems old.
+#[test]
+fn the_list_is_reported_old_only_while_serving_peers_say_so() {
+    let mut known = KnownTargets::new();
+    known.record_read(list(1, [1]), at_ms(0));
+    let (digest, age) = (known.digest(), Microseconds::from_ms(1_500));
+    let is_old = |known: &KnownTargets, now_ms| known.is_reported_old(age, at_ms(now_ms));
+    assert!(!is_old(&known, 5_000), "no peer has said anything");
+    known.record_heard(digest, at_ms(4_000), at_ms(5_200));
+    assert!(!is_old(&known, 5_400));
+    assert!(is_old(&known, 5_600));
+    assert!(!is_old(&known, 5_900), "the report no longer holds");
+    known.record_heard(digest, at_ms(4_000), at_ms(6_000));
+    // The peer has another list, which the store has confirmed.
+    known.record_heard(digest + 1, at_ms(5_900), at_ms(6_000));
+    assert!(!is_old(&known, 6_100));
+}
+
 /// Guards against calls for the configuration by each entry that starts: its first read of the list is for itself.
 #[test]
 fn an_entry_keeps_the_list_up_to_date_from_its_second_read_on() {
@@ -105,11 +123,11 @@
     let mut known = KnownTargets::new();
     known.record_peer_list(list(1, [1, 2]), Microseconds::ZERO, at_ms(0));
     let digest = known.digest();
-    known.record_heard(digest, at_ms(4_000));
-    known.record_heard(digest, at_ms(3_000));
+    known.record_heard(digest, at_ms(4_000), at_ms(4_000));
+    known.record_heard(digest, at_ms(3_000), at_ms(3_000));
     let due_in = known.standby_due_in(read_at, at_ms(5_000));
     assert_eq!(due_in, Microseconds::from_ms(4_000));
-    known.record_heard(digest + 1, at_ms(8_000));
+    known.record_heard(digest + 1, at_ms(8_000), at_ms(8_000));
     let due_in = known.standby_due_in(read_at, at_ms(9_000));
     assert_eq!(due_in, Microseconds::ZERO);
     assert_eq!(known.own_age(at_ms(5_000)), None);
@@ -293,7 +311,7 @@
     known.record_peer_list(list(1, [1, 2]), Microseconds::ZERO, at_ms(0));
     known.record_failure(at_ms(5_000));
     let digest = known.digest();
-    known.record_heard(digest, at_ms(8_100));
+    known.record_heard(digest, at_ms(8_100), at_ms(8_100));
     assert!(known.record_peer_list(list(2, [1]), Microseconds::ZERO, at_ms(16_010)));
     assert_eq!(ids(&known), ["i-1"]);
 }
@@ -392,7 +410,7 @@
                     true
                 }
                 _ => {
-                    known.record_heard(known.digest(), at_ms(confirmed_ms));
+                    known.record_heard(known.digest(), at_ms(confirmed_ms), at_ms(confirmed_ms));
                     true
                 }
             };
--- a/crates/pinhaven-entry/src/peers/datagram_receiver.rs
+++ b/crates/pinhaven-entry/src/peers/datagram_receiver.rs
@@ -88,8 +88,10 @@
             self.learn_list(rpc_address, list.revision, list.digest, age);
             if let Some(heard_age_ms) = list.heard_age_ms {
                 let age = Microseconds::from_ms(u64::from(heard_age_ms));
-                let heard_at = self.now().saturating_sub(age);
-                self.targets.lock().record_heard(list.digest, heard_at);
+                let now = self.now();
+                let heard_at = now.saturating_sub(age);
+                let mut targets = self.targets.lock();
+                targets.record_heard(list.digest, heard_at, now);
             }
             if let Some(steady_ms) = list.steady_ms {
                 let steady = Microseconds::from_ms(u64::from(steady_ms));
--- a/crates/pinhaven-entry/src/targets/listed_targets.rs
+++ b/crates/pinhaven-entry/src/targets/listed_targets.rs
@@ -110,6 +110,14 @@
         if first_due_in > Microseconds::ZERO {
             return first_due_in;
         }
+        let first_read_age = self.store_access.standby_list_age(Some(0));
+        if !self
+            .targets
+            .lock()
+            .is_reported_old(first_read_age, self.now())
+        {
+            return due_in(None);
+        }
         let rank = self
             .members
             .lock()
