Let only the first readers of the list follow the configuration

Cause: serving entries from the fifth on read the list at the same age. Where they lack processor time the list gets that old, all of them read it, and each then read the configuration as well, which costs more processor time.

Change: the first 12 serving entries and the first eight that stand by follow the configuration after a read, not all readers.

--- a/crates/pinhaven-agree/src/lib.rs
+++ b/crates/pinhaven-agree/src/lib.rs
@@ -93,6 +93,8 @@
 pub use seat::SeatKeeper;
 pub use seat::SeatRow;
 pub use seat::seat_of;
+pub use store_access::FOLLOWING_READERS;
+pub use store_access::LIST_READER_FOR;
 pub use store_access::STANDBY_READERS;
 pub use store_access::StoreAccess;
 pub use store_access::StoreAccessFacts;
--- a/crates/pinhaven-agree/src/steering.rs
+++ b/crates/pinhaven-agree/src/steering.rs
@@ -178,6 +178,14 @@
         serving.len() + standby.count()
     }
 
+    /// Whether this entry is one of the first `count` serving entries, or of the first `standby_count` that stand by.
+    pub fn is_first_reader(&self, count: usize, standby_count: usize, now: Microseconds) -> bool {
+        let own = self.own().incarnation;
+        let serving = self.serving(now);
+        let mut first = serving.iter().take(count);
+        first.any(|row| row.incarnation == own) || self.standby_rank(standby_count, now).is_some()
+    }
+
     /// This entry's rank among the ready entries that stand by, if it is one of the first `count`. Entries that the store
     /// does not answer are passed over.
     pub fn standby_rank(&self, count: usize, now: Microseconds) -> Option<usize> {
--- a/crates/pinhaven-agree/src/store_access.rs
+++ b/crates/pinhaven-agree/src/store_access.rs
@@ -49,9 +49,12 @@
 const STANDBY_LIST_AGES: (Microseconds, Microseconds) =
     (Microseconds::from_ms(5_000), Microseconds::from_ms(20_000));
 
+/// Number of serving entries whose answered reads of the list count. All serving entries of higher ranks read it at the same
+/// age, and a configuration costs each of them processor time.
+pub const FOLLOWING_READERS: usize = 12;
 /// Time after an answered read of the list of targets for which an entry reads the configuration too. Whichever ranks the
 /// store turns away, the list is read more often.
-const LIST_READER_FOR: Microseconds = Microseconds::from_ms(2_500);
+pub const LIST_READER_FOR: Microseconds = Microseconds::from_ms(2_500);
 
 /// Facts on which the access to the store depends.
 #[derive(Debug, Clone, Copy)]
@@ -64,7 +67,8 @@
     pub is_delegate: bool,
     /// Whether the entry holds some version of the state.
     pub has_state: bool,
-    /// Time since the store last answered a read by which this entry kept the list of targets up to date, if it ever did.
+    /// Time since the store last answered a read by which this entry kept the list of targets up to date, if it ever did and
+    /// is one of the first readers.
     pub list_reread_age: Option<Microseconds>,
 }
 
--- a/crates/pinhaven-agree/tests/steering.rs
+++ b/crates/pinhaven-agree/tests/steering.rs
@@ -198,6 +198,19 @@
     assert!(named.contains(&101));
 }
 
+/// Guards against a configuration that each of many serving entries reads, as all of them find the list old at once.
+#[test]
+fn few_entries_are_the_first_readers_however_many_serve() {
+    let mut rows = mixed();
+    for row in &mut rows {
+        row.demand = RequestRate::new(30);
+    }
+    let is_first = |own: &usize| members_of(*own, &rows).is_first_reader(12, 8, NOW);
+    let serving = members(&rows).serving(NOW).len();
+    assert!(serving > 40, "{serving}");
+    assert_eq!((0..rows.len()).filter(is_first).count(), 12 + 8);
+}
+
 #[test]
 fn a_single_failure_domain_has_enough_store_delegates() {
     let mut rows: Vec<MemberRow> = (0..18).map(|number| row(number, 140)).collect();
--- a/crates/pinhaven-entry/src/versions/discovered.rs
+++ b/crates/pinhaven-entry/src/versions/discovered.rs
@@ -10,7 +10,10 @@
 use crate::versions::store_pace::FIRST_RANK;
 use crate::versions::store_pace::pause_before_retry;
 use pinhaven_agree::DrainedDomains;
+use pinhaven_agree::FOLLOWING_READERS;
+use pinhaven_agree::LIST_READER_FOR;
 use pinhaven_agree::RetryBackoff;
+use pinhaven_agree::STANDBY_READERS;
 use pinhaven_agree::StoreAccessFacts;
 use pinhaven_agree::pause_after_answer;
 use pinhaven_bundle::CanonicalBundle;
@@ -199,6 +202,9 @@
         let now = self.now();
         let list_reread_age = self.targets.lock().reread_age(now);
         let members = self.members.lock();
+        let is_first_reader = || members.is_first_reader(FOLLOWING_READERS, STANDBY_READERS, now);
+        let list_reread_age =
+            list_reread_age.filter(|age| *age < LIST_READER_FOR && is_first_reader());
         let facts = StoreAccessFacts {
             list_reread_age,
             age: self.clock.age(),
