Frame answers by their body where a length beside it differs

Cause: the fields of the connection are removed, Transfer-Encoding among them, and the target's Content-Length was passed on, by which the server framed the body.

Change: where an answer is handed to the caller, a length that is not that of the body is removed, so that the body alone decides. With an empty body it stays, as for HEAD. Counted as answer_misframed, with the target in the log.

--- a/crates/pinhaven-entry/src/request/dispatch.rs
+++ b/crates/pinhaven-entry/src/request/dispatch.rs
@@ -540,7 +540,8 @@
             attempt: id.0,
             status: answer.head.status.as_u16(),
         });
-        let pool = self.job.service.pools.get(&attempt.target.address());
+        let target = attempt.target.address();
+        let pool = self.job.service.pools.get(&target);
         let guard = AnswerGuard {
             entry: Arc::clone(&self.job.entry),
             capacity_freed: Arc::clone(&self.job.service.capacity_freed),
@@ -550,6 +551,10 @@
             _request_guard: std::mem::take(&mut self.request_guard),
         };
         let mut head = answer.head;
+        if header::remove_wrong_length(&mut head.headers, &answer.body) {
+            self.job.entry.counters.add(Count::AnswerMisframed);
+            log::warn!(target: "proxy", "Target {target} sent an answer with chunks and a length beside them.");
+        }
         header::remove_connection_fields(&mut head.headers);
         let dialect = &self.job.entry.dialect;
         dialect.pass_answer(&self.job.headers, &mut head.headers);
--- a/crates/pinhaven-entry/src/watch/counters.rs
+++ b/crates/pinhaven-entry/src/watch/counters.rs
@@ -39,6 +39,8 @@
     AttemptUnbounded,
     /// Exchanges in which a target sent bytes without end.
     AttemptEndless,
+    /// Answers with a length that is not that of their body.
+    AnswerMisframed,
     /// Answers truncated while they were passed on.
     AnswerCut,
     /// Connections opened to targets.
@@ -163,7 +165,7 @@
     ForwardDeclined,
 }
 
-const COUNT_NAMES: [&str; 76] = [
+const COUNT_NAMES: [&str; 77] = [
     "requests",
     "answered",
     "addresses",
@@ -179,6 +181,7 @@
     "attempt.misdirected",
     "attempt.unbounded",
     "attempt.endless",
+    "answer.misframed",
     "answer.cut",
     "connections",
     "target.left",
--- a/crates/pinhaven-entry/src/wire/header.rs
+++ b/crates/pinhaven-entry/src/wire/header.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::header;
+use http_body::Body;
 
 /// Remaining time that the sender waits, in milliseconds.
 pub(crate) const DEADLINE_MS: HeaderName = HeaderName::from_static("pinhaven-deadline-ms");
@@ -52,6 +53,19 @@
     }
 }
 
+/// Removes a `Content-Length` that is not the length of `body`, which then decides alone how the message is framed. Returns
+/// whether there was one. The field stays with an empty body, where it may be the length that another request would get.
+pub(crate) fn remove_wrong_length(headers: &mut HeaderMap, body: &impl Body) -> bool {
+    if body.is_end_stream() {
+        return false;
+    }
+    let declared = parse_number(headers, &header::CONTENT_LENGTH);
+    if declared == Ok(body.size_hint().exact()) {
+        return false;
+    }
+    headers.remove(header::CONTENT_LENGTH).is_some()
+}
+
 /// Returns the value of a field as a number; `Ok(None)` if the field is absent.
 ///
 /// # Errors
